--- /dev/null
+++ b/internal/objectclient/errors.go
@@ -0,0 +1,12 @@
+package objectclient
+
+import "github.com/juju/errors"
+
+// The causes of failed calls. Test with errors.Is.
+const (
+	ErrConflict    = errors.ConstError("object has another version")
+	ErrNotFound    = errors.ConstError("object not found")
+	ErrTooLarge    = errors.ConstError("object too large")
+	ErrCompacted   = errors.ConstError("revision compacted")
+	ErrUnavailable = errors.ConstError("object API unavailable")
+)
