--- /dev/null
+++ b/internal/configsync/view.go
@@ -0,0 +1,91 @@
+package configsync
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+
+	"rattantide/internal/api"
+	"rattantide/internal/objectclient"
+)
+
+// View is the configuration at a revision. It is immutable and safe for
+// concurrent use.
+type View struct {
+	// Revision is the highest object version that the view contains.
+	Revision int64
+	// Objects holds every object by kind and name, as stored.
+	Objects map[api.Kind]map[string]objectclient.Object
+
+	Classes    map[string]*api.Class
+	Workspaces map[string]*api.Workspace
+	Routes     map[string]*api.Route
+	Pools      map[string]*api.Pool
+	Versions   map[string]*api.Version
+	Moves      map[string]*Move
+
+	byModel  map[string]string
+	byPrefix map[string]string
+	byToken  map[string]string
+}
+
+// RouteForModel returns the route of a model name, or "", nil.
+func (v *View) RouteForModel(model string) (string, *api.Route) {
+	name := v.byModel[model]
+	return name, v.Routes[name]
+}
+
+// RouteForPrefix returns the route of a path's first segment, or "", nil.
+func (v *View) RouteForPrefix(prefix string) (string, *api.Route) {
+	name := v.byPrefix[prefix]
+	return name, v.Routes[name]
+}
+
+// WorkspaceForToken returns the workspace whose token this is, or "", nil. The
+// token is hashed before the lookup, so the comparison leaks nothing about it.
+func (v *View) WorkspaceForToken(token string) (string, *api.Workspace) {
+	sum := sha256.Sum256([]byte(token))
+	name := v.byToken[hex.EncodeToString(sum[:])]
+	return name, v.Workspaces[name]
+}
+
+// MoveFor returns the move of a pool that is running, else nil. If several are
+// running, which validation prevents, the oldest wins.
+func (v *View) MoveFor(pool string) *Move {
+	var found *Move
+	for _, m := range v.Moves {
+		if m.Spec.Pool != pool || m.Ended() {
+			continue
+		}
+		if found == nil || m.Version < found.Version {
+			found = m
+		}
+	}
+	return found
+}
+
+// EffectiveVersion returns the version that serves a pool outside a running
+// move: the pool's own, or the target of a move that is done but not yet
+// recorded in the pool.
+func (v *View) EffectiveVersion(pool string) string {
+	p := v.Pools[pool]
+	if p == nil {
+		return ""
+	}
+	version := p.Version
+	done := make([]*Move, 0, len(v.Moves))
+	for _, m := range v.Moves {
+		if m.Spec.Pool == pool && m.Status != nil && m.Status.Phase == api.MoveDone {
+			done = append(done, m)
+		}
+	}
+	poolVersion := v.Objects[api.KindPool][pool].Version
+	sort.Slice(done, func(i, j int) bool { return done[i].Version < done[j].Version })
+	for _, m := range done {
+		// A pool object written after the move ended already reflects it.
+		if m.Spec.From == version && m.Version > poolVersion {
+			version = m.Spec.To
+		}
+	}
+	return version
+}
--- /dev/null
+++ b/internal/membership/daemon.go
@@ -0,0 +1,12 @@
+package membership
+
+// Daemon is a daemon as known here.
+type Daemon struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Region  string `json:"region"`
+	// Leaving is set once the daemon announced that it is leaving, or a reclaim
+	// notice named it.
+	Leaving bool `json:"leaving,omitempty"`
+}
--- /dev/null
+++ b/internal/telemetry/scope.go
@@ -0,0 +1,26 @@
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// reportInterval is how often tally hands its values to the reporter.
+const reportInterval = time.Second
+
+// NewScope returns the root scope with the prefix "rattantide", the handler
+// that exposes it in the Prometheus text format, and what must be closed at
+// the end.
+func NewScope() (tally.Scope, http.Handler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "rattantide",
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return scope, reporter.HTTPHandler(), closer
+}
