--- /dev/null
+++ b/internal/engineclient/blocks.go
@@ -0,0 +1,66 @@
+package engineclient
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// BlockTokens is the number of tokens in a block of an engine's prefix cache.
+	BlockTokens = 16
+	// BytesPerToken is the length of a token in the estimate that engines and
+	// daemons share for prompts.
+	BytesPerToken = 4
+)
+
+// Message is a message of a chat completion whose content is text.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// PromptText returns the text over which prompt blocks are computed. With
+// open, the last message is to be continued and its end is left open.
+func PromptText(messages []Message, open bool) []byte {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Role) + len(m.Content) + 2
+	}
+	text := make([]byte, 0, size)
+	for i, m := range messages {
+		text = append(text, m.Role...)
+		text = append(text, '\n')
+		text = append(text, m.Content...)
+		if !open || i < len(messages)-1 {
+			text = append(text, '\n')
+		}
+	}
+	return text
+}
+
+// PromptTokens estimates the number of tokens of a prompt.
+func PromptTokens(text []byte) int {
+	return (len(text) + BytesPerToken - 1) / BytesPerToken
+}
+
+// PromptBlocks returns the hashes of the full prefix blocks of a prompt. Each
+// covers the prompt from its start to the end of that block.
+func PromptBlocks(text []byte) []uint64 {
+	const size = BlockTokens * BytesPerToken
+	blocks := make([]uint64, 0, len(text)/size)
+	digest := xxhash.New()
+	for len(text) >= size {
+		_, _ = digest.Write(text[:size])
+		blocks = append(blocks, digest.Sum64())
+		text = text[size:]
+	}
+	return blocks
+}
+
+// FormatBlock returns a block's hash as cache events carry it.
+func FormatBlock(block uint64) string { return fmt.Sprintf("%016x", block) }
+
+// ParseBlock reads a block's hash from a cache event.
+func ParseBlock(text string) (uint64, error) { return strconv.ParseUint(text, 16, 64) }
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -1,42 +1,60 @@
 package engineclient
 
 import (
-	"context"
-	"io"
+	"net"
 	"net/http"
+	"time"
+)
 
-	"rattantide/internal/relay"
+const (
+	// connectTimeout bounds the time to open a connection to an engine.
+	connectTimeout = time.Second
+	// maxIdlePerEngine is how many idle connections to one engine are kept.
+	// An engine runs a few dozen generations at a time.
+	maxIdlePerEngine = 64
+	// idleTimeout closes connections that were not used for this long.
+	idleTimeout = 90 * time.Second
+	// maxResponseHeader bounds the header of an engine's answer.
+	maxResponseHeader = 64 << 10
 )
 
 // Client calls engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// fresh opens a new connection for each call.
+	fresh *http.Client
 }
 
-// New returns a Client that uses httpClient, or one of its own when nil.
+// New returns a Client that uses httpClient, or one of its own when nil. The
+// client must have no overall timeout, because streams are long.
 func New(httpClient *http.Client) *Client {
 	if httpClient == nil {
-		httpClient = &http.Client{}
+		httpClient = &http.Client{Transport: newTransport()}
+	}
+	fresh := *httpClient
+	if transport, ok := httpClient.Transport.(*http.Transport); ok {
+		clone := transport.Clone()
+		clone.DisableKeepAlives = true
+		fresh.Transport = clone
 	}
-	return &Client{http: httpClient}
+	return &Client{http: httpClient, fresh: &fresh}
 }
 
-// Stream starts or resumes a generation. A failure is an *Error.
-func (c *Client) Stream(_ context.Context, _ StreamRequest) (*Stream, error) {
-	return nil, &Error{NotRun: true}
+// CloseIdle closes the idle connections.
+func (c *Client) CloseIdle() {
+	c.http.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
 }
 
-// Cancel ends a generation and frees its place in the engine.
-func (c *Client) Cancel(_ context.Context, _, _ string) error { return nil }
-
-// Stream is an open generation. It is used by one goroutine at a time.
-type Stream struct{}
-
-// Next returns the next event; its data is valid until the next call. After
-// the "[DONE]" event it returns io.EOF. A lost connection is
-// io.ErrUnexpectedEOF or the transport's error.
-func (s *Stream) Next() (relay.Event, error) { return relay.Event{}, io.EOF }
-
-// Close closes the connection. The engine keeps the generation for a grace
-// period, so that it can be resumed; use Client.Cancel to end it.
-func (s *Stream) Close() error { return nil }
+func newTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: connectTimeout, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    maxIdlePerEngine,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxResponseHeader,
+		// Compressed event streams would be held back until a block is full.
+		DisableCompression: true,
+	}
+}
--- /dev/null
+++ b/internal/engineclient/stream.go
@@ -0,0 +1,73 @@
+package engineclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"rattantide/internal/relay"
+)
+
+// doneData is the payload of the event that ends a stream.
+var doneData = []byte("[DONE]")
+
+// Stream is an open generation. It is used by one goroutine at a time.
+type Stream struct {
+	body   io.ReadCloser
+	reader *relay.Reader
+	done   bool
+}
+
+// Stream starts or resumes a generation. A failure is an *Error. The stream
+// ends with ctx.
+func (c *Client) Stream(ctx context.Context, r StreamRequest) (*Stream, error) {
+	header := http.Header{
+		"Accept":       {"text/event-stream"},
+		"X-Request-Id": {r.RequestID},
+		"X-Attempt":    {strconv.Itoa(r.Attempt)},
+		"X-Priority":   {strconv.Itoa(r.Priority)},
+	}
+	if r.AfterEvent > 0 {
+		header.Set("Last-Event-Id", strconv.FormatInt(r.AfterEvent, 10))
+	}
+	using := c.http
+	if r.FreshConnection {
+		using = c.fresh
+	}
+	res, err := call(ctx, using, http.MethodPost, r.Address, "/v1/chat/completions", r.Body, header)
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{body: res.Body, reader: relay.NewReader(res.Body, r.MaxEventBytes)}, nil
+}
+
+// Next returns the next event; its data is valid until the next call. After
+// the "[DONE]" event it returns io.EOF. A lost connection is
+// io.ErrUnexpectedEOF or the transport's error.
+func (s *Stream) Next() (relay.Event, error) {
+	if s.done {
+		return relay.Event{}, io.EOF
+	}
+	event, err := s.reader.Next()
+	if err == io.EOF {
+		return relay.Event{}, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return relay.Event{}, err
+	}
+	s.done = bytes.Equal(event.Data, doneData)
+	return event, nil
+}
+
+// Close closes the connection. The engine keeps the generation for a grace
+// period, so that it can be resumed; use Client.Cancel to end it.
+func (s *Stream) Close() error {
+	if s.done {
+		// What is left is the end of the chunked body; reading it lets the
+		// connection be used again.
+		_, _ = io.CopyN(io.Discard, s.body, 64)
+	}
+	return s.body.Close()
+}
--- a/internal/engineclient/stream_request.go
+++ b/internal/engineclient/stream_request.go
@@ -14,4 +14,10 @@
 	// AfterEvent asks the engine to resume its own generation of this request
 	// after that event number; 0 starts from the beginning.
 	AfterEvent int64
+	// FreshConnection opens a new connection instead of taking an idle one. It
+	// is needed after an open connection has become silent: the idle ones to the
+	// same engine may be silent too.
+	FreshConnection bool
+	// MaxEventBytes bounds one event; 0 means relay.DefaultMaxEvent.
+	MaxEventBytes int
 }
