--- /dev/null
+++ b/cmd/standin/engine.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"rattantide/internal/standin/engine"
+)
+
+// exitCrash is the exit code after a simulated crash.
+const exitCrash = 70
+
+type engineCommand struct {
+	listener
+	config      engine.Config
+	exitOnCrash bool
+}
+
+func (*engineCommand) Name() string     { return "engine" }
+func (*engineCommand) Synopsis() string { return "run the stand-in of a model engine" }
+func (*engineCommand) Usage() string    { return "engine [flags]\n" }
+
+func (c *engineCommand) SetFlags(flags *flag.FlagSet) {
+	c.register(flags)
+	def := engine.DefaultConfig()
+	flags.StringVar(&c.config.Name, "name", "", "`name` of the instance")
+	flags.StringVar(&c.config.Pool, "pool", "", "`pool` of the engine")
+	flags.StringVar(&c.config.Version, "version", def.Version, "`version` loaded at the start")
+	flags.StringVar(&c.config.Role, "role", def.Role, "`role` at the start")
+	flags.IntVar(&c.config.Slots, "slots", def.Slots, "generations in a batch")
+	flags.IntVar(&c.config.MaxWaiting, "max-waiting", def.MaxWaiting, "longest queue")
+	flags.DurationVar(&c.config.TokenTime, "token-time", def.TokenTime, "time of a step with one generation")
+	flags.Float64Var(&c.config.TokenGrowth, "token-growth", def.TokenGrowth, "`share` of the token time that each further generation adds")
+	flags.DurationVar(&c.config.PrefillPerToken, "prefill-per-token", def.PrefillPerToken, "time per prompt token that is not cached")
+	flags.IntVar(&c.config.KVTokens, "kv-tokens", def.KVTokens, "memory in `tokens`")
+	flags.DurationVar(&c.config.Grace, "grace", def.Grace, "how long a generation without a connection is kept")
+	flags.BoolVar(&c.config.CheckFence, "check-fence", def.CheckFence, "reject orders with an older fencing token")
+	flags.DurationVar(&c.config.LoadTime, "load-time", def.LoadTime, "time to load a version")
+	flags.StringVar(&c.config.Weights, "weights", "", "`address` of the weight store")
+	flags.DurationVar(&c.config.TransferPerToken, "transfer-per-token", def.TransferPerToken, "time to move one token's KV cache")
+	flags.DurationVar(&c.config.LoadLag, "load-lag", def.LoadLag, "age of load reports")
+	flags.DurationVar(&c.config.CacheEventLag, "cache-event-lag", def.CacheEventLag, "delay of cache events")
+	flags.BoolVar(&c.exitOnCrash, "exit-on-crash", false, "end the process at a simulated crash")
+}
+
+func (c *engineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.exitOnCrash {
+		c.config.OnCrash = func() { os.Exit(exitCrash) }
+	}
+	e := engine.New(c.config)
+	defer e.Close()
+	return c.serve(ctx, c.Name(), e)
+}
--- /dev/null
+++ b/cmd/standin/object_api.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"rattantide/internal/standin/objectapi"
+)
+
+type objectAPICommand struct {
+	listener
+	config objectapi.Config
+}
+
+func (*objectAPICommand) Name() string     { return "objectapi" }
+func (*objectAPICommand) Synopsis() string { return "run the stand-in of the object API" }
+func (*objectAPICommand) Usage() string    { return "objectapi [flags]\n" }
+
+func (c *objectAPICommand) SetFlags(flags *flag.FlagSet) {
+	c.register(flags)
+	flags.Float64Var(&c.config.WritesPerSecond, "writes-per-second", 300, "limit of writes; 0 means none")
+	flags.Float64Var(&c.config.ReadsPerSecond, "reads-per-second", 2000, "limit of reads; 0 means none")
+}
+
+func (c *objectAPICommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.serve(ctx, c.Name(), objectapi.New(c.config))
+}
--- a/internal/engineclient/blocks.go
+++ b/internal/engineclient/blocks.go
@@ -15,12 +15,6 @@
 	BytesPerToken = 4
 )
 
-// Message is a message of a chat completion whose content is text.
-type Message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 // PromptText returns the text over which prompt blocks are computed. With
 // open, the last message is to be continued and its end is left open.
 func PromptText(messages []Message, open bool) []byte {
--- a/internal/engineclient/call.go
+++ b/internal/engineclient/call.go
@@ -19,9 +19,9 @@
 	maxAnswer = 4 << 20
 )
 
-// call sends a request and returns the answer when it is a success. A failure
-// is an *Error.
-func call(ctx context.Context, using *http.Client, method, address, path string, body []byte, header http.Header) (*http.Response, error) {
+// call sends a request and returns the body of the answer when it is a
+// success. The receiver closes it. A failure is an *Error.
+func call(ctx context.Context, using *http.Client, method, address, path string, body []byte, header http.Header) (io.ReadCloser, error) {
 	// A request whose connection was never opened did not reach the engine.
 	// Once it has a connection, bytes may have been sent.
 	var connected atomic.Bool
@@ -43,30 +43,29 @@
 		return nil, &Error{NotRun: !connected.Load(), Err: errors.Trace(err)}
 	}
 	if res.StatusCode/100 == 2 {
-		return res, nil
+		return res.Body, nil
 	}
 	defer res.Body.Close()
 	return nil, answered(res)
 }
 
-// fetch sends a request and decodes the answer, of at most limit bytes, into
-// value unless that is nil.
+// fetch sends a request and decodes the answer into value unless that is nil.
 func fetch(ctx context.Context, using *http.Client, method, address, path string, body []byte, value any) error {
-	res, err := call(ctx, using, method, address, path, body, nil)
+	answer, err := call(ctx, using, method, address, path, body, nil)
 	if err != nil {
 		return err
 	}
-	defer res.Body.Close()
+	defer answer.Close()
 	if value == nil {
-		_, _ = io.CopyN(io.Discard, res.Body, maxErrorBody)
+		_, _ = io.CopyN(io.Discard, answer, maxErrorBody)
 		return nil
 	}
-	content, err := readAll(res.Body, maxAnswer)
+	content, err := readAll(answer, maxAnswer)
 	if err == nil {
 		err = json.Unmarshal(content, value)
 	}
 	if err != nil {
-		return &Error{Status: res.StatusCode, Err: errors.Trace(err)}
+		return &Error{Status: http.StatusOK, Err: errors.Trace(err)}
 	}
 	return nil
 }
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -36,11 +37,11 @@
 	if r.FreshConnection {
 		using = c.fresh
 	}
-	res, err := call(ctx, using, http.MethodPost, r.Address, "/v1/chat/completions", r.Body, header)
+	answer, err := call(ctx, using, http.MethodPost, r.Address, "/v1/chat/completions", r.Body, header)
 	if err != nil {
 		return nil, err
 	}
-	return &Stream{body: res.Body, reader: relay.NewReader(res.Body, r.MaxEventBytes)}, nil
+	return &Stream{body: answer, reader: relay.NewReader(answer, r.MaxEventBytes)}, nil
 }
 
 // Next returns the next event; its data is valid until the next call. After
@@ -51,7 +52,7 @@
 		return relay.Event{}, io.EOF
 	}
 	event, err := s.reader.Next()
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return relay.Event{}, io.ErrUnexpectedEOF
 	}
 	if err != nil {
--- a/internal/engineclient/transfer.go
+++ b/internal/engineclient/transfer.go
@@ -15,14 +15,14 @@
 // imported by another engine. The content is opaque. Until it is cancelled or
 // its grace time is over, the generation can still be resumed where it was.
 func (c *Client) Export(ctx context.Context, address, requestID string) ([]byte, error) {
-	res, err := call(ctx, c.http, http.MethodPost, address, "/v1/requests/"+url.PathEscape(requestID)+"/export", nil, nil)
+	answer, err := call(ctx, c.http, http.MethodPost, address, "/v1/requests/"+url.PathEscape(requestID)+"/export", nil, nil)
 	if err != nil {
 		return nil, err
 	}
-	defer res.Body.Close()
-	state, err := readAll(res.Body, maxKVState)
+	defer answer.Close()
+	state, err := readAll(answer, maxKVState)
 	if err != nil {
-		return nil, &Error{Status: res.StatusCode, Err: errors.Trace(err)}
+		return nil, &Error{Status: http.StatusOK, Err: errors.Trace(err)}
 	}
 	return state, nil
 }
--- /dev/null
+++ b/internal/standin/engine/load.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"net/http"
+	"time"
+
+	"rattantide/internal/standin/control"
+)
+
+const (
+	// sampleSpacing merges load samples that are closer than this.
+	sampleSpacing = 5 * time.Millisecond
+	maxSamples    = 4096
+)
+
+type loadSample struct {
+	Running       int    `json:"running"`
+	Waiting       int    `json:"waiting"`
+	KVUsedTokens  int    `json:"kvUsedTokens"`
+	KVTotalTokens int    `json:"kvTotalTokens"`
+	Version       string `json:"version"`
+	Draining      bool   `json:"draining"`
+	Seq           int64  `json:"seq"`
+	AgeMs         int64  `json:"ageMs"`
+	at            time.Time
+}
+
+func (e *Engine) loadLocked(now time.Time) loadSample {
+	used := e.cache.tokens()
+	for _, g := range e.batch {
+		used += g.kvTokens()
+	}
+	return loadSample{
+		Running: len(e.batch), Waiting: len(e.waiting), KVUsedTokens: min(used, e.config.KVTokens),
+		KVTotalTokens: e.config.KVTokens, Version: e.orders.Version, Draining: e.faults.Get().Draining,
+		Seq: e.loadSeq, at: now,
+	}
+}
+
+// sampleLocked records the load at now for reports that lag.
+func (e *Engine) sampleLocked(now time.Time) {
+	if n := len(e.samples); n > 0 && now.Sub(e.samples[n-1].at) < sampleSpacing {
+		at := e.samples[n-1].at
+		e.samples[n-1] = e.loadLocked(now)
+		e.samples[n-1].at = at
+		return
+	}
+	e.loadSeq++
+	if len(e.samples) >= maxSamples {
+		e.samples = append(e.samples[:0], e.samples[maxSamples/4:]...)
+	}
+	e.samples = append(e.samples, e.loadLocked(now))
+}
+
+// serveLoad answers with the newest report that is at least as old as the lag.
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	lag := e.config.LoadLag + time.Duration(e.faults.Get().LoadLagMs)*time.Millisecond
+	e.mu.Lock()
+	now := time.Now()
+	report := e.loadLocked(now)
+	if lag > 0 {
+		report = loadSample{KVTotalTokens: e.config.KVTokens, Version: e.config.Version}
+		for i := len(e.samples) - 1; i >= 0; i-- {
+			report = e.samples[i]
+			if now.Sub(report.at) >= lag {
+				break
+			}
+		}
+		report.AgeMs = lag.Milliseconds()
+	}
+	e.mu.Unlock()
+	control.JSON(w, http.StatusOK, report)
+}
--- /dev/null
+++ b/internal/standin/engine/orders.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"rattantide/internal/engineclient"
+	"rattantide/internal/standin/control"
+)
+
+// weightsTimeout bounds reading a version from the weight store.
+const weightsTimeout = 5 * time.Minute
+
+func (e *Engine) serveOrderState(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	state := e.orders
+	e.mu.Unlock()
+	control.JSON(w, http.StatusOK, state)
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order engineclient.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16)).Decode(&order); err != nil {
+		control.Error(w, http.StatusBadRequest, "bad_request", err.Error())
+		return
+	}
+	e.mu.Lock()
+	entry := control.Entry{Event: "order", Key: order.ID, Fence: order.Fence, Version: order.Want.Version, Role: order.Want.Role}
+	if e.config.CheckFence && order.Fence < e.highFence {
+		entry.Event, entry.Detail = "refuse", "stale_fence"
+		e.log.Add(entry)
+		e.mu.Unlock()
+		control.Error(w, http.StatusConflict, "stale_fence", "an order with a newer fencing token was accepted")
+		return
+	}
+	e.highFence = max(e.highFence, order.Fence)
+	e.log.Add(entry)
+	e.orders.Fence, e.orders.ID = order.Fence, order.ID
+	if order.Want.Role != "" {
+		e.orders.Want.Role, e.orders.Role = order.Want.Role, order.Want.Role
+	}
+	if want := order.Want.Version; want != "" {
+		change := want != e.orders.Want.Version && (want != e.orders.Version || e.orders.Loading)
+		e.orders.Want.Version = want
+		if change {
+			e.orders.Loading = want != e.orders.Version
+			e.done.Add(1)
+			go func() {
+				defer e.done.Done()
+				e.load(want)
+			}()
+		}
+	}
+	state := e.orders
+	e.mu.Unlock()
+	lost := e.faults.Take(func(f *Faults) bool {
+		if f.LoseOrderAnswers == 0 {
+			return false
+		}
+		f.LoseOrderAnswers--
+		return true
+	})
+	if lost {
+		control.Abort()
+	}
+	control.JSON(w, http.StatusOK, state)
+}
+
+// load brings a version into memory. Generations that run keep theirs.
+func (e *Engine) load(version string) {
+	if e.config.Weights != "" && !e.fetchWeights(version) {
+		e.log.Add(control.Entry{Event: "load-failed", Version: version})
+		e.mu.Lock()
+		if e.orders.Want.Version == version {
+			// The order can be sent again.
+			e.orders.Loading, e.orders.Want.Version = false, ""
+		}
+		e.mu.Unlock()
+		return
+	}
+	select {
+	case <-e.closed:
+		return
+	case <-time.After(e.config.LoadTime):
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.orders.Want.Version != version {
+		return
+	}
+	e.orders.Version, e.orders.Loading = version, false
+	e.sampleLocked(time.Now())
+	e.log.Add(control.Entry{Event: "loaded", Version: version})
+}
+
+func (e *Engine) fetchWeights(version string) bool {
+	client := http.Client{Timeout: weightsTimeout}
+	res, err := client.Get("http://" + e.config.Weights + "/v1/weights/" + version)
+	if err != nil {
+		return false
+	}
+	defer res.Body.Close()
+	_, err = io.Copy(io.Discard, res.Body)
+	return err == nil && res.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/standin/instances/instance.go
@@ -0,0 +1,31 @@
+package instances
+
+// Instance is one entry of the list.
+type Instance struct {
+	Name         string  `json:"name"`
+	Address      string  `json:"address"`
+	Domain       string  `json:"domain"`
+	Region       string  `json:"region"`
+	Role         string  `json:"role"`
+	Pool         string  `json:"pool,omitempty"`
+	Version      string  `json:"version,omitempty"`
+	Class        string  `json:"class,omitempty"`
+	PricePerHour float64 `json:"pricePerHour,omitempty"`
+	State        string  `json:"state"`
+}
+
+// List is the content of the list at a revision.
+type List struct {
+	Revision  int64      `json:"revision"`
+	Instances []Instance `json:"instances"`
+}
+
+// Faults are the switchable faults of the list.
+type Faults struct {
+	// LagMs is the age of what is served.
+	LagMs int64 `json:"lagMs"`
+	// Frozen goes on serving what was served when it was set.
+	Frozen bool `json:"frozen"`
+	// Outage answers reads with 503.
+	Outage bool `json:"outage"`
+}
