--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const defaultTimeout = 60 * time.Second
+
+// Run sends the requests and returns what was measured. It ends early when ctx
+// ends; requests that were not sent are not counted.
+func Run(ctx context.Context, o Options) *Report {
+	if o.Timeout == 0 {
+		o.Timeout = defaultTimeout
+	}
+	if o.HTTP == nil {
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.MaxIdleConnsPerHost = 4096
+		transport.MaxIdleConns = 0
+		o.HTTP = &http.Client{Transport: transport}
+		defer transport.CloseIdleConnections()
+	}
+	g := &generator{options: o, random: rand.New(rand.NewPCG(o.Seed, 1)), report: newReport()}
+	return g.run(ctx)
+}
+
+type generator struct {
+	options Options
+	random  *rand.Rand
+
+	mu     sync.Mutex
+	report *Report
+}
+
+func (g *generator) run(ctx context.Context) *Report {
+	start := time.Now()
+	var wait sync.WaitGroup
+	next := start
+	for i := range g.options.Requests {
+		if !sleepUntil(ctx, next) {
+			break
+		}
+		next = next.Add(g.interval())
+		prompt := g.prompt(i)
+		url := g.options.URLs[i%len(g.options.URLs)]
+		g.report.Sent++
+		wait.Go(func() { g.add(g.send(ctx, url, prompt)) })
+	}
+	wait.Wait()
+	g.report.Elapsed = time.Since(start)
+	return g.report
+}
+
+// interval returns the time to the next arrival; arrivals are a Poisson process.
+func (g *generator) interval() time.Duration {
+	return time.Duration(g.random.ExpFloat64() / g.options.Rate * float64(time.Second))
+}
+
+func (g *generator) add(s sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.report.Tokens += int64(len(s.gaps))
+	if s.firstToken > 0 {
+		_ = g.report.FirstToken.RecordValue(min(s.firstToken.Microseconds(), maxRecorded))
+		g.report.Tokens++
+	}
+	for _, gap := range s.gaps {
+		_ = g.report.BetweenTokens.RecordValue(min(gap.Microseconds(), maxRecorded))
+	}
+	if s.failure != "" {
+		g.report.Failures[s.failure]++
+		return
+	}
+	g.report.Complete++
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,108 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// sample is what was seen of one request.
+type sample struct {
+	firstToken time.Duration
+	gaps       []time.Duration
+	failure    string
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completion struct {
+	Model     string    `json:"model"`
+	Messages  []message `json:"messages"`
+	Stream    bool      `json:"stream"`
+	MaxTokens int       `json:"max_tokens"`
+}
+
+var (
+	dataField = []byte("data: ")
+	doneData  = []byte("[DONE]")
+)
+
+func (g *generator) prompt(i int) string {
+	var b strings.Builder
+	shared := rand.New(rand.NewPCG(g.options.Seed, 2))
+	writeWords(&b, shared, g.options.SharedWords)
+	own := rand.New(rand.NewPCG(g.options.Seed, uint64(i)+3))
+	writeWords(&b, own, max(1, g.options.PromptWords))
+	return b.String()
+}
+
+func writeWords(b *strings.Builder, random *rand.Rand, words int) {
+	for range words {
+		fmt.Fprintf(b, "w%04d ", random.IntN(10000))
+	}
+}
+
+func (g *generator) send(ctx context.Context, url, prompt string) sample {
+	ctx, cancel := context.WithTimeout(ctx, g.options.Timeout)
+	defer cancel()
+	body, err := json.Marshal(completion{
+		Model:     g.options.Model,
+		Messages:  []message{{Role: "user", Content: prompt}},
+		Stream:    true,
+		MaxTokens: g.options.MaxTokens,
+	})
+	if err != nil {
+		return sample{failure: err.Error()}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return sample{failure: err.Error()}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if g.options.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+g.options.Token)
+	}
+	start := time.Now()
+	response, err := g.options.HTTP.Do(request)
+	if err != nil {
+		return sample{failure: "no answer"}
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return sample{failure: response.Status}
+	}
+	return readStream(response, start)
+}
+
+func readStream(response *http.Response, start time.Time) sample {
+	var s sample
+	last := start
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		data, isData := bytes.CutPrefix(scanner.Bytes(), dataField)
+		if !isData {
+			continue
+		}
+		if bytes.Equal(data, doneData) {
+			return s
+		}
+		now := time.Now()
+		if s.firstToken == 0 {
+			s.firstToken = now.Sub(start)
+		} else {
+			s.gaps = append(s.gaps, now.Sub(last))
+		}
+		last = now
+	}
+	s.failure = "stream ended early"
+	return s
+}
