Select upstreams by expected time to first token

The shipped policy scores candidates by lagging load plus own sends since the report, believed cached prefix, price and reclaim hazard by failure domain and class, and draws two among the best.

--- /dev/null
+++ b/internal/routing/cost.go
@@ -0,0 +1,122 @@
+package routing
+
+import "math"
+
+// Defaults of Cost.
+const (
+	// DefaultSecondsPerRunning is the growth of the time to first token with
+	// each request in the batch. 2 ms is small against a prompt of 1,000 tokens
+	// (250 ms at the default rate), so that it decides only between upstreams
+	// of about equal backlog.
+	DefaultSecondsPerRunning = 0.002
+	// DefaultPriceSeconds is how much longer a caller may wait for its first
+	// token to save one currency unit per instance hour.
+	DefaultPriceSeconds = 0.02
+	// DefaultSlackSeconds and DefaultSlackShare bound the set of best
+	// candidates. Differences below them are within the error of load reports
+	// that lag by a second.
+	DefaultSlackSeconds = 0.015
+	DefaultSlackShare   = 0.1
+	// secondsPerToken estimates the generation of one token, for the time that
+	// a request is exposed to a reclaim.
+	secondsPerToken = 0.03
+	// kvPressureStart is the used share of cache memory above which engines
+	// begin to evict prefixes and to preempt requests.
+	kvPressureStart   = 0.9
+	kvPressureSeconds = 5.0
+)
+
+// Cost is the shipped policy. The score of a candidate is the expected time to
+// first token in seconds, plus what a reclaim would cost on average, plus the
+// price in seconds. Two random choices among the best candidates keep daemons
+// with the same reports from choosing the same upstream.
+type Cost struct {
+	// SecondsPerRunning, PriceSeconds, SlackSeconds and SlackShare replace the
+	// defaults above.
+	SecondsPerRunning float64
+	PriceSeconds      float64
+	SlackSeconds      float64
+	SlackShare        float64
+}
+
+// NewCost returns a Cost with the defaults.
+func NewCost() *Cost {
+	return &Cost{
+		SecondsPerRunning: DefaultSecondsPerRunning,
+		PriceSeconds:      DefaultPriceSeconds,
+		SlackSeconds:      DefaultSlackSeconds,
+		SlackShare:        DefaultSlackShare,
+	}
+}
+
+// Score returns the cost of sending req to c, in seconds.
+func (p *Cost) Score(req *Request, c *Candidate) float64 {
+	uncached := max(0, float64(req.PromptTokens)-c.CachedTokens)
+	rate := c.TokensPerSecond
+	if rate <= 0 {
+		rate = DefaultTokensPerSecond
+	}
+	slowness := c.Slowness
+	if slowness <= 0 {
+		slowness = 1
+	}
+	prefill := (c.BacklogTokens + uncached) / rate
+	first := (prefill + c.Running*p.SecondsPerRunning) * slowness
+	if c.KVShare > kvPressureStart {
+		first += (c.KVShare - kvPressureStart) * kvPressureSeconds
+	}
+	exposure := first + float64(req.MaxTokens)*secondsPerToken
+	// On average, half of the answer exists when a reclaim comes; prompt and
+	// answer are then computed again elsewhere.
+	recompute := (float64(req.PromptTokens) + float64(req.MaxTokens)/2) / rate
+	return first + c.ReclaimsPerSecond*exposure*recompute + c.PricePerHour*p.PriceSeconds
+}
+
+// maxScored bounds the buffer of scores on the stack.
+const maxScored = 256
+
+// Pick implements Policy. Candidates after the first 256 are not considered.
+func (p *Cost) Pick(req *Request, candidates []Candidate) int {
+	if len(candidates) < 2 {
+		return len(candidates) - 1
+	}
+	candidates = candidates[:min(len(candidates), maxScored)]
+	var scores [maxScored]float64
+	best := math.Inf(1)
+	for i := range candidates {
+		scores[i] = p.Score(req, &candidates[i])
+		best = min(best, scores[i])
+	}
+	limit := best + p.SlackSeconds + best*p.SlackShare
+	// Reservoir sampling of two among the candidates within the limit.
+	source := bitSource(req.Rand)
+	a, b, seen := -1, -1, 0
+	for i := range candidates {
+		if scores[i] > limit {
+			continue
+		}
+		seen++
+		switch {
+		case a < 0:
+			a = i
+		case b < 0:
+			b = i
+		default:
+			switch source.below(seen) {
+			case 0:
+				a = i
+			case 1:
+				b = i
+			}
+		}
+	}
+	if b < 0 {
+		return a
+	}
+	// Own open attempts are known without lag, so they decide first.
+	d := candidates[a].InFlight - candidates[b].InFlight
+	if d > 0 || d == 0 && scores[b] < scores[a] {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/routing/cost_bench_test.go
@@ -0,0 +1,49 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rattantide/internal/membership"
+)
+
+// BenchmarkChoose100 guards the bound of 5 µs without allocation for choosing
+// among 100 upstreams, with the candidates built from the tracker's state.
+func BenchmarkChoose100(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tracker, upstreams, blocks := loadedTracker(now)
+	policy := NewCost()
+	req := &Request{PromptTokens: 64 * 64, MaxTokens: 200, Blocks: blocks, Now: now}
+	buffer := make([]Candidate, 0, len(upstreams))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		req.Rand = uint64(i)
+		buffer = tracker.Candidates(req, upstreams, buffer[:0])
+		if policy.Pick(req, buffer) < 0 {
+			b.Fatal("nothing chosen")
+		}
+	}
+}
+
+func loadedTracker(now time.Time) (*Tracker, []membership.Upstream, []uint64) {
+	blocks := make([]uint64, 64)
+	for i := range blocks {
+		blocks[i] = uint64(i+1) * 0x9e3779b97f4a7c15
+	}
+	tracker := NewTracker(0)
+	var upstreams []membership.Upstream
+	for i := range 100 {
+		upstreams = append(upstreams, membership.Upstream{
+			Name: fmt.Sprintf("runner-%03d.pool-a", i), Domain: fmt.Sprintf("domain-%d", i%24),
+			Class: membership.Reclaimable, PricePerHour: 1 + float64(i%3),
+			Load: &membership.Load{Running: i % 7, Waiting: i % 3, ReceivedAt: now.Add(-time.Second)},
+		})
+	}
+	for i, u := range upstreams {
+		s := tracker.state(u.Name)
+		tracker.index.Sent(s.slot, blocks[:i%len(blocks)])
+		tracker.Reclaimed(u.Domain, now)
+	}
+	return tracker, upstreams, blocks
+}
--- /dev/null
+++ b/internal/routing/tracker_test.go
@@ -0,0 +1,105 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/membership"
+)
+
+// Guards against herding: with equal reports, many daemons must not all choose
+// the same upstream, and one daemon must spread a burst before new reports.
+func TestCostSpreadsABurst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	policy, tracker := NewCost(), NewTracker(0)
+	var upstreams []membership.Upstream
+	for i := range 10 {
+		upstreams = append(upstreams, membership.Upstream{Name: fmt.Sprintf("u%d", i), Class: membership.OnDemand})
+	}
+	counts := map[string]int{}
+	for i := range 200 {
+		req := &Request{PromptTokens: 1000, MaxTokens: 100, Now: now, Rand: uint64(i)}
+		candidates := tracker.Candidates(req, upstreams, nil)
+		picked := policy.Pick(req, candidates)
+		tracker.Sent(req, &candidates[picked])
+		counts[candidates[picked].Name]++
+	}
+	for name, n := range counts {
+		assert.Assert(t, n >= 14 && n <= 26, "%s got %d of 200, expected about 20", name, n)
+	}
+}
+
+// Guards against losing prefix locality, and against holding on to it when the
+// holder is overloaded, dropped the blocks, restarted or lost events.
+func TestCostFollowsThePrefix(t *testing.T) {
+	now := time.Unix(1000, 0)
+	blocks := []uint64{11, 12, 13, 14, 15, 16, 17, 18}
+	upstreams := []membership.Upstream{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	tracker, policy := NewTracker(0), NewCost()
+	pick := func() string {
+		req := &Request{PromptTokens: 4000, Blocks: blocks, Now: now, Rand: uint64(now.UnixNano())}
+		candidates := tracker.Candidates(req, upstreams, nil)
+		return candidates[policy.Pick(req, candidates)].Name
+	}
+	var events []CacheEvent
+	for i, b := range blocks {
+		events = append(events, CacheEvent{Seq: int64(i + 1), Stored: true, Block: b})
+	}
+	tracker.CacheEvents("b", 8, events)
+	for range 20 {
+		now = now.Add(time.Millisecond)
+		assert.Equal(t, pick(), "b")
+	}
+	busy := membership.Load{Waiting: 100, ReceivedAt: now}
+	upstreams[1].Load = &busy
+	assert.Assert(t, pick() != "b", "the holder has 100 requests waiting")
+	idle := membership.Load{ReceivedAt: now.Add(time.Millisecond)}
+	upstreams[1].Load = &idle
+	assert.Equal(t, pick(), "b")
+
+	tracker.CacheEvents("b", 10, []CacheEvent{{Seq: 10, Block: 1}})
+	assert.Equal(t, tracker.Candidates(&Request{PromptTokens: 4000, Blocks: blocks, Now: now}, upstreams, nil)[1].CachedTokens, 2000.0)
+	tracker.CacheEvents("b", 11, []CacheEvent{{Seq: 11, Block: blocks[0]}})
+	assert.Equal(t, tracker.Candidates(&Request{PromptTokens: 4000, Blocks: blocks, Now: now}, upstreams, nil)[1].CachedTokens, 0.0)
+	tracker.CacheEvents("b", 12, []CacheEvent{{Seq: 12, Stored: true, Block: blocks[0]}})
+	tracker.CacheEvents("b", 0, nil)
+	assert.Equal(t, tracker.Candidates(&Request{PromptTokens: 4000, Blocks: blocks, Now: now}, upstreams, nil)[1].CachedTokens, 0.0)
+}
+
+// Guards against ignoring price and a wave of reclaims.
+func TestCostWeighsPriceAndReclaims(t *testing.T) {
+	now := time.Unix(1000, 0)
+	upstreams := []membership.Upstream{
+		{Name: "cheap", Domain: "d1", Class: membership.Reclaimable, PricePerHour: 1},
+		{Name: "dear", Domain: "d2", Class: membership.OnDemand, PricePerHour: 3},
+	}
+	tracker, policy := NewTracker(0), NewCost()
+	pick := func() string {
+		req := &Request{PromptTokens: 8000, MaxTokens: 1000, Now: now}
+		candidates := tracker.Candidates(req, upstreams, nil)
+		return candidates[policy.Pick(req, candidates)].Name
+	}
+	policy.SlackSeconds, policy.SlackShare = 0, 0
+	assert.Equal(t, pick(), "cheap")
+	for range 20 {
+		tracker.Reclaimed("d1", now)
+	}
+	assert.Equal(t, pick(), "dear")
+	now = now.Add(3 * time.Hour)
+	assert.Equal(t, pick(), "cheap")
+}
+
+// Guards against an index that grows without bound.
+func TestIndexIsBounded(t *testing.T) {
+	index := NewIndex(100)
+	for b := range uint64(10000) {
+		index.Stored(int(b%5), b)
+	}
+	assert.Assert(t, index.Len() <= 100, "holds %d blocks", index.Len())
+	var found matches
+	index.match([]uint64{9999}, &found)
+	assert.Equal(t, found[9999%5], uint16(1))
+}
