--- /dev/null
+++ b/internal/admission/budget.go
@@ -0,0 +1,52 @@
+package admission
+
+import "time"
+
+const (
+	budgetSlot  = 10 * time.Second
+	budgetSlots = 6
+	// budgetFloor allows some repeats at low traffic, where a share of the
+	// requests of the last minute would round to none.
+	budgetFloor = 10
+)
+
+// budget allows repeats up to a share of the requests of the last minute. A
+// minute's worth lets all requests of a lost upstream be repeated at once,
+// while a lasting fault cannot multiply the traffic.
+type budget struct {
+	slots [budgetSlots]struct{ firsts, repeats float64 }
+	last  int64
+}
+
+func (b *budget) advance(now time.Time) int {
+	slot := now.UnixNano() / int64(budgetSlot)
+	if slot-b.last >= budgetSlots {
+		*b = budget{last: slot}
+	}
+	for b.last < slot {
+		b.last++
+		b.slots[b.last%budgetSlots] = struct{ firsts, repeats float64 }{}
+	}
+	return int(b.last % budgetSlots)
+}
+
+func (b *budget) first(now time.Time) { b.slots[b.advance(now)].firsts++ }
+
+// take consumes one repeat and reports whether the share allowed it. A share
+// of 0 allows none.
+func (b *budget) take(share float64, now time.Time) bool {
+	i := b.advance(now)
+	if share <= 0 {
+		return false
+	}
+	firsts, repeats := 0.0, 0.0
+	for _, s := range b.slots {
+		firsts += s.firsts
+		repeats += s.repeats
+	}
+	if repeats+1 > max(budgetFloor, share*firsts) {
+		return false
+	}
+	b.slots[i].repeats++
+	return true
+}
--- /dev/null
+++ b/internal/admission/options.go
@@ -0,0 +1,20 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Options configures a Controller.
+type Options struct {
+	// MaxWaiting bounds the queue of a pool. Default DefaultMaxWaiting.
+	MaxWaiting int
+	// MaxPerWorkspace bounds the queue of a workspace in a class. Default
+	// DefaultMaxPerWorkspace.
+	MaxPerWorkspace int
+	// Scope receives the metrics. Default none.
+	Scope tally.Scope
+	// Now is the clock. Default time.Now.
+	Now func() time.Time
+}
--- /dev/null
+++ b/internal/admission/outcome.go
@@ -0,0 +1,17 @@
+package admission
+
+import "time"
+
+// Outcome is what was seen of an admitted attempt.
+type Outcome struct {
+	// OK says that the attempt was answered in full. Latencies of other
+	// attempts are not used.
+	OK bool
+	// First is the time from dispatch to the first token, or to the whole
+	// answer of a service.
+	First time.Duration
+	// Gap is the longest time between two tokens.
+	Gap time.Duration
+	// Total is the time from dispatch to the end.
+	Total time.Duration
+}
--- /dev/null
+++ b/internal/admission/pool.go
@@ -0,0 +1,215 @@
+package admission
+
+import (
+	"fmt"
+	"time"
+)
+
+const (
+	// DefaultMaxWaiting bounds the waiting requests of a pool.
+	DefaultMaxWaiting = 2048
+	// DefaultMaxPerWorkspace bounds the waiting requests of a workspace in a
+	// class.
+	DefaultMaxPerWorkspace = 256
+	// agedGrant is how often a place goes to the oldest waiting request of any
+	// class, so that lower classes make progress under a lasting overload.
+	agedGrant = 10
+	// learnShare is the weight of a new observation in the running means.
+	learnShare    = 0.05
+	minRetryAfter = time.Second
+	maxRetryAfter = 30 * time.Second
+)
+
+// pool decides about the requests of one pool. It performs no I/O and takes
+// the time as an argument; the controller guards it.
+type pool struct {
+	maxWaiting      int
+	maxPerWorkspace int
+	limit           limit
+	inFlight        int
+	classes         []*classQueue
+	waiting         int
+	grants          int
+	// meanTotal and meanCost are running means over answered attempts, in
+	// seconds and tokens.
+	meanTotal float64
+	meanCost  float64
+	// service is the running mean of the total time per class, in seconds.
+	service map[string]float64
+}
+
+func newPool(maxWaiting, maxPerWorkspace int) *pool {
+	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), service: map[string]float64{}}
+}
+
+func (p *pool) class(r *Request) *classQueue {
+	for _, q := range p.classes {
+		if q.name == r.Class {
+			return q
+		}
+	}
+	q := &classQueue{name: r.Class, priority: r.Priority}
+	p.classes = append(p.classes, q)
+	return q
+}
+
+// enter takes a place without regard to the limit.
+func (p *pool) enter() {
+	p.inFlight++
+	p.limit.started(p.inFlight)
+}
+
+// arrive admits a request at once, queues it, or refuses it with the rule and
+// the advised delay. The displaced waiter, if any, must be told by the caller.
+func (p *pool) arrive(r *Request, now time.Time) (w, displaced *waiter, rule Rule, retryAfter time.Duration) {
+	if p.waiting == 0 && p.inFlight < p.limit.current() {
+		p.enter()
+		return nil, nil, RuleAdmitted, 0
+	}
+	q := p.class(r)
+	wait := p.expectedWait(q, r)
+	service := time.Duration(p.service[r.Class] * float64(time.Second))
+	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
+		return nil, nil, RuleShed, p.advise(wait)
+	}
+	if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace {
+		return nil, nil, RuleFull, p.advise(wait)
+	}
+	if p.waiting >= p.maxWaiting {
+		if displaced = p.displace(q, r); displaced == nil {
+			return nil, nil, RuleFull, p.advise(wait)
+		}
+		displaced.retryAfter = p.advise(wait)
+	}
+	w = &waiter{req: *r, arrived: now, done: make(chan struct{})}
+	if !r.Deadline.IsZero() {
+		// Half of the mean leaves a chance to answers shorter than the mean.
+		w.latest = r.Deadline.Add(-service / 2)
+	}
+	q.push(w)
+	p.waiting++
+	return w, displaced, "", 0
+}
+
+// displace makes room in a full pool by removing the newest request of the
+// longest queue in the lowest class, if that is less entitled than r.
+func (p *pool) displace(own *classQueue, r *Request) *waiter {
+	var lowest *classQueue
+	for _, q := range p.classes {
+		if q.waiting > 0 && (lowest == nil || q.priority < lowest.priority) {
+			lowest = q
+		}
+	}
+	if lowest == nil || lowest.priority > r.Priority {
+		return nil
+	}
+	ws := lowest.longest()
+	if lowest.priority == r.Priority {
+		mine := 0
+		if held := own.workspace(r.Workspace); held != nil {
+			mine = len(held.waiters)
+		}
+		if len(ws.waiters) <= mine+1 {
+			return nil
+		}
+	}
+	w := ws.waiters[len(ws.waiters)-1]
+	p.remove(w)
+	return w
+}
+
+func (p *pool) remove(w *waiter) {
+	p.class(&w.req).remove(w)
+	p.waiting--
+}
+
+// grant returns the waiters that may start now.
+func (p *pool) grant() []*waiter {
+	var granted []*waiter
+	for p.waiting > 0 && p.inFlight < p.limit.current() {
+		w := p.nextClass().pop()
+		p.waiting--
+		p.grants++
+		p.enter()
+		w.granted = true
+		granted = append(granted, w)
+	}
+	return granted
+}
+
+// nextClass returns the waiting class of the highest priority, or now and then
+// the one with the oldest request.
+func (p *pool) nextClass() *classQueue {
+	var found *classQueue
+	aged := p.grants%agedGrant == agedGrant-1
+	for _, q := range p.classes {
+		switch {
+		case q.waiting == 0:
+		case found == nil:
+			found = q
+		case aged:
+			if q.oldest().arrived.Before(found.oldest().arrived) {
+				found = q
+			}
+		case q.priority > found.priority:
+			found = q
+		}
+	}
+	return found
+}
+
+func (p *pool) ended(r *Request, o Outcome, now time.Time) {
+	p.inFlight--
+	p.limit.ended(r, o, now)
+	if !o.OK || o.Total <= 0 {
+		return
+	}
+	total := o.Total.Seconds()
+	p.meanTotal = learn(p.meanTotal, total)
+	p.meanCost = learn(p.meanCost, r.cost())
+	p.service[r.Class] = learn(p.service[r.Class], total)
+}
+
+func learn(mean, value float64) float64 {
+	if mean == 0 {
+		return value
+	}
+	return mean + learnShare*(value-mean)
+}
+
+// expectedWait estimates the time in the queue from the work that goes first
+// and the throughput, which by Little's law is the limit over the mean time.
+func (p *pool) expectedWait(q *classQueue, r *Request) time.Duration {
+	if p.meanTotal == 0 || p.meanCost == 0 {
+		return 0
+	}
+	before := q.costBefore(r.Workspace, r.cost())
+	for _, other := range p.classes {
+		if other != q && other.priority > r.Priority {
+			before += other.cost()
+		}
+	}
+	requests := before / p.meanCost
+	return time.Duration(requests * p.meanTotal / max(1, p.limit.value) * float64(time.Second))
+}
+
+func (p *pool) advise(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// holding names the rule that keeps a waiter waiting.
+func (p *pool) holding(w *waiter) (Rule, string) {
+	if i := w.queue.position(w); i > 0 {
+		return RuleOwnQueue, fmt.Sprintf("%d earlier requests of workspace %s go first", i, w.req.Workspace)
+	}
+	for _, q := range p.classes {
+		if q.waiting > 0 && q.priority > w.req.Priority {
+			return RulePriority, fmt.Sprintf("%d requests of class %s with priority %d go first", q.waiting, q.name, q.priority)
+		}
+	}
+	q := p.class(&w.req)
+	if turn := q.ring[q.next]; turn != w.queue {
+		return RuleFairness, fmt.Sprintf("workspace %s is next of %d workspaces in the round", turn.name, len(q.ring))
+	}
+	return RulePoolLimit, fmt.Sprintf("%d of %d places are taken", p.inFlight, p.limit.current())
+}
--- /dev/null
+++ b/internal/admission/waiter.go
@@ -0,0 +1,18 @@
+package admission
+
+import "time"
+
+// waiter is a request in a queue. All fields are guarded by the controller.
+type waiter struct {
+	req     Request
+	arrived time.Time
+	// latest is the last time at which a start is useful; zero means any.
+	latest time.Time
+	// done is closed when the waiter is granted a place or displaced.
+	done chan struct{}
+	// granted is set before done is closed when a place was granted.
+	granted bool
+	// retryAfter is the advice for a waiter that was displaced.
+	retryAfter time.Duration
+	queue      *workspaceQueue
+}
--- /dev/null
+++ b/internal/admission/workspace_queue.go
@@ -0,0 +1,39 @@
+package admission
+
+// workspaceQueue holds the waiting requests of a workspace in a class, first
+// come first served.
+type workspaceQueue struct {
+	name    string
+	waiters []*waiter
+	// cost is the sum of the costs of waiters.
+	cost float64
+	// deficit is the work that the workspace may still start in this round.
+	deficit float64
+	// credited says that this round's quantum was added to deficit.
+	credited bool
+}
+
+func (q *workspaceQueue) push(w *waiter) {
+	w.queue = q
+	q.waiters = append(q.waiters, w)
+	q.cost += w.req.cost()
+}
+
+// removeAt removes and returns the waiter at a position.
+func (q *workspaceQueue) removeAt(i int) *waiter {
+	w := q.waiters[i]
+	copy(q.waiters[i:], q.waiters[i+1:])
+	q.waiters[len(q.waiters)-1] = nil
+	q.waiters = q.waiters[:len(q.waiters)-1]
+	q.cost = max(0, q.cost-w.req.cost())
+	return w
+}
+
+func (q *workspaceQueue) position(w *waiter) int {
+	for i := range q.waiters {
+		if q.waiters[i] == w {
+			return i
+		}
+	}
+	return -1
+}
