Choose upstreams for attempts

The Dispatcher passes first attempts through admission, applies the share of a running move, routes, and feeds the outcome back. A retry consumes the class's budget only if the previous attempt failed here; moved attempts are free, since a reclaimed failure domain moves a third of the requests at once.

--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"rattantide/internal/admission"
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/membership"
+	"rattantide/internal/routing"
+)
+
+// attempt is an attempt on its way.
+type attempt struct {
+	d         *Dispatcher
+	request   Request
+	class     *api.Class
+	move      *configsync.Move
+	upstream  membership.Upstream
+	load      float64
+	sent      routing.Sent
+	tracker   *routing.Tracker
+	startedAt time.Time
+	release   func(admission.Outcome)
+	once      sync.Once
+}
+
+// done frees the place of the attempt and passes on what was seen.
+func (a *attempt) done(res Result) { a.once.Do(func() { a.finish(res) }) }
+
+func (a *attempt) finish(res Result) {
+	now := a.d.opts.Now()
+	ok := res.Status == StatusOK
+	a.tracker.Ended(a.sent, routing.Feedback{
+		OK: ok, FirstToken: res.FirstToken, PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
+	})
+	a.d.attempts.ended(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
+	a.release(admission.Outcome{OK: ok, First: a.latency(res), Gap: res.MaxGap, Total: res.Total})
+	if res.Status == StatusCrash {
+		a.d.opts.Admission.Crashed(a.request.Fingerprint, a.upstream.Name)
+	}
+	a.feedMembership(res, now)
+	a.feedMove(res, now)
+	if a.d.opts.Observer != nil {
+		a.d.opts.Observer.Observe(a.observation(res))
+	}
+}
+
+// countsAsFailure reports whether a further attempt is a retry. A draining
+// upstream refuses without having done any work, so that going elsewhere adds
+// no load.
+func (a *attempt) countsAsFailure(res Result) bool {
+	switch res.Status {
+	case StatusError, StatusCrash, StatusTimeout:
+		return true
+	case StatusRefused:
+		return !res.Draining
+	}
+	return false
+}
+
+// latency is the time that the class's first target is about.
+func (a *attempt) latency(res Result) time.Duration {
+	if !a.request.Chat || a.class.Target.FirstToken == 0 {
+		return res.Total
+	}
+	return res.FirstToken
+}
+
+func (a *attempt) feedMembership(res Result, now time.Time) {
+	if a.d.opts.Evidence == nil || (!res.Draining && (res.Status == StatusCanceled || res.Status == StatusMoved)) {
+		return
+	}
+	a.d.opts.Evidence.Observe(a.upstream.Name, Seen{
+		OK:       res.Status == StatusOK || res.Status == StatusError,
+		Draining: res.Draining,
+		Lost:     res.Status == StatusCrash || res.Status == StatusTimeout || (res.Status == StatusRefused && !res.Draining),
+	}, now)
+}
+
+func (a *attempt) feedMove(res Result, now time.Time) {
+	if a.move == nil {
+		return
+	}
+	sample := MoveSample{
+		Move: a.move, Version: a.upstream.Version, Route: a.request.Route, Load: a.load, At: now,
+	}
+	switch res.Status {
+	case StatusOK:
+		sample.Gap = res.MaxGap
+		sample.Latency = res.Total
+		if a.request.Chat {
+			sample.Latency = res.FirstToken
+		}
+	case StatusError, StatusCrash, StatusTimeout:
+		sample.Failed = true
+	default:
+		return
+	}
+	a.d.opts.Moves.Observe(sample)
+}
+
+func (a *attempt) observation(res Result) Observation {
+	r := &a.request
+	return Observation{
+		RequestID: r.ID, Class: r.Class, Workspace: r.Workspace, Route: r.Route, Pool: r.Pool,
+		Version: a.upstream.Version, Domain: a.upstream.Domain, Upstream: a.upstream.Name, Attempt: r.Attempt,
+		Queued:     a.startedAt.Sub(r.AcceptedAt),
+		FirstToken: res.FirstToken, BetweenTokens: res.MaxGap, Total: res.Total, Tokens: res.Tokens,
+		PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens, RecomputedTokens: res.RecomputedTokens,
+		Outcome: res.Status,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/admission"
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/membership"
+	"rattantide/internal/problem"
+	"rattantide/internal/routing"
+)
+
+const (
+	// upstreamPoll is how often a waiting attempt looks for a usable upstream.
+	upstreamPoll = 50 * time.Millisecond
+	// noUpstreamRetryAfter is about the time in which a replacement appears in
+	// the instance list.
+	noUpstreamRetryAfter = 2 * time.Second
+	budgetRetryAfter     = time.Second
+)
+
+// Dispatcher implements Chooser. It is safe for concurrent use.
+type Dispatcher struct {
+	opts     Options
+	attempts attempts
+	buffers  sync.Pool
+
+	started, moved, retried, hedged, noUpstream tally.Counter
+}
+
+var _ Chooser = (*Dispatcher)(nil)
+
+// New returns a Dispatcher.
+func New(opts Options) *Dispatcher {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Rand == nil {
+		opts.Rand = rand.Uint64
+	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
+	if opts.Admission == nil {
+		opts.Admission = admission.New(admission.Options{Scope: opts.Scope, Now: opts.Now})
+	}
+	if opts.Trackers == nil {
+		opts.Trackers = &routing.Trackers{}
+	}
+	if opts.Policy == nil {
+		opts.Policy = routing.NewCost()
+	}
+	if opts.Moves == nil {
+		opts.Moves = storedShare{}
+	}
+	if opts.UpstreamWait <= 0 {
+		opts.UpstreamWait = DefaultUpstreamWait
+	}
+	scope := opts.Scope.SubScope("dispatch")
+	return &Dispatcher{
+		opts:       opts,
+		buffers:    sync.Pool{New: func() any { return new([]routing.Candidate) }},
+		started:    scope.Counter("attempts"),
+		moved:      scope.Counter("moved_attempts"),
+		retried:    scope.Counter("retries"),
+		hedged:     scope.Counter("hedges"),
+		noUpstream: scope.Counter("no_upstream"),
+	}
+}
+
+// Choose implements Chooser.
+func (d *Dispatcher) Choose(ctx context.Context, r *Request) (*Choice, error) {
+	view := d.opts.Config.Snapshot()
+	class := view.Classes[r.Class]
+	if class == nil {
+		class = &api.Class{}
+	}
+	if err := d.check(r); err != nil {
+		return nil, err
+	}
+	d.opts.Admission.SetUpstreams(r.Pool, len(d.opts.Table.Upstreams(r.Pool)))
+	release, err := d.enter(ctx, class, r)
+	if err != nil {
+		return nil, err
+	}
+	if !r.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, r.Deadline)
+		defer cancel()
+	}
+	choice, err := d.place(ctx, class, r, release)
+	if err != nil {
+		release(admission.Outcome{})
+		return nil, err
+	}
+	return choice, nil
+}
+
+func (d *Dispatcher) check(r *Request) error {
+	if d.opts.Admission.Quarantined(r.Fingerprint) {
+		return problem.NotRun(http.StatusUnprocessableEntity, problem.CodeQuarantined,
+			"the request crashed two upstreams and is not tried on others").WithRequestID(r.ID)
+	}
+	if !r.Deadline.IsZero() && !d.opts.Now().Before(r.Deadline) {
+		return problem.NotRun(http.StatusGatewayTimeout, problem.CodeDeadline,
+			"the deadline passed before the attempt could start").WithRequestID(r.ID)
+	}
+	return nil
+}
+
+// enter passes a first attempt through admission and a later one through the
+// budgets. Moved attempts consume no budget.
+func (d *Dispatcher) enter(ctx context.Context, class *api.Class, r *Request) (func(admission.Outcome), error) {
+	ar := admissionRequest(class, r)
+	if r.Attempt <= 1 {
+		return d.opts.Admission.Admit(ctx, ar)
+	}
+	open, failed := d.attempts.previous(r.ID)
+	switch {
+	case failed:
+		if !d.opts.Admission.Retry(r.Class, class.RetryShare()) {
+			return nil, overBudget(r, "the retry budget of the class is used up")
+		}
+		d.retried.Inc(1)
+	case d.anyUsable(r.Pool, open):
+		if !d.opts.Admission.Hedge(r.Class, class.HedgeShare()) {
+			return nil, overBudget(r, "the hedge budget of the class is used up")
+		}
+		d.hedged.Inc(1)
+	default:
+		// The previous attempt was moved: its upstream is leaving, or another
+		// daemon had it.
+		d.moved.Inc(1)
+	}
+	return d.opts.Admission.Enter(ar), nil
+}
+
+func overBudget(r *Request, detail string) error {
+	return problem.NotRun(http.StatusServiceUnavailable, problem.CodeOverloaded, detail).
+		WithRetryAfter(budgetRetryAfter).WithRequestID(r.ID)
+}
+
+func (d *Dispatcher) anyUsable(pool string, names []string) bool {
+	if len(names) == 0 {
+		return false
+	}
+	for _, u := range d.opts.Table.Upstreams(pool) {
+		if excluded(names, u.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+func admissionRequest(class *api.Class, r *Request) admission.Request {
+	first := class.Target.FirstToken
+	if !r.Chat || first == 0 {
+		first = class.Target.Answer
+	}
+	within := class.Target.Within
+	if within == 0 {
+		within = api.DefaultWithin
+	}
+	return admission.Request{
+		ID: r.ID, Workspace: r.Workspace, Class: r.Class, Pool: r.Pool,
+		Priority: class.PriorityOrDefault(), Cost: float64(r.PromptTokens + r.MaxTokens),
+		Deadline: r.Deadline, FirstTarget: first.D(), GapTarget: class.Target.BetweenTokens.D(),
+		Within: within,
+	}
+}
+
+// place selects the upstream, waiting for a while when none is usable.
+func (d *Dispatcher) place(ctx context.Context, class *api.Class, r *Request, release func(admission.Outcome)) (*Choice, error) {
+	until := d.opts.Now().Add(d.opts.UpstreamWait)
+	for {
+		view := d.opts.Config.Snapshot()
+		w := versionFor(view, d.opts.Moves, r)
+		upstreams := usable(view, w, r, d.opts.Table.Upstreams(r.Pool))
+		if len(upstreams) > 0 {
+			return d.choose(class, r, w.move, upstreams, release), nil
+		}
+		now := d.opts.Now()
+		if !now.Before(until) {
+			d.noUpstream.Inc(1)
+			return nil, problem.NotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream,
+				"no upstream of pool "+r.Pool+" is usable").WithRetryAfter(noUpstreamRetryAfter).WithRequestID(r.ID)
+		}
+		timer := time.NewTimer(min(upstreamPoll, until.Sub(now)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, problem.NotRun(http.StatusGatewayTimeout, problem.CodeDeadline,
+				"no upstream became usable in time").WithRequestID(r.ID)
+		}
+	}
+}
+
+func (d *Dispatcher) choose(class *api.Class, r *Request, move *configsync.Move, upstreams []membership.Upstream, release func(admission.Outcome)) *Choice {
+	now := d.opts.Now()
+	req := &routing.Request{
+		PromptTokens: r.PromptTokens + r.ResumedTokens,
+		MaxTokens:    max(0, r.MaxTokens-r.ResumedTokens),
+		Blocks:       r.Blocks,
+		Rand:         d.opts.Rand(),
+		Now:          now,
+	}
+	tracker := d.opts.Trackers.Pool(r.Pool)
+	buffer := d.buffers.Get().(*[]routing.Candidate)
+	*buffer = tracker.Candidates(req, upstreams, (*buffer)[:0])
+	i := d.opts.Policy.Pick(req, *buffer)
+	picked := (*buffer)[i]
+	d.buffers.Put(buffer)
+	a := &attempt{
+		d: d, request: *r, class: class, move: move, upstream: upstreams[i],
+		load: picked.Running, sent: tracker.Sent(req, &picked), tracker: tracker,
+		startedAt: now, release: release,
+	}
+	d.started.Inc(1)
+	d.attempts.started(r, a.upstream.Name)
+	d.opts.Admission.Placed(r.ID, a.upstream.Name, a.upstream.Version)
+	return &Choice{
+		Upstream: a.upstream,
+		Version:  a.upstream.Version,
+		Priority: class.PriorityOrDefault(),
+		Done:     a.done,
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher_test.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/problem"
+)
+
+type fakeTable struct{ upstreams []membership.Upstream }
+
+func (f *fakeTable) Upstreams(string) []membership.Upstream {
+	return append([]membership.Upstream(nil), f.upstreams...)
+}
+
+func (f *fakeTable) remove(name string) {
+	var kept []membership.Upstream
+	for _, u := range f.upstreams {
+		if u.Name != name {
+			kept = append(kept, u)
+		}
+	}
+	f.upstreams = kept
+}
+
+type fixture struct {
+	table  *fakeTable
+	config *configsync.Cache
+	*Dispatcher
+}
+
+func newFixture(t *testing.T, share float64) *fixture {
+	f := &fixture{table: &fakeTable{}, config: configsync.NewCache()}
+	for i := range 6 {
+		version := "v1"
+		if i%2 == 1 {
+			version = "v2"
+		}
+		f.table.upstreams = append(f.table.upstreams, membership.Upstream{
+			Name: fmt.Sprintf("u%d", i), Pool: "p", Version: version, Domain: fmt.Sprintf("d%d", i%3),
+		})
+	}
+	f.apply(t, 1, api.KindPool, "p", api.Pool{Type: api.PoolChat, Version: "v1"}, nil)
+	f.apply(t, 2, api.KindClass, "c", api.Class{Target: api.Target{FirstToken: api.Duration(time.Second)}}, nil)
+	if share >= 0 {
+		f.apply(t, 3, api.KindVersionMove, "m", api.VersionMove{Pool: "p", From: "v1", To: "v2", Deadline: api.Duration(time.Minute)},
+			api.MoveStatus{Phase: api.MoveRunning, Share: share})
+	}
+	f.Dispatcher = New(Options{Config: f.config, Table: f.table})
+	return f
+}
+
+func (f *fixture) apply(t *testing.T, version int64, kind api.Kind, name string, spec, status any) {
+	stored := api.Stored{}
+	var err error
+	stored.Spec, err = json.Marshal(spec)
+	assert.NilError(t, err)
+	if status != nil {
+		stored.Status, err = json.Marshal(status)
+		assert.NilError(t, err)
+	}
+	value, err := json.Marshal(stored)
+	assert.NilError(t, err)
+	assert.Equal(t, f.config.Apply(objectclient.Object{Kind: string(kind), Name: name, Version: version, Value: value}), 1)
+}
+
+func (f *fixture) request(id string, attempt int) *Request {
+	now := time.Now()
+	return &Request{ID: id, Workspace: "w", Class: "c", Route: "r", Pool: "p", Chat: true, PromptTokens: 100,
+		MaxTokens: 50, AcceptedAt: now, Deadline: now.Add(time.Minute), Attempt: attempt, Fingerprint: 7}
+}
+
+func codeOf(t *testing.T, err error) problem.Code {
+	var p *problem.Problem
+	assert.Assert(t, errors.As(err, &p), "%v", err)
+	assert.Equal(t, p.Ran, problem.RanNotRun)
+	return p.Code
+}
+
+// Guards against a share that sends more or less than declared, or that sends
+// requests outside it to the new version.
+func TestShareIsEnforced(t *testing.T) {
+	for _, share := range []float64{0, 0.2, 1} {
+		f := newFixture(t, share)
+		counts := map[string]int{}
+		for i := range 2000 {
+			c, err := f.Choose(context.Background(), f.request(fmt.Sprintf("r%d", i), 1))
+			assert.NilError(t, err)
+			counts[c.Version]++
+			c.Done(Result{Status: StatusOK, FirstToken: time.Millisecond})
+		}
+		got := float64(counts["v2"]) / 2000
+		assert.Assert(t, got >= share-0.04 && got <= share+0.04, "share %g, got %g", share, got)
+		if share == 0 || share == 1 {
+			assert.Equal(t, got, share)
+		}
+	}
+}
+
+// Guards against moved attempts using up the retry budget, and against
+// failures that do not.
+func TestRetryBudget(t *testing.T) {
+	f := newFixture(t, -1)
+	run := func(id string, status Status) error {
+		c, err := f.Choose(context.Background(), f.request(id, 1))
+		assert.NilError(t, err)
+		c.Done(Result{Status: status})
+		c, err = f.Choose(context.Background(), f.request(id, 2))
+		if err == nil {
+			c.Done(Result{Status: StatusOK})
+		}
+		return err
+	}
+	for i := range 300 {
+		assert.NilError(t, run(fmt.Sprintf("moved%d", i), StatusMoved))
+	}
+	refused := 0
+	for i := range 300 {
+		if err := run(fmt.Sprintf("failed%d", i), StatusError); err != nil {
+			assert.Equal(t, codeOf(t, err), problem.CodeOverloaded)
+			refused++
+		}
+	}
+	assert.Assert(t, refused >= 240 && refused <= 290, "refused %d of 300 retries at a budget of 10%%", refused)
+}
+
+// Guards against hedging a class without a hedge budget, and against taking
+// the replacement of an attempt on a leaving upstream for a hedge.
+func TestHedgeAndMigration(t *testing.T) {
+	f := newFixture(t, -1)
+	c, err := f.Choose(context.Background(), f.request("a", 1))
+	assert.NilError(t, err)
+	_, err = f.Choose(context.Background(), f.request("a", 2))
+	assert.Equal(t, codeOf(t, err), problem.CodeOverloaded)
+	f.table.remove(c.Upstream.Name)
+	_, err = f.Choose(context.Background(), f.request("a", 2))
+	assert.NilError(t, err)
+}
+
+// Guards against trying a request that crashes engines on all of them, and
+// against counting answered errors as crashes.
+func TestQuarantine(t *testing.T) {
+	f := newFixture(t, -1)
+	for i, status := range []Status{StatusError, StatusError, StatusCrash, StatusCrash} {
+		r := f.request(fmt.Sprintf("q%d", i), 1)
+		if i == 3 {
+			r.Exclude = []string{"u0", "u2"}
+			f.table.upstreams[4].Version = "v1"
+		} else {
+			r.Exclude = []string{"u2", "u4"}
+		}
+		c, err := f.Choose(context.Background(), r)
+		assert.NilError(t, err)
+		c.Done(Result{Status: status})
+	}
+	_, err := f.Choose(context.Background(), f.request("again", 1))
+	assert.Equal(t, codeOf(t, err), problem.CodeQuarantined)
+}
+
+// Guards against ignoring a pinned version or the exclusion list, and against
+// failing at once when no upstream is usable for a moment.
+func TestPinExcludeAndWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 0.5)
+		for i := range 50 {
+			r := f.request(fmt.Sprintf("r%d", i), 1)
+			r.PinVersion, r.Exclude = "v2", []string{"u1", "u3"}
+			c, err := f.Choose(context.Background(), r)
+			assert.NilError(t, err)
+			assert.Equal(t, c.Upstream.Name, "u5")
+			c.Done(Result{Status: StatusOK})
+		}
+		all := f.table.upstreams
+		f.table.upstreams = nil
+		_, err := f.Choose(context.Background(), f.request("none", 1))
+		assert.Equal(t, codeOf(t, err), problem.CodeNoUpstream)
+		chosen := make(chan error)
+		go func() {
+			_, err := f.Choose(context.Background(), f.request("later", 1))
+			chosen <- err
+		}()
+		synctest.Wait()
+		f.table.upstreams = all
+		assert.NilError(t, <-chosen)
+	})
+}
--- /dev/null
+++ b/internal/dispatch/moves.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"time"
+
+	"rattantide/internal/configsync"
+)
+
+// Moves enforces running version moves. The implementation is rollout.Guard.
+type Moves interface {
+	// Share returns the share of requests that may go to the new version now,
+	// 0 to 1. It is 0 when the version was found bad or the deadline passed.
+	Share(m *configsync.Move) float64
+	// Observe records an ended attempt as evidence.
+	Observe(MoveSample)
+}
+
+// MoveSample is an ended attempt as evidence of a running move.
+type MoveSample struct {
+	Move    *configsync.Move
+	Version string
+	Route   string
+	// Load is the running requests at the upstream when the attempt started;
+	// it tells the load band.
+	Load float64
+	// Failed says that the upstream answered with an error, was lost or made no
+	// progress.
+	Failed bool
+	// Latency is the time to the first token, or to the whole answer of a plain
+	// service; 0 when there was none.
+	Latency time.Duration
+	// Gap is the longest time between two tokens; 0 for plain services.
+	Gap time.Duration
+	At  time.Time
+}
