--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,12 +19,23 @@
 	"rattantide/internal/problem"
 )
 
-type fakeTable struct{ upstreams []membership.Upstream }
+type fakeTable struct {
+	mu        sync.Mutex
+	upstreams []membership.Upstream
+}
 
 func (f *fakeTable) Upstreams(string) []membership.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return append([]membership.Upstream(nil), f.upstreams...)
 }
 
+func (f *fakeTable) set(upstreams []membership.Upstream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.upstreams = upstreams
+}
+
 func (f *fakeTable) remove(name string) {
 	var kept []membership.Upstream
 	for _, u := range f.upstreams {
@@ -182,7 +194,7 @@
 			c.Done(Result{Status: StatusOK})
 		}
 		all := f.table.upstreams
-		f.table.upstreams = nil
+		f.table.set(nil)
 		_, err := f.Choose(context.Background(), f.request("none", 1))
 		assert.Equal(t, codeOf(t, err), problem.CodeNoUpstream)
 		chosen := make(chan error)
@@ -191,7 +203,7 @@
 			chosen <- err
 		}()
 		synctest.Wait()
-		f.table.upstreams = all
+		f.table.set(all)
 		assert.NilError(t, <-chosen)
 	})
 }
