Add the administration API and the operators' tool

The API checks references against the object API and not against the daemon's copy, which lags: a copy that misses a move would let a second one start.

--- /dev/null
+++ b/internal/admin/move.go
@@ -0,0 +1,41 @@
+package admin
+
+import (
+	"sort"
+
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+)
+
+// Move is a version move in a Status.
+type Move struct {
+	Name    string        `json:"name"`
+	Version int64         `json:"version"`
+	Pool    string        `json:"pool"`
+	From    string        `json:"from"`
+	To      string        `json:"to"`
+	Phase   api.MovePhase `json:"phase"`
+	// Share is the share of traffic that the new version may get, 0 to 1.
+	Share   float64 `json:"share"`
+	Verdict string  `json:"verdict,omitempty"`
+	Reason  string  `json:"reason,omitempty"`
+	// ByMs is the deadline in the store's time, in Unix milliseconds.
+	ByMs int64 `json:"byMs"`
+}
+
+// movesOf lists the moves of a view, by name.
+func movesOf(view *configsync.View) []Move {
+	moves := make([]Move, 0, len(view.Moves))
+	for _, m := range view.Moves {
+		move := Move{
+			Name: m.Name, Version: m.Version, Pool: m.Spec.Pool,
+			From: m.Spec.From, To: m.Spec.To, Phase: api.MoveRunning,
+		}
+		if s := m.Status; s != nil {
+			move.Phase, move.Share, move.Verdict, move.Reason, move.ByMs = s.Phase, s.Share, s.Verdict, s.Reason, s.ByMs
+		}
+		moves = append(moves, move)
+	}
+	sort.Slice(moves, func(i, j int) bool { return moves[i].Name < moves[j].Name })
+	return moves
+}
--- /dev/null
+++ b/internal/admin/references.go
@@ -0,0 +1,123 @@
+package admin
+
+import (
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/findings"
+)
+
+// checkReferences records what a put of obj refers to in vain or contradicts.
+func checkReferences(view *configsync.View, obj *api.Object, list *findings.List) {
+	switch spec := obj.Typed.(type) {
+	case *api.Workspace:
+		checkWorkspace(view, obj.Name, spec, list)
+	case *api.Route:
+		checkRoute(view, obj.Name, spec, list)
+	case *api.Pool:
+		checkPool(view, obj.Name, spec, list)
+	case *api.Version:
+		checkVersion(view, obj.Name, spec, list)
+	case *api.VersionMove:
+		checkMove(view, obj.Name, spec, list)
+	}
+}
+
+func checkWorkspace(view *configsync.View, name string, spec *api.Workspace, list *findings.List) {
+	for i, class := range spec.Classes {
+		if view.Classes[class] == nil {
+			list.Addf(indexed("spec.classes", i), "class %q does not exist", class)
+		}
+	}
+	for other, w := range view.Workspaces {
+		if other != name && w.TokenHash == spec.TokenHash {
+			list.Addf("spec.tokenHash", "is the token of workspace %q already", other)
+		}
+	}
+}
+
+func checkRoute(view *configsync.View, name string, spec *api.Route, list *findings.List) {
+	pool := view.Pools[spec.Pool]
+	if pool == nil && spec.Pool != "" {
+		list.Addf("spec.pool", "pool %q does not exist", spec.Pool)
+	}
+	if spec.Class != "" && view.Classes[spec.Class] == nil {
+		list.Addf("spec.class", "class %q does not exist", spec.Class)
+	}
+	if pool != nil && spec.Model != "" && pool.Type != api.PoolChat {
+		list.Addf("spec.pool", "pool %q has type %q; a route with a model needs %q", spec.Pool, pool.Type, api.PoolChat)
+	}
+	if pool != nil && spec.Prefix != "" && pool.Type != api.PoolService {
+		list.Addf("spec.pool", "pool %q has type %q; a route with a prefix needs %q", spec.Pool, pool.Type, api.PoolService)
+	}
+	for other, r := range view.Routes {
+		if other == name {
+			continue
+		}
+		if spec.Model != "" && r.Model == spec.Model {
+			list.Addf("spec.model", "%q is taken by route %q", spec.Model, other)
+		}
+		if spec.Prefix != "" && r.Prefix == spec.Prefix {
+			list.Addf("spec.prefix", "%q is taken by route %q", spec.Prefix, other)
+		}
+	}
+}
+
+func checkPool(view *configsync.View, name string, spec *api.Pool, list *findings.List) {
+	held := view.Pools[name]
+	if held == nil {
+		return
+	}
+	if move := view.MoveFor(name); move != nil && held.Version != spec.Version {
+		list.Addf("spec.version", "cannot change while move %q is running", move.Name)
+	}
+	if held.Type != spec.Type {
+		list.Addf("spec.type", "cannot change from %q", held.Type)
+	}
+}
+
+func checkVersion(view *configsync.View, name string, spec *api.Version, list *findings.List) {
+	if spec.Pool != "" && view.Pools[spec.Pool] == nil {
+		list.Addf("spec.pool", "pool %q does not exist", spec.Pool)
+	}
+	held := view.Versions[name]
+	if held != nil && held.Pool != spec.Pool {
+		used := &findings.List{}
+		versionUsers(view, name, used)
+		for _, f := range used.Items() {
+			list.Addf("spec.pool", "cannot change from %q: %s", held.Pool, f)
+		}
+	}
+}
+
+func checkMove(view *configsync.View, name string, spec *api.VersionMove, list *findings.List) {
+	if view.Moves[name] != nil {
+		return // Updates are refused elsewhere, unless they change nothing.
+	}
+	if spec.Pool == "" {
+		return
+	}
+	if view.Pools[spec.Pool] == nil {
+		list.Addf("spec.pool", "pool %q does not exist", spec.Pool)
+	}
+	checkMoveVersion(view, spec.Pool, spec.From, "spec.from", list)
+	checkMoveVersion(view, spec.Pool, spec.To, "spec.to", list)
+	if effective := view.EffectiveVersion(spec.Pool); effective != "" && spec.From != "" && spec.From != effective {
+		list.Addf("spec.from", "%q is not the version in effect, which is %q", spec.From, effective)
+	}
+	if running := view.MoveFor(spec.Pool); running != nil {
+		list.Addf("spec.pool", "move %q of pool %q is still running", running.Name, spec.Pool)
+	}
+}
+
+func checkMoveVersion(view *configsync.View, pool, version, path string, list *findings.List) {
+	if version == "" {
+		return
+	}
+	v := view.Versions[version]
+	switch {
+	case v == nil:
+		list.Addf(path, "version %q does not exist", version)
+	case v.Pool != pool:
+		list.Addf(path, "version %q belongs to pool %q", version, v.Pool)
+	}
+}
--- /dev/null
+++ b/internal/admin/view.go
@@ -0,0 +1,60 @@
+package admin
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/objectclient"
+)
+
+// readKinds reads kinds from the store into a view. References are checked
+// against the store and not against this daemon's copy, which lags: a copy
+// that misses a pool would refuse a valid route, and one that misses a move
+// would let a second one start. At 39,000 changes a day and at most five lists
+// each this is about 2 reads a second.
+func readKinds(ctx context.Context, store objectclient.Store, kinds ...api.Kind) (*configsync.View, error) {
+	cache := configsync.NewCache()
+	for _, kind := range kinds {
+		list, err := store.List(ctx, string(kind))
+		if err != nil {
+			return nil, errors.Annotatef(err, "list %s", kind)
+		}
+		cache.Apply(list.Items...)
+	}
+	return cache.Snapshot(), nil
+}
+
+// kindsForPut lists what a put of kind is checked against.
+func kindsForPut(kind api.Kind) []api.Kind {
+	switch kind {
+	case api.KindWorkspace:
+		return []api.Kind{api.KindWorkspace, api.KindClass}
+	case api.KindRoute:
+		return []api.Kind{api.KindRoute, api.KindPool, api.KindClass}
+	case api.KindPool:
+		return []api.Kind{api.KindPool, api.KindVersionMove}
+	case api.KindVersion:
+		return []api.Kind{api.KindRoute, api.KindPool, api.KindVersion, api.KindVersionMove}
+	case api.KindVersionMove:
+		return []api.Kind{api.KindPool, api.KindVersion, api.KindVersionMove}
+	}
+	return nil
+}
+
+// kindsForDelete lists the kinds that may refer to kind.
+func kindsForDelete(kind api.Kind) []api.Kind {
+	switch kind {
+	case api.KindClass:
+		return []api.Kind{api.KindRoute, api.KindWorkspace}
+	case api.KindPool:
+		return []api.Kind{api.KindRoute, api.KindVersion, api.KindVersionMove}
+	case api.KindVersion:
+		return []api.Kind{api.KindRoute, api.KindPool, api.KindVersionMove}
+	case api.KindVersionMove:
+		return []api.Kind{api.KindPool, api.KindVersionMove}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/describe.go
@@ -0,0 +1,141 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"rattantide/internal/admin"
+	"rattantide/internal/api"
+)
+
+// describeCommand prints an object with what belongs to it.
+type describeCommand struct {
+	common
+}
+
+// description is an object and the objects that refer to it.
+type description struct {
+	Object *api.Object   `json:"object"`
+	Users  []*api.Object `json:"users"`
+}
+
+// Name implements subcommands.Command.
+func (*describeCommand) Name() string { return "describe" }
+
+// Synopsis implements subcommands.Command.
+func (*describeCommand) Synopsis() string { return "print an object in full and what refers to it" }
+
+// Usage implements subcommands.Command.
+func (*describeCommand) Usage() string {
+	return `describe KIND NAME [-o table|json]
+
+Prints an object in full with the objects that refer to it. A version move is
+shown with its evidence.
+
+  rattantide describe pool briefs
+  rattantide describe versionmove briefs-v2
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *describeCommand) SetFlags(f *flag.FlagSet) { c.register(f, "table|json") }
+
+// Execute implements subcommands.Command.
+func (c *describeCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx, f)
+	if err != nil {
+		report(c.env, "describe", err)
+	}
+	return exitOf(err)
+}
+
+func (c *describeCommand) run(ctx context.Context, f *flag.FlagSet) error {
+	args, err := positionals(f)
+	if err != nil {
+		return err
+	}
+	if len(args) != 2 {
+		return usagef("needs KIND and NAME")
+	}
+	if err := c.checkOutput("table", "json"); err != nil {
+		return err
+	}
+	kind, err := kindOf(args[0])
+	if err != nil {
+		return err
+	}
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	d := &description{Object: &api.Object{}, Users: []*api.Object{}}
+	header, err := client.Do(ctx, http.MethodGet, objectPath(kind, args[1]), nil, d.Object)
+	if err != nil {
+		return err
+	}
+	c.warnLocal(header.Get(admin.SourceHeader))
+	if d.Users, err = usersOf(ctx, client, kind, args[1]); err != nil {
+		return err
+	}
+	if c.output == "json" {
+		return c.printJSON(d)
+	}
+	return c.printText(d)
+}
+
+func (c *describeCommand) printText(d *description) error {
+	c.env.printf("%s/%s (version %d)\n\n", d.Object.Kind, d.Object.Name, d.Object.Version)
+	if err := c.printYAML(map[string]any{"spec": d.Object.Spec}); err != nil {
+		return err
+	}
+	if d.Object.Kind == api.KindVersionMove {
+		c.printMove(moveStatus(d.Object))
+	}
+	if len(d.Users) > 0 {
+		c.env.printf("\nReferred to by:\n")
+		t := newTable(c.env.Stdout, "KIND", "NAME", "VERSION")
+		for _, u := range d.Users {
+			t.row(string(u.Kind), u.Name, fmt.Sprint(u.Version))
+		}
+		t.flush()
+	}
+	return nil
+}
+
+func (c *describeCommand) printMove(s *api.MoveStatus) {
+	c.env.printf("\nphase     %s\nshare     %s\nverdict   %s\nreason    %s\ndeclared  %s\ndeadline  %s\n",
+		s.Phase, percent(s.Share), orDash(s.Verdict), orDash(s.Reason), instant(s.DeclaredMs), instant(s.ByMs))
+	if s.EndedMs > 0 {
+		c.env.printf("ended     %s\n", instant(s.EndedMs))
+	}
+	if len(s.Evidence) == 0 {
+		return
+	}
+	c.env.printf("\nEvidence:\n")
+	t := newTable(c.env.Stdout, "VERSION", "ROUTE", "LOAD", "REQUESTS", "ERRORS", "P95")
+	for _, e := range s.Evidence {
+		t.row(e.Version, e.Route, e.LoadBand, fmt.Sprint(e.Requests), fmt.Sprint(e.Errors), fmt.Sprintf("%.1f ms", e.P95Ms))
+	}
+	t.flush()
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// instant prints a time of the store.
+func instant(ms int64) string {
+	if ms == 0 {
+		return "-"
+	}
+	return time.UnixMilli(ms).UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/internal/cli/move.go
@@ -0,0 +1,175 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"net/http"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"rattantide/internal/admin"
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/objectclient"
+)
+
+// moveCommand declares a version move and watches it.
+type moveCommand struct {
+	common
+	from     string
+	to       string
+	name     string
+	deadline time.Duration
+	noWait   bool
+	poll     time.Duration
+}
+
+// Name implements subcommands.Command.
+func (*moveCommand) Name() string { return "move" }
+
+// Synopsis implements subcommands.Command.
+func (*moveCommand) Synopsis() string { return "move a pool to another version and watch the outcome" }
+
+// Usage implements subcommands.Command.
+func (*moveCommand) Usage() string {
+	return `move POOL -to VERSION -deadline DURATION [-from VERSION] [-name NAME] [-no-wait]
+move -name NAME
+
+Declares a version move of a pool and prints its progress until it is done or
+undone, with the reason. The system raises the share of the new version by
+itself and takes the move back when the new version is bad. With -name alone it
+watches a move that was declared before. An interrupt stops the watching, not
+the move.
+
+Exit code 0: done. 4: undone, the pool stays with the old version. 5: the
+system could not be asked for the outcome.
+
+  rattantide move briefs -to briefs-v2 -deadline 10m
+  rattantide move briefs -to briefs-v2 -deadline 10m -no-wait -o json
+
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *moveCommand) SetFlags(f *flag.FlagSet) {
+	c.register(f, "table|json")
+	f.StringVar(&c.to, "to", "", "`version` to move to")
+	f.StringVar(&c.from, "from", "", "`version` to move from (default: the version in effect)")
+	f.StringVar(&c.name, "name", "", "`name` of the move (default: from the pool, the version and the time)")
+	f.DurationVar(&c.deadline, "deadline", 0, "time after which the move must be done or undone, for example 10m")
+	f.BoolVar(&c.noWait, "no-wait", false, "return once the move is declared")
+	f.DurationVar(&c.poll, "poll", 500*time.Millisecond, "time between two looks at the move")
+}
+
+// Execute implements subcommands.Command.
+func (c *moveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	code, err := c.run(ctx, f)
+	if err != nil {
+		report(c.env, "move", err)
+		return exitOf(err)
+	}
+	return code
+}
+
+func (c *moveCommand) run(ctx context.Context, f *flag.FlagSet) (subcommands.ExitStatus, error) {
+	args, err := positionals(f)
+	if err != nil {
+		return ExitUsage, err
+	}
+	if err := c.check(args); err != nil {
+		return ExitUsage, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return ExitFailure, err
+	}
+	object := &api.Object{}
+	if len(args) == 1 {
+		object, err = c.declare(ctx, client, args[0])
+	} else {
+		_, err = client.Do(ctx, http.MethodGet, objectPath(api.KindVersionMove, c.name), nil, object)
+	}
+	if err != nil {
+		return ExitFailure, err
+	}
+	if c.noWait {
+		if c.output == "json" {
+			return ExitOK, c.printJSON(object)
+		}
+		c.env.printf("VersionMove/%s declared, deadline %s\n", object.Name, instant(moveStatus(object).ByMs))
+		return ExitOK, nil
+	}
+	watch := &moveWatch{common: c.common, client: client, poll: c.poll}
+	return watch.run(ctx, object)
+}
+
+func (c *moveCommand) check(args []string) error {
+	switch {
+	case len(args) > 1:
+		return usagef("at most one POOL, got %d arguments", len(args))
+	case len(args) == 0 && c.name == "":
+		return usagef("needs POOL, or -name to watch a move")
+	case len(args) == 0 && (c.to != "" || c.from != "" || c.deadline != 0):
+		return usagef("needs POOL to declare a move")
+	case len(args) == 1 && c.to == "":
+		return usagef("needs -to VERSION")
+	case len(args) == 1 && c.deadline <= 0:
+		return usagef("needs -deadline, for example -deadline 10m")
+	case c.poll <= 0:
+		return usagef("-poll must be above 0")
+	}
+	return c.checkOutput("table", "json")
+}
+
+func (c *moveCommand) declare(ctx context.Context, client *Client, pool string) (*api.Object, error) {
+	if c.from == "" {
+		from, err := effectiveVersion(ctx, client, pool)
+		if err != nil {
+			return nil, err
+		}
+		c.from = from
+	}
+	if c.name == "" {
+		c.name = moveName(pool, c.to, time.Now())
+	}
+	spec := &api.VersionMove{Pool: pool, From: c.from, To: c.to, Deadline: api.Duration(c.deadline)}
+	object := &api.Object{Kind: api.KindVersionMove, Name: c.name, Spec: mustEncode(spec)}
+	stored := &api.Object{}
+	_, err := client.Do(ctx, http.MethodPut, objectPath(object.Kind, object.Name), object, stored)
+	return stored, err
+}
+
+// moveName returns a name that stays below the longest name of an object.
+func moveName(pool, to string, now time.Time) string {
+	const longest = 46
+	base := pool + "-" + to
+	if len(base) > longest {
+		base = base[:longest]
+	}
+	return base + "-" + now.UTC().Format("20060102t150405")
+}
+
+// effectiveVersion asks for the version that serves the pool now.
+func effectiveVersion(ctx context.Context, client *Client, pool string) (string, error) {
+	cache := configsync.NewCache()
+	for _, kind := range []api.Kind{api.KindPool, api.KindVersionMove} {
+		list := &admin.ObjectList{}
+		if _, err := client.Do(ctx, http.MethodGet, "/objects/"+string(kind), nil, list); err != nil {
+			return "", err
+		}
+		for _, object := range list.Items {
+			value, err := object.Value()
+			if err != nil {
+				return "", errors.Trace(err)
+			}
+			cache.Apply(objectclient.Object{Kind: string(kind), Name: object.Name, Version: object.Version, Value: value})
+		}
+	}
+	version := cache.Snapshot().EffectiveVersion(pool)
+	if version == "" {
+		return "", errors.Errorf("pool %q does not exist; list the pools with: rattantide get pools", pool)
+	}
+	return version, nil
+}
