Tell rejected requests from calls that another engine may take

NotRun made an invalid request look worth another attempt at every engine. A 4xx answer about the request itself is now Rejected; NotRun stays for calls that never reached the engine or that it put off.

--- a/internal/engineclient/client_test.go
+++ b/internal/engineclient/client_test.go
@@ -43,6 +43,7 @@
 		"failed":              {answer(500, "", ""), 500, false, false, nil},
 		"unavailable":         {answer(503, "", ""), 503, false, false, nil},
 		"draining":            {answer(503, "X-Draining", ""), 503, true, true, nil},
+		"invalid":             {answer(400, "", ""), 400, false, false, nil},
 		"queue full":          {answer(429, "", `{"error":{"code":429}}`), 429, true, false, nil},
 		"unknown request":     {answer(404, "", `{"error":{"code":"unknown_request"}}`), 404, true, false, engineclient.ErrUnknownRequest},
 		"stale fencing token": {answer(409, "", `{"error":{"code":"stale_fence"}}`), 409, true, false, engineclient.ErrStaleFence},
@@ -61,6 +62,7 @@
 			assert.Assert(t, errors.As(err, &failed), err)
 			assert.Equal(t, failed.Status, c.status)
 			assert.Equal(t, failed.NotRun, c.notRun)
+			assert.Equal(t, failed.Rejected, c.status == 400)
 			assert.Equal(t, failed.Draining, c.draining)
 			if c.cause != nil {
 				assert.ErrorIs(t, err, c.cause)
--- a/internal/engineclient/error.go
+++ b/internal/engineclient/error.go
@@ -29,6 +29,10 @@
 	// about this call alone; an earlier attempt of a request that could not be
 	// resumed has run.
 	NotRun bool
+	// Rejected says that the engine found the request itself wrong, for example
+	// with 400. It did not run either, and another engine would reject it too.
+	// NotRun is not set then, so that it always invites another attempt.
+	Rejected bool
 	// Draining says that the engine announced that it is leaving.
 	Draining bool
 	// Body is the start of the engine's answer, at most 4 KB.
@@ -74,18 +78,9 @@
 	if json.Unmarshal(e.Body, &stated) == nil {
 		e.Code, _ = stated.Error.Code.(string)
 	}
-	e.NotRun = e.Draining || refuses(res.StatusCode)
+	// A plain 503 says nothing: it may come from a generation that failed later.
+	e.NotRun = e.Draining || e.Status == http.StatusTooManyRequests ||
+		errors.Is(e, ErrUnknownRequest) || errors.Is(e, ErrStaleFence)
+	e.Rejected = !e.NotRun && e.Status/100 == 4 && e.Status != http.StatusRequestTimeout
 	return e
 }
-
-// refuses reports whether a status says that the engine rejected the call
-// before it ran. A plain 503 may come from a generation that failed later.
-func refuses(status int) bool {
-	switch status {
-	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
-		http.StatusConflict, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity,
-		http.StatusTooManyRequests:
-		return true
-	}
-	return false
-}
