--- /dev/null
+++ b/internal/objectclient/client.go
@@ -0,0 +1,208 @@
+package objectclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/juju/errors"
+)
+
+// maxListBytes bounds the answer to a list or a read.
+const maxListBytes = 256 << 20
+
+// Client is the Store that speaks the object API's protocol over HTTP. It is
+// safe for concurrent use.
+type Client struct {
+	options Options
+	clock   clock
+}
+
+var _ Store = (*Client)(nil)
+
+// New returns a Client. It makes no call.
+func New(options Options) *Client {
+	options.setDefaults()
+	return &Client{options: options}
+}
+
+// Now implements Store.
+func (c *Client) Now() (time.Time, bool) { return c.clock.now() }
+
+// Get implements Store. It retries within MaxTries and MaxElapsed.
+func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
+	return retryRead(ctx, c, func() (*Object, error) { return c.getOnce(ctx, kind, name) })
+}
+
+// List implements Store. It retries within MaxTries and MaxElapsed.
+func (c *Client) List(ctx context.Context, kind string) (*ObjectList, error) {
+	return retryRead(ctx, c, func() (*ObjectList, error) {
+		list := &ObjectList{}
+		err := c.decode(ctx, request{method: http.MethodGet, path: objectPath(kind, "")}, list)
+		return list, err
+	})
+}
+
+// Put implements Store. It sends the write once; when the answer is lost, it
+// reads the object back until it can tell what became of the write.
+func (c *Client) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*Object, error) {
+	if len(value) > c.options.MaxValueBytes {
+		return nil, errors.Annotatef(ErrTooLarge, "%s/%s: %d bytes", kind, name, len(value))
+	}
+	stored := &Object{}
+	err := c.decode(ctx, request{method: http.MethodPut, path: objectPath(kind, name), version: version, conditional: true, body: value}, stored)
+	switch {
+	case err == nil:
+		return stored, nil
+	case errors.Is(err, ErrConflict):
+		if stored.Name == "" {
+			return nil, errors.Trace(err)
+		}
+		return stored, errors.Trace(err)
+	case errors.Is(err, errNotProcessed), !errors.Is(err, ErrUnavailable), version == AnyVersion:
+		return nil, errors.Trace(err)
+	}
+	c.options.Scope.Counter("object_api_read_back").Inc(1)
+	return c.readBack(ctx, kind, name, version, value, err)
+}
+
+// readBack tells what became of a write whose answer was lost. While the
+// expected version is still stored nothing can be concluded, as the write may
+// yet take effect.
+func (c *Client) readBack(ctx context.Context, kind, name string, version int64, value json.RawMessage, cause error) (*Object, error) {
+	current, err := c.Get(ctx, kind, name)
+	switch {
+	case err != nil, current.Version <= version:
+		return nil, errors.Annotatef(cause, "%s/%s: outcome of the write is unknown", kind, name)
+	case sameJSON(current.Value, value):
+		return current, nil
+	}
+	return current, errors.Annotatef(ErrConflict, "%s/%s: expected %d, stored %d", kind, name, version, current.Version)
+}
+
+// Delete implements Store. It never retries; after a lost answer it reads back
+// and reports ErrUnavailable while the object is unchanged.
+func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
+	err := c.decode(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), version: version, conditional: true}, nil)
+	if err == nil || errors.Is(err, errNotProcessed) || !errors.Is(err, ErrUnavailable) {
+		return errors.Trace(err)
+	}
+	current, readErr := c.Get(ctx, kind, name)
+	switch {
+	case errors.Is(readErr, ErrNotFound):
+		return nil
+	case readErr == nil && version != AnyVersion && current.Version > version:
+		return errors.Annotatef(ErrConflict, "%s/%s: expected %d, stored %d", kind, name, version, current.Version)
+	}
+	return errors.Trace(err)
+}
+
+func (c *Client) getOnce(ctx context.Context, kind, name string) (*Object, error) {
+	o := &Object{}
+	if err := c.decode(ctx, request{method: http.MethodGet, path: objectPath(kind, name)}, o); err != nil {
+		return nil, err
+	}
+	return o, nil
+}
+
+// decode makes one attempt of a call. On ErrConflict, out holds the current
+// object when the answer carried one.
+func (c *Client) decode(ctx context.Context, r request, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
+	defer cancel()
+	response, err := c.do(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return errors.Annotate(ErrUnavailable, err.Error())
+	}
+	statusErr := statusError(response)
+	if (statusErr == nil || errors.Is(statusErr, ErrConflict)) && out != nil && len(body) > 0 {
+		if err := json.Unmarshal(body, out); err != nil && statusErr == nil {
+			return errors.Annotatef(ErrUnavailable, "unreadable answer: %v", err)
+		}
+	}
+	return statusErr
+}
+
+func (c *Client) do(ctx context.Context, r request) (*http.Response, error) {
+	httpRequest, err := r.build(ctx, c.options.Address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	c.options.Scope.Tagged(map[string]string{"method": r.method}).Counter("object_api_calls").Inc(1)
+	response, err := c.options.HTTP.Do(httpRequest)
+	if err != nil {
+		c.options.Scope.Counter("object_api_errors").Inc(1)
+		return nil, errors.Annotate(ErrUnavailable, err.Error())
+	}
+	c.clock.observe(response.Header, time.Now())
+	return response, nil
+}
+
+func retryRead[T any](ctx context.Context, c *Client, read func() (T, error)) (T, error) {
+	policy := backoff.NewExponentialBackOff()
+	policy.InitialInterval = 50 * time.Millisecond
+	policy.MaxInterval = time.Second
+	result, err := backoff.Retry(ctx, func() (T, error) {
+		value, err := read()
+		if err != nil && !errors.Is(err, ErrUnavailable) {
+			return value, backoff.Permanent(err)
+		}
+		var limited *backoff.RetryAfterError
+		if errors.As(err, &limited) {
+			return value, limited
+		}
+		return value, err
+	}, backoff.WithBackOff(policy), backoff.WithMaxTries(c.options.MaxTries), backoff.WithMaxElapsedTime(c.options.MaxElapsed))
+	if err == nil {
+		return result, nil
+	}
+	var permanent *backoff.PermanentError
+	if errors.As(err, &permanent) {
+		err = permanent.Unwrap()
+	}
+	if !isKnown(err) {
+		err = errors.Annotate(ErrUnavailable, err.Error())
+	}
+	if c.options.Logger != nil && errors.Is(err, ErrUnavailable) {
+		c.options.Logger.Warn("object API read failed", "error", err)
+	}
+	return result, err
+}
+
+func isKnown(err error) bool {
+	for _, known := range []error{ErrConflict, ErrNotFound, ErrTooLarge, ErrCompacted, ErrUnavailable} {
+		if errors.Is(err, known) {
+			return true
+		}
+	}
+	return false
+}
+
+func sameJSON(a, b json.RawMessage) bool {
+	var left, right bytes.Buffer
+	if json.Compact(&left, a) != nil || json.Compact(&right, b) != nil {
+		return false
+	}
+	return bytes.Equal(left.Bytes(), right.Bytes())
+}
+
+func objectPath(kind, name string) string {
+	path := "/v1/objects/" + url.PathEscape(kind)
+	if name != "" {
+		path += "/" + url.PathEscape(name)
+	}
+	return path
+}
+
+func quote(version int64) string { return strconv.Quote(strconv.FormatInt(version, 10)) }
