--- /dev/null
+++ b/internal/membership/instance.go
@@ -0,0 +1,37 @@
+package membership
+
+// Role tells what runs on an instance.
+type Role string
+
+// The roles of instances.
+const (
+	RoleDaemon   Role = "daemon"
+	RoleUpstream Role = "upstream"
+)
+
+// The states of instances in the instance list.
+const (
+	StateLive    = "live"
+	StateLeaving = "leaving"
+)
+
+// Instance is one entry of the instance list. Its name and address together
+// are its incarnation: a replacement may reuse the name.
+type Instance struct {
+	Name         string        `json:"name"`
+	Address      string        `json:"address"`
+	Domain       string        `json:"domain"`
+	Region       string        `json:"region"`
+	Role         Role          `json:"role"`
+	Pool         string        `json:"pool,omitempty"`
+	Version      string        `json:"version,omitempty"`
+	Class        InstanceClass `json:"class,omitempty"`
+	PricePerHour float64       `json:"pricePerHour,omitempty"`
+	// State is StateLive or StateLeaving, as the list last said.
+	State string `json:"state,omitempty"`
+}
+
+// incarnation identifies one life of an instance.
+type incarnation struct{ name, address string }
+
+func (i Instance) incarnation() incarnation { return incarnation{i.Name, i.Address} }
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"sort"
+	"sync/atomic"
+)
+
+// view is the structure of a Table as readers see it. It is immutable but for
+// the subsets, and for the records, which the Table's lock guards.
+type view struct {
+	self       Daemon
+	daemons    []Daemon
+	allDaemons []Daemon
+	pools      map[string]*pool
+	poolNames  []string
+	// upstreams holds the current incarnation of each name.
+	upstreams map[string]*record
+}
+
+// pool holds the current incarnations of one pool's upstreams.
+type pool struct {
+	records []*record
+	subset  atomic.Pointer[subset]
+}
+
+// touch marks the loads in the subset as outdated.
+func (p *pool) touch() {
+	if s := p.subset.Load(); s != nil {
+		s.stale.Store(true)
+	}
+}
+
+// expire makes the next reader choose the subset anew.
+func (p *pool) expire() { p.subset.Store(nil) }
+
+func newView(records map[incarnation]*record, self Daemon) *view {
+	v := &view{self: self, pools: map[string]*pool{}, upstreams: map[string]*record{}}
+	daemons := map[string]*record{}
+	for _, r := range records {
+		if r.removed {
+			continue
+		}
+		current := v.upstreams
+		if r.Role == RoleDaemon {
+			current = daemons
+		}
+		if held := current[r.Name]; held == nil || supersedes(r, held) {
+			current[r.Name] = r
+		}
+	}
+	for _, r := range v.upstreams {
+		p := v.pools[r.Pool]
+		if p == nil {
+			p = &pool{}
+			v.pools[r.Pool] = p
+			v.poolNames = append(v.poolNames, r.Pool)
+		}
+		p.records = append(p.records, r)
+	}
+	sort.Strings(v.poolNames)
+	for _, p := range v.pools {
+		sort.Slice(p.records, func(i, j int) bool { return p.records[i].Name < p.records[j].Name })
+	}
+	for _, r := range daemons {
+		d := r.daemon()
+		if r.Name == self.Name {
+			if r.Address == self.Address {
+				v.self.Leaving = v.self.Leaving || d.Leaving
+			}
+			continue
+		}
+		v.allDaemons = append(v.allDaemons, d)
+	}
+	sort.Slice(v.allDaemons, func(i, j int) bool { return v.allDaemons[i].Name < v.allDaemons[j].Name })
+	for _, d := range v.allDaemons {
+		if !d.Leaving {
+			v.daemons = append(v.daemons, d)
+		}
+	}
+	return v
+}
+
+// supersedes reports whether a is the later incarnation of the same name: the
+// one that the list names, else the one first seen later.
+func supersedes(a, b *record) bool {
+	if a.listed != b.listed {
+		return a.listed
+	}
+	return a.firstSeq > b.firstSeq
+}
