Add the configuration syncer

Every daemon long-polls both relays of its region, so a hung relay or a notice that only one relay heard delays nobody. A poll names the revision up to which the daemon is complete; a peer that does not know every deletion since then answers with everything, and what is missing becomes a tombstone at that revision.

--- /dev/null
+++ b/internal/configsync/syncer.go
@@ -0,0 +1,212 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rattantide/internal/api"
+	"rattantide/internal/objectclient"
+)
+
+// tickInterval is how often the role and the membership are looked at even
+// without a change.
+const tickInterval = time.Second
+
+// Syncer keeps a Cache and a Table up to date. Every daemon polls the relays of
+// its region; a relay also watches the object API and polls the instance list
+// and the reclaim notices. It is safe for concurrent use.
+type Syncer struct {
+	options  Options
+	kinds    []string
+	progress progress
+	suspects suspects
+	// replan asks for a look at the role.
+	replan chan struct{}
+	// stopped ends the answers that are held back.
+	stopped chan struct{}
+}
+
+// NewSyncer returns a Syncer that does nothing until Run.
+func NewSyncer(options Options) *Syncer {
+	options.setDefaults()
+	s := &Syncer{
+		options:  options,
+		progress: progress{ready: make(chan struct{})},
+		suspects: suspects{addresses: map[string]bool{}},
+		replan:   make(chan struct{}, 1),
+		stopped:  make(chan struct{}),
+	}
+	for _, kind := range api.Kinds {
+		s.kinds = append(s.kinds, string(kind))
+	}
+	return s
+}
+
+// Ready returns a channel that is closed when a first configuration is in
+// effect. An empty one counts.
+func (s *Syncer) Ready() <-chan struct{} { return s.progress.ready }
+
+// Run keeps the configuration and the membership up to date until ctx ends. It
+// must be called once.
+func (s *Syncer) Run(ctx context.Context) error {
+	defer close(s.stopped)
+	s.start(ctx)
+
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	running := map[string]context.CancelFunc{}
+	launch := func(key string, task func(context.Context)) {
+		if _, ok := running[key]; ok {
+			return
+		}
+		taskCtx, cancel := context.WithCancel(ctx)
+		running[key] = cancel
+		tasks.Go(func() { task(taskCtx) })
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var relaySince time.Time
+	for {
+		changed := s.options.Table.Changed()
+		s.options.Table.Tick()
+		p := s.plan()
+		if p.relay {
+			relaySince = time.Now()
+		}
+		wanted := map[string]bool{}
+		if p.relay || time.Since(relaySince) < s.options.RelayHold && !relaySince.IsZero() {
+			for key, task := range s.relayTasks() {
+				wanted[key] = true
+				launch(key, task)
+			}
+		}
+		for address := range p.targets {
+			key := "poll " + address
+			wanted[key] = true
+			launch(key, func(ctx context.Context) { s.follow(ctx, address) })
+		}
+		for key, cancel := range running {
+			if !wanted[key] {
+				cancel()
+				delete(running, key)
+			}
+		}
+		s.options.Scope.Gauge("config_relay").Update(boolGauge(p.relay))
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		case <-s.replan:
+		case <-ticker.C:
+		}
+	}
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// start asks the object API, the instance list and up to three peers at once,
+// and returns when the object API has answered, when all have answered or
+// failed, or StartWait after a peer has answered.
+func (s *Syncer) start(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct{ fromStore, ok bool }
+	answers := make(chan answer, 2+maxStartPeers)
+	pending := 1
+	go func() { answers <- answer{true, s.listAll(ctx) == nil} }()
+
+	s.pollInstancesOnce(ctx)
+	for _, address := range s.startPeers() {
+		pending++
+		go func() { answers <- answer{false, s.pollSnapshot(ctx, address) == nil} }()
+	}
+	var limit <-chan time.Time
+	succeeded := false
+	defer func() {
+		if succeeded {
+			s.progress.setSynced()
+		}
+	}()
+	for ; pending > 0; pending-- {
+		select {
+		case a := <-answers:
+			succeeded = succeeded || a.ok
+			if a.ok && a.fromStore {
+				return
+			}
+			if a.ok && limit == nil {
+				limit = time.After(s.options.StartWait)
+			}
+		case <-limit:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// maxStartPeers is the number of peers that a start asks.
+const maxStartPeers = 3
+
+func (s *Syncer) startPeers() []string {
+	var addresses []string
+	seen := map[string]bool{s.options.Table.Self().Address: true}
+	add := func(address string) {
+		if !seen[address] && len(addresses) < maxStartPeers {
+			seen[address] = true
+			addresses = append(addresses, address)
+		}
+	}
+	daemons := s.options.Table.Daemons()
+	for _, d := range rankRelays(s.options.Region, daemons, s.options.Relays) {
+		add(d.Address)
+	}
+	for _, address := range s.options.PeerAddresses {
+		add(address)
+	}
+	for _, d := range daemons {
+		add(d.Address)
+	}
+	return addresses
+}
+
+// applyFeed takes over what a peer sent. since is what was asked for.
+func (s *Syncer) applyFeed(feed *Feed) {
+	if feed.Membership != nil {
+		s.options.Table.Import(*feed.Membership)
+	}
+	complete, _, _ := s.progress.get()
+	if feed.Full && feed.Revision >= complete {
+		s.progress.raiseFloor(feed.Revision)
+		s.options.Cache.Replace(api.Kinds, feed.Revision, feed.Objects)
+	} else {
+		s.options.Cache.Apply(feed.Objects...)
+	}
+	if feed.Synced {
+		s.progress.raiseComplete(feed.Revision)
+	}
+}
+
+func (s *Syncer) applyEvent(event objectclient.Event) {
+	if event.Object != nil {
+		o := *event.Object
+		if event.Type == objectclient.EventDelete {
+			o.Value, o.Version = nil, event.Revision
+		}
+		s.options.Cache.Apply(o)
+	}
+	s.progress.raiseComplete(event.Revision)
+}
+
+func (s *Syncer) askReplan() {
+	select {
+	case s.replan <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/configsync/syncer_test.go
@@ -0,0 +1,137 @@
+package configsync
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/api"
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+)
+
+const poolValue = `{"spec":{"type":"chat","version":"v1"}}`
+
+// Guards against a daemon that misses a change or a deletion, and against every
+// daemon watching the object API.
+func TestChangesAndDeletionsReachAllDaemons(t *testing.T) {
+	c := newCluster(t)
+	c.put("Pool", "before", poolValue)
+	c.start(5)
+	for _, n := range c.nodes {
+		c.await(n, "first configuration", func() bool { return n.cache.Snapshot().Pools["before"] != nil })
+	}
+	c.put("Pool", "after", poolValue)
+	assert.NilError(t, c.store.Delete(t.Context(), "Pool", "before", objectclient.AnyVersion))
+	for _, n := range c.nodes {
+		c.await(n, "change and deletion", func() bool {
+			view := n.cache.Snapshot()
+			return view.Pools["before"] == nil && view.Pools["after"] != nil
+		})
+	}
+	// A daemon that saw nobody yet may have watched for a moment.
+	assert.Assert(t, c.store.Calls().Watches <= int64(len(c.nodes)))
+}
+
+// Guards against a notice or an announcement that stays with the relay that
+// heard it.
+func TestLeavingReachesAllDaemons(t *testing.T) {
+	c := newCluster(t)
+	for range 5 {
+		c.listen(func(o *Options) { o.Cloud = "" })
+	}
+	c.publish()
+	for _, n := range c.nodes {
+		n.run()
+		c.await(n, "upstream known", func() bool { return len(n.table.Upstreams("p")) == 1 })
+	}
+	// Only one relay hears the notice.
+	relays := rankRelays("r", append(c.nodes[0].table.Daemons(), c.nodes[0].self), 2)
+	for _, n := range c.nodes {
+		if n.self.Name == relays[0].Name {
+			n.table.ApplyNotices(membership.Notice{Seq: 1, Instance: "u1", DeadlineMs: 30_000, Kind: membership.NoticeReclaim})
+		}
+	}
+	for _, n := range c.nodes {
+		c.await(n, "notice", func() bool { return len(n.table.Upstreams("p")) == 0 })
+	}
+
+	leaving := c.nodes[4]
+	assert.NilError(t, leaving.syncer.AnnounceLeaving(t.Context()))
+	for _, n := range c.nodes[:4] {
+		c.await(n, "announcement", func() bool { return len(n.table.Daemons()) == 3 })
+	}
+}
+
+// Guards against a configuration that stops moving when the relays die.
+func TestDaemonsSurviveLossOfBothRelays(t *testing.T) {
+	c := newCluster(t)
+	c.start(5)
+	relays := map[string]bool{}
+	for _, d := range rankRelays("r", append(c.nodes[0].table.Daemons(), c.nodes[0].self), 2) {
+		relays[d.Name] = true
+	}
+	var rest []*node
+	for _, n := range c.nodes {
+		if relays[n.self.Name] {
+			n.stop()
+		} else {
+			rest = append(rest, n)
+		}
+	}
+	c.nodes = rest
+	c.put("Pool", "after", poolValue)
+	for _, n := range rest {
+		c.await(n, "change after the loss", func() bool { return n.cache.Snapshot().Pools["after"] != nil })
+	}
+}
+
+// Guards against a start that needs the object API or the instance list.
+func TestStartDuringOutage(t *testing.T) {
+	c := newCluster(t)
+	c.put("Pool", "p", poolValue)
+	c.start(3)
+	c.await(c.nodes[0], "first configuration", func() bool { return c.nodes[0].cache.Snapshot().Pools["p"] != nil })
+	c.store.SetOutage(true)
+	late := c.listen(func(o *Options) {
+		o.InstanceList, o.Cloud = "", ""
+		o.PeerAddresses = []string{c.nodes[0].self.Address}
+	})
+	late.run()
+	c.await(late, "configuration from a peer", func() bool { return late.cache.Snapshot().Pools["p"] != nil })
+	<-late.syncer.Ready()
+	assert.Equal(t, len(late.table.Daemons()), 3)
+}
+
+// Guards against an object that comes back, or never goes, when its deletion
+// was compacted away.
+func TestCompactionBecomesTombstone(t *testing.T) {
+	c := newCluster(t)
+	c.put("Pool", "p", poolValue)
+	c.start(2)
+	for _, n := range c.nodes {
+		c.await(n, "first configuration", func() bool { return n.cache.Snapshot().Pools["p"] != nil })
+	}
+	c.store.SetOutage(true)
+	c.store.SetOutage(false)
+	assert.NilError(t, c.store.Delete(t.Context(), "Pool", "p", objectclient.AnyVersion))
+	c.store.Compact()
+	for _, n := range c.nodes {
+		c.await(n, "deletion", func() bool { return n.cache.Snapshot().Pools["p"] == nil })
+	}
+}
+
+// Guards against an older version, or an older list, that undoes a newer one.
+func TestCacheNeverReverts(t *testing.T) {
+	cache := NewCache()
+	put := func(name string, version int64) objectclient.Object {
+		return objectclient.Object{Kind: "Pool", Name: name, Version: version, Value: []byte(poolValue)}
+	}
+	assert.Equal(t, cache.Apply(put("a", 5), put("b", 9)), 2)
+	assert.Equal(t, cache.Apply(put("a", 4)), 0)
+	assert.Equal(t, cache.Replace([]api.Kind{api.KindPool}, 7, nil), 1)
+	view := cache.Snapshot()
+	assert.Assert(t, view.Pools["a"] == nil && view.Pools["b"] != nil)
+	assert.Equal(t, cache.Apply(put("a", 6)), 0)
+	assert.Equal(t, cache.Apply(put("a", 8)), 1)
+}
