Add the at-most-once log

Intents are committed in groups by conditional update of a shard's head. Each attempt has its own nonce in the record, so an intent whose write was lost is found again or withdrawn, and a withdrawal never touches a later attempt. Only the requester withdraws an intent that was forwarded, as it may have had it granted elsewhere. Finished entries are sealed into segments derived from the head's version alone.

--- /dev/null
+++ b/internal/intent/forward.go
@@ -0,0 +1,153 @@
+package intent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/kataras/iris/v12"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/peer"
+	"rattantide/internal/problem"
+)
+
+const (
+	maxBeginBytes  = 64 << 10
+	maxFinishBytes = 16 << 20
+	// forwardSlack is the time beyond the commit's in which the preferred daemon
+	// must answer.
+	forwardSlack = 500 * time.Millisecond
+)
+
+// beginRequest asks the preferred daemon of a shard for an intent.
+type beginRequest struct {
+	Key    Key       `json:"key"`
+	Digest string    `json:"digest"`
+	Nonce  string    `json:"nonce"`
+	By     requester `json:"by"`
+	// WithinMs is the time left for the commit.
+	WithinMs int64 `json:"withinMs"`
+}
+
+// beginAnswer is the answer to a beginRequest.
+type beginAnswer struct {
+	Grant Grant `json:"grant"`
+	// InProgress says that another dispatch with the key is in progress and
+	// that the request may be repeated to wait further.
+	InProgress bool `json:"inProgress,omitempty"`
+	Reused     bool `json:"reused,omitempty"`
+}
+
+// recordedOutcome is one outcome of a finishRequest.
+type recordedOutcome struct {
+	Key     Key     `json:"key"`
+	Nonce   string  `json:"nonce"`
+	Outcome Outcome `json:"outcome"`
+}
+
+// finishRequest hands outcomes to the preferred daemon of their shard. It is
+// answered once they are committed.
+type finishRequest struct {
+	Outcomes []recordedOutcome `json:"outcomes"`
+}
+
+// RegisterHandlers serves the forwarded operations on a party that is mounted
+// at /peer/v1 and checks the peer token.
+func (l *Log) RegisterHandlers(party iris.Party) {
+	peer.Handle(party, http.MethodPost, "/intents/begin", maxBeginBytes, l.serveBegin)
+	peer.Handle(party, http.MethodPost, "/intents/finish", maxFinishBytes, l.serveFinish)
+	peer.Handle(party, http.MethodPost, "/intents/known", maxBeginBytes, func(_ context.Context, in knownRequest) (knownAnswer, error) {
+		return knownAnswer{Known: in.Log == l.id && l.open.known(in.Nonce)}, nil
+	})
+}
+
+// forwardBegin asks the preferred daemon. taken is false when it is not known
+// what became of the request.
+func (l *Log) forwardBegin(ctx context.Context, to membership.Daemon, op *beginOp) (r result, taken bool) {
+	for {
+		request := beginRequest{
+			Key: op.key, Digest: op.digest, Nonce: op.nonce, By: op.by,
+			// Half of the time is left for writing the intent here.
+			WithinMs: max(1, time.Until(op.deadline).Milliseconds()/2),
+		}
+		callCtx, cancel := context.WithTimeout(ctx, time.Duration(request.WithinMs)*time.Millisecond+forwardSlack)
+		var answer beginAnswer
+		err := l.options.Peers.Call(callCtx, http.MethodPost, to.Address, "/peer/v1/intents/begin", request, &answer)
+		cancel()
+		switch {
+		case err == nil && answer.Reused:
+			return result{err: errors.Annotatef(ErrKeyReused, "route %s", op.key.Route)}, true
+		case err == nil && answer.InProgress:
+			// The time for the commit counts anew once the other call has ended.
+			op.deadline = time.Now().Add(l.options.CommitTimeout)
+			if ctx.Err() != nil {
+				return result{grant: Grant{Outcome: Outcome{Ran: RanUnknown}}}, true
+			}
+			continue
+		case err == nil:
+			l.stats.Forwarded.Add(1)
+			return result{grant: answer.Grant}, true
+		}
+		return result{}, false
+	}
+}
+
+func (l *Log) serveBegin(ctx context.Context, in beginRequest) (beginAnswer, error) {
+	within := min(time.Duration(in.WithinMs)*time.Millisecond, l.options.CommitTimeout)
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	op := &beginOp{
+		key: in.Key, digest: in.Digest, nonce: in.Nonce, by: in.By,
+		deadline: time.Now().Add(within), done: make(chan struct{}), forwarded: true,
+	}
+	if !l.writers[l.shard(in.Key)].enqueue(op) {
+		return beginAnswer{}, unavailable(errors.New("too many intents are waiting"))
+	}
+	select {
+	case <-op.done:
+	case <-ctx.Done():
+	}
+	waits := op.isWaiting()
+	r, settled := op.abandon()
+	switch {
+	case !settled && waits:
+		return beginAnswer{InProgress: true}, nil
+	case !settled:
+		return beginAnswer{}, unavailable(ctx.Err())
+	case errors.Is(r.err, ErrKeyReused):
+		return beginAnswer{Reused: true}, nil
+	case r.err != nil:
+		return beginAnswer{}, unavailable(r.err)
+	}
+	return beginAnswer{Grant: r.grant}, nil
+}
+
+func (l *Log) serveFinish(ctx context.Context, in finishRequest) (struct{}, error) {
+	var written sync.WaitGroup
+	for _, o := range in.Outcomes {
+		written.Add(1)
+		var once sync.Once
+		op := &finishOp{key: o.Key, nonce: o.Nonce, outcome: o.Outcome, done: func() { once.Do(written.Done) }}
+		l.writers[l.shard(o.Key)].enqueue(nil, op)
+	}
+	done := make(chan struct{})
+	go func() {
+		written.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return struct{}{}, nil
+	case <-ctx.Done():
+	case <-l.ctx.Done():
+	}
+	return struct{}{}, unavailable(errors.Annotate(objectclient.ErrUnavailable, "outcomes are not written yet"))
+}
+
+func unavailable(err error) error {
+	return problem.New(http.StatusServiceUnavailable, problem.CodeInternal, err.Error())
+}
--- /dev/null
+++ b/internal/intent/head.go
@@ -0,0 +1,160 @@
+package intent
+
+import (
+	"bytes"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rattantide/internal/objectclient"
+)
+
+// segmentRef names a sealed segment of a shard.
+type segmentRef struct {
+	Name string `json:"name"`
+	// UntilMs is when the latest of its outcomes was recorded.
+	UntilMs int64 `json:"untilMs"`
+}
+
+// head is the object of a shard at one version. It is immutable once it is
+// stored or read.
+type head struct {
+	// version is 0 when the object does not exist yet.
+	version  int64
+	segments []segmentRef
+	entries  map[Key]*entry
+	// pending is the number of calls in progress.
+	pending int
+}
+
+// headValue is the stored form of a head.
+type headValue struct {
+	// Write is unique to each write, so that a read-back tells one's own write
+	// from another's.
+	Write    string            `json:"write"`
+	Segments []segmentRef      `json:"segments,omitempty"`
+	Entries  []json.RawMessage `json:"entries"`
+}
+
+func emptyHead() *head { return &head{entries: map[Key]*entry{}} }
+
+func decodeHead(o *objectclient.Object) (*head, error) {
+	var value headValue
+	if err := json.Unmarshal(o.Value, &value); err != nil {
+		return nil, errors.Annotatef(err, "%s/%s", o.Kind, o.Name)
+	}
+	h := &head{version: o.Version, segments: value.Segments, entries: make(map[Key]*entry, len(value.Entries))}
+	for _, raw := range value.Entries {
+		e := &entry{}
+		if err := json.Unmarshal(raw, e); err != nil {
+			return nil, errors.Annotatef(err, "%s/%s", o.Kind, o.Name)
+		}
+		e.encoded = raw
+		h.entries[e.Key] = e
+		if e.Outcome == nil {
+			h.pending++
+		}
+	}
+	return h, nil
+}
+
+// encode returns the stored form. The order of entries is fixed, so that equal
+// heads have equal segments sealed from them.
+func (h *head) encode(write string) (json.RawMessage, error) {
+	value := headValue{Write: write, Segments: h.segments, Entries: make([]json.RawMessage, 0, len(h.entries))}
+	for _, e := range h.ordered() {
+		value.Entries = append(value.Entries, e.encode())
+	}
+	return json.Marshal(value)
+}
+
+// ordered returns the entries by time and then by nonce.
+func (h *head) ordered() []*entry {
+	return slices.SortedFunc(maps.Values(h.entries), func(a, b *entry) int {
+		if a.AtMs != b.AtMs {
+			return int(a.AtMs - b.AtMs)
+		}
+		return bytes.Compare([]byte(a.Nonce), []byte(b.Nonce))
+	})
+}
+
+// clone returns a head that can be changed.
+func (h *head) clone() *head {
+	return &head{version: h.version, segments: slices.Clone(h.segments), entries: maps.Clone(h.entries), pending: h.pending}
+}
+
+// set records an entry.
+func (h *head) set(e *entry) {
+	if old := h.entries[e.Key]; old != nil && old.Outcome == nil {
+		h.pending--
+	}
+	if e.Outcome == nil {
+		h.pending++
+	}
+	h.entries[e.Key] = e
+}
+
+// refers reports whether the head names a segment.
+func (h *head) refers(name string) bool {
+	return slices.ContainsFunc(h.segments, func(s segmentRef) bool { return s.Name == name })
+}
+
+// expire ends calls that have been in progress for too long, and drops what is
+// older than the retention. It returns the segments that it dropped.
+func (h *head) expire(now time.Time, retention, pendingMax time.Duration) []segmentRef {
+	oldest := now.Add(-retention).UnixMilli()
+	for key, e := range h.entries {
+		switch {
+		case e.Outcome == nil && e.AtMs < now.Add(-pendingMax).UnixMilli():
+			h.set(e.ended(Outcome{Ran: RanUnknown}, now))
+		case e.Outcome != nil && e.EndedMs < oldest:
+			delete(h.entries, key)
+		}
+	}
+	var dropped []segmentRef
+	h.segments = slices.DeleteFunc(h.segments, func(s segmentRef) bool {
+		if s.UntilMs >= oldest {
+			return false
+		}
+		dropped = append(dropped, s)
+		return true
+	})
+	return dropped
+}
+
+// seal moves the oldest finished entries, up to limit bytes, out of the head
+// when they fill a segment. It returns nil when they do not. The result depends
+// on the head alone, so two writers that seal the same version make equal
+// segments of equal names.
+func (h *head) seal(shard int, limit int) (*segmentRef, []*entry) {
+	total := 0
+	for _, e := range h.entries {
+		if e.Outcome != nil {
+			total += len(e.encode())
+		}
+	}
+	if total < limit {
+		return nil, nil
+	}
+	var sealed []*entry
+	size := 0
+	for _, e := range h.ordered() {
+		if e.Outcome == nil {
+			continue
+		}
+		if size+len(e.encode()) > limit && len(sealed) > 0 {
+			break
+		}
+		size += len(e.encode())
+		sealed = append(sealed, e)
+	}
+	ref := &segmentRef{Name: strconv.Itoa(shard) + "." + strconv.FormatInt(h.version, 10)}
+	for _, e := range sealed {
+		ref.UntilMs = max(ref.UntilMs, e.EndedMs)
+	}
+	return ref, sealed
+}
--- /dev/null
+++ b/internal/intent/log_test.go
@@ -0,0 +1,193 @@
+package intent
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/objecttest"
+)
+
+// newTestLog returns a Log that forwards nothing and is stopped at the end.
+func newTestLog(t testing.TB, store objectclient.Store, change func(*Options)) *Log {
+	options := Options{
+		Store:  store,
+		Table:  membership.NewTable(membership.Daemon{Name: "d", Address: "d:1", Region: "r"}, membership.Options{}),
+		Shards: 1, WritesPerSecond: 1000, WriteBurst: 1000,
+	}
+	if change != nil {
+		change(&options)
+	}
+	l := NewLog(options)
+	t.Cleanup(func() {
+		l.cancel()
+		l.tasks.Wait()
+	})
+	return l
+}
+
+func key(value string) Key { return Key{Workspace: "w", Route: "orders", Value: value} }
+
+// begin gives up after 10 s of the bubble's time.
+func begin(l *Log, value, nonce string) (Grant, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return l.Begin(ctx, key(value), "digest", nonce)
+}
+
+func flush(t *testing.T, l *Log) {
+	t.Helper()
+	assert.NilError(t, l.Flush(t.Context()))
+	// Flush returns when the queue is empty; the last batch may be on its way.
+	synctest.Wait()
+}
+
+// Guards against a second dispatch under a key that has an outcome, and against
+// a lost outcome.
+func TestRecordedOutcomeIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		first, second := newTestLog(t, store, nil), newTestLog(t, store, nil)
+		grant, err := begin(first, "k", "n1")
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+		first.Finish(key("k"), "n1", Outcome{Ran: RanDone, Status: 201, Body: []byte("ok")})
+		flush(t, first)
+
+		grant, err = begin(second, "k", "n2")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, grant, Grant{Outcome: Outcome{Ran: RanDone, Status: 201, Body: []byte("ok")}})
+
+		_, err = second.Begin(t.Context(), key("k"), "other digest", "n3")
+		assert.ErrorIs(t, err, ErrKeyReused)
+	})
+}
+
+// Guards against a dispatch that runs beside another, and against a key that
+// stays blocked after a call that did not run.
+func TestDuplicateWaitsAndRunsAfterNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLog(t, objecttest.New(), nil)
+		grant, err := begin(l, "k", "n1")
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+		got := make(chan Grant, 1)
+		go func() {
+			grant, _ := begin(l, "k", "n2")
+			got <- grant
+		}()
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(got), 0)
+		l.Finish(key("k"), "n1", Outcome{Ran: RanNotRun})
+		assert.DeepEqual(t, <-got, Grant{Granted: true})
+	})
+}
+
+// Guards against waiting for ever, or dispatching again, when the dispatcher is
+// gone.
+func TestGoneDispatcherIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		dead := newTestLog(t, store, func(o *Options) {
+			o.Table = membership.NewTable(membership.Daemon{Name: "dead", Address: "x:1"}, membership.Options{})
+		})
+		grant, err := begin(dead, "k", "n1")
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+		grant, err = begin(newTestLog(t, store, nil), "k", "n2")
+		assert.NilError(t, err)
+		assert.DeepEqual(t, grant, Grant{Outcome: Outcome{Ran: RanUnknown}})
+	})
+}
+
+// Guards against a dispatch during an outage, and against a key that stays
+// blocked because an intent was written late that the caller was refused.
+func TestOutageRefusesAndLateWriteIsWithdrawn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		l := newTestLog(t, store, nil)
+		store.SetOutage(true)
+		_, err := begin(l, "k", "n1")
+		assert.ErrorIs(t, err, objectclient.ErrUnavailable)
+		store.SetOutage(false)
+
+		store.HoldWrites(1)
+		store.SetLatency(2 * time.Second)
+		_, err = begin(l, "k", "n2")
+		assert.ErrorIs(t, err, objectclient.ErrUnavailable)
+		store.SetLatency(0)
+		store.ReleaseWrites()
+		flush(t, l)
+		grant, err := begin(l, "k", "n3")
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+	})
+}
+
+// Guards against taking one's own write for another's after its answer was lost.
+func TestLostAnswerIsGranted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		l := newTestLog(t, store, nil)
+		store.LoseAnswers(1)
+		grant, err := begin(l, "k", "n1")
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+	})
+}
+
+// Guards against forgetting sealed outcomes within the retention, keeping them
+// after it, and a head that grows without bound.
+func TestSealedSegmentsAndRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		small := func(o *Options) { o.SegmentBytes, o.Retention = 1000, time.Hour }
+		l := newTestLog(t, store, small)
+		names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o"}
+		for _, name := range names {
+			grant, err := begin(l, name, name)
+			assert.NilError(t, err)
+			assert.Assert(t, grant.Granted)
+			l.Finish(key(name), name, Outcome{Ran: RanDone, Status: 200})
+			flush(t, l)
+		}
+		list, err := store.List(t.Context(), objectKind)
+		assert.NilError(t, err)
+		assert.Assert(t, len(list.Items) > 2, "no segment was sealed")
+		fresh := newTestLog(t, store, small)
+		for _, name := range names {
+			grant, err := begin(fresh, name, "again "+name)
+			assert.NilError(t, err)
+			assert.Equal(t, grant.Outcome.Ran, RanDone, name)
+		}
+		time.Sleep(61 * time.Minute)
+		grant, err := begin(fresh, "a", "much later")
+		assert.NilError(t, err)
+		assert.Assert(t, grant.Granted)
+		list, err = store.List(t.Context(), objectKind)
+		assert.NilError(t, err)
+		assert.Equal(t, len(list.Items), 1, "segments past the retention must be deleted")
+	})
+}
+
+// Guards against an unbounded wait: a caller that stops waiting for another's
+// outcome must not be told that the call did not run.
+func TestEndOfWaitIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLog(t, objecttest.New(), nil)
+		_, err := begin(l, "k", "n1")
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		grant, err := l.Begin(ctx, key("k"), "digest", "n2")
+		assert.Assert(t, !errors.Is(err, objectclient.ErrUnavailable))
+		assert.Equal(t, grant.Outcome.Ran, RanUnknown)
+	})
+}
--- /dev/null
+++ b/internal/intent/writer.go
@@ -0,0 +1,231 @@
+package intent
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rattantide/internal/objectclient"
+)
+
+// idleAfter is how long a writer without operations keeps its goroutine.
+const idleAfter = 5 * time.Second
+
+// maxBatch bounds the operations in one write, and maxBatchBytes the bodies of
+// its outcomes, so that a head stays below the object API's limit of 1 MB: up
+// to 400 KB of calls in progress, 256 KB that are about to be sealed, and what
+// one batch adds. The writer seals one segment per write.
+const (
+	maxBatch      = 500
+	maxBatchBytes = 128 << 10
+)
+
+// writer commits the operations of one shard, one write at a time.
+type writer struct {
+	log   *Log
+	shard int
+	name  string
+
+	mu       sync.Mutex
+	running  bool
+	begins   []*beginOp
+	finishes []*finishOp
+	wake     chan struct{}
+
+	// The fields below belong to the writer's goroutine.
+
+	// head is the latest version known; nil when it must be read.
+	head     *head
+	readAt   time.Time
+	segments segments
+	// doubt says that a write was sent whose outcome is not known, so that the
+	// stored object may yet change by it.
+	doubt bool
+	// waiting are the operations whose key is in progress elsewhere.
+	waiting     []*beginOp
+	unreachable map[string]time.Time
+	// orphans are segments that were written but may not be named by a head.
+	orphans []segmentRef
+}
+
+func newWriter(l *Log, shard int) *writer {
+	return &writer{log: l, shard: shard, name: strconv.Itoa(shard), wake: make(chan struct{}, 1), unreachable: map[string]time.Time{}}
+}
+
+// enqueue adds operations and starts the goroutine when it does not run. It
+// returns false when the queue is full; withdrawals and outcomes are always
+// taken.
+func (w *writer) enqueue(begin *beginOp, finishes ...*finishOp) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if begin != nil {
+		if len(w.begins) >= w.log.options.MaxQueue {
+			return false
+		}
+		w.begins = append(w.begins, begin)
+	}
+	w.finishes = append(w.finishes, finishes...)
+	if !w.running {
+		w.running = true
+		w.log.tasks.Go(w.run)
+	}
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+// take removes up to maxBatch operations from the queue.
+func (w *writer) take() ([]*beginOp, []*finishOp) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	begins := w.begins[:min(len(w.begins), maxBatch)]
+	n, size := 0, 0
+	for n < min(len(w.finishes), maxBatch-len(begins)) && (n == 0 || size < maxBatchBytes) {
+		size += len(w.finishes[n].outcome.Body)
+		n++
+	}
+	finishes := w.finishes[:n]
+	w.begins, w.finishes = w.begins[len(begins):], w.finishes[n:]
+	return begins, finishes
+}
+
+func (w *writer) queued() (begins, finishes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.begins), len(w.finishes)
+}
+
+func (w *writer) run() {
+	failures := 0
+	for {
+		if !w.await() {
+			return
+		}
+		if w.log.limiter.Wait(w.log.ctx) != nil {
+			w.stop()
+			return
+		}
+		w.recheckWaiting()
+		begins, finishes := w.take()
+		if len(begins)+len(finishes) == 0 {
+			continue
+		}
+		if w.commit(begins, finishes) {
+			failures = 0
+			continue
+		}
+		failures++
+		w.pause(min(50*time.Millisecond<<min(failures, 5), time.Second))
+	}
+}
+
+// await returns when there is something to do. It returns false when the
+// goroutine ends.
+func (w *writer) await() bool {
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
+	var delay, poll <-chan time.Time
+	for {
+		begins, finishes := w.queued()
+		if begins > 0 || finishes >= maxBatch {
+			return true
+		}
+		if finishes > 0 && delay == nil {
+			timer := time.NewTimer(w.log.options.FinishDelay)
+			defer timer.Stop()
+			delay = timer.C
+		}
+		if len(w.waiting) > 0 && poll == nil {
+			timer := time.NewTimer(w.log.options.WaitPoll)
+			defer timer.Stop()
+			poll = timer.C
+		}
+		select {
+		case <-w.wake:
+		case <-delay:
+			return true
+		case <-poll:
+			return true
+		case <-w.log.ctx.Done():
+			w.stop()
+			return false
+		case <-idle.C:
+			if len(w.waiting) == 0 && w.stopIfIdle() {
+				return false
+			}
+			idle.Reset(idleAfter)
+		}
+	}
+}
+
+func (w *writer) stopIfIdle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.begins)+len(w.finishes) > 0 {
+		return false
+	}
+	w.running = false
+	return true
+}
+
+// stop fails what is queued; the Log is closed.
+func (w *writer) stop() {
+	w.mu.Lock()
+	begins := append(w.begins, w.waiting...)
+	w.begins, w.running = nil, false
+	w.mu.Unlock()
+	for _, op := range begins {
+		op.settle(result{err: errors.Annotate(objectclient.ErrUnavailable, "the intent log is closed")})
+		op.release()
+	}
+}
+
+func (w *writer) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.log.ctx.Done():
+	}
+}
+
+// storeContext bounds one call of the object API.
+func (w *writer) storeContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(w.log.ctx, w.log.options.CommitTimeout)
+}
+
+// read brings the head up to date.
+func (w *writer) read() error {
+	ctx, cancel := w.storeContext()
+	defer cancel()
+	w.log.stats.Gets.Add(1)
+	o, err := w.log.options.Store.Get(ctx, objectKind, w.name)
+	if errors.Is(err, objectclient.ErrNotFound) {
+		return w.adopt(emptyHead())
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	h, err := decodeHead(o)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return w.adopt(h)
+}
+
+// adopt makes h the head once its segments are known.
+func (w *writer) adopt(h *head) error {
+	w.head = nil
+	ctx, cancel := w.storeContext()
+	defer cancel()
+	if err := w.segments.load(ctx, w.log, h); err != nil {
+		return err
+	}
+	w.head, w.readAt = h, time.Now()
+	return nil
+}
