--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -37,21 +38,24 @@
 // heard it.
 func TestLeavingReachesAllDaemons(t *testing.T) {
 	c := newCluster(t)
+	var names []membership.Daemon
+	for i := range 5 {
+		names = append(names, membership.Daemon{Name: fmt.Sprintf("d%02d", i), Domain: fmt.Sprintf("z%d", i%3), Region: "r"})
+	}
+	hearing := rankRelays("r", names, 2)[0].Name
 	for range 5 {
-		c.listen(func(o *Options) { o.Cloud = "" })
+		c.listen(func(o *Options) {
+			if o.Table.Self().Name != hearing {
+				o.Cloud = ""
+			}
+		})
 	}
 	c.publish()
 	for _, n := range c.nodes {
 		n.run()
 		c.await(n, "upstream known", func() bool { return len(n.table.Upstreams("p")) == 1 })
 	}
-	// Only one relay hears the notice.
-	relays := rankRelays("r", append(c.nodes[0].table.Daemons(), c.nodes[0].self), 2)
-	for _, n := range c.nodes {
-		if n.self.Name == relays[0].Name {
-			n.table.ApplyNotices(membership.Notice{Seq: 1, Instance: "u1", DeadlineMs: 30_000, Kind: membership.NoticeReclaim})
-		}
-	}
+	c.platform.notice(membership.Notice{Instance: "u1", DeadlineMs: 30_000, Kind: membership.NoticeReclaim})
 	for _, n := range c.nodes {
 		c.await(n, "notice", func() bool { return len(n.table.Upstreams("p")) == 0 })
 	}
