Add the lease manager

A lease expires in the store's time, which the client never estimates ahead; the holder stops after two thirds of the lifetime on its own monotonic clock, and its fencing token is the version at acquisition.

--- /dev/null
+++ b/internal/lease/duty.go
@@ -0,0 +1,210 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"rattantide/internal/objectclient"
+)
+
+// objectKind is the kind of leases in the object API.
+const objectKind = "lease"
+
+// duty is one lease as this daemon sees it.
+type duty struct {
+	manager *Manager
+	name    string
+	cancel  context.CancelFunc
+
+	mu sync.Mutex
+	// fence is 0 while the lease is not held.
+	fence int64
+	// until is when the holder must stop, on the monotonic clock.
+	until time.Time
+
+	// The fields below belong to the duty's goroutine.
+
+	version  int64
+	renewals int64
+	nonce    string
+	// sentAt is when the acquisition with nonce was sent.
+	sentAt    time.Time
+	freeSince time.Time
+}
+
+// held returns the fencing token while the holder may act.
+func (d *duty) held(now time.Time) (int64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fence == 0 || !now.Before(d.until) {
+		return 0, false
+	}
+	return d.fence, true
+}
+
+func (d *duty) hold(fence int64, sentAt time.Time) {
+	ttl := d.manager.options.TTL
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fence, d.until = fence, sentAt.Add(ttl-ttl/3)
+}
+
+func (d *duty) drop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fence = 0
+}
+
+// run keeps or seeks the lease until ctx ends, and then releases it.
+func (d *duty) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		var wait time.Duration
+		switch _, held := d.held(time.Now()); {
+		case d.manager.leaving():
+			d.release(ctx)
+			wait = d.manager.options.TTL
+		case held:
+			wait = d.renew(ctx)
+		default:
+			d.drop()
+			wait = d.seek(ctx)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.manager.options.TTL/3)
+	defer cancel()
+	d.release(releaseCtx)
+}
+
+// seek looks at the lease, acquires it when it is free and this daemon's turn,
+// and returns the time until the next step.
+func (d *duty) seek(ctx context.Context) time.Duration {
+	options := d.manager.options
+	current, err := options.Store.Get(ctx, objectKind, d.name)
+	if err != nil && !errors.Is(err, objectclient.ErrNotFound) {
+		options.Scope.Counter("lease_errors").Inc(1)
+		return options.TTL / 4
+	}
+	version := objectclient.MustNotExist
+	if current != nil {
+		version = current.Version
+	}
+	stored := decode(current)
+	if d.nonce != "" && stored.Nonce == d.nonce && stored.Fence == 0 && stored.ExpiresMs > 0 {
+		// The acquisition took effect although its answer was lost.
+		return d.acquired(version)
+	}
+	storeNow, known := options.Store.Now()
+	if !known {
+		return options.TTL / 4
+	}
+	expiresIn := time.UnixMilli(stored.ExpiresMs).Sub(storeNow)
+	switch {
+	case expiresIn > 0:
+		d.freeSince = time.Time{}
+	case d.freeSince.IsZero():
+		d.freeSince = time.Now()
+	}
+	o := observation{rank: d.manager.rank(d.name), ttl: options.TTL, freeSince: d.freeSince, expiresIn: expiresIn}
+	acquire, wait := o.plan(time.Now(), options.MaxInterval)
+	if !acquire {
+		return wait
+	}
+	return d.acquire(ctx, version, storeNow)
+}
+
+func (d *duty) acquire(ctx context.Context, version int64, storeNow time.Time) time.Duration {
+	options := d.manager.options
+	d.nonce, d.sentAt, d.renewals = uuid.NewString(), time.Now(), 0
+	stored, err := d.put(ctx, version, value{Holder: options.Holder, Nonce: d.nonce, ExpiresMs: storeNow.Add(options.TTL).UnixMilli()})
+	if err != nil {
+		options.Scope.Counter("lease_not_acquired").Inc(1)
+		return options.TTL / 4
+	}
+	return d.acquired(stored.Version)
+}
+
+func (d *duty) acquired(version int64) time.Duration {
+	d.version, d.freeSince = version, time.Time{}
+	d.hold(version, d.sentAt)
+	if _, held := d.held(time.Now()); !held {
+		// The answer came too late; the lease expires and is sought again.
+		d.drop()
+		d.nonce = ""
+		return d.manager.options.TTL / 2
+	}
+	d.manager.options.Logger.Info("acquired lease", "duty", d.name, "fence", version)
+	d.manager.options.Scope.Counter("lease_acquired").Inc(1)
+	return d.renewIn()
+}
+
+// renewIn is the time from a renewal to the next: 2/5 of the lifetime leaves
+// more than a quarter of it for repeated tries before the holder must stop.
+func (d *duty) renewIn() time.Duration { return d.manager.options.TTL * 2 / 5 }
+
+// renew extends the lease. While it fails without a conflict, it is tried again
+// until the holder must stop.
+func (d *duty) renew(ctx context.Context) time.Duration {
+	options := d.manager.options
+	storeNow, _ := options.Store.Now()
+	sentAt := time.Now()
+	fence, held := d.held(sentAt)
+	if !held {
+		return 0
+	}
+	d.renewals++
+	stored, err := d.put(ctx, d.version, value{
+		Holder: options.Holder, Nonce: d.nonce, Fence: fence, Renewals: d.renewals,
+		ExpiresMs: storeNow.Add(options.TTL).UnixMilli(),
+	})
+	switch {
+	case err == nil:
+		d.version = stored.Version
+		d.hold(fence, sentAt)
+		return d.renewIn()
+	case errors.Is(err, objectclient.ErrConflict):
+		if current := decode(stored); stored != nil && current.Nonce == d.nonce && current.Fence == fence && current.ExpiresMs > 0 {
+			// An earlier renewal took effect although its answer was lost. The
+			// bound of the last one that was answered stays.
+			d.version = stored.Version
+			return 0
+		}
+		options.Logger.Warn("lost lease to another holder", "duty", d.name, "fence", fence)
+		options.Scope.Counter("lease_lost").Inc(1)
+		d.drop()
+		d.nonce = ""
+	}
+	return options.TTL / 15
+}
+
+// release gives the lease up so that another daemon can take it at once.
+func (d *duty) release(ctx context.Context) {
+	fence, held := d.held(time.Now())
+	d.drop()
+	if !held {
+		return
+	}
+	_, err := d.put(ctx, d.version, value{Holder: d.manager.options.Holder, Nonce: d.nonce, Fence: fence})
+	d.nonce = ""
+	if err != nil {
+		d.manager.options.Logger.Warn("lease could not be released; it expires", "duty", d.name, "error", err)
+	}
+}
+
+func (d *duty) put(ctx context.Context, version int64, v value) (*objectclient.Object, error) {
+	encoded, err := json.Marshal(v)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return d.manager.options.Store.Put(ctx, objectKind, d.name, version, encoded)
+}
--- /dev/null
+++ b/internal/lease/manager_test.go
@@ -0,0 +1,159 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/objecttest"
+)
+
+// group returns Managers of daemons that know each other.
+func group(store objectclient.Store, count int) []*Manager {
+	var instances []membership.Instance
+	for i := range count {
+		name := fmt.Sprintf("d%d", i)
+		instances = append(instances, membership.Instance{Name: name, Address: name, Role: membership.RoleDaemon, State: membership.StateLive})
+	}
+	var managers []*Manager
+	for _, instance := range instances {
+		table := membership.NewTable(membership.Daemon{Name: instance.Name, Address: instance.Address}, membership.Options{})
+		table.ApplyList(membership.InstanceList{Revision: 1, Instances: instances})
+		managers = append(managers, NewManager(Options{Store: store, Holder: instance.Name, Table: table}))
+	}
+	return managers
+}
+
+func holders(managers []*Manager, duty string) (found []int, fence int64) {
+	for i, m := range managers {
+		if f, ok := m.Held(duty); ok {
+			found, fence = append(found, i), f
+		}
+	}
+	return found, fence
+}
+
+// Guards against two holders, against a duty without one after its holder is
+// gone, and against calls that grow with the number of daemons.
+func TestOneHolderAndTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		managers := group(store, 9)
+		cancels := make([]context.CancelFunc, len(managers))
+		for i, m := range managers {
+			var ctx context.Context
+			ctx, cancels[i] = context.WithCancel(t.Context())
+			m.Want("move")
+			go func() { _ = m.Run(ctx) }()
+		}
+		time.Sleep(20 * time.Second)
+		first, firstFence := holders(managers, "move")
+		assert.Equal(t, len(first), 1)
+		assert.Equal(t, managers[first[0]].rank("move"), 0)
+		before := store.Calls().Total()
+		time.Sleep(10 * time.Minute)
+		t.Logf("calls in 10 min with 9 daemons: %d", store.Calls().Total()-before)
+		assert.Assert(t, store.Calls().Total()-before < 10*60/2, "more than one call per 2 s for a duty")
+
+		// The holder is cut off: nobody releases the lease.
+		cancels[first[0]]()
+		store.SetOutage(true)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		store.SetOutage(false)
+		time.Sleep(3 * time.Minute)
+		second, secondFence := holders(managers, "move")
+		assert.Equal(t, len(second), 1)
+		assert.Assert(t, secondFence > firstFence)
+		for _, cancel := range cancels {
+			cancel()
+		}
+	})
+}
+
+// Guards against a holder that acts after its lease expired because it could not
+// renew it or was paused.
+func TestHolderStopsBeforeExpiry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		m := NewManager(Options{Store: store, Holder: "a", TTL: 15 * time.Second})
+		ctx, cancel := context.WithCancel(t.Context())
+		m.Want("move")
+		go func() { _ = m.Run(ctx) }()
+		synctest.Wait()
+		fence, ok := m.Held("move")
+		assert.Assert(t, ok)
+		o, err := store.Get(t.Context(), objectKind, "move")
+		assert.NilError(t, err)
+		assert.Equal(t, fence, o.Version)
+		time.Sleep(7 * time.Second)
+		renewed, ok := m.Held("move")
+		assert.Assert(t, ok)
+		assert.Equal(t, renewed, fence, "a renewal must keep the fencing token")
+		store.SetOutage(true)
+		time.Sleep(14 * time.Second)
+		_, ok = m.Held("move")
+		assert.Assert(t, !ok)
+		store.SetOutage(false)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against two holders at the same time, or a fencing token that does not
+// grow, under random faults of the object API.
+func TestNeverTwoHolders(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.IntRange(0, 5), 5, 30).Draw(rt, "steps")
+		synctest.Test(t, func(t *testing.T) {
+			store := objecttest.New()
+			managers := group(store, 3)
+			ctx, cancel := context.WithCancel(t.Context())
+			for _, m := range managers {
+				m.Want("move")
+				go func() { _ = m.Run(ctx) }()
+			}
+			fences := map[int64]int{}
+			latest := int64(0)
+			for _, step := range steps {
+				switch step {
+				case 0:
+					store.LoseAnswers(1)
+				case 1:
+					store.HoldWrites(1)
+				case 2:
+					store.ReleaseWrites()
+				case 3:
+					store.SetOutage(true)
+				case 4:
+					store.SetOutage(false)
+				case 5:
+					store.SetLatency(time.Duration(len(fences)%4) * time.Second)
+				}
+				for range 8 {
+					time.Sleep(time.Second)
+					found, fence := holders(managers, "move")
+					if len(found) > 1 {
+						rt.Fatalf("daemons %v hold the lease", found)
+					}
+					if len(found) == 1 {
+						if by, ok := fences[fence]; ok && by != found[0] || fence < latest {
+							rt.Fatalf("fence %d of %d after %d", fence, found[0], latest)
+						}
+						fences[fence], latest = found[0], fence
+					}
+				}
+			}
+			cancel()
+			synctest.Wait()
+			time.Sleep(time.Minute)
+		})
+	})
+}
--- /dev/null
+++ b/internal/lease/options.go
@@ -0,0 +1,54 @@
+package lease
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+)
+
+// Options are the settings of a Manager.
+type Options struct {
+	Store objectclient.Store
+	// Holder is the daemon's name.
+	Holder string
+	// Table names the other daemons, over which the duties are spread, and
+	// tells whether this one is leaving. Without it this daemon is preferred
+	// for every duty.
+	Table *membership.Table
+	// TTL is the lifetime of a lease in the store's time. Default 15 s. A third
+	// of it is the margin by which a holder stops earlier; that must exceed the
+	// error of the store's time, which is at most the duration of a call.
+	TTL time.Duration
+	// MaxInterval bounds the time between two looks at a lease that another
+	// daemon holds. Default 10 min.
+	MaxInterval time.Duration
+	// Logger receives acquisitions and losses. Default: none.
+	Logger *log.Logger
+	// Scope receives the metrics. Default: none.
+	Scope tally.Scope
+}
+
+func (o *Options) setDefaults() {
+	if o.TTL == 0 {
+		o.TTL = 15 * time.Second
+	}
+	if o.MaxInterval == 0 {
+		o.MaxInterval = 10 * time.Minute
+	}
+	if o.Logger == nil {
+		o.Logger = log.New(discard{})
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+}
+
+// discard is an io.Writer that writes nothing.
+type discard struct{}
+
+// Write implements io.Writer.
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
