--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -57,9 +57,9 @@
 		first, firstFence := holders(managers, "move")
 		assert.Equal(t, len(first), 1)
 		assert.Equal(t, managers[first[0]].rank("move"), 0)
-		before := store.Calls().Total()
+		before, puts := store.Calls().Total(), store.Calls().Puts
 		time.Sleep(10 * time.Minute)
-		t.Logf("calls in 10 min with 9 daemons: %d", store.Calls().Total()-before)
+		t.Logf("calls in 10 min with 9 daemons: %d, of which renewals: %d", store.Calls().Total()-before, store.Calls().Puts-puts)
 		assert.Assert(t, store.Calls().Total()-before < 10*60/2, "more than one call per 2 s for a duty")
 
 		// The holder is cut off: nobody releases the lease.
--- /dev/null
+++ b/internal/objectclient/client_test.go
@@ -0,0 +1,148 @@
+package objectclient_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/objectclient"
+	"rattantide/internal/standin/objectapi"
+)
+
+func newClient(t *testing.T, handler http.Handler, change func(*objectclient.Options)) *objectclient.Client {
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	options := objectclient.Options{Address: server.Listener.Addr().String()}
+	if change != nil {
+		change(&options)
+	}
+	return objectclient.New(options)
+}
+
+var value = json.RawMessage(`{"n": 1}`)
+
+// Guards against a write that took effect but counts as failed, and against
+// one that counts as failed and takes effect later.
+func TestPutAfterLostAnswer(t *testing.T) {
+	api := objectapi.New(objectapi.Config{})
+	client := newClient(t, api, nil)
+	ctx := t.Context()
+	api.Faults().Update(func(f *objectapi.Faults) { f.LoseAnswers = 1 })
+	first, err := client.Put(ctx, "k", "n", objectclient.MustNotExist, value)
+	assert.NilError(t, err)
+
+	api.Faults().Update(func(f *objectapi.Faults) { f.LateWrites, f.LateMs = 1, 200 })
+	_, err = client.Put(ctx, "k", "n", first.Version, json.RawMessage(`{"n":2}`))
+	assert.ErrorIs(t, err, objectclient.ErrUnavailable)
+	for current := first; current.Version == first.Version; {
+		current, err = client.Get(ctx, "k", "n")
+		assert.NilError(t, err)
+	}
+}
+
+// Guards against a lost race that is not told apart from an outage, and against
+// a conflict without the current object.
+func TestPutConflict(t *testing.T) {
+	client := newClient(t, objectapi.New(objectapi.Config{}), nil)
+	ctx := t.Context()
+	first, err := client.Put(ctx, "k", "a/b c", objectclient.MustNotExist, value)
+	assert.NilError(t, err)
+	second, err := client.Put(ctx, "k", "a/b c", objectclient.AnyVersion, json.RawMessage(`{"n":2}`))
+	assert.NilError(t, err)
+	current, err := client.Put(ctx, "k", "a/b c", first.Version, value)
+	assert.ErrorIs(t, err, objectclient.ErrConflict)
+	assert.Equal(t, current.Version, second.Version)
+	assert.ErrorIs(t, client.Delete(ctx, "k", "a/b c", first.Version), objectclient.ErrConflict)
+	assert.NilError(t, client.Delete(ctx, "k", "a/b c", second.Version))
+	_, err = client.Get(ctx, "k", "a/b c")
+	assert.ErrorIs(t, err, objectclient.ErrNotFound)
+	_, err = client.Put(ctx, "k", "big", objectclient.AnyVersion, make([]byte, 1<<20+1))
+	assert.ErrorIs(t, err, objectclient.ErrTooLarge)
+}
+
+// Guards against reads that hammer a limited store, and against a read that
+// fails although the store works again soon.
+func TestReadsRetryWithinBounds(t *testing.T) {
+	calls := 0
+	var at []time.Time
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		at = append(at, time.Now())
+		switch calls++; calls {
+		case 1:
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusTooManyRequests)
+		case 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			_, _ = w.Write([]byte(`{"kind":"k","name":"n","version":7}`))
+		}
+	}), nil)
+	o, err := client.Get(t.Context(), "k", "n")
+	assert.NilError(t, err)
+	assert.Equal(t, o.Version, int64(7))
+	assert.Equal(t, calls, 3)
+	assert.Assert(t, at[1].Sub(at[0]) > at[2].Sub(at[1]), "the announced delay exceeds the first backoff")
+
+	calls = 0
+	down := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls++
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}), nil)
+	_, err = down.Get(t.Context(), "k", "n")
+	assert.ErrorIs(t, err, objectclient.ErrUnavailable)
+	assert.Equal(t, calls, 4)
+	calls = 0
+	_, err = down.Put(t.Context(), "k", "n", 1, value)
+	assert.ErrorIs(t, err, objectclient.ErrUnavailable)
+	assert.Equal(t, calls, 5, "a write is sent once and read back")
+}
+
+// Guards against a watch that misses events or its own end.
+func TestWatch(t *testing.T) {
+	api := objectapi.New(objectapi.Config{})
+	client := newClient(t, api, nil)
+	ctx := t.Context()
+	_, err := client.Put(ctx, "k", "n", objectclient.AnyVersion, value)
+	assert.NilError(t, err)
+	_, err = client.Put(ctx, "other", "n", objectclient.AnyVersion, value)
+	assert.NilError(t, err)
+	assert.NilError(t, client.Delete(ctx, "k", "n", objectclient.AnyVersion))
+	stop := errors.ConstError("seen enough")
+	var seen []objectclient.EventType
+	err = client.Watch(ctx, 0, []string{"k"}, func(e objectclient.Event) error {
+		seen = append(seen, e.Type)
+		if len(seen) == 3 {
+			return stop
+		}
+		return nil
+	})
+	assert.ErrorIs(t, err, stop)
+	assert.DeepEqual(t, seen, []objectclient.EventType{objectclient.EventPut, objectclient.EventDelete, objectclient.EventBookmark})
+	api.Compact(0)
+	err = client.Watch(ctx, 0, []string{"k"}, func(objectclient.Event) error { return nil })
+	assert.ErrorIs(t, err, objectclient.ErrCompacted)
+	_, known := client.Now()
+	assert.Assert(t, known)
+}
+
+// Guards against a watch that hangs for ever on a connection that is dead.
+func TestSilentWatchEnds(t *testing.T) {
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}), func(o *objectclient.Options) { o.WatchSilence = 50 * time.Millisecond })
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	err := client.Watch(ctx, 0, nil, func(objectclient.Event) error { return nil })
+	assert.ErrorIs(t, err, objectclient.ErrUnavailable)
+}
