--- /dev/null
+++ b/internal/server/attempt.go
@@ -0,0 +1,138 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rattantide/internal/dispatch"
+	"rattantide/internal/engineclient"
+	"rattantide/internal/journal"
+	"rattantide/internal/problem"
+	"rattantide/internal/relay"
+)
+
+var doneData = []byte("[DONE]")
+
+// attempt runs one stream from an engine into the journal.
+func (r *runner) attempt(ctx context.Context, choice *dispatch.Choice, number int, how mode, measured *seen) result {
+	request := engineclient.StreamRequest{
+		Address: choice.Upstream.Address, RequestID: r.rec.ID, Attempt: number, Priority: choice.Priority,
+		Body: r.rec.Body,
+	}
+	var known [][]byte
+	switch how {
+	case modeResume:
+		request.AfterEvent = r.rec.Last()
+	case modePrefix:
+		body, err := continuationBody(r.rec.Body, r.rec.Events())
+		if err != nil {
+			return result{ending: endPrefixRefused, err: err}
+		}
+		request.Body = body
+	case modeRegenerate:
+		known = r.rec.Events()
+	}
+	attemptCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(r.limits.first, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	stream, err := r.server.options.Engine.Stream(attemptCtx, request)
+	if err != nil {
+		return r.classify(ctx, attemptCtx, err, how)
+	}
+	r.ran = true
+	defer func() { _ = stream.Close() }()
+	var early reorder
+	for {
+		event, err := stream.Next()
+		if err != nil {
+			return r.classify(ctx, attemptCtx, err, how)
+		}
+		if bytes.Equal(event.Data, doneData) {
+			if len(early.held) > 0 || r.rec.Last() == 0 {
+				return result{ending: endLost, err: journal.ErrGap}
+			}
+			return result{ending: endDone}
+		}
+		watchdog.Reset(r.limits.next)
+		if len(event.Data) > r.server.options.MaxEventBytes {
+			return result{ending: endError, err: journal.ErrTooLarge}
+		}
+		if end, stop := r.take(number, event, known, &early, measured); stop {
+			return end
+		}
+	}
+}
+
+// take appends an event and those that waited for it.
+func (r *runner) take(number int, event relay.Event, known [][]byte, early *reorder, measured *seen) (result, bool) {
+	if event.ID == 0 {
+		// An engine that does not number an event sends it in order.
+		event.ID = r.rec.Last() + 1
+	}
+	if event.ID <= int64(len(known)) {
+		if !sameToken(known[event.ID-1], event.Data) {
+			return result{ending: endDiffers, err: errors.New("the regenerated answer differs")}, true
+		}
+		return result{}, false
+	}
+	for {
+		err := r.rec.Append(number, event.ID, event.Data)
+		switch {
+		case err == nil:
+			measured.event(time.Now())
+			r.server.metrics.events.Inc(1)
+		case errors.Is(err, journal.ErrDuplicateEvent):
+			return result{}, false
+		case errors.Is(err, journal.ErrGap):
+			if early.hold(event) {
+				return result{}, false
+			}
+			return result{ending: endLost, err: err}, true
+		case errors.Is(err, journal.ErrTooLarge):
+			return result{ending: endFinal, err: err, problem: problem.Unknown(http.StatusBadGateway,
+				problem.CodeTooLarge, "the answer exceeds the memory for requests")}, true
+		default:
+			return result{ending: endStopped, err: err}, true
+		}
+		data, ok := early.take(event.ID + 1)
+		if !ok {
+			return result{}, false
+		}
+		event = relay.Event{ID: event.ID + 1, Data: data}
+	}
+}
+
+// classify turns a failure of the stream into an ending.
+func (r *runner) classify(ctx, attemptCtx context.Context, err error, how mode) result {
+	var failure *engineclient.Error
+	answered := errors.As(err, &failure)
+	// An engine that refuses a request with 4xx or as busy has not run it.
+	if !answered || !failure.NotRun && (failure.Status == 0 || failure.Status >= 500 && failure.Status != http.StatusServiceUnavailable) {
+		r.ran = true
+	}
+	switch {
+	case ctx.Err() != nil:
+		return result{ending: endStopped, err: err}
+	case errors.Is(context.Cause(attemptCtx), errSilent) && (!answered || !failure.NotRun):
+		return result{ending: endSilent, err: err}
+	case !answered || failure.Status == 0 && !failure.NotRun:
+		return result{ending: endLost, err: err}
+	case how == modeResume && failure.Status == http.StatusNotFound:
+		return result{ending: endForgotten, err: err}
+	case how == modeResume && failure.NotRun && failure.Status == 0:
+		return result{ending: endGone, err: err}
+	case failure.NotRun, failure.Status == http.StatusTooManyRequests, failure.Status == http.StatusServiceUnavailable:
+		return result{ending: endRefused, draining: failure.Draining, err: err}
+	case failure.Status >= 500 || failure.Status == http.StatusNotFound || failure.Status == http.StatusRequestTimeout:
+		return result{ending: endError, err: err}
+	case how == modePrefix:
+		return result{ending: endPrefixRefused, err: err}
+	}
+	return result{ending: endFinal, err: err, problem: problem.New(failure.Status, problem.CodeBadRequest,
+		"the engine refused the request: "+string(failure.Body))}
+}
--- /dev/null
+++ b/internal/server/authenticate.go
@@ -0,0 +1,67 @@
+package server
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+
+	"rattantide/internal/api"
+	"rattantide/internal/problem"
+)
+
+// maxIDBytes bounds request identifiers; they appear in logs and URLs.
+const maxIDBytes = 128
+
+// authenticate returns the caller's workspace.
+func (s *Server) authenticate(r *http.Request) (string, *problem.Problem) {
+	name, _, p := s.workspace(r)
+	return name, p
+}
+
+func (s *Server) workspace(r *http.Request) (string, *api.Workspace, *problem.Problem) {
+	header := r.Header.Get("Authorization")
+	token, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok || token == "" || len(header) > s.options.MaxHeaderValueBytes {
+		return "", nil, problem.NotRun(http.StatusUnauthorized, problem.CodeUnauthorized, "a bearer token of a workspace is required")
+	}
+	name, workspace := s.options.Config.Snapshot().WorkspaceForToken(token)
+	if workspace == nil {
+		return "", nil, problem.NotRun(http.StatusUnauthorized, problem.CodeUnauthorized, "the token belongs to no workspace")
+	}
+	return name, workspace, nil
+}
+
+// requestID returns the caller's identifier, or a new one.
+func requestID(r *http.Request) (string, *problem.Problem) {
+	id := r.Header.Get("X-Request-Id")
+	if id == "" {
+		return uuid.NewString(), nil
+	}
+	if !validID(id) {
+		return "", problem.NotRun(http.StatusBadRequest, problem.CodeBadRequest,
+			"X-Request-Id must have 1 to 128 letters, digits, dots, dashes or underscores")
+	}
+	return id, nil
+}
+
+func validID(id string) bool {
+	if id == "" || len(id) > maxIDBytes || id == "." || id == ".." {
+		return false
+	}
+	for i := range len(id) {
+		switch c := id[i]; {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '-', c == '_', c == '.':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// refuse answers a call that was not accepted.
+func (s *Server) refuse(w http.ResponseWriter, p *problem.Problem) {
+	s.metrics.refused(p.Code)
+	s.options.Logger.Debug("call refused", "request", p.RequestID, "code", p.Code, "detail", p.Detail)
+	problem.Write(w, p)
+}
--- /dev/null
+++ b/internal/server/chat.go
@@ -0,0 +1,105 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/journal"
+	"rattantide/internal/problem"
+)
+
+// retryAfterFull is the advised delay when the memory for requests is in use.
+const retryAfterFull = time.Second
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) {
+	s.idle.add(1)
+	defer s.idle.add(-1)
+	id, p := requestID(r)
+	if p != nil {
+		s.refuse(w, p)
+		return
+	}
+	name, workspace, p := s.workspace(r)
+	if p != nil {
+		s.refuse(w, p.WithRequestID(id))
+		return
+	}
+	if s.isDraining() {
+		s.writeLeaving(w, r, name, id)
+		return
+	}
+	body, release, p := s.readBody(w, r)
+	if p != nil {
+		s.refuse(w, p.WithRequestID(id))
+		return
+	}
+	rec, p := s.accept(id, name, workspace, body)
+	release()
+	if p != nil {
+		s.refuse(w, p.WithRequestID(id))
+		return
+	}
+	s.metrics.accepted.Inc(1)
+	rec.Attach()
+	s.Start(rec)
+	if s.options.Handoff != nil {
+		s.options.Handoff.Accepted(rec)
+	}
+	defer s.detach(rec)
+	s.reply(w, r, rec, rec.Stream, 0)
+}
+
+// accept checks a chat completion and creates its record.
+func (s *Server) accept(id, name string, workspace *api.Workspace, body []byte) (*journal.Record, *problem.Problem) {
+	q, p := parseChat(body)
+	if p != nil {
+		return nil, p
+	}
+	view := s.options.Config.Snapshot()
+	routeName, route := view.RouteForModel(q.Model)
+	class, p := checkRoute(view, route, workspace, api.PoolChat)
+	if p != nil {
+		return nil, p
+	}
+	engineBody, seed, err := q.engineBody(body)
+	if err != nil {
+		return nil, problem.NotRun(http.StatusBadRequest, problem.CodeBadRequest, "the body cannot be encoded again")
+	}
+	tokens, blocks := s.options.Prompt(q.Messages)
+	now := time.Now()
+	rec, err := s.options.Journal.Create(journal.Request{
+		ID: id, Workspace: name, Class: route.Class, Route: routeName, Pool: route.Pool, Model: q.Model,
+		Body: engineBody, Seed: seed, PromptTokens: tokens, MaxTokens: q.maxTokens(), Blocks: blocks,
+		Fingerprint: xxhash.Sum64(q.Messages), Stream: q.streams(),
+		AcceptedAt: now, Deadline: now.Add(class.Deadline.D()),
+	})
+	switch {
+	case errors.Is(err, journal.ErrExists):
+		return nil, problem.NotRun(http.StatusConflict, problem.CodeDuplicateRequest,
+			"a request with this identifier is held; ask for it under /v1/requests/")
+	case err != nil:
+		return nil, problem.NotRun(http.StatusServiceUnavailable, problem.CodeOverloaded,
+			"the memory for requests is in use").WithRetryAfter(retryAfterFull)
+	}
+	return rec, nil
+}
+
+// checkRoute returns the class of a route that the workspace may use.
+func checkRoute(view *configsync.View, route *api.Route, workspace *api.Workspace, want api.PoolType) (*api.Class, *problem.Problem) {
+	if route == nil {
+		return nil, problem.NotRun(http.StatusNotFound, problem.CodeNoRoute, "no route takes this model or path")
+	}
+	class, pool := view.Classes[route.Class], view.Pools[route.Pool]
+	if class == nil || pool == nil || pool.Type != want {
+		return nil, problem.NotRun(http.StatusNotFound, problem.CodeNoRoute, "the route has no class or no pool of this type")
+	}
+	if !workspace.Allows(route.Class) {
+		return nil, problem.NotRun(http.StatusForbidden, problem.CodeForbidden, "the workspace may not use this class")
+	}
+	return class, nil
+}
--- /dev/null
+++ b/internal/server/chat_request.go
@@ -0,0 +1,117 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strconv"
+
+	"rattantide/internal/problem"
+)
+
+// defaultMaxTokens is the estimate for a request that sets no limit.
+const defaultMaxTokens = 256
+
+// chatRequest is what the server reads of a chat completion.
+type chatRequest struct {
+	Model               string          `json:"model"`
+	Stream              *bool           `json:"stream"`
+	Seed                *int64          `json:"seed"`
+	N                   *int            `json:"n"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	PrefixTokens        int             `json:"rattantide_prefix_tokens"`
+}
+
+func parseChat(body []byte) (*chatRequest, *problem.Problem) {
+	q := &chatRequest{}
+	if err := json.Unmarshal(body, q); err != nil {
+		return nil, problem.NotRun(400, problem.CodeBadRequest, "the body is not a chat completion: "+jsonFault(err))
+	}
+	switch {
+	case q.Model == "":
+		return nil, problem.NotRun(400, problem.CodeBadRequest, "model is missing")
+	case len(bytes.TrimSpace(q.Messages)) == 0 || q.Messages[0] != '[':
+		return nil, problem.NotRun(400, problem.CodeBadRequest, "messages must be a list")
+	case q.N != nil && *q.N != 1:
+		return nil, problem.NotRun(400, problem.CodeBadRequest, "n must be 1")
+	case q.PrefixTokens != 0:
+		return nil, problem.NotRun(400, problem.CodeBadRequest, "rattantide_prefix_tokens is reserved")
+	}
+	return q, nil
+}
+
+// jsonFault describes a decoding error without repeating any of the content.
+func jsonFault(err error) string {
+	var syntax *json.SyntaxError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return "syntax error at byte " + strconv.FormatInt(syntax.Offset, 10)
+	case errors.As(err, &kind):
+		return "wrong type at " + strconv.Quote(kind.Field)
+	}
+	return "it cannot be decoded"
+}
+
+func (q *chatRequest) streams() bool { return q.Stream != nil && *q.Stream }
+
+func (q *chatRequest) maxTokens() int {
+	switch {
+	case q.MaxCompletionTokens > 0:
+		return q.MaxCompletionTokens
+	case q.MaxTokens > 0:
+		return q.MaxTokens
+	}
+	return defaultMaxTokens
+}
+
+// engineBody returns the body for engines: streaming is on and a seed is set.
+// Fields that the caller did not send are inserted into its bytes; only a field
+// with another value makes a new encoding necessary.
+func (q *chatRequest) engineBody(body []byte) ([]byte, int64, error) {
+	seed := rand.Int64N(1<<31-1) + 1
+	if q.Seed != nil {
+		seed = *q.Seed
+	}
+	if q.Stream != nil && !*q.Stream {
+		out, err := replaceFields(body, map[string]any{"stream": true, "seed": seed})
+		return out, seed, err
+	}
+	var insert []byte
+	if q.Stream == nil {
+		insert = append(insert, `"stream":true,`...)
+	}
+	if q.Seed == nil {
+		insert = append(insert, `"seed":`...)
+		insert = strconv.AppendInt(insert, seed, 10)
+		insert = append(insert, ',')
+	}
+	if len(insert) == 0 {
+		return body, seed, nil
+	}
+	// The body was decoded as an object with at least one field.
+	at := bytes.IndexByte(body, '{') + 1
+	out := make([]byte, 0, len(body)+len(insert))
+	out = append(out, body[:at]...)
+	out = append(out, insert...)
+	return append(out, body[at:]...), seed, nil
+}
+
+// replaceFields sets fields of a JSON object and leaves the others as they are.
+func replaceFields(body []byte, fields map[string]any) ([]byte, error) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(body, &object); err != nil {
+		return nil, err
+	}
+	for name, value := range fields {
+		encoded, err := json.Marshal(value)
+		if err != nil {
+			return nil, err
+		}
+		object[name] = encoded
+	}
+	return json.Marshal(object)
+}
--- /dev/null
+++ b/internal/server/chat_test.go
@@ -0,0 +1,293 @@
+package server
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/dispatch"
+	"rattantide/internal/journal"
+	"rattantide/internal/problem"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func hashOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+const (
+	streamBody = `{"model":"brief","messages":[{"role":"user","content":"x"}],"seed":7,"stream":true}`
+	wholeBody  = `{"model":"brief","messages":[{"role":"user","content":"x"}],"seed":7}`
+)
+
+// streamText reads a stream to its end and checks that its events are numbered
+// without gaps from first.
+func streamText(t *testing.T, body io.Reader, first int64) (text string, done bool) {
+	t.Helper()
+	stream := &wireStream{lines: newLines(body)}
+	for next := first; ; next++ {
+		e, err := stream.Next()
+		if err != nil {
+			return text, false
+		}
+		if string(e.Data) == "[DONE]" {
+			return text, true
+		}
+		assert.Equal(t, e.ID, next)
+		var c chunk
+		assert.NilError(t, json.Unmarshal(e.Data, &c))
+		if content := c.Choices[0].Delta.Content; content != nil {
+			text += *content
+		}
+	}
+}
+
+func wholeAnswer(t *testing.T, response *http.Response) *completion {
+	t.Helper()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	answer := &completion{}
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(answer))
+	return answer
+}
+
+func problemOf(t *testing.T, response *http.Response) *problem.Problem {
+	t.Helper()
+	p := &problem.Problem{}
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(p))
+	return p
+}
+
+// TestFaultyStreams guards against answers that lose, repeat or mix tokens when
+// an engine's stream fails in one of the ways named.
+func TestFaultyStreams(t *testing.T) {
+	tests := []struct {
+		name string
+		// first is the script of the first of two engines of the same version.
+		first func(n int, c *engineCall)
+		// wantAfter and wantPrefix are the positions that the first engine was
+		// asked to go on from, wantSecond the prefixes that the second one got.
+		wantAfter, wantPrefix, wantSecond []int
+	}{
+		{name: "no fault"},
+		{name: "connection lost", first: func(n int, c *engineCall) {
+			if n == 1 {
+				c.events(1, 5)
+				c.lose()
+			}
+			c.finish()
+		}, wantAfter: []int{0, 5}},
+		{name: "connection silent", first: func(n int, c *engineCall) {
+			if n == 1 {
+				c.events(1, 5)
+				<-c.ctx.Done()
+				return
+			}
+			c.finish()
+		}, wantAfter: []int{0, 5}},
+		{name: "generation lost", first: func(n int, c *engineCall) {
+			switch n {
+			case 1:
+				c.events(1, 5)
+				c.lose()
+			case 2:
+				c.refuse(http.StatusNotFound)
+			default:
+				c.finish()
+			}
+		}, wantAfter: []int{0, 5, 0}, wantPrefix: []int{0, 0, 5}},
+		{name: "prefix refused", first: func(n int, c *engineCall) {
+			switch {
+			case n == 1:
+				c.events(1, 5)
+				c.lose()
+			case c.after > 0:
+				c.refuse(http.StatusNotFound)
+			case c.prefix > 0:
+				c.refuse(http.StatusBadRequest)
+			default:
+				c.finish()
+			}
+		}, wantAfter: []int{0, 5, 0, 0}, wantPrefix: []int{0, 0, 5, 0}},
+		{name: "duplicated and reordered", first: func(_ int, c *engineCall) {
+			for _, i := range []int{1, 1, 3, 2, 2, 5, 6, 4, 3} {
+				c.event(i)
+			}
+			c.events(7, answerSize+1)
+			io.WriteString(c.w, "data: [DONE]\n\n")
+		}, wantAfter: []int{0}},
+		{name: "end mark lost", first: func(_ int, c *engineCall) {
+			c.events(1, answerSize+1)
+			c.lose()
+		}, wantAfter: []int{0}},
+		{name: "other engine", first: func(n int, c *engineCall) {
+			if n == 1 {
+				c.events(1, 5)
+				c.lose()
+			}
+			c.refuse(http.StatusInternalServerError)
+		}, wantAfter: []int{0, 5}, wantSecond: []int{5}},
+		{name: "draining", first: func(_ int, c *engineCall) {
+			c.w.Header().Set("X-Draining", "true")
+			c.refuse(http.StatusServiceUnavailable)
+		}, wantAfter: []int{0}},
+	}
+	for _, test := range tests {
+		for _, stream := range []bool{true, false} {
+			t.Run(test.name, func(t *testing.T) {
+				pool := &fakePool{}
+				first := newFakeEngine(t, "v1", test.first)
+				second := newFakeEngine(t, "v1", nil)
+				pool.add("first", "v1", first.URL)
+				pool.add("second", "v1", second.URL)
+				h := newHarness(t, pool, func(o *Options) { o.NextEvent = 100 * time.Millisecond })
+				if stream {
+					response := h.do(t, "POST", "/v1/chat/completions", streamBody)
+					text, done := streamText(t, response.Body, 1)
+					assert.Assert(t, done)
+					assert.Equal(t, text, wholeText("v1", 7))
+				} else {
+					answer := wholeAnswer(t, h.do(t, "POST", "/v1/chat/completions", wholeBody))
+					assert.Equal(t, *answer.Choices[0].Message.Content, wholeText("v1", 7))
+					assert.Assert(t, strings.Contains(string(answer.Usage), "prompt_tokens"))
+				}
+				for i, c := range first.seen() {
+					if test.wantAfter != nil {
+						assert.Equal(t, c.after, test.wantAfter[i])
+					}
+					if test.wantPrefix != nil {
+						assert.Equal(t, c.prefix, test.wantPrefix[i])
+					}
+					assert.Equal(t, c.attempt, i+1)
+				}
+				for i, want := range test.wantSecond {
+					assert.Equal(t, second.seen()[i].prefix, want)
+				}
+			})
+		}
+	}
+}
+
+// TestOtherVersionRestarts guards against an answer whose parts come from two
+// versions although the caller has received nothing yet.
+func TestOtherVersionRestarts(t *testing.T) {
+	pool := &fakePool{}
+	old := newFakeEngine(t, "v1", func(n int, c *engineCall) {
+		if n == 1 {
+			c.events(1, 5)
+			c.lose()
+		}
+		c.refuse(http.StatusInternalServerError)
+	})
+	pool.add("old", "v1", old.URL)
+	pool.add("new", "v2", newFakeEngine(t, "v2", nil).URL)
+	h := newHarness(t, pool, nil)
+	answer := wholeAnswer(t, h.do(t, "POST", "/v1/chat/completions", wholeBody))
+	assert.Equal(t, *answer.Choices[0].Message.Content, wholeText("v2", 7))
+	assert.Equal(t, pool.requests[1].PinVersion, "v1")
+}
+
+// TestCallerReturns guards against a lost caller that stops its answer, and
+// against a resumption that repeats or skips events.
+func TestCallerReturns(t *testing.T) {
+	goOn := make(chan struct{})
+	engine := newFakeEngine(t, "v1", func(_ int, c *engineCall) {
+		c.events(1, 5)
+		<-goOn
+		c.after = 5
+		c.finish()
+	})
+	pool := &fakePool{}
+	pool.add("first", "v1", engine.URL)
+	h := newHarness(t, pool, nil)
+	response := h.do(t, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", "returns")
+	stream := &wireStream{lines: newLines(response.Body)}
+	for range 3 {
+		_, err := stream.Next()
+		assert.NilError(t, err)
+	}
+	response.Body.Close()
+	close(goOn)
+	response = h.do(t, "GET", "/v1/requests/returns/stream", "", "Last-Event-ID", "3")
+	text, done := streamText(t, response.Body, 4)
+	assert.Assert(t, done)
+	assert.Equal(t, text, wholeText("v1", 7)[len(wholeText("v1", 7))-len(text):])
+	answer := wholeAnswer(t, h.do(t, "GET", "/v1/requests/returns", ""))
+	assert.Equal(t, *answer.Choices[0].Message.Content, wholeText("v1", 7))
+	assert.Equal(t, len(engine.seen()), 1)
+
+	other := h.do(t, "GET", "/v1/requests/returns", "", "Authorization", "Bearer "+otherToken)
+	assert.Equal(t, problemOf(t, other).Code, problem.CodeNotFound)
+	again := h.do(t, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", "returns")
+	assert.Equal(t, problemOf(t, again).Code, problem.CodeDuplicateRequest)
+}
+
+// TestAbandonedRequestIsCancelled guards against generations that go on for
+// callers that never come back.
+func TestAbandonedRequestIsCancelled(t *testing.T) {
+	engine := newFakeEngine(t, "v1", func(_ int, c *engineCall) {
+		c.events(1, 2)
+		<-c.ctx.Done()
+	})
+	pool := &fakePool{}
+	pool.add("first", "v1", engine.URL)
+	h := newHarness(t, pool, func(o *Options) { o.AbandonGrace = 10 * time.Millisecond })
+	response := h.do(t, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", "gone")
+	_, err := (&wireStream{lines: newLines(response.Body)}).Next()
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, <-engine.canceled, "/v1/requests/gone")
+	<-h.journal.Get("gone").Ended()
+	assert.Equal(t, h.journal.Get("gone").Status().Outcome, journal.OutcomeFailed)
+	assert.Equal(t, pool.results[0].Status, dispatch.StatusCanceled)
+}
+
+// TestRefusals guards against refusals without a typed problem, and against
+// refusals that do not say that nothing ran.
+func TestRefusals(t *testing.T) {
+	pool := &fakePool{}
+	pool.add("down", "v1", "127.0.0.1:1")
+	h := newHarness(t, pool, func(o *Options) { o.MaxBodyBytes = 1 << 10 })
+	chat := func(body string, header ...string) *http.Response {
+		return h.do(t, "POST", "/v1/chat/completions", body, header...)
+	}
+	for code, response := range map[problem.Code]*http.Response{
+		problem.CodeUnauthorized: chat(wholeBody, "Authorization", "Bearer wrong"),
+		problem.CodeForbidden:    chat(wholeBody, "Authorization", "Bearer "+otherToken),
+		problem.CodeNoRoute:      chat(`{"model":"none","messages":[]}`),
+		problem.CodeBadRequest:   chat(`{"model":1}`),
+		problem.CodeTooLarge:     chat(strings.Repeat(" ", 2<<10)),
+		problem.CodeNoUpstream:   chat(wholeBody),
+	} {
+		p := problemOf(t, response)
+		assert.Equal(t, p.Code, code)
+		assert.Equal(t, p.Ran, problem.RanNotRun)
+		assert.Equal(t, response.StatusCode, p.Status)
+	}
+	h.BeginDrain()
+	var refused leaving
+	assert.NilError(t, json.NewDecoder(chat(wholeBody).Body).Decode(&refused))
+	assert.Equal(t, refused.Code, problem.CodeLeaving)
+	assert.Equal(t, len(refused.Entries), 1)
+	assert.Equal(t, refused.Entries[0].Address, "other:1")
+	assert.NilError(t, h.WaitIdle(t.Context()))
+}
+
+// TestLostAnswerIsUnknown guards against a failure after dispatch that is
+// reported as not run.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	pool := &fakePool{}
+	pool.add("first", "v1", newFakeEngine(t, "v1", func(_ int, c *engineCall) { c.lose() }).URL)
+	h := newHarness(t, pool, nil)
+	p := problemOf(t, h.do(t, "POST", "/v1/chat/completions", wholeBody))
+	assert.Equal(t, p.Ran, problem.RanUnknown)
+}
--- /dev/null
+++ b/internal/server/config.go
@@ -0,0 +1,8 @@
+package server
+
+import "rattantide/internal/configsync"
+
+// Config gives the configuration in effect; *configsync.Cache implements it.
+type Config interface {
+	Snapshot() *configsync.View
+}
--- /dev/null
+++ b/internal/server/entries.go
@@ -0,0 +1,37 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"rattantide/internal/entry"
+)
+
+func (s *Server) serveEntries(w http.ResponseWriter, r *http.Request) {
+	workspace, p := s.authenticate(r)
+	if p != nil {
+		s.refuse(w, p)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_ = json.NewEncoder(w).Encode(s.entriesFor(r, workspace))
+}
+
+// entriesFor leaves this daemon out once it is draining, whatever the
+// membership table says.
+func (s *Server) entriesFor(r *http.Request, workspace string) entry.Answer {
+	daemons := s.options.Members.Daemons()
+	if s.isDraining() {
+		kept := daemons[:0:0]
+		for _, d := range daemons {
+			if d.Name != s.options.Self.Name {
+				kept = append(kept, d)
+			}
+		}
+		daemons = kept
+	}
+	return entry.Choose(daemons, entry.Caller{
+		Workspace: workspace, Salt: r.RemoteAddr, Region: s.options.Self.Region,
+	}, s.options.EntryTTL)
+}
--- /dev/null
+++ b/internal/server/fakes_test.go
@@ -0,0 +1,334 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/configsync"
+	"rattantide/internal/dispatch"
+	"rattantide/internal/engineclient"
+	"rattantide/internal/intent"
+	"rattantide/internal/journal"
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/problem"
+	"rattantide/internal/relay"
+)
+
+const (
+	testToken  = "token-a"
+	otherToken = "token-b"
+	answerSize = 20
+)
+
+// wireEngine speaks the engines' protocol with net/http alone.
+type wireEngine struct{ client *http.Client }
+
+func (e wireEngine) Stream(ctx context.Context, r engineclient.StreamRequest) (EngineStream, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+"/v1/chat/completions", bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, &engineclient.Error{NotRun: true, Err: err}
+	}
+	request.Header.Set("X-Request-Id", r.RequestID)
+	request.Header.Set("X-Attempt", strconv.Itoa(r.Attempt))
+	if r.AfterEvent > 0 {
+		request.Header.Set("Last-Event-Id", strconv.FormatInt(r.AfterEvent, 10))
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return nil, &engineclient.Error{NotRun: strings.Contains(err.Error(), "connection refused"), Err: err}
+	}
+	if response.StatusCode != http.StatusOK {
+		defer response.Body.Close()
+		draining := response.Header.Get("X-Draining") == "true"
+		return nil, &engineclient.Error{Status: response.StatusCode, NotRun: draining, Draining: draining}
+	}
+	return &wireStream{body: response.Body, lines: bufio.NewReader(response.Body)}, nil
+}
+
+func (e wireEngine) Cancel(ctx context.Context, address, id string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/requests/"+id, nil)
+	if err != nil {
+		return err
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+type wireStream struct {
+	body  io.ReadCloser
+	lines *bufio.Reader
+}
+
+func (s *wireStream) Close() error { return s.body.Close() }
+
+func (s *wireStream) Next() (relay.Event, error) {
+	var e relay.Event
+	for {
+		line, err := s.lines.ReadSlice('\n')
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return e, err
+		}
+		line = bytes.TrimRight(line, "\n")
+		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
+			e.ID, _ = strconv.ParseInt(string(id), 10, 64)
+		} else if data, ok := bytes.CutPrefix(line, []byte("data: ")); ok {
+			e.Data = bytes.Clone(data)
+		} else if len(line) == 0 && e.Data != nil {
+			return e, nil
+		}
+	}
+}
+
+// engineCall is one call that a fakeEngine got.
+type engineCall struct {
+	attempt, after, prefix int
+	seed                   int64
+	w                      http.ResponseWriter
+	ctx                    context.Context
+	version                string
+}
+
+// event sends token i, or the end of the answer at answerSize+1.
+func (c *engineCall) event(i int) {
+	if i > answerSize {
+		fmt.Fprintf(c.w, "id: %d\ndata: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":%d}}\n\n", i, answerSize)
+	} else {
+		fmt.Fprintf(c.w, "id: %d\ndata: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", i, token(c.version, c.seed, i))
+	}
+	c.w.(http.Flusher).Flush()
+}
+
+func (c *engineCall) events(from, to int) {
+	for i := from; i <= to; i++ {
+		c.event(i)
+	}
+}
+
+// finish sends the rest of the answer.
+func (c *engineCall) finish() {
+	c.events(max(c.after, c.prefix)+1, answerSize+1)
+	fmt.Fprint(c.w, "data: [DONE]\n\n")
+}
+
+func (c *engineCall) lose() { panic(http.ErrAbortHandler) }
+
+func (c *engineCall) refuse(status int) { c.w.WriteHeader(status) }
+
+func token(version string, seed int64, i int) string {
+	return fmt.Sprintf("%s.%d.%d ", version, seed, i)
+}
+
+func wholeText(version string, seed int64) string {
+	var b strings.Builder
+	for i := 1; i <= answerSize; i++ {
+		b.WriteString(token(version, seed, i))
+	}
+	return b.String()
+}
+
+type fakeEngine struct {
+	*httptest.Server
+	version string
+	script  func(n int, c *engineCall)
+
+	mu       sync.Mutex
+	calls    []engineCall
+	canceled chan string
+}
+
+func newFakeEngine(t testing.TB, version string, script func(n int, c *engineCall)) *fakeEngine {
+	e := &fakeEngine{version: version, script: script, canceled: make(chan string, 64)}
+	e.Server = httptest.NewServer(e)
+	t.Cleanup(func() {
+		e.CloseClientConnections()
+		e.Close()
+	})
+	return e
+}
+
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		e.canceled <- r.URL.Path
+		return
+	}
+	var body struct {
+		Seed   int64 `json:"seed"`
+		Prefix int   `json:"rattantide_prefix_tokens"`
+	}
+	_ = json.NewDecoder(r.Body).Decode(&body)
+	_, _ = io.Copy(io.Discard, r.Body)
+	c := engineCall{prefix: body.Prefix, seed: body.Seed, w: w, ctx: r.Context(), version: e.version}
+	c.attempt, _ = strconv.Atoi(r.Header.Get("X-Attempt"))
+	c.after, _ = strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	e.mu.Lock()
+	e.calls = append(e.calls, c)
+	n := len(e.calls)
+	e.mu.Unlock()
+	if e.script == nil {
+		c.finish()
+		return
+	}
+	e.script(n, &c)
+}
+
+func (e *fakeEngine) seen() []engineCall {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]engineCall(nil), e.calls...)
+}
+
+// fakePool is a Chooser and Members over upstreams in a fixed order.
+type fakePool struct {
+	mu        sync.Mutex
+	upstreams []membership.Upstream
+	results   []dispatch.Result
+	requests  []dispatch.Request
+}
+
+func (p *fakePool) add(name, version, address string) {
+	p.upstreams = append(p.upstreams, membership.Upstream{Name: name, Version: version, Address: strings.TrimPrefix(address, "http://")})
+}
+
+func (p *fakePool) Choose(_ context.Context, r *dispatch.Request) (*dispatch.Choice, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, *r)
+next:
+	for _, u := range p.upstreams {
+		for _, name := range r.Exclude {
+			if name == u.Name {
+				continue next
+			}
+		}
+		return &dispatch.Choice{Upstream: u, Version: u.Version, Done: func(result dispatch.Result) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.results = append(p.results, result)
+		}}, nil
+	}
+	return nil, problem.NotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "none left")
+}
+
+func (p *fakePool) Upstream(name string) (membership.Upstream, bool) {
+	for _, u := range p.upstreams {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return membership.Upstream{}, false
+}
+
+func (p *fakePool) Daemons() []membership.Daemon {
+	return []membership.Daemon{
+		{Name: "self", Address: "self:1", Domain: "a"}, {Name: "other", Address: "other:1", Domain: "b"},
+	}
+}
+
+// fakeIntents is a Recorder in memory.
+type fakeIntents struct {
+	mu       sync.Mutex
+	outcomes map[string]intent.Outcome
+}
+
+func (f *fakeIntents) Begin(_ context.Context, key intent.Key, _, _ string) (intent.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o, ok := f.outcomes[key.Value]; ok && o.Ran != intent.RanNotRun {
+		return intent.Grant{Outcome: o}, nil
+	}
+	f.outcomes[key.Value] = intent.Outcome{Ran: intent.RanUnknown}
+	return intent.Grant{Granted: true}, nil
+}
+
+func (f *fakeIntents) Finish(key intent.Key, _ string, o intent.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.outcomes[key.Value] = o
+}
+
+func testConfig(t testing.TB) *configsync.Cache {
+	cache := configsync.NewCache()
+	version := int64(0)
+	put := func(kind, name, spec string) {
+		version++
+		cache.Apply(objectclient.Object{Kind: kind, Name: name, Version: version, Value: []byte(`{"spec":` + spec + `}`)})
+	}
+	put("Class", "chat", `{"target":{"firstToken":"1s","betweenTokens":"50ms"}}`)
+	put("Class", "orders", `{"target":{"answer":"1s"},"idempotent":false}`)
+	put("Class", "lookup", `{"target":{"answer":"1s"}}`)
+	put("Pool", "llm", `{"type":"chat","version":"v1"}`)
+	put("Pool", "app", `{"type":"service","version":"v1"}`)
+	put("Route", "brief", `{"model":"brief","pool":"llm","class":"chat"}`)
+	put("Route", "orders", `{"prefix":"orders","pool":"app","class":"orders"}`)
+	put("Route", "jobs", `{"prefix":"jobs","pool":"app","class":"lookup"}`)
+	put("Workspace", "a", `{"tokenHash":"`+hashOf(testToken)+`"}`)
+	put("Workspace", "b", `{"tokenHash":"`+hashOf(otherToken)+`","classes":["lookup"]}`)
+	return cache
+}
+
+// harness is a Server with fakes behind a listener.
+type harness struct {
+	*Server
+	http    *httptest.Server
+	pool    *fakePool
+	intents *fakeIntents
+	journal *journal.Journal
+}
+
+func newHarness(t testing.TB, pool *fakePool, change func(*Options)) *harness {
+	h := &harness{pool: pool, intents: &fakeIntents{outcomes: map[string]intent.Outcome{}}, journal: journal.New(journal.Options{})}
+	transport := &http.Transport{}
+	options := Options{
+		Self: membership.Daemon{Name: "self", Domain: "a"}, Config: testConfig(t), Members: pool, Chooser: pool,
+		Engine: wireEngine{&http.Client{Transport: transport}}, Journal: h.journal, Intents: h.intents,
+		FirstEvent: 5 * time.Second, NextEvent: 5 * time.Second,
+	}
+	if change != nil {
+		change(&options)
+	}
+	h.Server = New(options)
+	h.http = httptest.NewServer(h.Handler())
+	t.Cleanup(func() {
+		h.http.CloseClientConnections()
+		h.http.Close()
+		h.Close()
+		h.journal.Close()
+		transport.CloseIdleConnections()
+	})
+	return h
+}
+
+func (h *harness) do(t testing.TB, method, path, body string, header ...string) *http.Response {
+	request, err := http.NewRequest(method, h.http.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	response, err := h.http.Client().Do(request)
+	assert.NilError(t, err)
+	t.Cleanup(func() { response.Body.Close() })
+	return response
+}
+
+func newLines(r io.Reader) *bufio.Reader { return bufio.NewReader(r) }
--- /dev/null
+++ b/internal/server/requests.go
@@ -0,0 +1,104 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"rattantide/internal/journal"
+	"rattantide/internal/problem"
+)
+
+func (s *Server) serveAnswer(w http.ResponseWriter, r *http.Request) {
+	s.serveRecord(w, r, false, 0)
+}
+
+func (s *Server) serveStream(w http.ResponseWriter, r *http.Request) {
+	after := int64(0)
+	if last := r.Header.Get("Last-Event-ID"); last != "" {
+		var err error
+		if after, err = strconv.ParseInt(last, 10, 64); err != nil || after < 0 {
+			s.refuse(w, problem.New(http.StatusBadRequest, problem.CodeBadRequest, "Last-Event-ID must be the number of an event"))
+			return
+		}
+	}
+	s.metrics.resumed.Inc(1)
+	s.serveRecord(w, r, true, after)
+}
+
+func (s *Server) serveRecord(w http.ResponseWriter, r *http.Request, stream bool, after int64) {
+	s.idle.add(1)
+	defer s.idle.add(-1)
+	rec, holder, p := s.find(r)
+	if p != nil {
+		s.refuse(w, p)
+		return
+	}
+	if holder != "" {
+		s.relayFrom(w, r, holder)
+		return
+	}
+	rec.Attach()
+	defer s.detach(rec)
+	s.reply(w, r, rec, stream, after)
+}
+
+// requestStatus is the answer to a status query.
+type requestStatus struct {
+	ID string `json:"id"`
+	journal.Status
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, r *http.Request) {
+	rec, holder, p := s.find(r)
+	if p != nil {
+		s.refuse(w, p)
+		return
+	}
+	if holder != "" {
+		s.relayFrom(w, r, holder)
+		return
+	}
+	status := rec.Status()
+	for i := range status.Attempts {
+		status.Attempts[i].Address = ""
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(requestStatus{ID: rec.ID, Status: status})
+}
+
+// find returns the record that the path names, or the address of its holder.
+// A record of another workspace is answered like one that does not exist.
+func (s *Server) find(r *http.Request) (*journal.Record, string, *problem.Problem) {
+	workspace, p := s.authenticate(r)
+	if p != nil {
+		p.Ran = ""
+		return nil, "", p
+	}
+	id := r.PathValue("id")
+	unknown := problem.New(http.StatusNotFound, problem.CodeNotFound, "no request is known under this identifier").WithRequestID(id)
+	if !validID(id) {
+		return nil, "", unknown.WithRequestID("")
+	}
+	rec := s.options.Journal.Get(id)
+	if rec != nil {
+		if status := rec.Status(); status.Successor != "" && rec.Workspace == workspace {
+			// A record that left and may be anywhere by now.
+			rec = nil
+		}
+	}
+	if rec == nil && s.options.Handoff != nil && r.Header.Get(relayedHeader) == "" {
+		location, err := s.options.Handoff.Locate(r.Context(), id)
+		if err != nil {
+			return nil, "", asProblem(err, unknown)
+		}
+		if location.Holder != "" {
+			return nil, location.Holder, nil
+		}
+		rec = location.Record
+	}
+	if rec == nil || rec.Workspace != workspace {
+		return nil, "", unknown
+	}
+	return rec, "", nil
+}
--- /dev/null
+++ b/internal/server/runner.go
@@ -0,0 +1,192 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+
+	"rattantide/internal/dispatch"
+	"rattantide/internal/journal"
+	"rattantide/internal/problem"
+)
+
+// cancelTimeout bounds a cancellation at an engine; the engine drops the
+// generation by itself later if it fails.
+const cancelTimeout = 2 * time.Second
+
+// runner carries one request through its attempts. It is used by one goroutine.
+type runner struct {
+	server *Server
+	rec    *journal.Record
+	log    *log.Logger
+	limits limits
+	// ran is set once an engine may have run the request.
+	ran bool
+	// version is the one that the events held come from.
+	version string
+	// domain is the failure domain of the last upstream, for logs.
+	domain   string
+	priority int
+	exclude  []string
+	// noPrefix is set once an engine refused the prefix form, or the answer
+	// cannot be given as a prefix.
+	noPrefix bool
+	// cancels counts cancellations at engines that are under way.
+	cancels sync.WaitGroup
+}
+
+// work runs a record to its end.
+func (s *Server) work(ctx context.Context, rec *journal.Record) {
+	ctx, cancel := context.WithDeadlineCause(ctx, rec.Deadline, errDeadline)
+	defer cancel()
+	class := s.options.Config.Snapshot().Classes[rec.Class]
+	r := &runner{
+		server: s, rec: rec, limits: s.options.limitsFor(class),
+		log: s.options.Logger.With("request", rec.ID, "workspace", rec.Workspace, "class", rec.Class),
+	}
+	if class != nil {
+		r.priority = class.PriorityOrDefault()
+	}
+	defer r.cancels.Wait()
+	outcome, p := r.run(ctx)
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errMoved) {
+		return
+	}
+	if p != nil {
+		p = p.WithRequestID(rec.ID)
+	}
+	if !rec.Finish(outcome, p) {
+		return
+	}
+	s.metrics.finished(outcome)
+	if s.options.Handoff != nil && !errors.Is(cause, errClosed) {
+		s.options.Handoff.Finished(rec)
+	}
+	r.logEnd(outcome, p)
+}
+
+// logEnd writes one line about a failed request, and about a share of the
+// others.
+func (r *runner) logEnd(outcome journal.Outcome, p *problem.Problem) {
+	fields := []any{"outcome", outcome, "route", r.rec.Route, "attempts", len(r.rec.Status().Attempts),
+		"version", r.version, "domain", r.domain, "events", r.rec.Last(), "ms", time.Since(r.rec.AcceptedAt).Milliseconds()}
+	switch {
+	case p != nil:
+		r.log.Warn("request failed", append(fields, "code", p.Code)...)
+	case rand.Float64() < r.server.options.LogShare:
+		r.log.Info("request answered", fields...)
+	}
+}
+
+func (r *runner) run(ctx context.Context) (journal.Outcome, *problem.Problem) {
+	if attempts := r.rec.Status().Attempts; len(attempts) > 0 {
+		// A record that was taken over: its engine may still have the generation.
+		last := attempts[len(attempts)-1]
+		r.ran, r.version = true, last.Version
+		if outcome, p, done := r.resumeAdopted(ctx, last); done {
+			return outcome, p
+		}
+	}
+	for tried := 1; ; tried++ {
+		if complete(r.rec.Events()) {
+			return journal.OutcomeDone, nil
+		}
+		choice, err := r.choose(ctx, tried)
+		if err != nil {
+			return r.notChosen(ctx, err)
+		}
+		end := r.use(ctx, choice)
+		switch {
+		case end.ending == endDone:
+			return journal.OutcomeDone, nil
+		case end.ending == endFinal:
+			return r.failed(end.problem)
+		case end.ending == endStopped || ctx.Err() != nil:
+			return r.stopped(ctx, choice.Upstream.Address)
+		case tried >= r.server.options.MaxAttempts:
+			return r.failed(problem.Unknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "no engine completed the answer"))
+		}
+	}
+}
+
+func (r *runner) choose(ctx context.Context, tried int) (*dispatch.Choice, error) {
+	rec := r.rec
+	if tried == 1 {
+		rec.SetState(journal.StateQueued)
+	}
+	last := int(rec.Last())
+	request := &dispatch.Request{
+		ID: rec.ID, Workspace: rec.Workspace, Class: rec.Class, Route: rec.Route, Pool: rec.Pool,
+		Chat: true, Idempotent: true, PromptTokens: rec.PromptTokens, MaxTokens: rec.MaxTokens,
+		Blocks: rec.Blocks, AcceptedAt: rec.AcceptedAt, Deadline: rec.Deadline, Attempt: tried,
+		ResumedTokens: last, Exclude: r.exclude, Fingerprint: rec.Fingerprint,
+	}
+	if last > 0 {
+		request.PinVersion = r.version
+	}
+	choice, err := r.server.options.Chooser.Choose(ctx, request)
+	if err != nil {
+		return nil, err
+	}
+	// A late cancellation must not end the generation that is about to start.
+	r.cancels.Wait()
+	return choice, nil
+}
+
+// notChosen ends the request because no upstream could be chosen.
+func (r *runner) notChosen(ctx context.Context, err error) (journal.Outcome, *problem.Problem) {
+	if ctx.Err() != nil {
+		return r.stopped(ctx, "")
+	}
+	p := asProblem(err, problem.NotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no upstream can take the request"))
+	copied := *p
+	return r.failed(&copied)
+}
+
+// stopped ends the request because its context has ended. The generation at
+// address, if any, is cancelled unless another daemon is to resume it.
+func (r *runner) stopped(ctx context.Context, address string) (journal.Outcome, *problem.Problem) {
+	cause := context.Cause(ctx)
+	if address != "" && (errors.Is(cause, errAbandoned) || errors.Is(cause, errDeadline)) {
+		r.cancelAt(address)
+	}
+	switch {
+	case errors.Is(cause, errAbandoned):
+		r.server.metrics.abandoned.Inc(1)
+		return r.failed(problem.Unknown(499, problem.CodeInternal, "the caller left and did not come back"))
+	case errors.Is(cause, errDeadline):
+		return r.failed(problem.Unknown(http.StatusGatewayTimeout, problem.CodeDeadline, "the deadline of the class passed"))
+	default:
+		return r.failed(problem.Unknown(http.StatusServiceUnavailable, problem.CodeLeaving, "the daemon ended"))
+	}
+}
+
+// failed says truthfully whether an engine may have run the request.
+func (r *runner) failed(p *problem.Problem) (journal.Outcome, *problem.Problem) {
+	if r.ran {
+		p.Ran = problem.RanUnknown
+		return journal.OutcomeFailed, p
+	}
+	p.Ran = problem.RanNotRun
+	return journal.OutcomeNotRun, p
+}
+
+// cancelAt ends the generation at an engine that will not be asked again. It
+// does not wait.
+func (r *runner) cancelAt(address string) {
+	r.cancels.Add(1)
+	go func() {
+		defer r.cancels.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := r.server.options.Engine.Cancel(ctx, address, r.rec.ID); err != nil {
+			r.log.Debug("cancellation failed", "upstream", address, "error", err)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/server/service_test.go
@@ -0,0 +1,109 @@
+package server
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/intent"
+	"rattantide/internal/problem"
+)
+
+// newFakeService answers with its name and the path, or as the script says.
+func newFakeService(t *testing.T, script func(n int64, w http.ResponseWriter)) (*httptest.Server, *atomic.Int64) {
+	calls := &atomic.Int64{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := calls.Add(1)
+		body, _ := io.ReadAll(r.Body)
+		if script != nil {
+			script(n, w)
+			return
+		}
+		w.Header().Set("X-Token", r.Header.Get("Authorization"))
+		w.WriteHeader(http.StatusCreated)
+		io.WriteString(w, r.Method+" "+r.URL.RequestURI()+" "+string(body))
+	}))
+	t.Cleanup(server.Close)
+	return server, calls
+}
+
+// TestOrderRunsOnce guards against a repeated key that is executed again, and
+// against a caller's token that reaches an upstream.
+func TestOrderRunsOnce(t *testing.T) {
+	service, calls := newFakeService(t, nil)
+	pool := &fakePool{}
+	pool.add("app", "v1", service.URL)
+	h := newHarness(t, pool, nil)
+	for range 2 {
+		response := h.do(t, "POST", "/orders/dies?x=1", "two", "Idempotency-Key", "k")
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusCreated)
+		assert.Equal(t, string(body), "POST /orders/dies?x=1 two")
+		assert.Equal(t, response.Header.Get("X-Token"), "")
+	}
+	assert.Equal(t, calls.Load(), int64(1))
+}
+
+// TestLostOrderAnswerIsUnknown guards against an order that is repeated, or
+// reported as not run, after its answer was lost.
+func TestLostOrderAnswerIsUnknown(t *testing.T) {
+	for name, script := range map[string]func(int64, http.ResponseWriter){
+		"before the header": func(int64, http.ResponseWriter) { panic(http.ErrAbortHandler) },
+		"within the body": func(_ int64, w http.ResponseWriter) {
+			io.WriteString(w, "part")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			service, calls := newFakeService(t, script)
+			other, otherCalls := newFakeService(t, nil)
+			pool := &fakePool{}
+			pool.add("app", "v1", service.URL)
+			pool.add("other", "v1", other.URL)
+			h := newHarness(t, pool, nil)
+			for range 2 {
+				p := problemOf(t, h.do(t, "POST", "/orders/dies", "two", "Idempotency-Key", "k"))
+				assert.Equal(t, p.Ran, problem.RanUnknown)
+				assert.Equal(t, p.Code, problem.CodeOutcomeUnknown)
+			}
+			assert.Equal(t, calls.Load()+otherCalls.Load(), int64(1))
+		})
+	}
+}
+
+// TestRefusedOrderIsNotRun guards against an order of which no byte was sent
+// that is reported, or recorded, as possibly run.
+func TestRefusedOrderIsNotRun(t *testing.T) {
+	draining, _ := newFakeService(t, func(_ int64, w http.ResponseWriter) {
+		w.Header().Set("X-Draining", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	pool := &fakePool{}
+	pool.add("down", "v1", "127.0.0.1:1")
+	pool.add("draining", "v1", draining.URL)
+	h := newHarness(t, pool, nil)
+	p := problemOf(t, h.do(t, "POST", "/orders/dies", "two", "Idempotency-Key", "k"))
+	assert.Equal(t, p.Ran, problem.RanNotRun)
+	assert.Equal(t, h.intents.outcomes["k"].Ran, intent.RanNotRun)
+}
+
+// TestLookupIsRetried guards against a repeatable call that fails although
+// another upstream can answer it.
+func TestLookupIsRetried(t *testing.T) {
+	broken, _ := newFakeService(t, func(int64, http.ResponseWriter) { panic(http.ErrAbortHandler) })
+	service, _ := newFakeService(t, nil)
+	pool := &fakePool{}
+	pool.add("broken", "v1", broken.URL)
+	pool.add("app", "v1", service.URL)
+	h := newHarness(t, pool, nil)
+	response := h.do(t, "POST", "/jobs/7", "body", "Authorization", "Bearer "+otherToken)
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "POST /jobs/7 body")
+}
--- /dev/null
+++ b/internal/server/transport.go
@@ -0,0 +1,27 @@
+package server
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+func newTransport(connect time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: connect, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    32,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: 64 << 10,
+		DisableCompression:     true,
+	}
+}
+
+// singleUse returns a transport that opens a connection for each call. The
+// standard transport sends a call again by itself when a reused connection
+// breaks, which a call that must run at most once cannot allow.
+func singleUse(t *http.Transport) *http.Transport {
+	clone := t.Clone()
+	clone.DisableKeepAlives = true
+	return clone
+}
