Add the burn recorder, its merge and its page

Merged exports equal those of one recorder that saw all requests, whatever the distribution (TestMergeEqualsOneRecorder).

--- /dev/null
+++ b/internal/burn/measure_report.go
@@ -0,0 +1,63 @@
+package burn
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// MeasureReport is the distribution of a measure of a class.
+type MeasureReport struct {
+	// Name is firstToken, betweenTokens or answer.
+	Name string `json:"name"`
+	// Windows is in the order of Windows and leaves out empty ones.
+	Windows []Percentiles `json:"windows"`
+	// Curve is the distribution in the longest window, for plots.
+	Curve []CurvePoint `json:"curve"`
+}
+
+// Percentiles are percentiles of a measure in a window, in milliseconds.
+type Percentiles struct {
+	Window string  `json:"window"`
+	Count  int64   `json:"count"`
+	P50Ms  float64 `json:"p50Ms"`
+	P95Ms  float64 `json:"p95Ms"`
+	P99Ms  float64 `json:"p99Ms"`
+	MaxMs  float64 `json:"maxMs"`
+}
+
+// CurvePoint says which share of requests is above Ms.
+type CurvePoint struct {
+	Ms    float64 `json:"ms"`
+	Above float64 `json:"above"`
+}
+
+func reportMeasure(name string, histograms []*hdrhistogram.Histogram) (MeasureReport, bool) {
+	out := MeasureReport{Name: name, Windows: []Percentiles{}, Curve: []CurvePoint{}}
+	for i, h := range histograms {
+		if h == nil || h.TotalCount() == 0 {
+			continue
+		}
+		out.Windows = append(out.Windows, Percentiles{
+			Window: Windows[i].Name, Count: h.TotalCount(),
+			P50Ms: milliseconds(h.ValueAtQuantile(50)), P95Ms: milliseconds(h.ValueAtQuantile(95)),
+			P99Ms: milliseconds(h.ValueAtQuantile(99)), MaxMs: milliseconds(h.Max()),
+		})
+		if i == len(histograms)-1 {
+			out.Curve = curveOf(h)
+		}
+	}
+	return out, len(out.Windows) > 0
+}
+
+func curveOf(h *hdrhistogram.Histogram) []CurvePoint {
+	points := []CurvePoint{}
+	for _, bracket := range h.CumulativeDistributionWithTicks(4) {
+		points = append(points, CurvePoint{Ms: milliseconds(bracket.ValueAt), Above: 1 - bracket.Quantile/100})
+	}
+	return points
+}
+
+func milliseconds(value int64) float64 {
+	return float64(value) * float64(unit) / float64(time.Millisecond)
+}
--- /dev/null
+++ b/internal/burn/merge.go
@@ -0,0 +1,99 @@
+package burn
+
+import (
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/juju/errors"
+)
+
+// Merge sums exports of several daemons. Histograms are added value by value,
+// so percentiles of the result are those of all requests together. Goals are
+// taken from the newest export of a class. An export that cannot be decoded is
+// an error that names its class.
+func Merge(exports ...*Export) (*Export, error) {
+	out := &Export{Daemons: []string{}, Classes: map[string]*ClassExport{}}
+	sums := map[string]map[string]*bucket{}
+	for _, e := range exports {
+		newer := e.AtMs >= out.AtMs
+		out.AtMs = max(out.AtMs, e.AtMs)
+		out.Daemons = append(out.Daemons, e.Daemons...)
+		for name, class := range e.Classes {
+			if out.Classes[name] == nil {
+				out.Classes[name] = &ClassExport{Goals: class.Goals}
+				sums[name] = map[string]*bucket{}
+			} else if newer && len(class.Goals) > 0 {
+				out.Classes[name].Goals = class.Goals
+			}
+			if err := addWindows(sums[name], class); err != nil {
+				return nil, errors.Annotatef(err, "class %q of %v", name, e.Daemons)
+			}
+		}
+	}
+	slices.Sort(out.Daemons)
+	for name, windows := range sums {
+		encoded := map[string]*WindowExport{}
+		for window, sum := range windows {
+			w, err := sum.export()
+			if err != nil {
+				return nil, errors.Annotatef(err, "class %q", name)
+			}
+			encoded[window] = w
+		}
+		out.Classes[name].Windows = encoded
+	}
+	return out, nil
+}
+
+func addWindows(sums map[string]*bucket, class *ClassExport) error {
+	for window, w := range class.Windows {
+		b, err := w.bucket()
+		if err != nil {
+			return errors.Annotatef(err, "window %q", window)
+		}
+		if sums[window] == nil {
+			sums[window] = &bucket{}
+		}
+		if err := sums[window].merge(b); err != nil {
+			return errors.Annotatef(err, "window %q", window)
+		}
+	}
+	return nil
+}
+
+// merge adds other to b. Values beyond maxValues are not folded here: the
+// number of daemons bounds them.
+func (b *bucket) merge(other *bucket) error {
+	b.counts.Add(other.counts)
+	for i, h := range other.histograms {
+		if h == nil || h.TotalCount() == 0 {
+			continue
+		}
+		if b.histograms[i] == nil {
+			b.histograms[i] = newHistogram()
+		}
+		if dropped := b.histograms[i].Merge(h); dropped > 0 {
+			return errors.Errorf("%d values of %s are out of range", dropped, goalNames[i])
+		}
+	}
+	for i, values := range other.spenders {
+		if b.spenders[i] == nil && len(values) > 0 {
+			b.spenders[i] = make(map[string]*Counts, len(values))
+		}
+		for value, counts := range values {
+			if held := b.spenders[i][value]; held != nil {
+				held.Add(*counts)
+				continue
+			}
+			copied := *counts
+			b.spenders[i][value] = &copied
+		}
+	}
+	return nil
+}
+
+// decodeHistogram reads what encodeHistogram wrote.
+func decodeHistogram(encoded []byte) (*hdrhistogram.Histogram, error) {
+	h, err := hdrhistogram.Decode(encoded)
+	return h, errors.Annotate(err, "histogram")
+}
--- /dev/null
+++ b/internal/burn/observation.go
@@ -0,0 +1,36 @@
+package burn
+
+import "time"
+
+// Outcome tells how a request ended.
+type Outcome string
+
+// The ways in which a request ends.
+const (
+	// OutcomeOK is a request that was answered in full.
+	OutcomeOK Outcome = "ok"
+	// OutcomeFailed is an accepted request that was not answered in full.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeShed is a request that was refused because of load.
+	OutcomeShed Outcome = "shed"
+)
+
+// Observation is one request at its end. It holds no content.
+type Observation struct {
+	Class     string
+	Workspace string
+	// Version, Domain and Upstream are those of the last attempt; empty for a
+	// request that was never dispatched.
+	Version  string
+	Domain   string
+	Upstream string
+	// FirstToken is the time from acceptance to the first token; 0 when there
+	// was none.
+	FirstToken time.Duration
+	// BetweenTokens is the longest time between two tokens of the request; 0
+	// for fewer than two tokens.
+	BetweenTokens time.Duration
+	// Total is the time from acceptance to the end of the answer.
+	Total   time.Duration
+	Outcome Outcome
+}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -89,6 +89,7 @@
 // find asks all daemons, because only the one that holds a request knows it.
 func find(ctx context.Context, client *Client, id string) (*admin.Explanation, error) {
 	var notFound, unanswered error
+	missing := 0
 	for _, address := range client.Addresses {
 		found := &admin.Explanation{}
 		_, err := client.DoAt(ctx, address, http.MethodGet, "/explain/"+url.PathEscape(id), nil, found)
@@ -100,10 +101,15 @@
 			notFound = err
 		default:
 			unanswered = err
+			missing++
 		}
 	}
-	if unanswered != nil {
+	if notFound == nil {
 		return nil, unanswered
 	}
+	if missing > 0 {
+		return nil, errors.Errorf("no daemon that answered knows the request, but %d of %d did not answer: %v",
+			missing, len(client.Addresses), unanswered)
+	}
 	return nil, notFound
 }
