Report every unknown field and wrong type of an object at once

encoding/json reports only the first unknown field and gives no path, so an operator had to apply a file once per mistake. The document is now compared with the type of its spec before it is decoded.

--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"bytes"
 	"encoding/json"
 
 	"github.com/juju/errors"
@@ -9,13 +8,13 @@
 	"rattantide/internal/findings"
 )
 
-// DecodeObject decodes an envelope strictly: unknown fields are findings. The
-// returned object has its typed spec set when the list is empty.
+// DecodeObject decodes an envelope strictly: each unknown field and each value
+// of a wrong type is a finding. The returned object has its typed spec set when
+// the list is empty.
 func DecodeObject(data []byte) (*Object, *findings.List) {
 	list := &findings.List{}
 	obj := &Object{}
-	if err := decodeStrict(data, obj); err != nil {
-		list.Addf("", "%v", err)
+	if !decodeStrict(data, obj, "", list) {
 		return obj, list
 	}
 	DecodeSpec(obj, list)
@@ -59,8 +58,7 @@
 		list.Addf("spec", "is missing")
 		return
 	}
-	if err := decodeStrict(obj.Spec, spec); err != nil {
-		list.Addf("spec", "%v", err)
+	if !decodeStrict(obj.Spec, spec, "spec", list) {
 		return
 	}
 	setDefaults(spec)
@@ -85,15 +83,3 @@
 	}
 	return nil
 }
-
-func decodeStrict(data []byte, into any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	if decoder.More() {
-		return errors.New("more than one JSON value")
-	}
-	return nil
-}
