--- a/internal/burn/bench_test.go
+++ b/internal/burn/bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkObserve measures the cost of one observation with 100 upstreams, 5
 // workspaces and 3 failure domains.
 func BenchmarkObserve(b *testing.B) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	observations := spread()
 	b.ReportAllocs()
 	i := 0
@@ -28,7 +28,7 @@
 	observations := spread()
 	for b.Loop() {
 		before := heap()
-		r := burn.NewRecorder("a", chatClass)
+		r := recorder("a")
 		for step := time.Duration(0); step < 72*time.Hour; step += 30 * time.Second {
 			for i := range 4 {
 				o := observations[int(step/(30*time.Second))%len(observations)]
@@ -43,7 +43,7 @@
 
 // BenchmarkExport measures an export of one class with all windows.
 func BenchmarkExport(b *testing.B) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	for _, o := range spread() {
 		r.Observe(start, o)
 	}
--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -24,6 +24,10 @@
 	}
 }
 
+func recorder(daemon string) *burn.Recorder {
+	return burn.NewRecorder(burn.Options{Daemon: daemon, ClassOf: chatClass})
+}
+
 func answered(firstToken time.Duration) burn.Observation {
 	return burn.Observation{
 		Class: "chat", Workspace: "kitchen", Version: "v1", Domain: "a", Upstream: "r1",
@@ -45,7 +49,7 @@
 // TestRefusedWorkIsNotGood guards against a burn rate that improves when
 // requests are shed, and against shed requests that count as incomplete.
 func TestRefusedWorkIsNotGood(t *testing.T) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	for range 90 {
 		r.Observe(start, answered(100*time.Millisecond))
 	}
@@ -65,7 +69,7 @@
 // TestWindowsForget guards against a window that keeps old requests, and
 // against a long window that loses them early.
 func TestWindowsForget(t *testing.T) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	r.Observe(start, answered(2*time.Second))
 	for _, c := range []struct {
 		after time.Duration
@@ -90,8 +94,8 @@
 // daemon that saw them all.
 func TestMergeEqualsOneRecorder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		all := burn.NewRecorder("all", chatClass)
-		parts := []*burn.Recorder{burn.NewRecorder("a", chatClass), burn.NewRecorder("b", chatClass), burn.NewRecorder("c", chatClass)}
+		all := recorder("all")
+		parts := []*burn.Recorder{recorder("a"), recorder("b"), recorder("c")}
 		for range rapid.IntRange(1, 200).Draw(t, "requests") {
 			o := answered(time.Duration(rapid.IntRange(1, 30_000).Draw(t, "ms")) * time.Millisecond)
 			o.Version = rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")
@@ -119,7 +123,7 @@
 // TestNamesTheSpender guards against a report that blames the largest
 // workspace for the failures of a version with little traffic.
 func TestNamesTheSpender(t *testing.T) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	for i := range 1000 {
 		o := answered(100 * time.Millisecond)
 		if i%20 == 0 {
@@ -139,7 +143,7 @@
 // TestDamagedExportIsRefused guards against a peer's damaged histogram that
 // ends the daemon or is counted as empty.
 func TestDamagedExportIsRefused(t *testing.T) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	r.Observe(start, answered(time.Second))
 	e := r.Export(start)
 	histograms := e.Classes["chat"].Windows["1h"].Histograms
@@ -151,7 +155,7 @@
 // TestPageLoadsNothing guards against a page that needs the network or that
 // runs text from a workspace's name.
 func TestPageLoadsNothing(t *testing.T) {
-	r := burn.NewRecorder("a", chatClass)
+	r := recorder("a")
 	o := answered(2 * time.Second)
 	o.Workspace = "<script>alert(1)</script>"
 	r.Observe(start, o)
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"rattantide/internal/api"
 )
 
@@ -11,26 +13,42 @@
 // as otherValue. A class takes at most about 1 MiB of histograms.
 const maxClasses = 16
 
+// Options are what a Recorder is built from.
+type Options struct {
+	// Daemon is the name of the daemon whose requests are recorded.
+	Daemon string
+	// ClassOf returns the class in effect, or nil when it does not exist. It is
+	// called once for each observation and must be fast. Required.
+	ClassOf func(name string) *api.Class
+	// Scope receives the metrics. Default: tally.NoopScope.
+	Scope tally.Scope
+}
+
 // Recorder records the requests of one daemon. It is safe for concurrent use.
 type Recorder struct {
 	daemon  string
 	classOf func(name string) *api.Class
+	scope   tally.Scope
 
 	mu     sync.RWMutex
 	series map[string]*series
 }
 
-// NewRecorder returns a Recorder for the daemon of this name. classOf returns
-// the class in effect, or nil when it does not exist; it is called once for
-// each observation and must be fast.
-func NewRecorder(daemon string, classOf func(name string) *api.Class) *Recorder {
-	return &Recorder{daemon: daemon, classOf: classOf, series: map[string]*series{}}
+// NewRecorder returns a Recorder without observations.
+func NewRecorder(o Options) *Recorder {
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	return &Recorder{daemon: o.Daemon, classOf: o.ClassOf, scope: o.Scope.SubScope("burn"), series: map[string]*series{}}
 }
 
 // Observe records a request that ended at now. Whether it was good is decided
 // by the targets in effect now; changing a target does not change the past.
 func (r *Recorder) Observe(now time.Time, o Observation) {
-	r.seriesOf(o.Class).add(now, &o, countOf(&o, r.classOf(o.Class)))
+	counts := countOf(&o, r.classOf(o.Class))
+	s := r.seriesOf(o.Class)
+	s.add(now, &o, counts)
+	s.metrics.add(counts)
 }
 
 func (r *Recorder) seriesOf(class string) *series {
@@ -46,7 +64,7 @@
 		class = otherValue
 	}
 	if s = r.series[class]; s == nil {
-		s = &series{}
+		s = &series{metrics: newMetrics(r.scope, class)}
 		r.series[class] = s
 	}
 	return s
--- a/internal/burn/series.go
+++ b/internal/burn/series.go
@@ -7,6 +7,8 @@
 
 // series holds the rings of one class. It is safe for concurrent use.
 type series struct {
+	metrics metrics
+
 	mu    sync.Mutex
 	rings [len(Windows)][]*bucket
 }
