--- /dev/null
+++ b/internal/cli/demo/platform.go
@@ -0,0 +1,196 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rattantide/internal/standin/instances"
+)
+
+const region = "north"
+
+var (
+	domains = []string{"a", "b", "c"}
+	// engineVersions are the versions of the engines in each failure domain.
+	engineVersions = []string{"briefs-v1", "briefs-v1", "briefs-v2", "briefs-v2", "briefs-v3"}
+	fixedEntries   = []string{"127.0.0.1:7410", "127.0.0.1:7411", "127.0.0.1:7412"}
+)
+
+const (
+	fixedObjectAPI = "127.0.0.1:7400"
+	anyPort        = "127.0.0.1:0"
+)
+
+// platform holds the started processes.
+type platform struct {
+	objectAPI *process
+	instances *process
+	cloud     *process
+	weights   *process
+
+	mu       sync.Mutex
+	engines  []*process
+	services []*process
+	daemons  []*process
+	all      []*process
+}
+
+func (d *demo) start(ctx context.Context) error {
+	var err error
+	objectAPI := anyPort
+	if d.options.Stay {
+		objectAPI = fixedObjectAPI
+	}
+	if d.objectAPI, err = d.standin(ctx, "objectapi", "objectapi", "-listen", objectAPI); err != nil {
+		return err
+	}
+	if d.instances, err = d.standin(ctx, "instances", "instances"); err != nil {
+		return err
+	}
+	if d.cloud, err = d.standin(ctx, "cloud", "cloud"); err != nil {
+		return err
+	}
+	if d.weights, err = d.standin(ctx, "weights", "weights"); err != nil {
+		return err
+	}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for i, domain := range domains {
+		for n, version := range engineVersions {
+			group.Go(func() error { return d.startEngine(groupCtx, fmt.Sprintf("engine-%s%d", domain, n+1), domain, version) })
+		}
+		group.Go(func() error { return d.startService(groupCtx, "service-"+domain, domain) })
+		group.Go(func() error { return d.startDaemon(groupCtx, "entry-"+domain, domain, i) })
+	}
+	return errors.Trace(group.Wait())
+}
+
+func (d *demo) standin(ctx context.Context, name, kind string, args ...string) (*process, error) {
+	return d.launch(ctx, name, "standin", nil, append([]string{kind}, args...)...)
+}
+
+func (d *demo) launch(ctx context.Context, name, program string, env []string, args ...string) (*process, error) {
+	p, err := startProcess(ctx, d.dir, name, filepath.Join(d.options.Bin, program), env, args...)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all = append(d.all, p)
+	return p, nil
+}
+
+func (d *demo) startEngine(ctx context.Context, name, domain, version string) error {
+	p, err := d.standin(ctx, name, "engine", "-name", name, "-pool", "briefs", "-version", version,
+		"-token-time", "8ms", "-load-time", "200ms", "-weights", d.weights.address)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.engines = append(d.engines, p)
+	d.mu.Unlock()
+	return d.list(ctx, instances.Instance{
+		Name: name, Address: p.address, Domain: domain, Region: region, Role: "upstream", Pool: "briefs",
+		Version: version, Class: "reclaimable", PricePerHour: 1.2,
+	})
+}
+
+func (d *demo) startService(ctx context.Context, name, domain string) error {
+	p, err := d.standin(ctx, name, "service", "-name", name, "-pool", "orders", "-version", "orders-v1", "-service-time", "5ms")
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.services = append(d.services, p)
+	d.mu.Unlock()
+	return d.list(ctx, instances.Instance{
+		Name: name, Address: p.address, Domain: domain, Region: region, Role: "upstream", Pool: "orders",
+		Version: "orders-v1", Class: "on-demand", PricePerHour: 0.3,
+	})
+}
+
+// startDaemon starts a daemon and waits until it is ready. index chooses its
+// fixed address.
+func (d *demo) startDaemon(ctx context.Context, name, domain string, index int) error {
+	listen := anyPort
+	if d.options.Stay {
+		listen = fixedEntries[index]
+	}
+	env := []string{"RATTANTIDE_PEER_TOKEN=" + peerToken, "RATTANTIDE_OPERATOR_TOKEN=" + operatorToken}
+	p, err := d.launch(ctx, name, "rattantided", env, "-name", name, "-listen", listen, "-domain", domain, "-region", region,
+		"-object-api", d.objectAPI.address, "-instance-list", d.instances.address, "-cloud", d.cloud.address,
+		"-entry-ttl", "1s", "-drain-limit", "10s")
+	if err != nil {
+		return err
+	}
+	err = eventually(ctx, 10*time.Second, func() error {
+		return call(ctx, http.MethodGet, p.address, "/healthz", nil, nil)
+	}, p.ended)
+	if err != nil {
+		return errors.Annotatef(err, "%s: %s", name, p.lastLines())
+	}
+	d.mu.Lock()
+	d.daemons = append(d.daemons, p)
+	d.mu.Unlock()
+	return d.list(ctx, instances.Instance{
+		Name: name, Address: p.address, Domain: domain, Region: region, Role: "daemon", Class: "reclaimable", PricePerHour: 0.1,
+	})
+}
+
+func (d *demo) list(ctx context.Context, i instances.Instance) error {
+	return call(ctx, http.MethodPost, d.instances.address, "/control/instances", i, nil)
+}
+
+// stop ends all processes, daemons first.
+func (d *demo) stop() {
+	d.mu.Lock()
+	all := d.all
+	d.mu.Unlock()
+	var wait sync.WaitGroup
+	for i := len(all) - 1; i >= 0; i-- {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			all[i].stop()
+		}()
+	}
+	wait.Wait()
+}
+
+func (d *demo) daemonAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return addressesOf(d.daemons)
+}
+
+func (d *demo) engineAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return addressesOf(d.engines)
+}
+
+func (d *demo) serviceAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return addressesOf(d.services)
+}
+
+func addressesOf(processes []*process) []string {
+	out := make([]string, len(processes))
+	for i, p := range processes {
+		out[i] = p.address
+	}
+	return out
+}
+
+// without returns the list without the process of that name.
+func without(list []*process, name string) []*process {
+	return slices.DeleteFunc(slices.Clone(list), func(p *process) bool { return p.name == name })
+}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -63,5 +63,6 @@
 		&explainCommand{common: shared},
 		&burnCommand{common: shared},
 		&drainCommand{common: shared},
+		&demoCommand{env: env},
 	}
 }
