Find out by trial whether load is what misses the target

A limit that compared latency with its lowest value never decreased when the daemon started under load: the generated case with a target met up to 40 requests stayed at 64. The limit now decreases step by step and is restored when 40% less concurrency does not lower latency by 15%.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -15,26 +15,35 @@
 	limitSamples = 20
 	limitDown    = 0.9
 	limitUp      = 0.05
-	// loadFactor is how far latency must be above its unloaded value before it
-	// is blamed on load. Otherwise a slow version would throttle its pool.
-	loadFactor = 1.3
-	// baseRise lets the unloaded value follow upwards, about 1% per window.
-	baseRise = 1.01
+	// slowStart is the growth per window until the targets are first missed, so
+	// that a new daemon reaches its limit within seconds.
+	slowStart = 0.5
+	// A trial of lower limits ends at trialShare of its start. If latency is
+	// then still above trialGain of what it was, load is not the cause, and the
+	// limit is restored and left alone for trialPause.
+	trialShare = 0.6
+	trialGain  = 0.85
+	trialPause = 30 * time.Second
 	// perUpstream attempts per upstream are always allowed: a batch that small
 	// does not slow an engine.
 	perUpstream = 2
 )
 
 // limit is the number of attempts that may be open at a pool at once. It
-// decreases multiplicatively when more requests miss their target than the
-// class allows and latency is above its unloaded value, and increases
-// additively while it is reached and the targets are met.
+// decreases while more requests miss their target than the class allows and
+// latency follows, and increases while it is reached and the targets are met.
+// Slowness that does not depend on load, as of a slow version, must not
+// throttle the pool; trials tell the two apart.
 type limit struct {
 	value float64
 	floor float64
-	// base is the lowest window mean of the time to first token, relative to
-	// its target.
-	base        float64
+	// missedOnce ends the slow start.
+	missedOnce bool
+	// trialFrom and trialMean are the limit and the mean latency, relative to
+	// the target, at the start of a trial; 0 outside one.
+	trialFrom   float64
+	trialMean   float64
+	pauseUntil  time.Time
 	windowStart time.Time
 	samples     int
 	missed      int
@@ -83,16 +92,41 @@
 
 func (l *limit) adapt(now time.Time) {
 	mean := l.sum / float64(l.samples)
-	if l.base == 0 || mean < l.base {
-		l.base = mean
-	} else {
-		l.base *= baseRise
-	}
 	switch {
-	case float64(l.missed) > l.allowed+1 && mean > l.base*loadFactor:
-		l.value = max(l.floor, min(l.value, float64(l.peak))*limitDown)
-	case float64(l.missed) <= l.allowed && float64(l.peak) >= 0.8*l.value:
-		l.value = min(maxLimit, l.value+max(1, l.value*limitUp))
+	case float64(l.missed) > l.allowed+1:
+		l.missedOnce = true
+		l.lower(mean, now)
+	case float64(l.missed) <= l.allowed:
+		l.trialFrom = 0
+		if float64(l.peak) >= 0.8*l.value {
+			l.raise()
+		}
 	}
 	l.windowStart, l.samples, l.missed, l.allowed, l.sum, l.peak = now, 0, 0, 0, 0, 0
 }
+
+func (l *limit) raise() {
+	share := limitUp
+	if !l.missedOnce {
+		share = slowStart
+	}
+	l.value = min(maxLimit, l.value+max(1, l.value*share))
+}
+
+func (l *limit) lower(mean float64, now time.Time) {
+	if now.Before(l.pauseUntil) {
+		return
+	}
+	if l.trialFrom == 0 {
+		l.trialFrom, l.trialMean = l.value, mean
+	}
+	if l.value <= l.trialFrom*trialShare {
+		if mean > l.trialMean*trialGain {
+			l.value, l.trialFrom = l.trialFrom, 0
+			l.pauseUntil = now.Add(trialPause)
+			return
+		}
+		l.trialFrom, l.trialMean = l.value, mean
+	}
+	l.value = max(l.floor, l.value*limitDown)
+}
