Assemble the daemon: the whole path in separate processes

The daemon runs the configuration syncer, membership, at-most-once log, admission, routing and the caller API behind one listener.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/admission"
+	"rattantide/internal/configsync"
+	"rattantide/internal/dispatch"
+	"rattantide/internal/engineclient"
+	"rattantide/internal/intent"
+	"rattantide/internal/journal"
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/peer"
+	"rattantide/internal/routing"
+	"rattantide/internal/server"
+	"rattantide/internal/settings"
+	"rattantide/internal/telemetry"
+)
+
+// Daemon is one daemon with all its parts. Run must be called once.
+type Daemon struct {
+	settings *settings.Settings
+	logger   *log.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+	closers  []io.Closer
+	listener net.Listener
+
+	http       *http.Client
+	peers      *peer.Client
+	store      *objectclient.Client
+	cache      *configsync.Cache
+	table      *membership.Table
+	syncer     *configsync.Syncer
+	trackers   *routing.Trackers
+	admission  *admission.Controller
+	dispatcher *dispatch.Dispatcher
+	engines    *engineclient.Client
+	journal    *journal.Journal
+	intents    *intent.Log
+	server     *server.Server
+
+	drainOnce sync.Once
+	draining  chan struct{}
+	// notice is the time left when a reclaim notice started the drain; 0 for a
+	// planned stop.
+	notice time.Duration
+}
+
+// New opens the listener and builds all parts. Nothing runs until Run.
+func New(s *settings.Settings, logger *log.Logger) (*Daemon, error) {
+	client, err := newHTTPClient(s)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	listener, err := listen(s)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	scope, metrics, closer := telemetry.NewScope()
+	d := &Daemon{
+		settings: s, logger: logger, scope: scope, metrics: metrics,
+		closers: []io.Closer{closer}, listener: listener, http: client,
+		draining: make(chan struct{}),
+	}
+	d.buildState()
+	d.buildRequestPath()
+	return d, nil
+}
+
+// buildState builds what the daemon knows: configuration, membership, intents.
+func (d *Daemon) buildState() {
+	s := d.settings
+	d.peers = &peer.Client{Token: s.PeerToken, HTTP: d.http}
+	if s.TLSCert != "" {
+		d.peers.Scheme = "https"
+	}
+	d.store = objectclient.New(objectclient.Options{
+		Address: s.ObjectAPI, HTTP: d.http, Logger: d.logger, Scope: d.scope,
+	})
+	d.cache = configsync.NewCache()
+	self := membership.Daemon{Name: s.Name, Address: s.Advertise, Domain: s.Domain, Region: s.Region}
+	d.table = membership.NewTable(self, membership.Options{SubsetSize: s.SubsetSize, Scope: d.scope})
+	d.syncer = configsync.NewSyncer(configsync.Options{
+		Store: d.store, Cache: d.cache, Table: d.table, Peers: d.peers, Region: s.Region,
+		PeerAddresses: s.Peers, InstanceList: s.InstanceList, Cloud: s.Cloud, HTTP: d.http,
+		Logger: d.logger, Scope: d.scope,
+	})
+	d.intents = intent.NewLog(intent.Options{
+		Store: d.store, Table: d.table, Peers: d.peers, Shards: s.IntentShards,
+		Retention: s.IntentRetention, Logger: d.logger, Scope: d.scope,
+	})
+}
+
+// buildRequestPath builds what a caller's request passes through.
+func (d *Daemon) buildRequestPath() {
+	s := d.settings
+	d.trackers = &routing.Trackers{}
+	d.admission = admission.New(admission.Options{Scope: d.scope})
+	d.engines = engineclient.New(nil)
+	d.dispatcher = dispatch.New(dispatch.Options{
+		Config: d.cache, Table: d.table, Admission: d.admission, Trackers: d.trackers,
+		Evidence: evidence{d.table}, Scope: d.scope,
+	})
+	d.journal = journal.New(journal.Options{MaxBytes: s.MaxJournalBytes, Scope: d.scope})
+	d.server = server.New(server.Options{
+		Self: d.table.Self(), Config: d.cache, Members: members{d.table}, Chooser: d.dispatcher,
+		Engine: server.EngineClient{Client: d.engines}, Journal: d.journal, Intents: d.intents,
+		Prompt: estimatePrompt, Logger: d.logger, Scope: d.scope, LogShare: s.LogRequests,
+		MaxBodyBytes: s.MaxBodyBytes, MaxEventBytes: s.MaxEventBytes,
+		AbandonGrace: s.AbandonGrace, EntryTTL: s.EntryTTL,
+	})
+}
--- a/internal/membership/daemon.go
+++ b/internal/membership/daemon.go
@@ -1,5 +1,7 @@
 package membership
 
+import "time"
+
 // Daemon is a daemon as known here.
 type Daemon struct {
 	Name    string `json:"name"`
@@ -9,4 +11,7 @@
 	// Leaving is set once the daemon announced that it is leaving, or a reclaim
 	// notice named it.
 	Leaving bool `json:"leaving,omitempty"`
+	// LeavingBy is when a daemon under a reclaim notice is expected to be gone;
+	// zero when that is not known.
+	LeavingBy time.Time `json:"-"`
 }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -54,7 +54,7 @@
 }
 
 func (r *record) daemon() Daemon {
-	return Daemon{Name: r.Name, Address: r.Address, Domain: r.Domain, Region: r.Region, Leaving: r.leaving()}
+	return Daemon{Name: r.Name, Address: r.Address, Domain: r.Domain, Region: r.Region, Leaving: r.leaving(), LeavingBy: r.leavingBy}
 }
 
 func (r *record) state(now time.Time) InstanceState {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -65,7 +65,7 @@
 		d := r.daemon()
 		if r.Name == self.Name {
 			if r.Address == self.Address {
-				v.self.Leaving = v.self.Leaving || d.Leaving
+				v.self.Leaving, v.self.LeavingBy = v.self.Leaving || d.Leaving, d.LeavingBy
 			}
 			continue
 		}
