Keep request records at a backup and hand them over

A daemon's requests must outlive it. Each accepted record is copied to a daemon in another failure domain, and again with each attempt, so that its engine's generation can be resumed. A daemon that is asked for a record it does not hold relays from the living holder or takes the record over.

The backup grants each epoch to one daemon, so that two daemons never hold a record under the same epoch. A holder that was frozen notices the gap in its own clock and verifies its records before it sends anything further; this avoids heartbeats per record, which would exceed the traffic bound.

The server now uses the engine client of the repository, opens a fresh connection after a silent one, and refuses to mix two versions in an answer whose delivered part it does not hold.

--- /dev/null
+++ b/internal/handoff/handoff_test.go
@@ -0,0 +1,222 @@
+package handoff
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"rattantide/internal/journal"
+	"rattantide/internal/membership"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestCallerReturnsElsewhere guards against a request that only its holder can
+// answer for, and against a takeover from a holder that is alive.
+func TestCallerReturnsElsewhere(t *testing.T) {
+	c := newCluster(t, 4)
+	s := c.open(c.nodes[0], "r", 5)
+	c.backupOf("r")
+	for _, n := range c.nodes[1:] {
+		c.resume(n, "r", s)
+		assert.Equal(t, n.journal.Get("r") == nil, true)
+	}
+	assert.Equal(t, c.starts(), 1)
+}
+
+// TestKilledHolder guards against a request that is lost with its daemon, and
+// against a generation that is computed again although its engine has it.
+func TestKilledHolder(t *testing.T) {
+	for _, whole := range []bool{false, true} {
+		c := newCluster(t, 4)
+		s := c.open(c.nodes[0], "r", 5)
+		backup := c.backupOf("r")
+		c.nodes[0].kill()
+		for _, n := range c.nodes[1:] {
+			if whole {
+				assert.Equal(t, contentOf(t, c.do(n, "GET", "/v1/requests/r", "")), wantText())
+				continue
+			}
+			c.resume(n, "r", s)
+		}
+		assert.Equal(t, c.starts(), 1)
+		assert.Assert(t, backup.manager.backups.where("r").Epoch >= 2)
+	}
+}
+
+// TestHolderForgottenByMembership guards against a request that stands still
+// until its caller returns although its holder is known to be gone.
+func TestHolderForgottenByMembership(t *testing.T) {
+	c := newCluster(t, 3)
+	c.open(c.nodes[0], "r", 5)
+	backup := c.backupOf("r")
+	c.nodes[0].kill()
+	c.view.update(func(d []membership.Daemon) []membership.Daemon { return d[1:] })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if rec := backup.journal.Get("r"); rec != nil && rec.Status().State == journal.StateFinished {
+			return poll.Success()
+		}
+		return poll.Continue("the backup has not finished the request")
+	}, poll.WithDelay(time.Millisecond))
+}
+
+// TestFrozenHolderWakes guards against a holder that goes on sending after its
+// record was taken over while it was frozen.
+func TestFrozenHolderWakes(t *testing.T) {
+	c := newCluster(t, 3)
+	holder := c.nodes[0]
+	s := c.open(holder, "r", 5)
+	c.backupOf("r")
+	holder.frozen.Lock()
+	c.resume(c.nodes[1], "r", s)
+	holder.wake(time.Minute)
+	// What was sent before the freeze may still be on the way; the end of the
+	// answer must not come from here.
+	s.read(1 << 20)
+	assert.Assert(t, !s.done)
+	assert.Assert(t, s.last <= answerSize)
+	assert.Equal(t, s.successor, c.nodes[1].self.Address)
+	assert.Assert(t, holder.journal.Get("r").Moved())
+}
+
+// TestHandOver guards against open requests that end with a daemon that leaves
+// on notice.
+func TestHandOver(t *testing.T) {
+	c := newCluster(t, 4)
+	holder := c.nodes[0]
+	s := c.open(holder, "r", 5)
+	whole := make(chan string)
+	go func() {
+		whole <- contentOf(t, c.do(holder, "POST", "/v1/chat/completions", wholeBody, "X-Request-Id", "w"))
+	}()
+	c.backupOf("w")
+	report := holder.manager.HandOver(t.Context(), time.Now().Add(10*time.Second))
+	assert.Equal(t, report, Report{HandedOver: 2})
+	assert.Equal(t, <-whole, wantText())
+	s.read(1 << 20)
+	assert.Assert(t, !s.done && s.successor != "")
+	holder.kill()
+	for _, n := range c.nodes[1:] {
+		c.resume(n, "r", s)
+	}
+	assert.Equal(t, c.starts(), 2)
+}
+
+// TestSuccessorFails guards against a record that has no holder, or two, after
+// its successor died before or after it adopted the record.
+func TestSuccessorFails(t *testing.T) {
+	for name, adopts := range map[string]bool{"before": false, "after": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			holder := c.nodes[0]
+			s := c.open(holder, "r", 5)
+			c.backupOf("r")
+			failed := make(chan *node, 1)
+			for _, n := range c.nodes[1:] {
+				broken := func(w http.ResponseWriter, r *http.Request) bool {
+					if !strings.HasSuffix(r.URL.Path, "/adopt") {
+						return false
+					}
+					select {
+					case failed <- n:
+					default:
+						return false
+					}
+					if adopts {
+						n.peers.ServeHTTP(&lostAnswer{ResponseWriter: w}, r)
+					}
+					panic(http.ErrAbortHandler)
+				}
+				n.intercept.Store(&broken)
+			}
+			report := holder.manager.HandOver(t.Context(), time.Now().Add(10*time.Second))
+			assert.Equal(t, report, Report{HandedOver: 1})
+			holders := 0
+			for _, n := range c.nodes {
+				if rec := n.journal.Get("r"); rec != nil && !rec.Moved() {
+					holders++
+				}
+			}
+			assert.Equal(t, holders, 1)
+			assert.Equal(t, (<-failed).journal.Get("r") != nil, adopts)
+			s.read(1 << 20)
+			assert.Assert(t, !s.done && s.successor != "")
+			c.resume(c.nodes[1], "r", s)
+		})
+	}
+}
+
+// TestNoSuccessor guards against a holder that gives a record up although no
+// daemon took it.
+func TestNoSuccessor(t *testing.T) {
+	c := newCluster(t, 2)
+	s := c.open(c.nodes[0], "r", 5)
+	c.nodes[1].kill()
+	report := c.nodes[0].manager.HandOver(t.Context(), time.Now().Add(10*time.Second))
+	assert.Equal(t, report, Report{Kept: 1})
+	s.read(1 << 20)
+	assert.Assert(t, s.done)
+	assert.Equal(t, s.text, wantText())
+}
+
+// TestClaims guards against a backup that grants one epoch to two daemons, or a
+// lower one after a higher one.
+func TestClaims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &backups{journal: journal.New(journal.Options{}), entries: map[string]*backup{}}
+		holders := []Address{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+		granted := map[int64]Address{1: holders[0]}
+		copied := func(h Address, epoch int64) bool {
+			answer, err := store.store(&copyRequest{Holder: h, Copy: &journal.Copy{Request: journal.Request{ID: "r"}, Epoch: epoch}}, time.Now())
+			assert.NilError(t, err)
+			return answer.Accepted
+		}
+		assert.Assert(t, copied(holders[0], 1))
+		highest := int64(1)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			h := rapid.SampledFrom(holders).Draw(t, "holder")
+			epoch := rapid.Int64Range(1, 12).Draw(t, "epoch")
+			if rapid.Bool().Draw(t, "copy") {
+				// Only a daemon that was granted an epoch sends copies under it.
+				if granted[epoch] == h {
+					assert.Equal(t, copied(h, epoch), epoch == highest)
+				}
+				continue
+			}
+			answer, _ := store.claim(&claimRequest{ID: "r", Epoch: epoch, Holder: h})
+			assert.Equal(t, answer.Granted, epoch > highest || epoch == highest && granted[epoch] == h)
+			if answer.Granted {
+				granted[epoch] = h
+				highest = epoch
+			}
+		}
+	})
+}
+
+func contentOf(t *testing.T, response *http.Response) string {
+	var answer struct {
+		Choices []struct {
+			Message struct {
+				Content string `json:"content"`
+			} `json:"message"`
+		} `json:"choices"`
+	}
+	assert.Check(t, json.NewDecoder(response.Body).Decode(&answer))
+	if len(answer.Choices) == 0 {
+		return response.Status
+	}
+	return answer.Choices[0].Message.Content
+}
+
+// lostAnswer drops what is written to it.
+type lostAnswer struct{ http.ResponseWriter }
+
+func (*lostAnswer) Write(p []byte) (int, error) { return len(p), nil }
+func (*lostAnswer) WriteHeader(int)             {}
--- /dev/null
+++ b/internal/handoff/peers.go
@@ -0,0 +1,8 @@
+package handoff
+
+import "context"
+
+// Peers calls other daemons; *peer.Client implements it.
+type Peers interface {
+	Call(ctx context.Context, method, address, path string, in, out any) error
+}
--- /dev/null
+++ b/internal/journal/copy.go
@@ -0,0 +1,93 @@
+package journal
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Copy is a record as daemons send it to each other.
+type Copy struct {
+	Request Request `json:"request"`
+	// AgeMs and RemainingMs carry the acceptance and the deadline, because the
+	// clocks of two daemons differ.
+	AgeMs       int64     `json:"ageMs"`
+	RemainingMs int64     `json:"remainingMs"`
+	Epoch       int64     `json:"epoch"`
+	Attempts    []Attempt `json:"attempts,omitempty"`
+	// Frames holds the events as callers receive them. It is empty in the copy
+	// for a backup.
+	Frames    []byte `json:"frames,omitempty"`
+	Delivered int64  `json:"delivered"`
+}
+
+// Copy returns the record as it is now. Without events, a streamed answer
+// counts as delivered from its first attempt on, since the copy will not be
+// renewed for each event.
+func (r *Record) Copy(withEvents bool) *Copy {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &Copy{
+		Request: r.Request, AgeMs: now.Sub(r.AcceptedAt).Milliseconds(),
+		RemainingMs: r.Deadline.Sub(now).Milliseconds(), Epoch: r.epoch,
+		Attempts: append([]Attempt(nil), r.attempts...), Delivered: r.delivered,
+	}
+	switch {
+	case withEvents:
+		c.Frames = r.frames[:len(r.frames):len(r.frames)]
+	case r.Stream && len(r.attempts) > 0:
+		c.Delivered = max(c.Delivered, 1)
+	}
+	return c
+}
+
+// Import adds a record from another daemon under a new epoch. The record is
+// not worked on before it is started. It fails with ErrExists when this daemon
+// holds the record.
+func (j *Journal) Import(c *Copy, epoch int64) (*Record, error) {
+	now := time.Now()
+	rec := &Record{Request: c.Request, state: StateAccepted, epoch: epoch, delivered: c.Delivered}
+	rec.AcceptedAt = now.Add(-time.Duration(c.AgeMs) * time.Millisecond)
+	rec.Deadline = now.Add(time.Duration(c.RemainingMs) * time.Millisecond)
+	rec.attempts = append(rec.attempts, c.Attempts...)
+	rec.detachedAt = now
+	end := 0
+	for end < len(c.Frames) {
+		length := bytes.Index(c.Frames[end:], []byte("\n\n"))
+		if length < 0 || !bytes.HasPrefix(c.Frames[end:], []byte("id: ")) {
+			return nil, errors.NotValidf("events of record %q", c.Request.ID)
+		}
+		end += length + 2
+		rec.ends = append(rec.ends, end)
+	}
+	rec.frames = bytes.Clone(c.Frames)
+	rec.held = int64(cap(rec.frames))
+	if err := j.add(rec); err != nil {
+		return nil, err
+	}
+	return rec, nil
+}
+
+// RaiseEpoch sets a higher epoch under which this daemon remains the holder.
+func (r *Record) RaiseEpoch(epoch int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.epoch = max(r.epoch, epoch)
+}
+
+// MarkDelivered notes that a caller has the whole answer.
+func (r *Record) MarkDelivered() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delivered = max(r.delivered, int64(len(r.ends)))
+	r.complete = r.state == StateFinished
+}
+
+// Delivered reports whether a caller has got the whole answer or the problem.
+func (r *Record) Delivered() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.complete
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -61,7 +61,7 @@
 	if held := j.records[rec.ID]; held != nil {
 		status := held.Status()
 		// A record that moved away may come back with a higher epoch.
-		if status.Successor == "" || status.Epoch >= rec.epoch {
+		if !status.Moved || status.Epoch >= rec.epoch {
 			return ErrExists
 		}
 		j.removeLocked(held)
@@ -83,15 +83,14 @@
 	return j.records[id]
 }
 
-// Open returns the records that have not ended.
-func (j *Journal) Open() []*Record {
+// Held returns the records that this daemon is to answer for: those that have
+// not finished, and those that callers are still reading.
+func (j *Journal) Held() []*Record {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
 	out := make([]*Record, 0, len(j.records))
 	for _, rec := range j.records {
-		select {
-		case <-rec.ended:
-		default:
+		if rec.wanted() {
 			out = append(out, rec)
 		}
 	}
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -33,7 +33,7 @@
 	rec := r.record
 	for {
 		rec.mu.Lock()
-		if rec.successor != "" {
+		if rec.moved {
 			rec.mu.Unlock()
 			return nil, ErrMoved
 		}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -18,14 +18,19 @@
 	// ended is closed when the record finishes or moves.
 	ended chan struct{}
 
-	mu        sync.Mutex
-	state     State
-	outcome   Outcome
-	problem   *problem.Problem
-	epoch     int64
-	attempts  []Attempt
+	mu       sync.Mutex
+	state    State
+	outcome  Outcome
+	problem  *problem.Problem
+	epoch    int64
+	attempts []Attempt
+	// moved says that another daemon holds the record now; its address may be
+	// unknown.
+	moved     bool
 	successor string
 	delivered int64
+	// complete is set once a caller has got the end of the answer.
+	complete bool
 	// frames holds the events as they are written to callers. It is only
 	// appended to, so a Reader may use a part of it without the lock.
 	frames []byte
@@ -133,21 +138,36 @@
 	return true
 }
 
-// Move ends the record here because a daemon with a higher epoch holds it. It
-// reports whether the record moved with this call.
+// Move ends the record here because a daemon with a higher epoch holds it, or
+// may hold it; successor is its address, if known. A finished record can move
+// too, and then nothing more of it is sent from here. Move reports whether the
+// record moved with this call.
 func (r *Record) Move(epoch int64, successor string) bool {
 	r.mu.Lock()
-	if r.endedLocked() || epoch <= r.epoch {
+	if r.moved || epoch <= r.epoch {
 		r.mu.Unlock()
 		return false
 	}
-	r.epoch, r.successor = epoch, successor
-	close(r.ended)
+	r.epoch, r.moved, r.successor = epoch, true, successor
+	finished := r.state == StateFinished
+	if !finished {
+		close(r.ended)
+	}
+	r.wakeLocked()
 	r.mu.Unlock()
-	r.journal.retain(r)
+	if !finished {
+		r.journal.retain(r)
+	}
 	return true
 }
 
+// wanted reports whether a caller may still get something of the record here.
+func (r *Record) wanted() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.moved && (r.state != StateFinished || r.attached > 0)
+}
+
 // Ended returns a channel that is closed when the record finishes or moves.
 func (r *Record) Ended() <-chan struct{} { return r.ended }
 
@@ -157,11 +177,25 @@
 	defer r.mu.Unlock()
 	return Status{
 		State: r.state, Outcome: r.outcome, Problem: r.problem, Epoch: r.epoch,
-		Events: int64(len(r.ends)), Delivered: r.delivered, Successor: r.successor,
+		Events: int64(len(r.ends)), Delivered: r.delivered, Moved: r.moved, Successor: r.successor,
 		Attempts: append([]Attempt(nil), r.attempts...),
 	}
 }
 
+// Epoch returns the epoch under which the record is or was held here.
+func (r *Record) Epoch() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch
+}
+
+// Moved reports whether another daemon holds the record.
+func (r *Record) Moved() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.moved
+}
+
 // Last returns the number of the last event held.
 func (r *Record) Last() int64 {
 	r.mu.Lock()
@@ -183,7 +217,7 @@
 	return out
 }
 
-func (r *Record) endedLocked() bool { return r.state == StateFinished || r.successor != "" }
+func (r *Record) endedLocked() bool { return r.state == StateFinished || r.moved }
 
 func (r *Record) wakeLocked() {
 	for _, reader := range r.readers {
--- a/internal/journal/status.go
+++ b/internal/journal/status.go
@@ -12,10 +12,12 @@
 	Events  int64            `json:"events"`
 	// Delivered is the highest event number that was handed to a caller.
 	Delivered int64 `json:"delivered"`
-	// Successor is the address of the new holder once the record has moved.
+	// Moved says that another daemon holds the record; Successor is its address
+	// if it is known.
+	Moved     bool      `json:"moved,omitempty"`
 	Successor string    `json:"successor,omitempty"`
 	Attempts  []Attempt `json:"attempts,omitempty"`
 }
 
 // Ended reports whether the record takes no more events here.
-func (s *Status) Ended() bool { return s.State == StateFinished || s.Successor != "" }
+func (s *Status) Ended() bool { return s.State == StateFinished || s.Moved }
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -18,10 +18,10 @@
 var doneData = []byte("[DONE]")
 
 // attempt runs one stream from an engine into the journal.
-func (r *runner) attempt(ctx context.Context, choice *dispatch.Choice, number int, how mode, measured *seen) result {
+func (r *runner) attempt(ctx context.Context, choice *dispatch.Choice, number int, how mode, fresh bool, measured *seen) result {
 	request := engineclient.StreamRequest{
 		Address: choice.Upstream.Address, RequestID: r.rec.ID, Attempt: number, Priority: choice.Priority,
-		Body: r.rec.Body,
+		Body: r.rec.Body, FreshConnection: fresh, MaxEventBytes: r.server.options.MaxEventBytes,
 	}
 	var known [][]byte
 	switch how {
@@ -59,9 +59,6 @@
 			return result{ending: endDone}
 		}
 		watchdog.Reset(r.limits.next)
-		if len(event.Data) > r.server.options.MaxEventBytes {
-			return result{ending: endError, err: journal.ErrTooLarge}
-		}
 		if end, stop := r.take(number, event, known, &early, measured); stop {
 			return end
 		}
@@ -111,8 +108,7 @@
 func (r *runner) classify(ctx, attemptCtx context.Context, err error, how mode) result {
 	var failure *engineclient.Error
 	answered := errors.As(err, &failure)
-	// An engine that refuses a request with 4xx or as busy has not run it.
-	if !answered || !failure.NotRun && (failure.Status == 0 || failure.Status >= 500 && failure.Status != http.StatusServiceUnavailable) {
+	if !answered || !failure.NotRun {
 		r.ran = true
 	}
 	switch {
@@ -122,13 +118,13 @@
 		return result{ending: endSilent, err: err}
 	case !answered || failure.Status == 0 && !failure.NotRun:
 		return result{ending: endLost, err: err}
-	case how == modeResume && failure.Status == http.StatusNotFound:
+	case how == modeResume && errors.Is(err, engineclient.ErrUnknownRequest):
 		return result{ending: endForgotten, err: err}
 	case how == modeResume && failure.NotRun && failure.Status == 0:
 		return result{ending: endGone, err: err}
-	case failure.NotRun, failure.Status == http.StatusTooManyRequests, failure.Status == http.StatusServiceUnavailable:
+	case failure.Status == 0, failure.Draining, failure.Status == http.StatusTooManyRequests, failure.Status == http.StatusNotFound:
 		return result{ending: endRefused, draining: failure.Draining, err: err}
-	case failure.Status >= 500 || failure.Status == http.StatusNotFound || failure.Status == http.StatusRequestTimeout:
+	case failure.Status >= 500 || failure.Status == http.StatusRequestTimeout:
 		return result{ending: endError, err: err}
 	case how == modePrefix:
 		return result{ending: endPrefixRefused, err: err}
--- a/internal/server/causes.go
+++ b/internal/server/causes.go
@@ -8,5 +8,6 @@
 	errAbandoned = errors.ConstError("the caller is gone")
 	errDeadline  = errors.ConstError("the deadline passed")
 	errSilent    = errors.ConstError("no progress within the deadline")
+	errIsolated  = errors.ConstError("the holder cannot be verified")
 	errClosed    = errors.ConstError("the daemon ends")
 )
--- a/internal/server/chat_test.go
+++ b/internal/server/chat_test.go
@@ -16,6 +16,7 @@
 	"rattantide/internal/dispatch"
 	"rattantide/internal/journal"
 	"rattantide/internal/problem"
+	"rattantide/internal/relay"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -34,7 +35,7 @@
 // without gaps from first.
 func streamText(t *testing.T, body io.Reader, first int64) (text string, done bool) {
 	t.Helper()
-	stream := &wireStream{lines: newLines(body)}
+	stream := relay.NewReader(body, 0)
 	for next := first; ; next++ {
 		e, err := stream.Next()
 		if err != nil {
@@ -100,7 +101,7 @@
 				c.events(1, 5)
 				c.lose()
 			case 2:
-				c.refuse(http.StatusNotFound)
+				c.forgotten()
 			default:
 				c.finish()
 			}
@@ -111,7 +112,7 @@
 				c.events(1, 5)
 				c.lose()
 			case c.after > 0:
-				c.refuse(http.StatusNotFound)
+				c.forgotten()
 			case c.prefix > 0:
 				c.refuse(http.StatusBadRequest)
 			default:
@@ -210,7 +211,7 @@
 	pool.add("first", "v1", engine.URL)
 	h := newHarness(t, pool, nil)
 	response := h.do(t, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", "returns")
-	stream := &wireStream{lines: newLines(response.Body)}
+	stream := relay.NewReader(response.Body, 0)
 	for range 3 {
 		_, err := stream.Next()
 		assert.NilError(t, err)
@@ -242,7 +243,7 @@
 	pool.add("first", "v1", engine.URL)
 	h := newHarness(t, pool, func(o *Options) { o.AbandonGrace = 10 * time.Millisecond })
 	response := h.do(t, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", "gone")
-	_, err := (&wireStream{lines: newLines(response.Body)}).Next()
+	_, err := relay.NewReader(response.Body, 0).Next()
 	assert.NilError(t, err)
 	response.Body.Close()
 	assert.Equal(t, <-engine.canceled, "/v1/requests/gone")
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -1,8 +1,6 @@
 package server
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -25,7 +23,6 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/problem"
-	"rattantide/internal/relay"
 )
 
 const (
@@ -34,71 +31,6 @@
 	answerSize = 20
 )
 
-// wireEngine speaks the engines' protocol with net/http alone.
-type wireEngine struct{ client *http.Client }
-
-func (e wireEngine) Stream(ctx context.Context, r engineclient.StreamRequest) (EngineStream, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address+"/v1/chat/completions", bytes.NewReader(r.Body))
-	if err != nil {
-		return nil, &engineclient.Error{NotRun: true, Err: err}
-	}
-	request.Header.Set("X-Request-Id", r.RequestID)
-	request.Header.Set("X-Attempt", strconv.Itoa(r.Attempt))
-	if r.AfterEvent > 0 {
-		request.Header.Set("Last-Event-Id", strconv.FormatInt(r.AfterEvent, 10))
-	}
-	response, err := e.client.Do(request)
-	if err != nil {
-		return nil, &engineclient.Error{NotRun: strings.Contains(err.Error(), "connection refused"), Err: err}
-	}
-	if response.StatusCode != http.StatusOK {
-		defer response.Body.Close()
-		draining := response.Header.Get("X-Draining") == "true"
-		return nil, &engineclient.Error{Status: response.StatusCode, NotRun: draining, Draining: draining}
-	}
-	return &wireStream{body: response.Body, lines: bufio.NewReader(response.Body)}, nil
-}
-
-func (e wireEngine) Cancel(ctx context.Context, address, id string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/requests/"+id, nil)
-	if err != nil {
-		return err
-	}
-	response, err := e.client.Do(request)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
-}
-
-type wireStream struct {
-	body  io.ReadCloser
-	lines *bufio.Reader
-}
-
-func (s *wireStream) Close() error { return s.body.Close() }
-
-func (s *wireStream) Next() (relay.Event, error) {
-	var e relay.Event
-	for {
-		line, err := s.lines.ReadSlice('\n')
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			return e, err
-		}
-		line = bytes.TrimRight(line, "\n")
-		if id, ok := bytes.CutPrefix(line, []byte("id: ")); ok {
-			e.ID, _ = strconv.ParseInt(string(id), 10, 64)
-		} else if data, ok := bytes.CutPrefix(line, []byte("data: ")); ok {
-			e.Data = bytes.Clone(data)
-		} else if len(line) == 0 && e.Data != nil {
-			return e, nil
-		}
-	}
-}
-
 // engineCall is one call that a fakeEngine got.
 type engineCall struct {
 	attempt, after, prefix int
@@ -134,6 +66,11 @@
 
 func (c *engineCall) refuse(status int) { c.w.WriteHeader(status) }
 
+func (c *engineCall) forgotten() {
+	c.w.WriteHeader(http.StatusNotFound)
+	io.WriteString(c.w, `{"error":{"code":"unknown_request"}}`)
+}
+
 func token(version string, seed int64, i int) string {
 	return fmt.Sprintf("%s.%d.%d ", version, seed, i)
 }
@@ -300,7 +237,7 @@
 	transport := &http.Transport{}
 	options := Options{
 		Self: membership.Daemon{Name: "self", Domain: "a"}, Config: testConfig(t), Members: pool, Chooser: pool,
-		Engine: wireEngine{&http.Client{Transport: transport}}, Journal: h.journal, Intents: h.intents,
+		Engine: EngineClient{engineclient.New(&http.Client{Transport: transport})}, Journal: h.journal, Intents: h.intents,
 		FirstEvent: 5 * time.Second, NextEvent: 5 * time.Second,
 	}
 	if change != nil {
@@ -330,5 +267,3 @@
 	t.Cleanup(func() { response.Body.Close() })
 	return response
 }
-
-func newLines(r io.Reader) *bufio.Reader { return bufio.NewReader(r) }
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -31,7 +31,7 @@
 	// Handoff may be nil: records then live and end with this daemon.
 	Handoff Handoff
 	// Prompt estimates a prompt's tokens and hashes its prefix blocks. Default:
-	// engineclient's estimate.
+	// as the engines do.
 	Prompt func(messages json.RawMessage) (tokens int, blocks []uint64)
 
 	Logger *log.Logger
@@ -83,7 +83,7 @@
 		o.Scope = tally.NoopScope
 	}
 	if o.Prompt == nil {
-		o.Prompt = estimatePrompt
+		o.Prompt = readPrompt
 	}
 	setDefault(&o.MaxBodyBytes, 8<<20)
 	setDefault(&o.MaxHeaderValueBytes, 1<<10)
--- a/internal/server/prompt.go
+++ b/internal/server/prompt.go
@@ -1,11 +1,18 @@
 package server
 
-import "encoding/json"
+import (
+	"encoding/json"
 
-// bytesPerToken is the usual ratio for English text.
-const bytesPerToken = 4
+	"rattantide/internal/engineclient"
+)
 
-// estimatePrompt estimates the length of a prompt without hashing its blocks.
-func estimatePrompt(messages json.RawMessage) (int, []uint64) {
-	return (len(messages) + bytesPerToken - 1) / bytesPerToken, nil
+// readPrompt estimates a prompt's length and hashes its prefix blocks as the
+// engines do. Messages in a form that is not known count by their size.
+func readPrompt(messages json.RawMessage) (int, []uint64) {
+	var list []engineclient.Message
+	if err := json.Unmarshal(messages, &list); err != nil {
+		return engineclient.PromptTokens(messages), nil
+	}
+	text := engineclient.PromptText(list, false)
+	return engineclient.PromptTokens(text), engineclient.PromptBlocks(text)
 }
--- a/internal/server/reply.go
+++ b/internal/server/reply.go
@@ -42,7 +42,7 @@
 			s.endStream(out, rec)
 			return
 		case errors.Is(err, journal.ErrMoved):
-			_ = out.send([]byte(": successor " + rec.Status().Successor + "\n\n"))
+			s.endMoved(out, rec)
 			return
 		default:
 			return
@@ -50,13 +50,27 @@
 	}
 }
 
+// endMoved ends the stream of a record that another daemon holds. The comment
+// is ignored by parsers that do not know it; without [DONE] the caller sees
+// that the answer is not complete.
+func (s *Server) endMoved(out *callerStream, rec *journal.Record) {
+	if successor := rec.Status().Successor; successor != "" {
+		_ = out.send([]byte(": successor " + successor + "\n\n"))
+		return
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // endStream ends a finished stream: with [DONE], or with the problem.
 func (s *Server) endStream(out *callerStream, rec *journal.Record) {
 	status := rec.Status()
 	if status.Outcome == journal.OutcomeDone {
-		_ = out.send([]byte("data: [DONE]\n\n"))
+		if out.send([]byte("data: [DONE]\n\n")) == nil {
+			s.delivered(rec)
+		}
 		return
 	}
+	defer s.delivered(rec)
 	if !out.begun {
 		problem.Write(out.w, status.Problem)
 		return
@@ -73,12 +87,17 @@
 	case <-r.Context().Done():
 		return
 	}
+	may := s.maySend(r.Context(), rec)
 	status := rec.Status()
 	switch {
-	case status.Successor != "" || !s.maySend(r.Context(), rec):
-		http.Redirect(w, r, s.baseURL(r, rec.Status().Successor)+"/v1/requests/"+rec.ID, http.StatusSeeOther)
+	case status.Successor != "":
+		http.Redirect(w, r, s.baseURL(r, status.Successor)+"/v1/requests/"+rec.ID, http.StatusSeeOther)
+	case status.Moved || !may:
+		problem.Write(w, problem.Unknown(http.StatusServiceUnavailable, problem.CodeLeaving,
+			"another daemon holds the request; ask there").WithRequestID(rec.ID).WithRetryAfter(retryAfterFull))
 	case status.Outcome != journal.OutcomeDone:
 		problem.Write(w, status.Problem)
+		s.delivered(rec)
 	default:
 		body, err := assemble(rec.Events())
 		if err != nil {
@@ -87,7 +106,17 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write(body)
+		if _, err := w.Write(body); err == nil {
+			s.delivered(rec)
+		}
+	}
+}
+
+// delivered notes that a caller has got the end of the answer.
+func (s *Server) delivered(rec *journal.Record) {
+	rec.MarkDelivered()
+	if s.options.Handoff != nil {
+		s.options.Handoff.Finished(rec)
 	}
 }
 
@@ -119,8 +148,15 @@
 	default:
 	}
 	time.AfterFunc(s.options.AbandonGrace, func() {
-		if rec.AbandonedFor(s.options.AbandonGrace) {
-			s.cancelCall(rec, errAbandoned)
+		if !rec.AbandonedFor(s.options.AbandonGrace) {
+			return
+		}
+		if s.options.Handoff != nil && !s.options.Handoff.Verify(context.Background(), rec) {
+			// Another daemon may have resumed the generation, which a
+			// cancellation at the engine would end.
+			s.cancelCall(rec, errIsolated)
+			return
 		}
+		s.cancelCall(rec, errAbandoned)
 	})
 }
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -81,11 +81,9 @@
 		return nil, "", unknown.WithRequestID("")
 	}
 	rec := s.options.Journal.Get(id)
-	if rec != nil {
-		if status := rec.Status(); status.Successor != "" && rec.Workspace == workspace {
-			// A record that left and may be anywhere by now.
-			rec = nil
-		}
+	if rec != nil && rec.Workspace == workspace && rec.Status().Moved {
+		// Locate follows the record from where it went.
+		rec = nil
 	}
 	if rec == nil && s.options.Handoff != nil && r.Header.Get(relayedHeader) == "" {
 		location, err := s.options.Handoff.Locate(r.Context(), id)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -127,7 +127,7 @@
 		Blocks: rec.Blocks, AcceptedAt: rec.AcceptedAt, Deadline: rec.Deadline, Attempt: tried,
 		ResumedTokens: last, Exclude: r.exclude, Fingerprint: rec.Fingerprint,
 	}
-	if last > 0 {
+	if last > 0 || rec.Status().Delivered > 0 {
 		request.PinVersion = r.version
 	}
 	choice, err := r.server.options.Chooser.Choose(ctx, request)
--- a/internal/server/use.go
+++ b/internal/server/use.go
@@ -15,9 +15,21 @@
 // use runs attempts at the chosen upstream until the answer is complete or
 // another upstream is needed.
 func (r *runner) use(ctx context.Context, choice *dispatch.Choice) result {
+	if r.wouldMix(choice.Version) {
+		r.exclude = append(r.exclude, choice.Upstream.Name)
+		choice.Done(dispatch.Result{Status: dispatch.StatusCanceled})
+		return result{ending: endDiffers}
+	}
 	return r.useFrom(ctx, choice, r.modeFor(choice.Version))
 }
 
+// wouldMix reports whether the caller has events that this daemon does not
+// hold, and that an engine of another version cannot produce again.
+func (r *runner) wouldMix(version string) bool {
+	status := r.rec.Status()
+	return r.version != "" && version != r.version && status.Delivered > status.Events
+}
+
 func (r *runner) useFrom(ctx context.Context, choice *dispatch.Choice, how mode) result {
 	measured := &seen{begun: time.Now()}
 	if held := int(r.rec.Last()); how == modePrefix || how == modeRegenerate {
@@ -39,7 +51,7 @@
 		if how == modeStart || before == 0 {
 			r.version = choice.Version
 		}
-		end = r.attempt(ctx, choice, number, how, measured)
+		end = r.attempt(ctx, choice, number, how, resumes > 0, measured)
 		if (end.ending == endLost || end.ending == endSilent) && complete(r.rec.Events()) {
 			// Only the mark of the end was lost.
 			end.ending = endDone
