Add the client library

Callers choose among several daemons themselves, so that the library keeps the order of entries, avoids those that failed, and resumes a stream after its last event at the successor that a daemon names, or at any other one. A call keeps its idempotency key over all attempts; a refusal counts as not run only if no earlier attempt may have reached a daemon.

--- /dev/null
+++ b/client/client_test.go
@@ -0,0 +1,159 @@
+package client
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeDaemon answers from a script and records the calls it got.
+type fakeDaemon struct {
+	*httptest.Server
+	script func(n int, w http.ResponseWriter, r *http.Request)
+
+	mu    sync.Mutex
+	calls []string
+}
+
+func newFakeDaemon(t *testing.T, script func(n int, w http.ResponseWriter, r *http.Request)) *fakeDaemon {
+	d := &fakeDaemon{script: script}
+	d.Server = httptest.NewServer(d)
+	t.Cleanup(d.Close)
+	return d
+}
+
+func (d *fakeDaemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/entries" {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	d.mu.Lock()
+	path, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/"), "/")
+	d.calls = append(d.calls, r.Method+" "+path+" "+r.Header.Get("Last-Event-ID")+r.Header.Get("Idempotency-Key"))
+	n := len(d.calls)
+	d.mu.Unlock()
+	d.script(n, w, r)
+}
+
+// got returns the calls so far.
+func (d *fakeDaemon) got() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]string(nil), d.calls...)
+}
+
+func refuse(w http.ResponseWriter, status int, code, ran string) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	fmt.Fprintf(w, `{"code":%q,"ran":%q}`, code, ran)
+}
+
+func newTestClient(t *testing.T, daemons ...*fakeDaemon) *Client {
+	options := Options{Token: "t", Backoff: time.Millisecond, Patience: 200 * time.Millisecond, Attempts: 4}
+	for _, d := range daemons {
+		options.Entries = append(options.Entries, d.Listener.Addr().String())
+	}
+	c, err := New(options)
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func events(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: {}\n\n", i)
+	}
+	w.(http.Flusher).Flush()
+}
+
+// TestStreamResumes guards against events that are lost or repeated when a
+// connection is lost, falls silent, or ends with a successor.
+func TestStreamResumes(t *testing.T) {
+	for name, fail := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"lost":      func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"silent":    func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"successor": func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, ": successor 127.0.0.1:1\n\n") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := newFakeDaemon(t, func(_ int, w http.ResponseWriter, r *http.Request) {
+				events(w, 1, 3)
+				fail(w, r)
+			})
+			second := newFakeDaemon(t, func(_ int, w http.ResponseWriter, _ *http.Request) {
+				events(w, 3, 6)
+				io.WriteString(w, "data: [DONE]\n\n")
+			})
+			s, err := newTestClient(t, first, second).Stream(t.Context(), []byte(`{}`))
+			assert.NilError(t, err)
+			defer func() { _ = s.Close() }()
+			for i := range 6 {
+				e, err := s.Next()
+				assert.NilError(t, err)
+				assert.Equal(t, e.Number, int64(i+1))
+			}
+			_, err = s.Next()
+			assert.Equal(t, err, io.EOF)
+			assert.Equal(t, second.got()[0], "GET requests 3")
+		})
+	}
+}
+
+// TestDo guards against calls that are repeated, given up or reported wrongly.
+func TestDo(t *testing.T) {
+	lose := func(int, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	ok := func(_ int, w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }
+	refusal := func(status int, code, ran string) func(int, http.ResponseWriter, *http.Request) {
+		return func(_ int, w http.ResponseWriter, _ *http.Request) { refuse(w, status, code, ran) }
+	}
+	tests := []struct {
+		name          string
+		first, second func(int, http.ResponseWriter, *http.Request)
+		ran           Ran
+		calls         int
+	}{
+		{name: "answer lost", first: lose, second: ok, calls: 2},
+		{name: "leaving", first: refusal(503, "leaving", "not_run"), second: ok, calls: 2},
+		{name: "unknown", first: refusal(502, "outcome_unknown", "unknown"), second: ok, ran: RanUnknown, calls: 1},
+		{name: "refused", first: refusal(422, "idempotency_key_reused", "not_run"), second: ok, ran: RanNotRun, calls: 1},
+		{name: "refused after a loss", first: lose, second: refusal(503, "overloaded", "not_run"), ran: RanUnknown, calls: 4},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			first, second := newFakeDaemon(t, test.first), newFakeDaemon(t, test.second)
+			response, err := newTestClient(t, first, second).Do(t.Context(), Request{Method: "POST", Path: "/orders/dies"})
+			assert.Equal(t, len(first.got())+len(second.got()), test.calls)
+			if test.ran == "" {
+				assert.NilError(t, err)
+				assert.Equal(t, string(response.Body), "ok")
+			} else {
+				var failure *Error
+				assert.Assert(t, errors.As(err, &failure))
+				assert.Equal(t, failure.Ran, test.ran)
+			}
+			for _, call := range second.got() {
+				assert.Equal(t, call, first.got()[0], "the key must stay the same")
+				assert.Assert(t, !strings.HasSuffix(call, " "), "a call needs a key")
+			}
+		})
+	}
+	t.Run("no daemon", func(t *testing.T) {
+		d := newFakeDaemon(t, ok)
+		d.Close()
+		_, err := newTestClient(t, d).Do(t.Context(), Request{Method: "POST", Path: "/orders/dies"})
+		var failure *Error
+		assert.Assert(t, errors.As(err, &failure))
+		assert.Equal(t, failure.Ran, RanNotRun)
+	})
+}
--- /dev/null
+++ b/client/entry.go
@@ -0,0 +1,8 @@
+package client
+
+// Entry is the address of a daemon.
+type Entry struct {
+	Address string `json:"address"`
+	// Domain is the daemon's failure domain.
+	Domain string `json:"domain"`
+}
--- /dev/null
+++ b/client/response.go
@@ -0,0 +1,12 @@
+package client
+
+import "net/http"
+
+// Response is the answer to a Request.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// RequestID identifies the request in logs and status queries.
+	RequestID string
+}
--- a/internal/handoff/cluster_test.go
+++ b/internal/handoff/cluster_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -231,6 +232,12 @@
 	return response
 }
 
+func (c *cluster) body(n *node, method, path, body string, header ...string) []byte {
+	content, err := io.ReadAll(c.do(n, method, path, body, header...).Body)
+	assert.Check(c.t, err)
+	return content
+}
+
 // open starts a stream at a node and reads some events.
 func (c *cluster) open(n *node, id string, events int) *stream {
 	s := newStream(c.do(n, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", id))
@@ -307,17 +314,25 @@
 			s.done = true
 			return
 		}
-		var chunk struct {
-			Choices []struct {
-				Delta struct {
-					Content string `json:"content"`
-				} `json:"delta"`
-			} `json:"choices"`
-		}
-		if e.ID != s.last+1 || json.Unmarshal(e.Data, &chunk) != nil || len(chunk.Choices) == 0 {
+		if !s.take(e.ID, e.Data) {
 			return
 		}
-		s.last = e.ID
-		s.text += chunk.Choices[0].Delta.Content
 	}
 }
+
+// take reports whether an event is the next one.
+func (s *stream) take(id int64, data []byte) bool {
+	var chunk struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+		} `json:"choices"`
+	}
+	if id != s.last+1 || json.Unmarshal(data, &chunk) != nil || len(chunk.Choices) == 0 {
+		return false
+	}
+	s.last = id
+	s.text += chunk.Choices[0].Delta.Content
+	return true
+}
--- a/internal/handoff/handoff_test.go
+++ b/internal/handoff/handoff_test.go
@@ -41,7 +41,7 @@
 		c.nodes[0].kill()
 		for _, n := range c.nodes[1:] {
 			if whole {
-				assert.Equal(t, contentOf(t, c.do(n, "GET", "/v1/requests/r", "")), wantText())
+				assert.Equal(t, contentOf(t, c.body(n, "GET", "/v1/requests/r", "")), wantText())
 				continue
 			}
 			c.resume(n, "r", s)
@@ -94,7 +94,7 @@
 	s := c.open(holder, "r", 5)
 	whole := make(chan string)
 	go func() {
-		whole <- contentOf(t, c.do(holder, "POST", "/v1/chat/completions", wholeBody, "X-Request-Id", "w"))
+		whole <- contentOf(t, c.body(holder, "POST", "/v1/chat/completions", wholeBody, "X-Request-Id", "w"))
 	}()
 	c.backupOf("w")
 	report := holder.manager.HandOver(t.Context(), time.Now().Add(10*time.Second))
@@ -200,7 +200,7 @@
 	})
 }
 
-func contentOf(t *testing.T, response *http.Response) string {
+func contentOf(t *testing.T, body []byte) string {
 	var answer struct {
 		Choices []struct {
 			Message struct {
@@ -208,9 +208,9 @@
 			} `json:"message"`
 		} `json:"choices"`
 	}
-	assert.Check(t, json.NewDecoder(response.Body).Decode(&answer))
-	if len(answer.Choices) == 0 {
-		return response.Status
+	if json.Unmarshal(body, &answer) != nil || len(answer.Choices) == 0 {
+		t.Errorf("no answer: %s", body)
+		return ""
 	}
 	return answer.Choices[0].Message.Content
 }
