Track a quarter of the cache blocks, by their hash

Engines report blocks of 16 tokens, so that one archive prompt of 8,000 tokens took 512 entries of the index. A prefix is now known to about 64 tokens.

--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -12,8 +12,14 @@
 	// maxProbes bounds the lookups for one prompt to about 1 µs; longer prompts
 	// are looked up with a stride.
 	maxProbes = 32
+	// sampleMask selects the blocks that are tracked, a quarter of all by their
+	// hash. With blocks of 16 tokens, a prefix is then known to about 64
+	// tokens, and the index covers four times as many prompts.
+	sampleMask = 3
 )
 
+func sampled(block uint64) bool { return block&sampleMask == 0 }
+
 type slotSet [slotWords]uint64
 
 func (s *slotSet) set(slot int)      { s[slot>>6] |= 1 << (slot & 63) }
@@ -47,6 +53,9 @@
 
 // Stored records that the upstream at slot holds a block.
 func (x *Index) Stored(slot int, block uint64) {
+	if !sampled(block) {
+		return
+	}
 	e := x.promote(block)
 	e.held.set(slot)
 	e.doubtful.clear(slot)
@@ -99,21 +108,22 @@
 // holder with doubtful blocks among them counts half.
 func (x *Index) match(blocks []uint64, out *matches) {
 	*out = matches{}
-	if len(blocks) == 0 {
-		return
-	}
-	stride := (len(blocks) + maxProbes - 1) / maxProbes
+	stride := max(1, len(blocks)/(sampleMask+1)/maxProbes)
 	var alive, doubtful slotSet
 	for i := range alive {
 		alive[i] = ^uint64(0)
 	}
-	matched := 0
-	for end := stride; ; end += stride {
-		if end > len(blocks) {
-			end = len(blocks)
+	matched, skipped := 0, 0
+	for at, b := range blocks {
+		if !sampled(b) {
+			continue
+		}
+		if skipped++; skipped < stride {
+			continue
 		}
+		skipped = 0
 		var held slotSet
-		if e := x.find(blocks[end-1]); e != nil {
+		if e := x.find(b); e != nil {
 			held = e.held
 			for i := range doubtful {
 				doubtful[i] |= e.doubtful[i] & alive[i]
@@ -126,10 +136,7 @@
 		if alive.empty() {
 			return
 		}
-		matched = end
-		if end == len(blocks) {
-			break
-		}
+		matched = at + 1
 	}
 	for i := range alive {
 		recordMatches(out, i, alive[i], matched, doubtful[i])
--- a/internal/routing/prefix_hash.go
+++ b/internal/routing/prefix_hash.go
@@ -2,7 +2,7 @@
 
 // prefixBlocks is how many leading blocks decide about the upstream. Fewer
 // would send a whole workspace with a common system prompt to one upstream.
-const prefixBlocks = 4
+const prefixBlocks = 16
 
 // PrefixHash sends requests with the same leading blocks to the same upstream
 // by rendezvous hashing, whatever its load. It is a baseline.
--- a/internal/routing/sent.go
+++ b/internal/routing/sent.go
@@ -8,3 +8,6 @@
 	ahead    float64
 	uncached float64
 }
+
+// Uncached returns the prompt tokens that were expected to be processed.
+func (s Sent) Uncached() int { return int(s.uncached) }
