Carry out version moves by evidence

Attempts that are lost with one upstream count as one event, so that a reclaimed runner does not look like a failing version.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -84,7 +84,11 @@
 		return
 	}
 	sample := MoveSample{
-		Move: a.move, Version: a.upstream.Version, Route: a.request.Route, Load: a.load, At: now,
+		Move: a.move, Version: a.upstream.Version, Route: a.request.Route, Upstream: a.upstream.Name,
+		Load: a.load, UncachedTokens: a.sent.Uncached(), StartedAt: a.startedAt, EndedAt: now,
+	}
+	if res.PromptTokens > 0 {
+		sample.UncachedTokens = max(0, res.PromptTokens-res.CachedTokens)
 	}
 	switch res.Status {
 	case StatusOK:
@@ -95,6 +99,7 @@
 		}
 	case StatusError, StatusCrash, StatusTimeout:
 		sample.Failed = true
+		sample.Lost = res.Status != StatusError
 	default:
 		return
 	}
--- a/internal/dispatch/moves.go
+++ b/internal/dispatch/moves.go
@@ -17,19 +17,28 @@
 
 // MoveSample is an ended attempt as evidence of a running move.
 type MoveSample struct {
-	Move    *configsync.Move
-	Version string
-	Route   string
+	Move     *configsync.Move
+	Version  string
+	Route    string
+	Upstream string
 	// Load is the running requests at the upstream when the attempt started;
 	// it tells the load band.
 	Load float64
+	// UncachedTokens is how much of the prompt had to be processed. Upstreams
+	// of a new version start with an empty cache, so latencies are compared
+	// among requests with about the same work.
+	UncachedTokens int
 	// Failed says that the upstream answered with an error, was lost or made no
 	// progress.
 	Failed bool
+	// Lost says that the upstream was lost or made no progress, which ends all
+	// its attempts at once.
+	Lost bool
 	// Latency is the time to the first token, or to the whole answer of a plain
 	// service; 0 when there was none.
 	Latency time.Duration
 	// Gap is the longest time between two tokens; 0 for plain services.
-	Gap time.Duration
-	At  time.Time
+	Gap       time.Duration
+	StartedAt time.Time
+	EndedAt   time.Time
 }
--- /dev/null
+++ b/internal/rollout/controller.go
@@ -0,0 +1,337 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/telemetry"
+)
+
+const (
+	// A move is looked at intervalShare times within its deadline, within
+	// these bounds.
+	intervalShare = 200
+	minInterval   = 100 * time.Millisecond
+	maxInterval   = 2 * time.Second
+	idleInterval  = time.Second
+	callTimeout   = 3 * time.Second
+	// recollectSlots is how many slots before the present one are asked for
+	// again, and recollectAll how often all slots are, for peers that did not
+	// answer in between.
+	recollectSlots = 2
+	recollectAll   = 10
+	// evidenceRefresh is how many times within the deadline the status is
+	// written for its evidence alone.
+	evidenceRefresh = 20
+)
+
+// Controller carries out the moves whose lease this daemon holds. It acts on
+// the state it reads, so that another holder can continue at any point.
+type Controller struct {
+	opts  ControllerOptions
+	moves map[moveKey]*collected
+	// written is when each move's status was last written, in the store's time.
+	written map[string]time.Time
+
+	writes, conflicts, failures, done, undone tally.Counter
+}
+
+// NewController returns a Controller.
+func NewController(opts ControllerOptions) *Controller {
+	if opts.Logger == nil {
+		opts.Logger = telemetry.Discard()
+	}
+	if opts.Scope == nil {
+		opts.Scope = tally.NoopScope
+	}
+	if opts.CallTimeout <= 0 {
+		opts.CallTimeout = callTimeout
+	}
+	scope := opts.Scope.SubScope("rollout")
+	return &Controller{
+		opts:      opts,
+		moves:     map[moveKey]*collected{},
+		written:   map[string]time.Time{},
+		writes:    scope.Counter("status_writes"),
+		conflicts: scope.Counter("status_conflicts"),
+		failures:  scope.Counter("status_failures"),
+		done:      scope.Counter("moves_done"),
+		undone:    scope.Counter("moves_undone"),
+	}
+}
+
+// Run reconciles until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	for {
+		changed := c.opts.Config.Changed()
+		wait := c.Reconcile(ctx)
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-changed:
+			timer.Stop()
+			// A change may be this controller's own; wait for the least
+			// interval, so that changes cannot make it spin.
+			timer.Reset(minInterval)
+			select {
+			case <-ctx.Done():
+				timer.Stop()
+				return ctx.Err()
+			case <-timer.C:
+			}
+		case <-timer.C:
+		}
+	}
+}
+
+// Reconcile looks at each move once and returns when to look again.
+func (c *Controller) Reconcile(ctx context.Context) time.Duration {
+	view := c.opts.Config.Snapshot()
+	wait := idleInterval
+	for _, m := range view.Moves {
+		ended := m.Ended()
+		if ended && !c.poolIsBehind(view, m) {
+			c.forget(m)
+			continue
+		}
+		duty := "move/" + m.Name
+		c.opts.Leases.Want(duty)
+		wait = min(wait, min(max(m.Spec.Deadline.D()/intervalShare, minInterval), maxInterval))
+		fence, ok := c.opts.Leases.Held(duty)
+		if !ok {
+			continue
+		}
+		var err error
+		if ended {
+			err = c.writePool(ctx, m)
+		} else {
+			err = c.advance(ctx, m.Name, fence)
+		}
+		if err != nil {
+			c.failures.Inc(1)
+			c.opts.Logger.Warn("version move not advanced; trying again", "move", m.Name, "err", err)
+		}
+	}
+	return wait
+}
+
+func (c *Controller) forget(m *configsync.Move) {
+	delete(c.written, m.Name)
+	if m.Status != nil {
+		delete(c.moves, keyOf(m))
+	}
+}
+
+// poolIsBehind reports whether a move that is done has yet to be written to
+// its pool.
+func (c *Controller) poolIsBehind(view *configsync.View, m *configsync.Move) bool {
+	pool := view.Pools[m.Spec.Pool]
+	return pool != nil && m.Status.Phase == api.MoveDone && pool.Version == m.Spec.From &&
+		view.Objects[api.KindPool][m.Spec.Pool].Version < m.Version
+}
+
+// advance reads the move, decides, and writes what has changed.
+func (c *Controller) advance(ctx context.Context, name string, fence int64) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	object, err := c.opts.Store.Get(ctx, string(api.KindVersionMove), name)
+	if errors.Is(err, objectclient.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	// The watch may lag; what was read is newer.
+	c.opts.Config.Apply(*object)
+	now, ok := c.opts.Store.Now()
+	if !ok {
+		return errors.New("the store's time is not known")
+	}
+	decoded, err := api.DecodeStored(api.KindVersionMove, name, object.Version, object.Value)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	m := &configsync.Move{Name: name, Version: object.Version, Spec: decoded.Typed.(*api.VersionMove), Status: decoded.MoveStatus}
+	if m.Ended() || (m.Status != nil && m.Status.Fence > fence) {
+		return nil
+	}
+	status := c.next(ctx, m, now)
+	if status == nil {
+		return nil
+	}
+	// Collecting takes time; a holder that was paused must not write.
+	if current, ok := c.opts.Leases.Held("move/" + name); !ok || current != fence {
+		return nil
+	}
+	status.Fence = fence
+	return c.write(ctx, object, status, now)
+}
+
+// next returns the status to write, or nil when nothing has changed.
+func (c *Controller) next(ctx context.Context, m *configsync.Move, now time.Time) *api.MoveStatus {
+	if m.Status == nil || m.Status.ByMs == 0 {
+		status := &api.MoveStatus{DeclaredMs: now.UnixMilli()}
+		if m.Status != nil && m.Status.DeclaredMs > 0 {
+			status.DeclaredMs = m.Status.DeclaredMs
+		}
+		status.Phase, status.Share = api.MoveRunning, Stages[0]
+		status.ShareSinceMs = now.UnixMilli()
+		status.ByMs = status.DeclaredMs + m.Spec.Deadline.D().Milliseconds()
+		status.Reason = "the move starts"
+		return status
+	}
+	state := StateOf(m)
+	held := c.collect(ctx, m, &state, now)
+	evidence := held.evidence()
+	var d Decision
+	if held.verdict != nil {
+		d = undone(held.verdict.Reason + " (found by " + held.verdict.Daemon + ")")
+		d.Verdict = api.VerdictBad
+	} else {
+		d = Decide(state, evidence, now)
+	}
+	old := m.Status
+	refresh := state.deadline() / evidenceRefresh
+	if d.Phase == old.Phase && d.Share == old.Share && now.Sub(c.written[m.Name]) < refresh {
+		return nil
+	}
+	status := *old
+	status.Phase, status.Share, status.Reason = d.Phase, d.Share, d.Reason
+	if d.Verdict != "" {
+		status.Verdict = d.Verdict
+	}
+	status.Evidence = evidence.Summary(state.From, state.To)
+	if status.Share != old.Share || old.ShareSinceMs == 0 {
+		status.ShareSinceMs = now.UnixMilli()
+	}
+	if d.Phase.Ended() {
+		status.EndedMs = now.UnixMilli()
+	}
+	return &status
+}
+
+// collect gathers evidence from this daemon and its peers. Slots that are
+// still filling are asked for again.
+func (c *Controller) collect(ctx context.Context, m *configsync.Move, state *State, now time.Time) *collected {
+	key := keyOf(m)
+	held := c.moves[key]
+	if held == nil {
+		held = &collected{}
+		c.moves[key] = held
+	}
+	since := int64(0)
+	if held.turns%recollectAll != 0 {
+		since = max(0, state.slot(now)-recollectSlots)
+	}
+	held.turns++
+	own := c.opts.Guard.Report(m.Name, key.declaredMs, 0)
+	held.take(&own)
+	if c.opts.Peers != nil {
+		for _, r := range c.opts.Peers.Collect(ctx, m.Name, key.declaredMs, since) {
+			if r.Move == m.Name && r.DeclaredMs == key.declaredMs && r.Daemon != own.Daemon {
+				held.take(&r)
+			}
+		}
+	}
+	if held.verdict != nil {
+		c.opts.Guard.Import(*held.verdict)
+	}
+	return held
+}
+
+// write replaces the status by a conditional update.
+func (c *Controller) write(ctx context.Context, object *objectclient.Object, status *api.MoveStatus, now time.Time) error {
+	value, err := withStatus(object.Value, status)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	stored, err := c.opts.Store.Put(ctx, object.Kind, object.Name, object.Version, value)
+	if errors.Is(err, objectclient.ErrConflict) {
+		// Another writer was first; its state is read at the next turn.
+		c.conflicts.Inc(1)
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.writes.Inc(1)
+	c.written[object.Name] = now
+	c.opts.Config.Apply(*stored)
+	switch status.Phase {
+	case api.MoveDone:
+		c.done.Inc(1)
+	case api.MoveUndone:
+		c.undone.Inc(1)
+	}
+	c.opts.Logger.Info("version move", "move", object.Name, "phase", status.Phase, "share", status.Share, "reason", status.Reason)
+	return nil
+}
+
+func withStatus(value json.RawMessage, status *api.MoveStatus) (json.RawMessage, error) {
+	var stored api.Stored
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, err
+	}
+	encoded, err := json.Marshal(status)
+	if err != nil {
+		return nil, err
+	}
+	stored.Status = encoded
+	return json.Marshal(stored)
+}
+
+// writePool makes the new version the pool's own once the move is done. An
+// operator's change since then wins.
+func (c *Controller) writePool(ctx context.Context, m *configsync.Move) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	object, err := c.opts.Store.Get(ctx, string(api.KindPool), m.Spec.Pool)
+	if errors.Is(err, objectclient.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.opts.Config.Apply(*object)
+	if object.Version > m.Version {
+		return nil
+	}
+	var stored api.Stored
+	if err := json.Unmarshal(object.Value, &stored); err != nil {
+		return errors.Trace(err)
+	}
+	// Fields that this version of the program does not know are kept.
+	spec := map[string]json.RawMessage{}
+	if err := json.Unmarshal(stored.Spec, &spec); err != nil {
+		return errors.Trace(err)
+	}
+	if spec["version"], err = json.Marshal(m.Spec.To); err != nil {
+		return errors.Trace(err)
+	}
+	if stored.Spec, err = json.Marshal(spec); err != nil {
+		return errors.Trace(err)
+	}
+	value, err := json.Marshal(stored)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	updated, err := c.opts.Store.Put(ctx, object.Kind, object.Name, object.Version, value)
+	if errors.Is(err, objectclient.ErrConflict) {
+		c.conflicts.Inc(1)
+		return nil
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.opts.Config.Apply(*updated)
+	return nil
+}
--- /dev/null
+++ b/internal/rollout/controller_test.go
@@ -0,0 +1,223 @@
+package rollout
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/api"
+	"rattantide/internal/configsync"
+	"rattantide/internal/dispatch"
+	"rattantide/internal/objectclient"
+)
+
+// fakeStore keeps objects in memory and can be made unavailable.
+type fakeStore struct {
+	objectclient.Store
+	mu       sync.Mutex
+	down     bool
+	revision int64
+	objects  map[string]objectclient.Object
+}
+
+func (s *fakeStore) Now() (time.Time, bool) { return time.Now(), true }
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) Get(_ context.Context, kind, name string) (*objectclient.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, objectclient.ErrUnavailable
+	}
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return nil, objectclient.ErrNotFound
+	}
+	return &o, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, objectclient.ErrUnavailable
+	}
+	held := s.objects[kind+"/"+name]
+	if held.Version != version {
+		return &held, objectclient.ErrConflict
+	}
+	s.revision++
+	o := objectclient.Object{Kind: kind, Name: name, Version: s.revision, Value: value}
+	s.objects[kind+"/"+name] = o
+	return &o, nil
+}
+
+// fakeLeases holds every lease while held is set.
+type fakeLeases struct{ held bool }
+
+func (*fakeLeases) Want(string)                 {}
+func (l *fakeLeases) Held(string) (int64, bool) { return 7, l.held }
+
+type controllerFixture struct {
+	store  *fakeStore
+	config *configsync.Cache
+	guard  *Guard
+	leases *fakeLeases
+	*Controller
+}
+
+func newControllerFixture(t *testing.T, deadline time.Duration) *controllerFixture {
+	f := &controllerFixture{store: &fakeStore{objects: map[string]objectclient.Object{}}, config: configsync.NewCache(),
+		leases: &fakeLeases{held: true}}
+	f.guard = NewGuard(GuardOptions{Daemon: "d1", StoreNow: f.store.Now})
+	f.Controller = NewController(ControllerOptions{Store: f.store, Config: f.config, Leases: f.leases, Guard: f.guard})
+	for name, spec := range map[api.Kind]any{
+		api.KindPool:        map[string]any{"type": "chat", "version": "v1", "fencing": "ignored", "unknown": true},
+		api.KindVersionMove: api.VersionMove{Pool: "Pool", From: "v1", To: "v2", Deadline: api.Duration(deadline)},
+	} {
+		encoded, err := json.Marshal(spec)
+		assert.NilError(t, err)
+		value, err := json.Marshal(api.Stored{Spec: encoded})
+		assert.NilError(t, err)
+		o, err := f.store.Put(context.Background(), string(name), string(name), 0, value)
+		assert.NilError(t, err)
+		f.config.Apply(*o)
+	}
+	return f
+}
+
+func (f *controllerFixture) move() *configsync.Move {
+	return f.config.Snapshot().Moves[string(api.KindVersionMove)]
+}
+
+// serve sends requests for a while, as the dispatcher would.
+func (f *controllerFixture) serve(d time.Duration, fails bool) {
+	for i := 0; i < int(d/(20*time.Millisecond)); i++ {
+		time.Sleep(20 * time.Millisecond)
+		m := f.move()
+		version := "v1"
+		if dispatch.InShare(m.Name, fmt.Sprint(i), f.guard.Share(m)) {
+			version = "v2"
+		}
+		f.guard.Observe(dispatch.MoveSample{Move: m, Version: version, Route: "r", Latency: time.Duration(50+i%20) * time.Millisecond,
+			Failed: fails && version == "v2", StartedAt: time.Now(), EndedAt: time.Now()})
+	}
+}
+
+func (f *controllerFixture) run(t *testing.T, body func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = f.Run(ctx)
+	}()
+	body()
+	cancel()
+	<-ended
+}
+
+// Guards against a move that does not finish, skips a stage, or leaves the old
+// version in the pool.
+func TestControllerFinishesAMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newControllerFixture(t, 30*time.Second)
+		f.run(t, func() { f.serve(29*time.Second, false) })
+		m := f.move()
+		assert.Equal(t, m.Status.Phase, api.MoveDone, m.Status.Reason)
+		assert.Equal(t, m.Status.Verdict, api.VerdictGood)
+		assert.Equal(t, m.Status.Fence, int64(7))
+		assert.Assert(t, len(m.Status.Evidence) >= 2)
+		view := f.config.Snapshot()
+		assert.Equal(t, view.Pools["Pool"].Version, "v2")
+		assert.Equal(t, view.EffectiveVersion("Pool"), "v2")
+		pool, err := f.store.Get(context.Background(), "Pool", "Pool")
+		assert.NilError(t, err)
+		assert.Assert(t, json.Valid(pool.Value) && string(pool.Value) != "")
+		assert.Assert(t, containsUnknown(pool.Value), "unknown fields are kept: %s", pool.Value)
+	})
+}
+
+func containsUnknown(value json.RawMessage) bool {
+	var stored struct{ Spec map[string]any }
+	return json.Unmarshal(value, &stored) == nil && stored.Spec["unknown"] == true
+}
+
+// Guards against sending to a bad version, or forgetting the verdict, while
+// the object API is down, and against losing the reason when it is back.
+func TestVerdictSurvivesAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newControllerFixture(t, 60*time.Second)
+		f.run(t, func() {
+			f.serve(15*time.Second, false)
+			f.store.setDown(true)
+			f.serve(10*time.Second, true)
+			assert.Equal(t, f.guard.Share(f.move()), 0.0)
+			assert.Equal(t, len(f.guard.Verdicts()), 1)
+			f.store.setDown(false)
+			time.Sleep(5 * time.Second)
+		})
+		m := f.move()
+		assert.Equal(t, m.Status.Phase, api.MoveUndone)
+		assert.Equal(t, m.Status.Verdict, api.VerdictBad)
+		assert.Assert(t, m.Status.Reason != "")
+		assert.Equal(t, f.config.Snapshot().EffectiveVersion("Pool"), "v1")
+	})
+}
+
+// Guards against a move that goes on past its deadline when the object API or
+// the lease holder is gone, and against daemons that disagree about its end.
+func TestMoveEndsAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newControllerFixture(t, 20*time.Second)
+		f.run(t, func() {
+			f.serve(8*time.Second, false)
+			f.store.setDown(true)
+			assert.Assert(t, f.guard.Share(f.move()) > 0)
+			time.Sleep(12 * time.Second)
+			phase, ended := Ended(f.move(), time.Now())
+			assert.Assert(t, ended)
+			assert.Equal(t, phase, api.MoveUndone)
+			assert.Equal(t, f.guard.Share(f.move()), 0.0)
+			f.store.setDown(false)
+			time.Sleep(2 * time.Second)
+		})
+		assert.Equal(t, f.move().Status.Phase, api.MoveUndone)
+		assert.Assert(t, f.move().Status.Reason != "")
+	})
+}
+
+// Guards against a write by a daemon that does not hold the lease, or holds an
+// older fencing token than the last writer.
+func TestOnlyTheHolderWrites(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newControllerFixture(t, 20*time.Second)
+		f.leases.held = false
+		f.Reconcile(context.Background())
+		assert.Assert(t, f.move().Status == nil)
+		f.leases.held = true
+		f.Reconcile(context.Background())
+		assert.Equal(t, f.move().Status.Share, Stages[0])
+		o, err := f.store.Get(context.Background(), "VersionMove", "VersionMove")
+		assert.NilError(t, err)
+		status := *f.move().Status
+		status.Fence = 8
+		value, err := withStatus(o.Value, &status)
+		assert.NilError(t, err)
+		o, err = f.store.Put(context.Background(), o.Kind, o.Name, o.Version, value)
+		assert.NilError(t, err)
+		time.Sleep(30 * time.Second)
+		f.Reconcile(context.Background())
+		assert.Equal(t, f.move().Version, o.Version)
+	})
+}
--- /dev/null
+++ b/internal/rollout/state.go
@@ -0,0 +1,37 @@
+package rollout
+
+import (
+	"time"
+
+	"rattantide/internal/configsync"
+)
+
+// State is where a move stands. Times are the store's.
+type State struct {
+	From, To string
+	Declared time.Time
+	// By is the deadline.
+	By         time.Time
+	Share      float64
+	ShareSince time.Time
+}
+
+// StateOf returns the state of a move that has a status.
+func StateOf(m *configsync.Move) State {
+	s := State{
+		From: m.Spec.From, To: m.Spec.To, Share: m.Status.Share,
+		Declared: time.UnixMilli(m.Status.DeclaredMs), By: time.UnixMilli(m.Status.ByMs),
+		ShareSince: time.UnixMilli(m.Status.ShareSinceMs),
+	}
+	if m.Status.ShareSinceMs == 0 {
+		s.ShareSince = s.Declared
+	}
+	return s
+}
+
+func (s *State) deadline() time.Duration { return s.By.Sub(s.Declared) }
+
+// slot returns the number of the time slot that t falls into.
+func (s *State) slot(t time.Time) int64 {
+	return int64(max(0, t.Sub(s.Declared)) / slotLength(s.deadline()))
+}
