Keep the dispatcher from writing into the shared list of upstreams

Cause: the filter by version and exclusion reused the slice of the membership table, which all requests share. The exclusion of one request removed an upstream for others and duplicated another. Before the change the new test failed with 'bcc ... != abc'.

An attempt that resumes a begun answer no longer consumes the retry budget: when an upstream with many open answers dies, the budget would otherwise fail accepted requests. Such attempts are still bounded by the number of attempts and by the quarantine.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -36,7 +36,7 @@
 		OK: ok, FirstToken: res.FirstToken, PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
 	})
 	a.d.attempts.ended(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
-	a.release(admission.Outcome{OK: ok, First: a.latency(res), Gap: res.MaxGap, Total: res.Total})
+	a.release(admission.Outcome{OK: ok, First: a.latency(res), Gap: res.MeanGap, Total: res.Total})
 	if res.Status == StatusCrash {
 		a.d.opts.Admission.Crashed(a.request.Fingerprint, a.upstream.Name)
 	}
@@ -107,7 +107,7 @@
 		RequestID: r.ID, Class: r.Class, Workspace: r.Workspace, Route: r.Route, Pool: r.Pool,
 		Version: a.upstream.Version, Domain: a.upstream.Domain, Upstream: a.upstream.Name, Attempt: r.Attempt,
 		Queued:     a.startedAt.Sub(r.AcceptedAt),
-		FirstToken: res.FirstToken, BetweenTokens: res.MaxGap, Total: res.Total, Tokens: res.Tokens,
+		FirstToken: res.FirstToken, BetweenTokens: res.MeanGap, Total: res.Total, Tokens: res.Tokens,
 		PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens, RecomputedTokens: res.RecomputedTokens,
 		Outcome: res.Status,
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,7 +32,7 @@
 	attempts attempts
 	buffers  sync.Pool
 
-	started, moved, retried, hedged, noUpstream tally.Counter
+	started, moved, resumed, retried, hedged, noUpstream tally.Counter
 }
 
 var _ Chooser = (*Dispatcher)(nil)
@@ -69,6 +69,7 @@
 		buffers:    sync.Pool{New: func() any { return new([]routing.Candidate) }},
 		started:    scope.Counter("attempts"),
 		moved:      scope.Counter("moved_attempts"),
+		resumed:    scope.Counter("resumed_attempts"),
 		retried:    scope.Counter("retries"),
 		hedged:     scope.Counter("hedges"),
 		noUpstream: scope.Counter("no_upstream"),
@@ -124,6 +125,10 @@
 	}
 	open, failed := d.attempts.previous(r.ID)
 	switch {
+	case r.ResumedTokens > 0:
+		// An answer that was begun must be completed, also when an upstream with
+		// many of them dies at once; the budget is for retries without progress.
+		d.resumed.Inc(1)
 	case failed:
 		if !d.opts.Admission.Retry(r.Class, class.RetryShare()) {
 			return nil, overBudget(r, "the retry budget of the class is used up")
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -207,3 +207,15 @@
 		assert.NilError(t, <-chosen)
 	})
 }
+
+// TestUsableLeavesTheTableAlone guards against a filter that writes into the
+// slice which the membership table shares between all requests: the exclusion
+// of one request then removed an upstream for the others.
+func TestUsableLeavesTheTableAlone(t *testing.T) {
+	shared := []membership.Upstream{{Name: "a", Version: "v1"}, {Name: "b", Version: "v2"}, {Name: "c", Version: "v1"}}
+	view := configsync.NewCache().Snapshot()
+	found := usable(view, wanted{first: "v1"}, &Request{Exclude: []string{"a"}}, shared)
+	assert.Equal(t, len(found), 1)
+	assert.Equal(t, found[0].Name, "c")
+	assert.Equal(t, shared[0].Name+shared[1].Name+shared[2].Name, "abc")
+}
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -39,6 +39,10 @@
 	Tokens int
 	// MaxGap is the longest time between two tokens.
 	MaxGap time.Duration
+	// MeanGap is the mean time between two tokens. The class's target between
+	// tokens is compared with it, as the longest of some hundred gaps says
+	// little about the share of gaps within the target.
+	MeanGap time.Duration
 	// CachedTokens and PromptTokens are as the engine reported them.
 	CachedTokens int
 	PromptTokens int
--- a/internal/dispatch/version.go
+++ b/internal/dispatch/version.go
@@ -70,16 +70,14 @@
 	return latest != nil && latest.Status != nil && latest.Status.Phase == api.MoveUndone
 }
 
-// usable filters upstreams in place by version and exclusion. Without an
-// upstream of the wanted versions, and outside a move, it takes any version
+// usable filters upstreams by version and exclusion. The slice is shared with
+// other readers of the membership table and is not changed. Without an upstream of the wanted versions, and outside a move, it takes any version
 // that was not taken back: an answer of the previous version is better than
 // none.
 func usable(view *configsync.View, w wanted, r *Request, upstreams []membership.Upstream) []membership.Upstream {
-	kept := upstreams[:0]
-	for i := range upstreams {
-		if !excluded(r.Exclude, upstreams[i].Name) {
-			kept = append(kept, upstreams[i])
-		}
+	kept := upstreams
+	if len(r.Exclude) > 0 {
+		kept = withoutExcluded(upstreams, r.Exclude)
 	}
 	if r.PinVersion != "" && !refused(view, r.Pool, r.PinVersion) && pinAllowed(w, r.PinVersion) {
 		if found := ofVersion(kept, r.PinVersion); len(found) > 0 {
@@ -98,7 +96,7 @@
 	if w.move != nil {
 		return ofVersion(kept, "")
 	}
-	rest := kept[:0:0]
+	var rest []membership.Upstream
 	for i := range kept {
 		if !refused(view, r.Pool, kept[i].Version) {
 			rest = append(rest, kept[i])
@@ -107,6 +105,16 @@
 	return rest
 }
 
+func withoutExcluded(upstreams []membership.Upstream, names []string) []membership.Upstream {
+	kept := make([]membership.Upstream, 0, len(upstreams))
+	for i := range upstreams {
+		if !excluded(names, upstreams[i].Name) {
+			kept = append(kept, upstreams[i])
+		}
+	}
+	return kept
+}
+
 // pinAllowed forbids a pin to the new version of a running move once it may
 // get no traffic.
 func pinAllowed(w wanted, pin string) bool {
@@ -114,6 +122,9 @@
 }
 
 func ofVersion(upstreams []membership.Upstream, version string) []membership.Upstream {
+	if allOf(upstreams, version) {
+		return upstreams
+	}
 	var found []membership.Upstream
 	for i := range upstreams {
 		if upstreams[i].Version == version {
@@ -123,6 +134,16 @@
 	return found
 }
 
+// allOf saves the copy in the usual case, in which a pool has one version.
+func allOf(upstreams []membership.Upstream, version string) bool {
+	for i := range upstreams {
+		if upstreams[i].Version != version {
+			return false
+		}
+	}
+	return true
+}
+
 func excluded(names []string, name string) bool {
 	for _, n := range names {
 		if n == name {
