Record ended requests for the burn report and run the lease manager

The server reports each accepted request once, at its end, so that a retry that succeeded does not count as a failure. Safe methods no longer pass through the at-most-once log: a look-up of an order's status must work while the object API is down. The time between tokens is compared with the target as a mean, as the longest of some hundred gaps says little about the share of gaps within the target.

--- a/internal/burn/observation.go
+++ b/internal/burn/observation.go
@@ -27,8 +27,8 @@
 	// FirstToken is the time from acceptance to the first token; 0 when there
 	// was none.
 	FirstToken time.Duration
-	// BetweenTokens is the longest time between two tokens of the request; 0
-	// for fewer than two tokens.
+	// BetweenTokens is the mean time between two tokens of the request; 0 for
+	// fewer than two tokens.
 	BetweenTokens time.Duration
 	// Total is the time from acceptance to the end of the answer.
 	Total   time.Duration
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,11 +12,14 @@
 	"github.com/uber-go/tally/v4"
 
 	"rattantide/internal/admission"
+	"rattantide/internal/api"
+	"rattantide/internal/burn"
 	"rattantide/internal/configsync"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/engineclient"
 	"rattantide/internal/intent"
 	"rattantide/internal/journal"
+	"rattantide/internal/lease"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peer"
@@ -48,6 +51,8 @@
 	journal    *journal.Journal
 	intents    *intent.Log
 	server     *server.Server
+	burn       *burn.Recorder
+	leases     *lease.Manager
 
 	drainOnce sync.Once
 	draining  chan struct{}
@@ -95,6 +100,9 @@
 		PeerAddresses: s.Peers, InstanceList: s.InstanceList, Cloud: s.Cloud, HTTP: d.http,
 		Logger: d.logger, Scope: d.scope,
 	})
+	d.leases = lease.NewManager(lease.Options{
+		Store: d.store, Holder: s.Name, Table: d.table, TTL: s.LeaseTTL, Logger: d.logger, Scope: d.scope,
+	})
 	d.intents = intent.NewLog(intent.Options{
 		Store: d.store, Table: d.table, Peers: d.peers, Shards: s.IntentShards,
 		Retention: s.IntentRetention, Logger: d.logger, Scope: d.scope,
@@ -111,12 +119,17 @@
 		Config: d.cache, Table: d.table, Admission: d.admission, Trackers: d.trackers,
 		Evidence: evidence{d.table}, Scope: d.scope,
 	})
+	d.burn = burn.NewRecorder(burn.Options{Daemon: s.Name, ClassOf: d.classOf, Scope: d.scope})
 	d.journal = journal.New(journal.Options{MaxBytes: s.MaxJournalBytes, Scope: d.scope})
 	d.server = server.New(server.Options{
 		Self: d.table.Self(), Config: d.cache, Members: members{d.table}, Chooser: d.dispatcher,
 		Engine: server.EngineClient{Client: d.engines}, Journal: d.journal, Intents: d.intents,
-		Prompt: estimatePrompt, Logger: d.logger, Scope: d.scope, LogShare: s.LogRequests,
+		Observer: observer{d.burn},
+		Prompt:   estimatePrompt, Logger: d.logger, Scope: d.scope, LogShare: s.LogRequests,
 		MaxBodyBytes: s.MaxBodyBytes, MaxEventBytes: s.MaxEventBytes,
 		AbandonGrace: s.AbandonGrace, EntryTTL: s.EntryTTL,
 	})
 }
+
+// classOf returns the class in effect, or nil.
+func (d *Daemon) classOf(name string) *api.Class { return d.cache.Snapshot().Classes[name] }
--- /dev/null
+++ b/internal/daemon/observer.go
@@ -0,0 +1,28 @@
+package daemon
+
+import (
+	"time"
+
+	"rattantide/internal/burn"
+	"rattantide/internal/server"
+)
+
+// observer records ended requests for the burn report.
+type observer struct {
+	recorder *burn.Recorder
+}
+
+// Ended implements server.Observer.
+func (o observer) Ended(e server.Ended) {
+	outcome := burn.OutcomeFailed
+	switch {
+	case e.OK:
+		outcome = burn.OutcomeOK
+	case e.Shed:
+		outcome = burn.OutcomeShed
+	}
+	o.recorder.Observe(time.Now(), burn.Observation{
+		Class: e.Class, Workspace: e.Workspace, Version: e.Version, Domain: e.Domain, Upstream: e.Upstream,
+		FirstToken: e.FirstToken, BetweenTokens: e.BetweenTokens, Total: e.Total, Outcome: outcome,
+	})
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -51,6 +51,7 @@
 		Store: d.store, Config: d.cache, OperatorToken: d.settings.OperatorToken,
 		MaxObjectBytes: d.settings.MaxObjectBytes, Status: d,
 		Explainer: explainer{name: d.settings.Name, admission: d.admission, journal: d.journal},
+		Burn:      d.burn,
 		Drainer:   d, Scope: d.scope, Log: d.logger,
 	}).RegisterHandlers(app)
 	if err := app.Build(); err != nil {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -57,6 +57,7 @@
 func (d *Daemon) startParts(ctx context.Context, parts *errgroup.Group) {
 	parts.Go(func() error { return d.syncer.Run(ctx) })
 	parts.Go(func() error { return d.intents.Run(ctx) })
+	parts.Go(func() error { return d.leases.Run(ctx) })
 	parts.Go(func() error { d.watchNotice(ctx); return nil })
 }
 
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -30,6 +30,8 @@
 	Intents intent.Recorder
 	// Handoff may be nil: records then live and end with this daemon.
 	Handoff Handoff
+	// Observer may be nil.
+	Observer Observer
 	// Prompt estimates a prompt's tokens and hashes its prefix blocks. Default:
 	// engineclient's estimate.
 	Prompt func(messages json.RawMessage) (tokens int, blocks []uint64)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -30,7 +30,11 @@
 	// version is the one that the events held come from.
 	version string
 	// domain is the failure domain of the last upstream, for logs.
-	domain   string
+	domain string
+	// upstream is the last upstream that was used.
+	upstream string
+	// timing sums up the tokens of all attempts.
+	timing   timing
 	priority int
 	exclude  []string
 	// noPrefix is set once an engine refused the prefix form, or the answer
@@ -69,6 +73,21 @@
 		s.options.Handoff.Finished(rec)
 	}
 	r.logEnd(outcome, p)
+	s.ended(r.observation(outcome, p))
+}
+
+func (r *runner) observation(outcome journal.Outcome, p *problem.Problem) Ended {
+	return Ended{
+		RequestID: r.rec.ID, Workspace: r.rec.Workspace, Class: r.rec.Class, Route: r.rec.Route,
+		Version: r.version, Domain: r.domain, Upstream: r.upstream,
+		OK: outcome == journal.OutcomeDone, Shed: isShed(p),
+		FirstToken: r.timing.first, BetweenTokens: r.timing.meanGap(), Total: time.Since(r.rec.AcceptedAt),
+	}
+}
+
+// isShed reports whether a problem refuses a call because of load.
+func isShed(p *problem.Problem) bool {
+	return p != nil && p.Ran == problem.RanNotRun && (p.Code == problem.CodeOverloaded || p.Code == problem.CodeNoUpstream)
 }
 
 // logEnd writes one line about a failed request, and about a share of the
--- a/internal/server/seen.go
+++ b/internal/server/seen.go
@@ -12,6 +12,7 @@
 	begun, last time.Time
 	first       time.Duration
 	gap         time.Duration
+	gaps        time.Duration
 	tokens      int
 	recomputed  int
 	draining    bool
@@ -22,17 +23,26 @@
 		m.first = now.Sub(m.begun)
 	} else {
 		m.gap = max(m.gap, now.Sub(m.last))
+		m.gaps += now.Sub(m.last)
 	}
 	m.tokens++
 	m.last = now
 }
 
+// meanGap returns the mean time between two tokens, 0 for fewer than two.
+func (m *seen) meanGap() time.Duration {
+	if m.tokens < 2 {
+		return 0
+	}
+	return m.gaps / time.Duration(m.tokens-1)
+}
+
 // result returns what the chooser learns. final is the last event of a
 // complete answer, which carries the usage, or nil.
 func (m *seen) result(status dispatch.Status, final []byte) dispatch.Result {
 	r := dispatch.Result{
 		Status: status, Draining: m.draining, FirstToken: m.first, Total: time.Since(m.begun),
-		Tokens: m.tokens, MaxGap: m.gap, RecomputedTokens: m.recomputed,
+		Tokens: m.tokens, MaxGap: m.gap, MeanGap: m.meanGap(), RecomputedTokens: m.recomputed,
 	}
 	var c struct {
 		Usage struct {
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -12,6 +12,7 @@
 
 	"rattantide/internal/api"
 	"rattantide/internal/dispatch"
+	"rattantide/internal/membership"
 	"rattantide/internal/problem"
 )
 
@@ -28,7 +29,9 @@
 	request   *http.Request
 	body      []byte
 	// key identifies the call if it must run at most once.
-	key      string
+	key string
+	// once says that the call must run at most once.
+	once     bool
 	accepted time.Time
 	deadline time.Time
 	attempt  int
@@ -56,13 +59,24 @@
 	c.body = body
 	s.metrics.accepted.Inc(1)
 	w.Header().Set("X-Request-Id", c.id)
-	if c.class.IsIdempotent() {
-		s.repeatable(w, c)
-	} else {
+	if c.once {
 		s.atMostOnce(w, c)
+	} else {
+		s.repeatable(w, c)
 	}
 }
 
+// runsOnce reports whether a call must run at most once: the class is not
+// idempotent, or the caller sent an idempotency key. Safe methods change
+// nothing by definition, so look-ups work without the object API.
+func runsOnce(class *api.Class, r *http.Request) bool {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return false
+	}
+	return !class.IsIdempotent() || r.Header.Get("Idempotency-Key") != ""
+}
+
 func (s *Server) newServiceCall(r *http.Request) (*serviceCall, string, *problem.Problem) {
 	id, p := requestID(r)
 	if p != nil {
@@ -89,6 +103,7 @@
 	now := time.Now()
 	return &serviceCall{
 		id: id, workspace: name, routeName: routeName, route: route, class: class, request: r, key: key,
+		once:     runsOnce(class, r),
 		accepted: now, deadline: now.Add(class.Deadline.D()),
 	}, name, nil
 }
@@ -98,7 +113,7 @@
 	c.attempt++
 	return s.options.Chooser.Choose(ctx, &dispatch.Request{
 		ID: c.id, Workspace: c.workspace, Class: c.route.Class, Route: c.routeName, Pool: c.route.Pool,
-		Idempotent: c.class.IsIdempotent(), AcceptedAt: c.accepted, Deadline: c.deadline,
+		Idempotent: !c.once, AcceptedAt: c.accepted, Deadline: c.deadline,
 		Attempt: c.attempt, Exclude: c.exclude,
 	})
 }
@@ -147,6 +162,7 @@
 	case answer.response.StatusCode >= 500:
 		status = dispatch.StatusError
 	}
+	s.endedService(c, &answer.choice.Upstream, status == dispatch.StatusOK, nil)
 	answer.close(dispatch.Result{Status: status})
 	if err != nil {
 		// Ending the response normally would make a part look like the whole.
@@ -158,9 +174,22 @@
 	s.metrics.refused(p.Code)
 	s.options.Logger.Warn("call failed", "request", c.id, "attempt", c.attempt, "workspace", c.workspace,
 		"class", c.route.Class, "route", c.routeName, "code", p.Code, "ran", p.Ran)
+	s.endedService(c, nil, false, p)
 	problem.Write(w, p.WithRequestID(c.id))
 }
 
+// endedService reports the end of a call; upstream is nil when none answered.
+func (s *Server) endedService(c *serviceCall, upstream *membership.Upstream, ok bool, p *problem.Problem) {
+	e := Ended{
+		RequestID: c.id, Workspace: c.workspace, Class: c.route.Class, Route: c.routeName,
+		OK: ok, Shed: isShed(p), Total: time.Since(c.accepted),
+	}
+	if upstream != nil {
+		e.Version, e.Domain, e.Upstream = upstream.Version, upstream.Domain, upstream.Name
+	}
+	s.ended(e)
+}
+
 // serviceProblem describes the end of a call without an answer.
 func serviceProblem(ctx context.Context, err error, ran bool) *problem.Problem {
 	var p *problem.Problem
--- a/internal/server/use.go
+++ b/internal/server/use.go
@@ -61,7 +61,8 @@
 		how = next
 	}
 	r.leave(ctx, choice, end)
-	r.domain = choice.Upstream.Domain
+	r.domain, r.upstream = choice.Upstream.Domain, choice.Upstream.Name
+	r.timing.add(r.rec.AcceptedAt, measured)
 	var final []byte
 	if end.ending == endDone {
 		if events := r.rec.Events(); len(events) > 0 {
