--- a/internal/server/use.go
+++ b/internal/server/use.go
@@ -31,7 +31,7 @@
 }
 
 func (r *runner) useFrom(ctx context.Context, choice *dispatch.Choice, how mode) result {
-	measured := &seen{begun: time.Now()}
+	measured := &seen{begun: time.Now(), onFirst: choice.FirstToken}
 	if held := int(r.rec.Last()); how == modePrefix || how == modeRegenerate {
 		measured.recomputed = held
 		r.server.metrics.recomputed.Inc(int64(held))
@@ -73,7 +73,8 @@
 		how = next
 	}
 	r.leave(ctx, choice, end)
-	r.domain = choice.Upstream.Domain
+	r.domain, r.upstream = choice.Upstream.Domain, choice.Upstream.Name
+	r.timing.add(r.rec.AcceptedAt, measured)
 	var final []byte
 	if end.ending == endDone {
 		if events := r.rec.Events(); len(events) > 0 {
