--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,270 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// testClock is a clock that tests move.
+type testClock struct{ now time.Time }
+
+func newTestTable(clock *testClock, name string) *Table {
+	return NewTable(Daemon{Name: name, Address: name, Domain: "z0", Region: "r0"}, Options{Now: func() time.Time { return clock.now }})
+}
+
+func engine(i int) Instance {
+	return Instance{
+		Name: fmt.Sprintf("u%04d", i), Address: fmt.Sprintf("10.0.0.%d", i), Domain: fmt.Sprintf("z%d", i%3),
+		Region: "r0", Role: RoleUpstream, Pool: "p", State: StateLive,
+	}
+}
+
+func list(revision int64, instances ...Instance) InstanceList {
+	return InstanceList{Revision: revision, Instances: instances}
+}
+
+func names(upstreams []Upstream) []string {
+	out := []string{}
+	for _, u := range upstreams {
+		out = append(out, u.Name)
+	}
+	return out
+}
+
+// Guards against new work for an instance that is leaving because the lagging
+// list still calls it live, and against keeping its replacement out.
+func TestListDoesNotRestoreLeaving(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	table := newTestTable(clock, "d")
+	table.ApplyList(list(1, engine(0), engine(1), engine(3)))
+	table.Announce(Announcement{Name: "u0000", Address: engine(0).Address, Role: RoleUpstream})
+	table.ApplyNotices(Notice{Seq: 1, Instance: "u0001", DeadlineMs: 30_000, Kind: NoticeReclaim})
+	table.ApplyList(list(2, engine(0), engine(1), engine(3)))
+	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0003"})
+	u, ok := table.Upstream("u0001")
+	assert.Assert(t, ok && u.Leaving)
+	assert.Equal(t, u.LeavingBy, clock.now.Add(30*time.Second))
+
+	table.ApplyNotices(Notice{Seq: 2, Instance: "u0001", Kind: NoticeCancel})
+	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0001", "u0003"})
+	replacement := engine(0)
+	replacement.Address = "10.9.9.9"
+	table.ApplyList(list(3, replacement, engine(1), engine(3)))
+	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0000", "u0001", "u0003"})
+	// An older list, and one that names the old incarnation again.
+	table.ApplyList(list(2, engine(0)))
+	table.ApplyList(list(4, engine(0), engine(1), engine(3)))
+	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0001", "u0003"})
+}
+
+// Guards against a domain notice that misses instances which the lagging list
+// names only later, and against one that hits later replacements.
+func TestDomainNotice(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	table := newTestTable(clock, "d")
+	table.ApplyList(list(1, engine(0), engine(1)))
+	table.ApplyNotices(Notice{Seq: 1, Domain: "z0", DeadlineMs: 10_000, Kind: NoticeReclaim})
+	table.ApplyList(list(2, engine(0), engine(1), engine(3)))
+	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0001"})
+	assert.Assert(t, table.Self().Leaving == false, "self is not on the list yet")
+	clock.now = clock.now.Add(11 * time.Second)
+	table.ApplyList(list(3, engine(0), engine(1), engine(3), engine(6)))
+	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0001", "u0006"})
+}
+
+// Guards against a short list that empties a pool, and against an instance that
+// stays for ever.
+func TestAbsenceRemovesAfterGrace(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	table := newTestTable(clock, "d")
+	table.ApplyList(list(1, engine(0), engine(1)))
+	table.ApplyList(list(2))
+	clock.now = clock.now.Add(29 * time.Second)
+	table.Tick()
+	assert.Equal(t, len(table.Upstreams("p")), 2)
+	changed := table.Changed()
+	clock.now = clock.now.Add(2 * time.Second)
+	table.Tick()
+	<-changed
+	assert.Equal(t, len(table.Upstreams("p")), 0)
+}
+
+// Guards against work for an upstream that refuses it, and against one that
+// stays out after it has recovered.
+func TestEvidence(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	table := newTestTable(clock, "d")
+	table.ApplyList(list(1, engine(0), engine(1)))
+	usable := func() int { return len(table.Upstreams("p")) }
+
+	table.Observe("u0000", EvidenceRefused)
+	assert.Equal(t, usable(), 1)
+	clock.now = clock.now.Add(time.Second)
+	assert.Equal(t, usable(), 2)
+	table.Observe("u0000", EvidenceRefused)
+	clock.now = clock.now.Add(time.Second)
+	assert.Equal(t, usable(), 1, "the second ejection must be longer")
+	table.Observe("u0000", EvidenceOK)
+	assert.Equal(t, usable(), 2)
+
+	table.Observe("u0000", EvidenceCrash)
+	assert.Equal(t, usable(), 2, "one crash may be the request's fault")
+	table.Observe("u0000", EvidenceCrash)
+	assert.Equal(t, usable(), 1)
+	table.Observe("u0000", EvidenceOK)
+
+	table.Observe("u0001", EvidenceDraining)
+	table.Observe("u0001", EvidenceOK)
+	assert.Equal(t, usable(), 1, "a draining upstream still answers old calls")
+	table.SetLoad("u0001", Load{Seq: 1, AgeMs: 500})
+	assert.Equal(t, usable(), 1, "the report is older than the draining answer")
+	clock.now = clock.now.Add(time.Second)
+	table.SetLoad("u0001", Load{Seq: 2, Running: 7})
+	assert.Equal(t, usable(), 2)
+	assert.Equal(t, table.Upstreams("p")[1].Load.Running, 7)
+	table.SetLoad("u0001", Load{Seq: 1, Running: 9})
+	assert.Equal(t, table.Upstreams("p")[1].Load.Running, 7, "an older report must not replace a newer one")
+}
+
+// Guards against subsets that are unbounded, lopsided, equal on all daemons, or
+// that change as a whole when one upstream goes.
+func TestSubset(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	var all []Instance
+	for i := range 1200 {
+		all = append(all, engine(i))
+	}
+	for i := range 50 {
+		remote := engine(2000 + i)
+		remote.Region = "r1"
+		all = append(all, remote)
+	}
+	use := map[string]int{}
+	for d := range 36 {
+		table := newTestTable(clock, fmt.Sprint("d", d))
+		table.ApplyList(list(1, all...))
+		domains := map[string]int{}
+		before := map[string]bool{}
+		for _, u := range table.Upstreams("p") {
+			assert.Equal(t, u.Region, "r0")
+			domains[u.Domain]++
+			before[u.Name] = true
+			use[u.Name]++
+		}
+		assert.Equal(t, len(before), 100)
+		assert.Assert(t, domains["z0"] >= 33 && domains["z1"] >= 33 && domains["z2"] >= 33)
+		gone := table.Upstreams("p")[0]
+		table.Announce(Announcement{Name: gone.Name, Address: gone.Address, Role: RoleUpstream})
+		fresh := 0
+		for _, u := range table.Upstreams("p") {
+			if !before[u.Name] {
+				fresh++
+			}
+		}
+		assert.Equal(t, fresh, 1)
+	}
+	assert.Assert(t, len(use) > 1000, "36 daemons use only %d of 1200 upstreams", len(use))
+
+	small := newTestTable(clock, "d")
+	small.ApplyList(list(1, append(all[1200:], engine(0))...))
+	assert.Equal(t, len(small.Upstreams("p")), 51, "a region without enough upstreams uses others")
+}
+
+// Guards against a leaving instance that gets work, and against daemons whose
+// views stay different, when lists, notices and announcements reach them in
+// random order and by deltas of each other.
+func TestSourcesAndExportsConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := &testClock{time.Unix(1000, 0)}
+		tables := []*Table{newTestTable(clock, "a"), newTestTable(clock, "b")}
+		positions := []string{"", ""}
+		leaving := map[string]bool{}
+		revision := int64(0)
+		exchange := func(from int) {
+			state := tables[from].Export(positions[from])
+			tables[1-from].Import(state)
+			positions[from] = state.Position()
+		}
+		check := func() {
+			for i, table := range tables {
+				for _, u := range table.Upstreams("p") {
+					if leaving[fmt.Sprint(i, u.Name)] {
+						rt.Fatalf("table %d gives work to %s, which is leaving", i, u.Name)
+					}
+				}
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"list": func(rt *rapid.T) {
+				revision++
+				lag := rapid.Int64Range(0, 2).Draw(rt, "lag")
+				var instances []Instance
+				for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 6, rapid.ID).Draw(rt, "instances") {
+					instances = append(instances, engine(i))
+				}
+				tables[rapid.IntRange(0, 1).Draw(rt, "table")].ApplyList(list(max(1, revision-lag), instances...))
+			},
+			"announce": func(rt *rapid.T) {
+				i, at := rapid.IntRange(0, 5).Draw(rt, "instance"), rapid.IntRange(0, 1).Draw(rt, "table")
+				tables[at].Announce(Announcement{Name: engine(i).Name, Address: engine(i).Address, Role: RoleUpstream})
+				leaving[fmt.Sprint(at, engine(i).Name)] = true
+			},
+			"exchange": func(rt *rapid.T) { exchange(rapid.IntRange(0, 1).Draw(rt, "from")) },
+			"wait": func(rt *rapid.T) {
+				clock.now = clock.now.Add(time.Duration(rapid.IntRange(0, 40).Draw(rt, "seconds")) * time.Second)
+				tables[0].Tick()
+				tables[1].Tick()
+			},
+			"": func(*rapid.T) { check() },
+		})
+		exchange(0)
+		exchange(1)
+		exchange(0)
+		for key := range leaving {
+			leaving["0"+key[1:]], leaving["1"+key[1:]] = true, true
+		}
+		check()
+	})
+}
+
+// BenchmarkUpstreams measures the read that every request makes.
+func BenchmarkUpstreams(b *testing.B) {
+	for _, load := range []bool{false, true} {
+		b.Run(fmt.Sprintf("newLoadEach=%v", load), func(b *testing.B) {
+			table := NewTable(Daemon{Name: "d", Region: "r0"}, Options{})
+			var all []Instance
+			for i := range 12_000 {
+				all = append(all, engine(i))
+			}
+			table.ApplyList(list(1, all...))
+			name := table.Upstreams("p")[0].Name
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if load {
+					table.SetLoad(name, Load{Seq: int64(i)})
+				}
+				if len(table.Upstreams("p")) != 100 {
+					b.Fatal("the subset is not full")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAnnounce measures one change of membership at the target size.
+func BenchmarkAnnounce(b *testing.B) {
+	table := NewTable(Daemon{Name: "d", Region: "r0"}, Options{})
+	var all []Instance
+	for i := range 12_000 {
+		all = append(all, engine(i))
+	}
+	table.ApplyList(list(1, all...))
+	for i := 0; b.Loop(); i++ {
+		table.Announce(Announcement{Name: fmt.Sprint("x", i), Address: "x", Role: RoleUpstream})
+		table.Upstreams("p")
+	}
+}
