--- /dev/null
+++ b/internal/intent/calls_test.go
@@ -0,0 +1,80 @@
+package intent
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// measurement is what a load cost.
+type measurement struct {
+	callsPerOrder float64
+	kbPerOrder    float64
+	p50, p99      time.Duration
+}
+
+// measure runs orders at a rate over nine daemons; a call of the object API
+// takes 10 ms of the bubble's time and an order 200 ms.
+func measure(t *testing.T, rate int, length time.Duration) (m measurement) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 9, 16)
+		f.store.SetLatency(10 * time.Millisecond)
+		for _, l := range f.logs {
+			l.options.SegmentBytes, l.options.WriteBurst = 256<<10, 20
+			l.limiter.SetLimit(20)
+			l.limiter.SetBurst(20)
+		}
+		orders := rate * int(length/time.Second)
+		times := make([]time.Duration, orders)
+		var running sync.WaitGroup
+		for i := range orders {
+			running.Go(func() {
+				l := f.logs[i%len(f.logs)]
+				name := fmt.Sprint("order-", i)
+				started := time.Now()
+				grant, err := l.Begin(t.Context(), key(name), "digest", name)
+				times[i] = time.Since(started)
+				if err != nil || !grant.Granted {
+					t.Errorf("order %d: %+v %v", i, grant, err)
+					return
+				}
+				time.Sleep(200 * time.Millisecond)
+				l.Finish(key(name), name, Outcome{Ran: RanDone, Status: 200, Body: []byte("accepted")})
+			})
+			time.Sleep(time.Second / time.Duration(rate))
+		}
+		running.Wait()
+		for _, l := range f.logs {
+			flush(t, l)
+		}
+		time.Sleep(time.Second)
+		calls := f.store.Calls()
+		slices.Sort(times)
+		m = measurement{
+			callsPerOrder: float64(calls.Total()) / float64(orders),
+			kbPerOrder:    float64(calls.PutBytes) / float64(orders) / 1000,
+			p50:           times[len(times)/2], p99: times[len(times)*99/100],
+		}
+	})
+	return m
+}
+
+// Guards against object API calls that grow in proportion to the orders, which
+// would exhaust the store's write limit of several hundred a second.
+func TestCallsPerOrderFall(t *testing.T) {
+	var measured []measurement
+	for _, rate := range []int{1, 10, 100, 1000} {
+		m := measure(t, rate, 20*time.Second)
+		t.Logf("%4d orders/s: %.3f calls/order, %5.1f kB written/order, begin p50 %v p99 %v", rate, m.callsPerOrder, m.kbPerOrder, m.p50, m.p99)
+		measured = append(measured, m)
+	}
+	for i := 1; i < len(measured); i++ {
+		assert.Assert(t, measured[i].callsPerOrder < measured[i-1].callsPerOrder)
+	}
+	assert.Assert(t, measured[3].callsPerOrder < measured[0].callsPerOrder/5)
+}
--- a/internal/intent/head.go
+++ b/internal/intent/head.go
@@ -126,11 +126,25 @@
 	return dropped
 }
 
+// minSegmentBytes and refBytes set when a head is sealed. Every write carries
+// the head, so it is cheapest when finished entries and segment references take
+// about the same space: few references call for small segments.
+const (
+	minSegmentBytes = 16 << 10
+	refBytes        = 48
+)
+
+// segmentBytes returns the size from which the head is sealed, at most limit.
+func (h *head) segmentBytes(limit int) int {
+	return min(max(minSegmentBytes, 2*refBytes*len(h.segments)), limit)
+}
+
 // seal moves the oldest finished entries, up to limit bytes, out of the head
 // when they fill a segment. It returns nil when they do not. The result depends
 // on the head alone, so two writers that seal the same version make equal
 // segments of equal names.
 func (h *head) seal(shard int, limit int) (*segmentRef, []*entry) {
+	limit = h.segmentBytes(limit)
 	total := 0
 	for _, e := range h.entries {
 		if e.Outcome != nil {
--- a/internal/intent/history_test.go
+++ b/internal/intent/history_test.go
@@ -159,7 +159,7 @@
 	running sync.WaitGroup
 }
 
-func newFleet(t *testing.T, count int) *fleet {
+func newFleet(t *testing.T, count, shards int) *fleet {
 	f := &fleet{store: objecttest.New(), network: &network{apps: map[string]http.Handler{}}}
 	var instances []membership.Instance
 	for i := range count {
@@ -171,7 +171,7 @@
 		table.ApplyList(membership.InstanceList{Revision: 1, Instances: instances})
 		paused := &pausedStore{Store: f.store}
 		l := newTestLog(t, paused, func(o *Options) {
-			o.Table, o.Shards, o.SegmentBytes = table, 2, 600
+			o.Table, o.Shards, o.SegmentBytes = table, shards, 600
 			o.Peers = &peer.Client{HTTP: &http.Client{Transport: f.network}}
 		})
 		app := iris.New()
@@ -285,7 +285,7 @@
 		// A failure inside of the bubble must not unwind through it.
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, 3)
+			f := newFleet(t, 3, 2)
 			for i, s := range steps {
 				time.Sleep(s.before)
 				if s.fault >= 0 {
--- a/internal/intent/options.go
+++ b/internal/intent/options.go
@@ -25,8 +25,8 @@
 	// PendingMax is how long a call may be without an outcome before it is
 	// recorded as unknown; a later outcome still replaces that. Default 10 min.
 	PendingMax time.Duration
-	// SegmentBytes is the size from which finished entries are moved out of a
-	// shard's head, and of a segment. Default 256 KB.
+	// SegmentBytes bounds the finished entries in a shard's head, and a sealed
+	// segment. A shard with few segments seals smaller ones. Default 256 KB.
 	SegmentBytes int
 	// MaxBodyBytes bounds an answer's body that is kept. Default 16 KB.
 	MaxBodyBytes int
@@ -35,8 +35,9 @@
 	WritesPerSecond float64
 	WriteBurst      int
 	// FinishDelay is how long an outcome waits for others to be written
-	// together with it. An outcome that is lost with its daemon within this
-	// time is unknown. Default 100 ms.
+	// together with it, and ten times that while the write budget is short. An
+	// outcome that is lost with its daemon within this time is unknown. Default
+	// 100 ms.
 	FinishDelay time.Duration
 	// CommitTimeout bounds the time in which an intent must be committed; then
 	// the call is refused. Default 3 s.
--- a/internal/intent/writer.go
+++ b/internal/intent/writer.go
@@ -136,7 +136,7 @@
 			return true
 		}
 		if finishes > 0 && delay == nil {
-			timer := time.NewTimer(w.log.options.FinishDelay)
+			timer := time.NewTimer(w.finishDelay())
 			defer timer.Stop()
 			delay = timer.C
 		}
@@ -163,6 +163,15 @@
 	}
 }
 
+// finishDelay is how long outcomes wait for an intent that they can be written
+// with. While the budget is short it is kept for intents, whose callers wait.
+func (w *writer) finishDelay() time.Duration {
+	if w.log.limiter.Tokens() < float64(w.log.options.WriteBurst)/2 {
+		return 10 * w.log.options.FinishDelay
+	}
+	return w.log.options.FinishDelay
+}
+
 func (w *writer) stopIfIdle() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
