--- /dev/null
+++ b/internal/admin/lease.go
@@ -0,0 +1,7 @@
+package admin
+
+// Lease is a duty lease that a daemon holds.
+type Lease struct {
+	Duty  string `json:"duty"`
+	Fence int64  `json:"fence"`
+}
--- /dev/null
+++ b/internal/admin/members.go
@@ -0,0 +1,7 @@
+package admin
+
+// Members counts members by state.
+type Members struct {
+	Live    int `json:"live"`
+	Leaving int `json:"leaving"`
+}
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -21,21 +21,3 @@
 	Upstreams []PoolCount `json:"upstreams"`
 	Moves     []Move      `json:"moves"`
 }
-
-// Lease is a duty lease that a daemon holds.
-type Lease struct {
-	Duty  string `json:"duty"`
-	Fence int64  `json:"fence"`
-}
-
-// Members counts members by state.
-type Members struct {
-	Live    int `json:"live"`
-	Leaving int `json:"leaving"`
-}
-
-// PoolCount counts the upstreams of a pool that a daemon works with.
-type PoolCount struct {
-	Pool string `json:"pool"`
-	Members
-}
--- a/internal/burn/measure_report.go
+++ b/internal/burn/measure_report.go
@@ -16,22 +16,6 @@
 	Curve []CurvePoint `json:"curve"`
 }
 
-// Percentiles are percentiles of a measure in a window, in milliseconds.
-type Percentiles struct {
-	Window string  `json:"window"`
-	Count  int64   `json:"count"`
-	P50Ms  float64 `json:"p50Ms"`
-	P95Ms  float64 `json:"p95Ms"`
-	P99Ms  float64 `json:"p99Ms"`
-	MaxMs  float64 `json:"maxMs"`
-}
-
-// CurvePoint says which share of requests is above Ms.
-type CurvePoint struct {
-	Ms    float64 `json:"ms"`
-	Above float64 `json:"above"`
-}
-
 func reportMeasure(name string, histograms []*hdrhistogram.Histogram) (MeasureReport, bool) {
 	out := MeasureReport{Name: name, Windows: []Percentiles{}, Curve: []CurvePoint{}}
 	for i, h := range histograms {
@@ -50,14 +34,6 @@
 	return out, len(out.Windows) > 0
 }
 
-func curveOf(h *hdrhistogram.Histogram) []CurvePoint {
-	points := []CurvePoint{}
-	for _, bracket := range h.CumulativeDistributionWithTicks(4) {
-		points = append(points, CurvePoint{Ms: milliseconds(bracket.ValueAt), Above: 1 - bracket.Quantile/100})
-	}
-	return points
-}
-
 func milliseconds(value int64) float64 {
 	return float64(value) * float64(unit) / float64(time.Millisecond)
 }
--- a/internal/burn/recorder.go
+++ b/internal/burn/recorder.go
@@ -13,17 +13,6 @@
 // as otherValue. A class takes at most about 1 MiB of histograms.
 const maxClasses = 16
 
-// Options are what a Recorder is built from.
-type Options struct {
-	// Daemon is the name of the daemon whose requests are recorded.
-	Daemon string
-	// ClassOf returns the class in effect, or nil when it does not exist. It is
-	// called once for each observation and must be fast. Required.
-	ClassOf func(name string) *api.Class
-	// Scope receives the metrics. Default: tally.NoopScope.
-	Scope tally.Scope
-}
-
 // Recorder records the requests of one daemon. It is safe for concurrent use.
 type Recorder struct {
 	daemon  string
