--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -150,6 +150,17 @@
 	histograms["firstToken"] = histograms["firstToken"][:len(histograms["firstToken"])/2]
 	_, err := burn.Merge(e)
 	assert.ErrorContains(t, err, `class "chat" of [a]: window "1h"`)
+	for _, text := range []string{
+		`{"classes":{"chat":null}}`, `{"classes":{"chat":{"windows":{"1h":null}}}}`,
+		`{"classes":{"chat":{"goals":[{"name":"answer"}],"windows":{"3d":{"counts":{"bad":[0,0,1,0]},"spenders":{"domain":{"a":null}}}}}}}`,
+	} {
+		e := &burn.Export{}
+		assert.NilError(t, json.Unmarshal([]byte(text), e))
+		_, err := burn.NewReport(e)
+		assert.NilError(t, err)
+		_, err = burn.Merge(e, r.Export(start))
+		assert.NilError(t, err)
+	}
 }
 
 // TestPageLoadsNothing guards against a page that needs the network or that
--- a/internal/burn/merge.go
+++ b/internal/burn/merge.go
@@ -19,6 +19,9 @@
 		out.AtMs = max(out.AtMs, e.AtMs)
 		out.Daemons = append(out.Daemons, e.Daemons...)
 		for name, class := range e.Classes {
+			if class == nil {
+				continue
+			}
 			if out.Classes[name] == nil {
 				out.Classes[name] = &ClassExport{Goals: class.Goals}
 				sums[name] = map[string]*bucket{}
@@ -47,6 +50,9 @@
 
 func addWindows(sums map[string]*bucket, class *ClassExport) error {
 	for window, w := range class.Windows {
+		if w == nil {
+			continue
+		}
 		b, err := w.bucket()
 		if err != nil {
 			return errors.Annotatef(err, "window %q", window)
@@ -81,6 +87,9 @@
 			b.spenders[i] = make(map[string]*Counts, len(values))
 		}
 		for value, counts := range values {
+			if counts == nil {
+				continue
+			}
 			if held := b.spenders[i][value]; held != nil {
 				held.Add(*counts)
 				continue
--- a/internal/burn/report.go
+++ b/internal/burn/report.go
@@ -22,6 +22,9 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
+		if e.Classes[name] == nil {
+			continue
+		}
 		class, err := reportClass(name, e.Classes[name])
 		if err != nil {
 			return nil, errors.Annotatef(err, "class %q", name)
--- a/internal/burn/spender.go
+++ b/internal/burn/spender.go
@@ -26,12 +26,14 @@
 	total := b.counts.Bad[goal]
 	for i, values := range b.spenders {
 		for value, counts := range values {
-			if bad := counts.Bad[goal]; bad > 0 && total > 0 {
-				out = append(out, Spender{
-					Dimension: dimensionNames[i], Value: value, Requests: counts.of(goal), Bad: bad,
-					Share: float64(bad) / float64(total), BadRate: float64(bad) / float64(max(1, counts.of(goal))),
-				})
+			if counts == nil || counts.Bad[goal] <= 0 || total <= 0 {
+				continue
 			}
+			bad := counts.Bad[goal]
+			out = append(out, Spender{
+				Dimension: dimensionNames[i], Value: value, Requests: counts.of(goal), Bad: bad,
+				Share: float64(bad) / float64(total), BadRate: float64(bad) / float64(max(1, counts.of(goal))),
+			})
 		}
 	}
 	average := float64(total) / float64(max(1, b.counts.of(goal)))
