Let the demo reclaim the engine that holds the streams

Load reports lag by 200 ms, so the engine that had given the reference answers looked busiest; the engines' logs are counted instead. A watched move without an outcome no longer advises to check the addresses.

--- a/internal/cli/demo/platform.go
+++ b/internal/cli/demo/platform.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -93,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	p.domain = domain
 	d.mu.Lock()
 	d.engines = append(d.engines, p)
 	d.mu.Unlock()
@@ -116,12 +118,12 @@
 	})
 }
 
-// startDaemon starts a daemon and waits until it is ready. index chooses its
+// startDaemon starts a daemon and waits until it answers. slot chooses its
 // fixed address.
-func (d *demo) startDaemon(ctx context.Context, name, domain string, index int) error {
+func (d *demo) startDaemon(ctx context.Context, name, domain string, slot int) error {
 	listen := anyPort
 	if d.options.Stay {
-		listen = fixedEntries[index]
+		listen = fixedEntries[slot]
 	}
 	env := []string{"RATTANTIDE_PEER_TOKEN=" + peerToken, "RATTANTIDE_OPERATOR_TOKEN=" + operatorToken}
 	p, err := d.launch(ctx, name, "rattantided", env, "-name", name, "-listen", listen, "-domain", domain, "-region", region,
@@ -136,8 +138,10 @@
 	if err != nil {
 		return errors.Annotatef(err, "%s: %s", name, p.lastLines())
 	}
+	p.domain, p.slot = domain, slot
 	d.mu.Lock()
 	d.daemons = append(d.daemons, p)
+	slices.SortFunc(d.daemons, func(a, b *process) int { return cmp.Compare(a.slot, b.slot) })
 	d.mu.Unlock()
 	return d.list(ctx, instances.Instance{
 		Name: name, Address: p.address, Domain: domain, Region: region, Role: "daemon", Class: "reclaimable", PricePerHour: 0.1,
--- a/internal/cli/demo/process.go
+++ b/internal/cli/demo/process.go
@@ -17,7 +17,11 @@
 
 // process is a started program. Its output goes to a file.
 type process struct {
-	name    string
+	name string
+	// domain and slot are set for engines and daemons; the slot chooses a fixed
+	// address.
+	domain  string
+	slot    int
 	address string
 	logPath string
 	command *exec.Cmd
--- a/internal/cli/demo/show_base.go
+++ b/internal/cli/demo/show_base.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"rattantide/internal/admin"
 )
@@ -140,16 +141,19 @@
 		return "", err
 	}
 	c := d.caller(chatToken)
-	for i := range chats {
-		q := chats[i]
-		q.id += "-whole"
-		got, err := c.whole(ctx, d.daemonAddresses()[i%len(domains)], q)
-		if err != nil {
-			return "", err
-		}
-		if got.text != answers[i].text {
-			return "", errors.Errorf("%s differs from the stream", q.id)
-		}
+	group, groupCtx := errgroup.WithContext(ctx)
+	for i, q := range chats {
+		group.Go(func() error {
+			q.id += "-whole"
+			got, err := c.whole(groupCtx, d.daemonAddresses()[i%len(domains)], q)
+			if err == nil && got.text != answers[i].text {
+				err = errors.Errorf("%s differs from the stream", q.id)
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return "", err
 	}
 	first := make([]time.Duration, count)
 	for i, a := range answers {
--- a/internal/cli/demo/show_reclaim.go
+++ b/internal/cli/demo/show_reclaim.go
@@ -27,13 +27,9 @@
 	return chats
 }
 
-// reclaimDuring runs streams, reclaims an instance in the middle and kills it
-// at the end of the notice.
-func (d *demo) reclaimDuring(ctx context.Context, entry string, chats []chat, victim *process) ([]*answer, error) {
-	version, err := d.effective(ctx)
-	if err != nil {
-		return nil, err
-	}
+// reclaimDuring runs streams, reclaims the instance that pick chooses in the
+// middle and kills it at the end of the notice.
+func (d *demo) reclaimDuring(ctx context.Context, version, entry string, chats []chat, pick func() (*process, error)) ([]*answer, error) {
 	type outcome struct {
 		answers []*answer
 		err     error
@@ -46,6 +42,10 @@
 	if err := d.untilBusy(ctx, len(chats)); err != nil {
 		return nil, err
 	}
+	victim, err := pick()
+	if err != nil {
+		return nil, err
+	}
 	if err := d.notify(ctx, victim.name, reclaimNotice); err != nil {
 		return nil, err
 	}
@@ -81,85 +81,106 @@
 
 // showUpstreamReclaim reclaims the engine that has most of the streams.
 func (d *demo) showUpstreamReclaim(ctx context.Context) (string, error) {
-	chats := longChats("engine-reclaim")
-	d.mu.Lock()
-	engines := append([]*process(nil), d.engines...)
-	d.mu.Unlock()
 	version, err := d.effective(ctx)
 	if err != nil {
 		return "", err
 	}
+	chats := longChats("engine-reclaim")
 	var victim *process
-	for _, e := range engines {
-		var load struct{ Version string }
-		if err := call(ctx, http.MethodGet, e.address, "/v1/load", nil, &load); err != nil {
-			return "", err
-		}
-		if load.Version == version {
-			victim = e
-		}
-	}
-	if victim == nil {
-		return "", errors.Errorf("no engine has version %s", version)
-	}
-	// References must not come from the engine that goes away.
-	d.mu.Lock()
-	d.engines = without(d.engines, victim.name)
-	d.mu.Unlock()
-	answers, err := d.reclaimDuring(ctx, "", chats, victim)
+	running := 0
+	answers, err := d.reclaimDuring(ctx, version, "", chats, func() (*process, error) {
+		victim, running, err = d.busiestEngine(ctx, chats)
+		return victim, err
+	})
 	if err != nil {
 		return "", err
 	}
-	if err := d.startEngine(ctx, victim.name+"-new", victim.name[len("engine-"):len("engine-")+1], version); err != nil {
-		return "", err
-	}
-	moved, err := d.movedStreams(ctx, chats, engines)
+	moved, err := d.movedStreams(ctx, chats)
 	if err != nil {
 		return "", err
 	}
 	if moved == 0 {
-		return "", errors.Errorf("no stream was on %s, so nothing was shown", victim.name)
+		return "", errors.Errorf("none of the %d streams on %s moved, so nothing was shown", running, victim.name)
 	}
-	return fmt.Sprintf("%s left at %s notice: %d streams complete byte for byte, %d of them moved to another engine",
-		victim.name, reclaimNotice, len(answers), moved), nil
+	if err := d.startEngine(ctx, victim.name+"-new", victim.domain, version); err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%s left at %s notice with %d streams: %d complete byte for byte, %d moved to another engine",
+		victim.name, reclaimNotice, running, len(answers), moved), nil
 }
 
-// movedStreams counts requests that started on more than one engine.
-func (d *demo) movedStreams(ctx context.Context, chats []chat, engines []*process) (int, error) {
-	started := map[string]int{}
-	for _, e := range engines {
-		select {
-		case <-e.ended:
-			continue // Its log went with it; its successors show the move.
-		default:
-		}
-		entries, err := logOf(ctx, e.address, "start")
+// busiestEngine takes the engine with most of the requests out of the list of
+// engines. Load reports lag, so the engines' logs are counted.
+func (d *demo) busiestEngine(ctx context.Context, chats []chat) (*process, int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var busiest *process
+	most := 0
+	for _, e := range d.engines {
+		started, err := startedOn(ctx, e.address, chats)
 		if err != nil {
-			return 0, err
+			return nil, 0, err
 		}
-		for _, entry := range entries {
-			if entry.Attempt != "1" && entry.Attempt != "" {
-				started[entry.RequestID]++
-			}
+		if len(started) > most {
+			busiest, most = e, len(started)
 		}
 	}
-	moved := 0
+	if busiest == nil {
+		return nil, 0, errors.New("no engine has a stream")
+	}
+	d.engines = without(d.engines, busiest.name)
+	return busiest, most, nil
+}
+
+// startedOn returns the attempts of requests that an engine started.
+func startedOn(ctx context.Context, address string, chats []chat) (map[string]string, error) {
+	entries, err := logOf(ctx, address, "start")
+	if err != nil {
+		return nil, err
+	}
+	attempts := map[string]string{}
+	for _, e := range entries {
+		attempts[e.RequestID] = e.Attempt
+	}
+	started := map[string]string{}
 	for _, q := range chats {
-		if started[q.id] > 0 {
-			moved++
+		if attempt, ok := attempts[q.id]; ok {
+			started[q.id] = attempt
 		}
 	}
-	return moved, nil
+	return started, nil
+}
+
+// movedStreams counts requests that started again on an engine that is left.
+func (d *demo) movedStreams(ctx context.Context, chats []chat) (int, error) {
+	moved := map[string]bool{}
+	for _, address := range d.engineAddresses() {
+		started, err := startedOn(ctx, address, chats)
+		if err != nil {
+			return 0, err
+		}
+		for id, attempt := range started {
+			if attempt != "1" {
+				moved[id] = true
+			}
+		}
+	}
+	return len(moved), nil
 }
 
 // showDaemonReclaim reclaims a daemon while all streams go through it.
 func (d *demo) showDaemonReclaim(ctx context.Context) (string, error) {
-	chats := longChats("daemon-reclaim")
+	version, err := d.effective(ctx)
+	if err != nil {
+		return "", err
+	}
 	d.mu.Lock()
 	victim := d.daemons[len(d.daemons)-1]
 	d.mu.Unlock()
-	entry := victim.address
-	answers, err := d.reclaimDuring(ctx, entry, chats, victim)
+	answers, err := d.reclaimDuring(ctx, version, victim.address, longChats("daemon-reclaim"), func() (*process, error) {
+		// Callers know the daemon until they ask for entries again.
+		return victim, nil
+	})
 	d.mu.Lock()
 	d.daemons = without(d.daemons, victim.name)
 	d.mu.Unlock()
@@ -173,7 +194,7 @@
 	if resumes == 0 {
 		return "", errors.New("no stream was resumed, so nothing was shown")
 	}
-	if err := d.startDaemon(ctx, victim.name+"-new", domains[len(domains)-1], len(domains)-1); err != nil {
+	if err := d.startDaemon(ctx, victim.name+"-new", victim.domain, victim.slot); err != nil {
 		return "", err
 	}
 	return fmt.Sprintf("%s left at %s notice: %d streams resumed %d times at other daemons, complete byte for byte",
--- a/internal/cli/demo/traffic.go
+++ b/internal/cli/demo/traffic.go
@@ -77,6 +77,9 @@
 	if err := references.Wait(); err != nil {
 		return nil, err
 	}
+	// Load reports lag by 200 ms; until then the engine that gave the
+	// references looks busy.
+	time.Sleep(300 * time.Millisecond)
 	c := d.caller(chatToken)
 	answers := make([]*answer, len(chats))
 	group := errgroup.Group{}
--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -21,6 +21,9 @@
 // ErrNoAnswer means that no daemon answered.
 const ErrNoAnswer = errors.ConstError("no daemon answered")
 
+// ErrNoOutcome means that the system answers but cannot tell an outcome.
+const ErrNoOutcome = errors.ConstError("no outcome is recorded")
+
 // ErrUsage marks an error in how the tool was called.
 const ErrUsage = errors.ConstError("usage")
 
@@ -35,7 +38,7 @@
 		return ExitUsage
 	case errors.As(err, &conflict):
 		return ExitConflict
-	case errors.Is(err, ErrNoAnswer):
+	case errors.Is(err, ErrNoAnswer), errors.Is(err, ErrNoOutcome):
 		return ExitUnavailable
 	case errors.As(err, &p) && unavailable(p):
 		return ExitUnavailable
--- a/internal/cli/move_watch.go
+++ b/internal/cli/move_watch.go
@@ -41,7 +41,7 @@
 		if time.Now().After(giveUp) {
 			return ExitUnavailable, errors.WithType(errors.Errorf(
 				"no outcome of VersionMove/%s is recorded after its deadline; unless it is done by then, traffic is back on the old version; ask again with: rattantide move -name %s",
-				object.Name, object.Name), ErrNoAnswer)
+				object.Name, object.Name), ErrNoOutcome)
 		}
 		select {
 		case <-ctx.Done():
