--- a/internal/cli/demo/show_reclaim.go
+++ b/internal/cli/demo/show_reclaim.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/burn"
 )
 
 const (
@@ -184,6 +188,10 @@
 	d.mu.Lock()
 	d.daemons = without(d.daemons, victim.name)
 	d.mu.Unlock()
+	// The replacement starts in any case, for the features that follow.
+	if startErr := d.startDaemon(ctx, victim.name+"-new", victim.domain, victim.slot); err == nil {
+		err = startErr
+	}
 	if err != nil {
 		return "", err
 	}
@@ -194,26 +202,38 @@
 	if resumes == 0 {
 		return "", errors.New("no stream was resumed, so nothing was shown")
 	}
-	if err := d.startDaemon(ctx, victim.name+"-new", victim.domain, victim.slot); err != nil {
-		return "", err
-	}
 	return fmt.Sprintf("%s left at %s notice: %d streams resumed %d times at other daemons, complete byte for byte",
 		victim.name, reclaimNotice, len(answers), resumes), nil
 }
 
-// showStatus prints what operators see at the end.
+// showStatus asks for what operators see at the end.
 func (d *demo) showStatus(ctx context.Context) (string, error) {
-	var rows int
-	for _, args := range [][]string{{"status"}, {"burn"}} {
-		result, err := d.tool(ctx, "", args...)
-		if err != nil {
-			return "", err
-		}
-		if err := result.check(toolOK); err != nil {
-			return "", err
+	status, err := d.tool(ctx, "", "status")
+	if err != nil {
+		return "", err
+	}
+	if err := status.check(toolOK); err != nil {
+		return "", err
+	}
+	result, err := d.tool(ctx, "", "burn", "-o", "json")
+	if err != nil {
+		return "", err
+	}
+	if err := result.check(toolOK); err != nil {
+		return "", err
+	}
+	var burned burn.Report
+	if err := json.Unmarshal([]byte(result.stdout), &burned); err != nil {
+		return "", errors.Trace(err)
+	}
+	goals := []string{}
+	for _, class := range burned.Classes {
+		for _, g := range class.Goals {
+			goals = append(goals, fmt.Sprintf("%s %s %.2f", class.Class, g.Name, g.Burn[0].Rate))
 		}
-		fmt.Fprintln(d.options.Err, result.stdout)
-		rows += len(result.stdout)
 	}
-	return fmt.Sprintf("status of %d daemons and merged burn printed (%d bytes)", len(d.daemonAddresses()), rows), nil
+	if len(goals) == 0 {
+		return "", errors.New("no burn was recorded")
+	}
+	return fmt.Sprintf("burn rates over 5 min, merged from %d daemons: %s", len(burned.Daemons), strings.Join(goals, ", ")), nil
 }
