--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -13,6 +13,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/juju/errors"
+
+	"rattantide/internal/standin/control"
 )
 
 // headerTimeout bounds the time for a request's header.
@@ -22,13 +24,18 @@
 type listener struct {
 	listen      string
 	addressFile string
+	logFile     string
 }
 
 func (l *listener) register(flags *flag.FlagSet) {
 	flags.StringVar(&l.listen, "listen", "127.0.0.1:0", "`address` to listen on; port 0 takes a free port")
 	flags.StringVar(&l.addressFile, "address-file", "", "`file` that receives the address listened on")
+	flags.StringVar(&l.logFile, "log-file", "", "`file` to which executed calls are appended as JSON lines")
 }
 
+// logged is a stand-in that logs what it executes.
+type logged interface{ Log() *control.Log }
+
 // serve runs handler until ctx ends. A stand-in stops at once, as an instance
 // that is taken away does.
 func (l *listener) serve(ctx context.Context, kind string, handler http.Handler) subcommands.ExitStatus {
@@ -40,6 +47,14 @@
 }
 
 func (l *listener) run(ctx context.Context, kind string, handler http.Handler) error {
+	if with, ok := handler.(logged); ok && l.logFile != "" {
+		file, err := os.OpenFile(l.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		defer func() { _ = file.Close() }()
+		with.Log().SetOutput(file)
+	}
 	socket, err := net.Listen("tcp", l.listen)
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/standin/control/log.go
+++ b/internal/standin/control/log.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -41,6 +43,15 @@
 	mu      sync.Mutex
 	seq     int64
 	entries []Entry
+	output  io.Writer
+}
+
+// SetOutput writes each further entry to w as a JSON line, so that the log
+// outlives the process.
+func (l *Log) SetOutput(w io.Writer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.output = w
 }
 
 // Add appends e with the next number and the current time and returns the
@@ -54,6 +65,12 @@
 		l.entries = append(l.entries[:0], l.entries[maxLogEntries/10:]...)
 	}
 	l.entries = append(l.entries, e)
+	if l.output != nil {
+		// A log that cannot be written shows as missing entries in its file.
+		if line, err := json.Marshal(e); err == nil {
+			_, _ = l.output.Write(append(line, '\n'))
+		}
+	}
 	return e.Seq
 }
 
