--- a/test/scenarios/harness/condition.go
+++ b/test/scenarios/harness/condition.go
@@ -92,6 +92,10 @@
 		one(2)
 		p := s.find(ts, name)
 		return func() (string, error) { return lookup(p.address, rest[0], rest[1]) }
+	case "answer":
+		one(1)
+		p := s.find(ts, name)
+		return func() (string, error) { return probe(p.address, rest[0]) }
 	case "exit":
 		one(0)
 		p := s.find(ts, name)
--- a/test/scenarios/harness/doc.go
+++ b/test/scenarios/harness/doc.go
@@ -32,6 +32,7 @@
 //	log NAME|* [key=value...] OP N   entries in the log of executed calls
 //	stat NAME PATH OP VALUE          a field of GET /control/stats
 //	get NAME URL-PATH FIELD OP VALUE a field of any JSON answer
+//	answer NAME MODEL|/PATH OP N     the status of a short chat or a GET
 //	exit NAME OP CODE                the exit code of a process
 //
 // with OP one of == != < <= > >=. A leading "!" before expect negates it.
--- a/test/scenarios/harness/harness.go
+++ b/test/scenarios/harness/harness.go
@@ -18,8 +18,9 @@
 	// pollInterval is the time between two looks at a condition.
 	pollInterval = 10 * time.Millisecond
 
-	peerToken     = "peer-secret"
-	operatorToken = "operator-secret"
+	peerToken      = "peer-secret"
+	operatorToken  = "operator-secret"
+	workspaceToken = "workspace-secret"
 )
 
 type stateKey struct{}
@@ -37,9 +38,13 @@
 	reclaims  map[string][]*time.Timer
 }
 
-// Setup prepares a script. The programs are in the directory bin.
-func Setup(bin string) func(*testscript.Env) error {
+// Setup prepares a script. The programs are in the directory bin; the files in
+// the directory shared are copied into each script's directory.
+func Setup(bin, shared string) func(*testscript.Env) error {
 	return func(env *testscript.Env) error {
+		if err := os.CopyFS(env.WorkDir, os.DirFS(shared)); err != nil {
+			return err
+		}
 		s := &state{
 			bin: bin, work: env.WorkDir, processes: map[string]*process{},
 			streams: map[string]*streams{}, orders: map[string]*orders{}, reclaims: map[string][]*time.Timer{},
--- a/test/scenarios/harness/order.go
+++ b/test/scenarios/harness/order.go
@@ -77,7 +77,7 @@
 		group.calls[key] = ordered
 		req, err := http.NewRequestWithContext(ctx, get("method", "POST"), "http://"+entries[i%len(entries)]+get("path", "/orders"), strings.NewReader(get("body", `{"die":"brass"}`)))
 		ts.Check(err)
-		req.Header.Set("Authorization", "Bearer "+get("token", "workspace-secret"))
+		req.Header.Set("Authorization", "Bearer "+get("token", workspaceToken))
 		req.Header.Set("Idempotency-Key", key)
 		// Without this, the client itself would send a keyed call again.
 		req.GetBody = nil
--- a/test/scenarios/harness/stream.go
+++ b/test/scenarios/harness/stream.go
@@ -96,7 +96,7 @@
 	group := &streams{cancel: cancel}
 	for i := range number("n", 1) {
 		c := &caller{
-			state: s, id: uuid.NewString(), token: get("token", "workspace-secret"), model: get("model", "draft"),
+			state: s, id: uuid.NewString(), token: get("token", workspaceToken), model: get("model", "draft"),
 			whole: get("whole", "") != "", tokens: number("tokens", 50), seed: int64(number("seed", 1) + i),
 			message:  []engineclient.Message{{Role: "user", Content: get("prompt", "draft a brief") + " " + strconv.Itoa(i)}},
 			versions: map[string]bool{}, phase: running,
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -37,7 +37,7 @@
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata",
-		Setup: harness.Setup(bin),
+		Setup: harness.Setup(bin, "shared"),
 		Cmds:  harness.Commands(),
 	})
 }
