Avoid idle connections to an engine that went silent

A resumption after a silent connection could take an idle one that was open at the same time and is silent too, and lose another progress deadline. After a call is given up with a second of silence, new connections are used until the idle ones are closed.

--- a/internal/engineclient/cache_events.go
+++ b/internal/engineclient/cache_events.go
@@ -35,7 +35,7 @@
 func (c *Client) CacheEvents(ctx context.Context, address string, since int64) (*CacheEvents, error) {
 	events := &CacheEvents{}
 	path := "/v1/cache/events?since=" + strconv.FormatInt(since, 10)
-	if err := fetch(ctx, c.http, http.MethodGet, address, path, nil, events); err != nil {
+	if err := c.fetch(ctx, http.MethodGet, address, path, nil, events); err != nil {
 		return nil, err
 	}
 	return events, nil
--- a/internal/engineclient/call.go
+++ b/internal/engineclient/call.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -21,7 +22,7 @@
 
 // call sends a request and returns the body of the answer when it is a
 // success. The receiver closes it. A failure is an *Error.
-func call(ctx context.Context, using *http.Client, method, address, path string, body []byte, header http.Header) (io.ReadCloser, error) {
+func (c *Client) call(ctx context.Context, using *http.Client, method, address, path string, body []byte, header http.Header) (io.ReadCloser, error) {
 	// A request whose connection was never opened did not reach the engine.
 	// Once it has a connection, bytes may have been sent.
 	var connected atomic.Bool
@@ -38,8 +39,14 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	begun := time.Now()
 	res, err := using.Do(req)
 	if err != nil {
+		// The transport may return the cause that the context was given, so the
+		// error does not tell that the call was given up.
+		if connected.Load() && ctx.Err() != nil {
+			c.suspects.gaveUp(address, begun, time.Now())
+		}
 		return nil, &Error{NotRun: !connected.Load(), Err: errors.Trace(err)}
 	}
 	if res.StatusCode/100 == 2 {
@@ -50,8 +57,8 @@
 }
 
 // fetch sends a request and decodes the answer into value unless that is nil.
-func fetch(ctx context.Context, using *http.Client, method, address, path string, body []byte, value any) error {
-	answer, err := call(ctx, using, method, address, path, body, nil)
+func (c *Client) fetch(ctx context.Context, method, address, path string, body []byte, value any) error {
+	answer, err := c.call(ctx, c.using(address), method, address, path, body, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/engineclient/cancel.go
+++ b/internal/engineclient/cancel.go
@@ -10,7 +10,7 @@
 // Cancel ends a generation and frees its place in the engine. A request that
 // the engine does not have is not an error.
 func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
-	err := fetch(ctx, c.http, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
+	err := c.fetch(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil, nil)
 	if errors.Is(err, ErrUnknownRequest) {
 		return nil
 	}
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -13,7 +13,7 @@
 	// An engine runs a few dozen generations at a time.
 	maxIdlePerEngine = 64
 	// idleTimeout closes connections that were not used for this long.
-	idleTimeout = 90 * time.Second
+	idleTimeout = 30 * time.Second
 	// maxResponseHeader bounds the header of an engine's answer.
 	maxResponseHeader = 64 << 10
 )
@@ -22,7 +22,8 @@
 type Client struct {
 	http *http.Client
 	// fresh opens a new connection for each call.
-	fresh *http.Client
+	fresh    *http.Client
+	suspects suspects
 }
 
 // New returns a Client that uses httpClient, or one of its own when nil. The
@@ -40,6 +41,14 @@
 	return &Client{http: httpClient, fresh: &fresh}
 }
 
+// using returns the client for the next call to an engine.
+func (c *Client) using(address string) *http.Client {
+	if c.suspects.has(address, time.Now()) {
+		return c.fresh
+	}
+	return c.http
+}
+
 // CloseIdle closes the idle connections.
 func (c *Client) CloseIdle() {
 	c.http.CloseIdleConnections()
--- a/internal/engineclient/order.go
+++ b/internal/engineclient/order.go
@@ -45,7 +45,7 @@
 		return nil, &Error{NotRun: true, Err: errors.Trace(err)}
 	}
 	state := &OrderState{}
-	if err := fetch(ctx, c.http, http.MethodPost, address, "/v1/orders", body, state); err != nil {
+	if err := c.fetch(ctx, http.MethodPost, address, "/v1/orders", body, state); err != nil {
 		return nil, err
 	}
 	return state, nil
@@ -54,7 +54,7 @@
 // OrderState reads the state of an engine with regard to orders.
 func (c *Client) OrderState(ctx context.Context, address string) (*OrderState, error) {
 	state := &OrderState{}
-	if err := fetch(ctx, c.http, http.MethodGet, address, "/v1/orders", nil, state); err != nil {
+	if err := c.fetch(ctx, http.MethodGet, address, "/v1/orders", nil, state); err != nil {
 		return nil, err
 	}
 	return state, nil
--- a/internal/engineclient/stream.go
+++ b/internal/engineclient/stream.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"rattantide/internal/relay"
 )
@@ -16,9 +17,15 @@
 
 // Stream is an open generation. It is used by one goroutine at a time.
 type Stream struct {
-	body   io.ReadCloser
-	reader *relay.Reader
-	done   bool
+	client  *Client
+	address string
+	body    io.ReadCloser
+	reader  *relay.Reader
+	// progress is when the last event arrived.
+	progress time.Time
+	// givenUp is not nil once the receiver has ended the stream's context.
+	givenUp func() error
+	done    bool
 }
 
 // Stream starts or resumes a generation. A failure is an *Error. The stream
@@ -33,15 +40,18 @@
 	if r.AfterEvent > 0 {
 		header.Set("Last-Event-Id", strconv.FormatInt(r.AfterEvent, 10))
 	}
-	using := c.http
+	using := c.using(r.Address)
 	if r.FreshConnection {
 		using = c.fresh
 	}
-	answer, err := call(ctx, using, http.MethodPost, r.Address, "/v1/chat/completions", r.Body, header)
+	answer, err := c.call(ctx, using, http.MethodPost, r.Address, "/v1/chat/completions", r.Body, header)
 	if err != nil {
 		return nil, err
 	}
-	return &Stream{body: answer, reader: relay.NewReader(answer, r.MaxEventBytes)}, nil
+	return &Stream{
+		client: c, address: r.Address, body: answer, reader: relay.NewReader(answer, r.MaxEventBytes), progress: time.Now(),
+		givenUp: ctx.Err,
+	}, nil
 }
 
 // Next returns the next event; its data is valid until the next call. After
@@ -56,8 +66,12 @@
 		return relay.Event{}, io.ErrUnexpectedEOF
 	}
 	if err != nil {
+		if s.givenUp() != nil {
+			s.client.suspects.gaveUp(s.address, s.progress, time.Now())
+		}
 		return relay.Event{}, err
 	}
+	s.progress = time.Now()
 	s.done = bytes.Equal(event.Data, doneData)
 	return event, nil
 }
--- a/internal/engineclient/transfer.go
+++ b/internal/engineclient/transfer.go
@@ -15,7 +15,7 @@
 // imported by another engine. The content is opaque. Until it is cancelled or
 // its grace time is over, the generation can still be resumed where it was.
 func (c *Client) Export(ctx context.Context, address, requestID string) ([]byte, error) {
-	answer, err := call(ctx, c.http, http.MethodPost, address, "/v1/requests/"+url.PathEscape(requestID)+"/export", nil, nil)
+	answer, err := c.call(ctx, c.using(address), http.MethodPost, address, "/v1/requests/"+url.PathEscape(requestID)+"/export", nil, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -30,5 +30,5 @@
 // Import hands an exported generation to another engine. It continues there
 // and is resumed with Client.Stream.
 func (c *Client) Import(ctx context.Context, address string, state []byte) error {
-	return fetch(ctx, c.http, http.MethodPost, address, "/v1/requests/import", state, nil)
+	return c.fetch(ctx, http.MethodPost, address, "/v1/requests/import", state, nil)
 }
--- a/internal/standin/engine/timing_test.go
+++ b/internal/standin/engine/timing_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/engineclient"
+	"rattantide/internal/relay"
 	"rattantide/internal/standin/engine"
 	"rattantide/internal/standin/memnet"
 )
@@ -161,3 +162,43 @@
 		assert.Assert(t, took("d") > 3*normal)
 	})
 }
+
+// Guards against a resumption that takes an idle connection which has become
+// silent together with the one that it replaces.
+func TestResumptionAvoidsSilentIdleConnections(t *testing.T) {
+	bubble(t, engine.Config{TokenTime: 10 * time.Millisecond}, func(ctx context.Context, e *engine.Engine, c *engineclient.Client) {
+		first, second := open(t, ctx, c, "a", 10, 0), open(t, ctx, c, "b", 20, 0)
+		for _, s := range []*engineclient.Stream{first, second} {
+			_, _, _ = read(s, 100)
+			assert.NilError(t, s.Close())
+		}
+		// One idle connection carries the stream, the other stays idle.
+		silent := errors.New("silent")
+		deadline, cancel := context.WithCancelCause(ctx)
+		watchdog := time.AfterFunc(2*time.Second, func() { cancel(silent) })
+		s, err := c.Stream(deadline, engineclient.StreamRequest{Address: address, RequestID: "c", Attempt: 1, Body: body(t, 1000, "", 0)})
+		assert.NilError(t, err)
+		_, last, err := read(s, 5)
+		assert.NilError(t, err)
+		e.Faults().Update(func(f *engine.Faults) { f.SilentConnections = true })
+		for err == nil {
+			// Events that were sent before the fault may still arrive.
+			var event relay.Event
+			if event, err = s.Next(); err == nil {
+				last = event.ID
+			}
+		}
+		assert.Assert(t, deadline.Err() != nil, err)
+		assert.NilError(t, s.Close())
+		watchdog.Stop()
+		begin := time.Now()
+		s, err = c.Stream(ctx, engineclient.StreamRequest{Address: address, RequestID: "c", Attempt: 2, Body: body(t, 1000, "", 0), AfterEvent: last})
+		assert.NilError(t, err)
+		_, next, err := read(s, 1)
+		assert.NilError(t, err)
+		assert.Equal(t, next, last+1)
+		assert.Assert(t, time.Since(begin) < time.Second)
+		assert.NilError(t, s.Close())
+		assert.NilError(t, c.Cancel(ctx, address, "c"))
+	})
+}
