--- a/test/scenarios/harness/doc.go
+++ b/test/scenarios/harness/doc.go
@@ -14,6 +14,8 @@
 //	outage NAME on|off               switch the outage of a stand-in
 //	fault NAME JSON                  switch faults of a stand-in
 //	stream NAME key=value...         send chat completions in the background
+//	load NAME rate=R key=value...    start streams at a steady rate per second
+//	unload NAME                      end the arrivals and wait for the answers
 //	order NAME key=value...          send service calls in the background
 //	audit NAME                       check the calls of an order against the logs
 //	expect CONDITION                 check a condition now
--- a/test/scenarios/harness/harness.go
+++ b/test/scenarios/harness/harness.go
@@ -71,6 +71,8 @@
 		"outage":   positive(cmdOutage),
 		"fault":    positive(cmdFault),
 		"stream":   positive(cmdStream),
+		"load":     positive(cmdLoad),
+		"unload":   positive(cmdUnload),
 		"order":    positive(cmdOrder),
 		"audit":    positive(cmdAudit),
 		"await":    positive(cmdWait),
--- a/test/scenarios/harness/order.go
+++ b/test/scenarios/harness/order.go
@@ -47,20 +47,10 @@
 	if len(args) < 1 {
 		ts.Fatalf("usage: order NAME key=value...")
 	}
-	options, rest := pairs(args[1:])
-	if len(rest) > 0 {
-		ts.Fatalf("not an option: %q", rest[0])
-	}
-	get := func(key, otherwise string) string {
-		if value, ok := options[key]; ok {
-			return value
-		}
-		return otherwise
-	}
-	n, err := strconv.Atoi(get("n", "1"))
-	ts.Check(err)
+	o := parseOptions(ts, args[1:], "n", "path", "method", "body", "key", "via", "token")
+	n := o.number("n", 1)
 	entries := s.daemons()
-	if name := get("via", ""); name != "" {
+	if name := o.text("via", ""); name != "" {
 		entries = []string{s.find(ts, name).address}
 	}
 	if len(entries) == 0 {
@@ -68,16 +58,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
 	group := &orders{cancel: cancel, calls: map[string]outcome{}, notes: map[string]int{}}
-	prefix := get("key", args[0]+"-"+uuid.NewString()[:8])
+	prefix := o.text("key", args[0]+"-"+uuid.NewString()[:8])
 	for i := range n {
 		key := prefix
 		if n > 1 {
 			key += "-" + strconv.Itoa(i)
 		}
 		group.calls[key] = ordered
-		req, err := http.NewRequestWithContext(ctx, get("method", "POST"), "http://"+entries[i%len(entries)]+get("path", "/orders"), strings.NewReader(get("body", `{"die":"brass"}`)))
+		req, err := http.NewRequestWithContext(ctx, o.text("method", "POST"), "http://"+entries[i%len(entries)]+o.text("path", "/orders"), strings.NewReader(o.text("body", `{"die":"brass"}`)))
 		ts.Check(err)
-		req.Header.Set("Authorization", "Bearer "+get("token", workspaceToken))
+		req.Header.Set("Authorization", "Bearer "+o.text("token", workspaceToken))
 		req.Header.Set("Idempotency-Key", key)
 		// Without this, the client itself would send a keyed call again.
 		req.GetBody = nil
--- a/test/scenarios/harness/stream.go
+++ b/test/scenarios/harness/stream.go
@@ -46,7 +46,12 @@
 
 // streams is a group of callers of chat completions.
 type streams struct {
-	cancel  context.CancelFunc
+	cancel context.CancelFunc
+	// stopArrivals ends the arrivals of a load; nil for other groups.
+	stopArrivals context.CancelFunc
+	arrivals     sync.WaitGroup
+
+	mu      sync.Mutex
 	callers []*caller
 }
 
@@ -77,39 +82,49 @@
 	if len(args) < 1 {
 		ts.Fatalf("usage: stream NAME key=value...")
 	}
-	options, rest := pairs(args[1:])
-	if len(rest) > 0 {
-		ts.Fatalf("not an option: %q", rest[0])
-	}
-	get := func(key, otherwise string) string {
-		if value, ok := options[key]; ok {
-			return value
-		}
-		return otherwise
-	}
-	number := func(key string, otherwise int) int {
-		n, err := strconv.Atoi(get(key, strconv.Itoa(otherwise)))
-		ts.Check(err)
-		return n
-	}
+	o := parseOptions(ts, args[1:], "n", "model", "tokens", "prompt", "via", "token", "seed", "whole")
 	ctx, cancel := context.WithTimeout(context.Background(), callerLimit)
 	group := &streams{cancel: cancel}
-	for i := range number("n", 1) {
-		c := &caller{
-			state: s, id: uuid.NewString(), token: get("token", workspaceToken), model: get("model", "draft"),
-			whole: get("whole", "") != "", tokens: number("tokens", 50), seed: int64(number("seed", 1) + i),
-			message:  []engineclient.Message{{Role: "user", Content: get("prompt", "draft a brief") + " " + strconv.Itoa(i)}},
-			versions: map[string]bool{}, phase: running,
+	s.addStreams(args[0], group)
+	build := s.callerBuilder(ts, o)
+	for i := range o.number("n", 1) {
+		group.start(ctx, build(i))
+	}
+}
+
+func (s *state) addStreams(name string, group *streams) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.streams[name] = group
+}
+
+// callerBuilder returns a function that makes caller i of a group.
+func (s *state) callerBuilder(ts *testscript.TestScript, o *options) func(int) *caller {
+	via := ""
+	if name := o.text("via", ""); name != "" {
+		via = s.find(ts, name).address
+	}
+	daemons := s.daemons()
+	tokens, seed := o.number("tokens", 50), o.number("seed", 1)
+	return func(i int) *caller {
+		first := via
+		if first == "" && len(daemons) > 0 {
+			first = daemons[i%len(daemons)]
 		}
-		if name := get("via", ""); name != "" {
-			c.via = s.find(ts, name).address
+		return &caller{
+			state: s, id: uuid.NewString(), token: o.text("token", workspaceToken), model: o.text("model", "draft"), via: first,
+			whole: o.text("whole", "") != "", tokens: tokens, seed: int64(seed + i),
+			message:  []engineclient.Message{{Role: "user", Content: o.text("prompt", "draft a brief") + " " + strconv.Itoa(i)}},
+			versions: map[string]bool{}, phase: running,
 		}
-		group.callers = append(group.callers, c)
-		go c.run(ctx)
 	}
-	s.mu.Lock()
-	s.streams[args[0]] = group
-	s.mu.Unlock()
+}
+
+func (g *streams) start(ctx context.Context, c *caller) {
+	g.mu.Lock()
+	g.callers = append(g.callers, c)
+	g.mu.Unlock()
+	go c.run(ctx)
 }
 
 // field returns a figure of the group.
@@ -118,7 +133,10 @@
 	wrong, resumes, tokens, versions := 0, 0, int64(-1), map[string]bool{}
 	var gap time.Duration
 	var reasons []string
-	for _, c := range g.callers {
+	g.mu.Lock()
+	callers := append([]*caller(nil), g.callers...)
+	g.mu.Unlock()
+	for _, c := range callers {
 		c.mu.Lock()
 		count[c.phase]++
 		wrong += c.wrong
@@ -137,11 +155,11 @@
 	}
 	switch name {
 	case "total":
-		return strconv.Itoa(len(g.callers)), nil
+		return strconv.Itoa(len(callers)), nil
 	case "running", "complete", "refused", "failed":
 		text := strconv.Itoa(count[phase(name)])
 		if name == "complete" && len(reasons) > 0 && count[running] == 0 {
-			return text, fmt.Errorf("%s of %d complete: %s", text, len(g.callers), strings.Join(reasons, "; "))
+			return text, fmt.Errorf("%s of %d complete: %s", text, len(callers), strings.Join(reasons, "; "))
 		}
 		return text, nil
 	case "wrong":
@@ -317,7 +335,7 @@
 func (c *caller) take(event relay.Event) error {
 	var got chunk
 	if err := json.Unmarshal(event.Data, &got); err != nil || len(got.Choices) != 1 {
-		return &sequenceError{fmt.Sprintf("event %d is not a chunk", event.ID)}
+		return &sequenceError{fmt.Sprintf("event %d is not a chunk: %.300s", event.ID, event.Data)}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
