--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -10,7 +10,7 @@
 	// First is the time from dispatch to the first token, or to the whole
 	// answer of a service.
 	First time.Duration
-	// Gap is the longest time between two tokens.
+	// Gap is the mean time between two tokens.
 	Gap time.Duration
 	// Total is the time from dispatch to the end.
 	Total time.Duration
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -92,7 +92,7 @@
 	}
 	switch res.Status {
 	case StatusOK:
-		sample.Gap = res.MaxGap
+		sample.Gap = res.MeanGap
 		sample.Latency = res.Total
 		if a.request.Chat {
 			sample.Latency = res.FirstToken
--- a/internal/dispatch/moves.go
+++ b/internal/dispatch/moves.go
@@ -37,7 +37,7 @@
 	// Latency is the time to the first token, or to the whole answer of a plain
 	// service; 0 when there was none.
 	Latency time.Duration
-	// Gap is the longest time between two tokens; 0 for plain services.
+	// Gap is the mean time between two tokens; 0 for plain services.
 	Gap       time.Duration
 	StartedAt time.Time
 	EndedAt   time.Time
--- a/internal/dispatch/version.go
+++ b/internal/dispatch/version.go
@@ -71,9 +71,9 @@
 }
 
 // usable filters upstreams by version and exclusion. The slice is shared with
-// other readers of the membership table and is not changed. Without an upstream of the wanted versions, and outside a move, it takes any version
-// that was not taken back: an answer of the previous version is better than
-// none.
+// other readers of the membership table and is not changed. Without an upstream
+// of the wanted versions, and outside a move, it takes any version that was not
+// taken back: an answer of the previous version is better than none.
 func usable(view *configsync.View, w wanted, r *Request, upstreams []membership.Upstream) []membership.Upstream {
 	kept := upstreams
 	if len(r.Exclude) > 0 {
--- a/internal/rollout/side.go
+++ b/internal/rollout/side.go
@@ -6,7 +6,7 @@
 	Errors   int
 	// First counts times to first token, or to the whole answer of a service.
 	First Histogram
-	// Gap counts the longest times between tokens.
+	// Gap counts the mean times between tokens.
 	Gap Histogram
 }
 
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -173,10 +173,11 @@
 		s.lastEvent = -1
 	}
 	gap := false
+	for len(events) > 0 && events[0].Seq <= s.lastEvent {
+		// Overlapping polls return events twice.
+		events = events[1:]
+	}
 	for _, e := range events {
-		if e.Seq <= s.lastEvent {
-			continue
-		}
 		gap = gap || (s.lastEvent >= 0 && e.Seq > s.lastEvent+1)
 		s.lastEvent = e.Seq
 	}
--- /dev/null
+++ b/internal/upstreamwatch/fetcher.go
@@ -0,0 +1,16 @@
+package upstreamwatch
+
+import (
+	"context"
+
+	"rattantide/internal/engineclient"
+	"rattantide/internal/membership"
+)
+
+// Fetcher asks upstreams. The implementation is engineclient.Client.
+type Fetcher interface {
+	Load(ctx context.Context, address string) (*membership.Load, error)
+	CacheEvents(ctx context.Context, address string, since int64) (*engineclient.CacheEvents, error)
+}
+
+var _ Fetcher = (*engineclient.Client)(nil)
