--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,16 +17,19 @@
 	"rattantide/internal/configsync"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/engineclient"
+	"rattantide/internal/handoff"
 	"rattantide/internal/intent"
 	"rattantide/internal/journal"
 	"rattantide/internal/lease"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peer"
+	"rattantide/internal/rollout"
 	"rattantide/internal/routing"
 	"rattantide/internal/server"
 	"rattantide/internal/settings"
 	"rattantide/internal/telemetry"
+	"rattantide/internal/upstreamwatch"
 )
 
 // Daemon is one daemon with all its parts. Run must be called once.
@@ -53,6 +56,11 @@
 	server     *server.Server
 	burn       *burn.Recorder
 	leases     *lease.Manager
+	guard      *rollout.Guard
+	moves      *rollout.Controller
+	movePeers  *movePeers
+	watcher    *upstreamwatch.Watcher
+	handoff    *handoff.Manager
 
 	drainOnce sync.Once
 	draining  chan struct{}
@@ -78,6 +86,7 @@
 		draining: make(chan struct{}),
 	}
 	d.buildState()
+	d.buildMoves()
 	d.buildRequestPath()
 	return d, nil
 }
@@ -109,6 +118,20 @@
 	})
 }
 
+// buildMoves builds what carries out version moves.
+func (d *Daemon) buildMoves() {
+	d.movePeers = newMovePeers(d.table, d.peers, d.logger)
+	d.guard = rollout.NewGuard(rollout.GuardOptions{
+		Daemon: d.settings.Name, StoreNow: d.store.Now, Peers: d.movePeers, Logger: d.logger, Scope: d.scope,
+		Daemons: func() int { return 1 + len(d.table.Daemons()) },
+	})
+	d.movePeers.guard = d.guard
+	d.moves = rollout.NewController(rollout.ControllerOptions{
+		Store: d.store, Config: d.cache, Leases: d.leases, Guard: d.guard, Peers: d.movePeers,
+		Logger: d.logger, Scope: d.scope,
+	})
+}
+
 // buildRequestPath builds what a caller's request passes through.
 func (d *Daemon) buildRequestPath() {
 	s := d.settings
@@ -117,18 +140,26 @@
 	d.engines = engineclient.New(nil)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Config: d.cache, Table: d.table, Admission: d.admission, Trackers: d.trackers,
-		Evidence: evidence{d.table}, Scope: d.scope,
+		Moves: d.guard, Evidence: evidence{d.table}, Scope: d.scope,
+	})
+	d.watcher = upstreamwatch.New(upstreamwatch.Options{
+		Fetch: d.engines, Table: d.table, Trackers: d.trackers, Config: d.cache, Logger: d.logger, Scope: d.scope,
 	})
 	d.burn = burn.NewRecorder(burn.Options{Daemon: s.Name, ClassOf: d.classOf, Scope: d.scope})
 	d.journal = journal.New(journal.Options{MaxBytes: s.MaxJournalBytes, Scope: d.scope})
+	d.handoff = handoff.New(handoff.Options{
+		Self: d.table.Self(), Members: d.table, Peers: d.peers, Journal: d.journal, Logger: d.logger, Scope: d.scope,
+	})
 	d.server = server.New(server.Options{
 		Self: d.table.Self(), Config: d.cache, Members: members{d.table}, Chooser: d.dispatcher,
 		Engine: server.EngineClient{Client: d.engines}, Journal: d.journal, Intents: d.intents,
+		Handoff:  d.handoff,
 		Observer: observer{d.burn},
 		Prompt:   estimatePrompt, Logger: d.logger, Scope: d.scope, LogShare: s.LogRequests,
 		MaxBodyBytes: s.MaxBodyBytes, MaxEventBytes: s.MaxEventBytes,
 		AbandonGrace: s.AbandonGrace, EntryTTL: s.EntryTTL,
 	})
+	d.handoff.Bind(d.server)
 }
 
 // classOf returns the class in effect, or nil.
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -9,6 +9,9 @@
 // closeTimeout bounds the wait for connections to close once no request is open.
 const closeTimeout = 5 * time.Second
 
+// handOverTimeout bounds the handoff at the end of a planned stop.
+const handOverTimeout = 10 * time.Second
+
 // Drain starts a planned stop and returns once the daemon has announced that it
 // is leaving. It implements admin.Drainer.
 func (d *Daemon) Drain(ctx context.Context) error {
@@ -51,27 +54,62 @@
 	}
 }
 
-// drain announces that the daemon is leaving, lets open requests end, hands off
-// the rest, and closes the server.
+// drain announces that the daemon is leaving, lets open requests end or hands
+// them off, and closes the server.
 func (d *Daemon) drain(ctx context.Context, web *http.Server) {
 	started := time.Now()
-	limit := d.settings.DrainLimit
-	if d.notice > 0 {
-		limit = max(0, d.notice-d.settings.NoticeReserve)
-	}
 	d.logger.Info("drain started", "daemon", d.settings.Name, "inFlight", d.server.InFlight(), "noticeMs", d.notice.Milliseconds())
 	if err := d.syncer.AnnounceLeaving(ctx); err != nil {
 		d.logger.Warn("leaving could not be announced", "error", err)
 	}
-	waiting, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if err := d.server.WaitIdle(waiting); err != nil {
-		d.logger.Warn("requests are still open at the end of the drain", "inFlight", d.server.InFlight())
+	if d.notice > 0 {
+		d.leaveUnderNotice(ctx, started.Add(max(0, d.notice-d.settings.NoticeReserve)))
+	} else {
+		d.leaveAsPlanned(ctx, started)
 	}
-	closing, cancelClose := context.WithTimeout(ctx, closeTimeout)
-	defer cancelClose()
+	d.flushOutcomes(ctx)
+	closing, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
 	if err := web.Shutdown(closing); err != nil {
+		d.logger.Warn("connections are still open at the end of the drain", "inFlight", d.server.InFlight())
 		_ = web.Close()
 	}
 	d.logger.Info("drain ended", "daemon", d.settings.Name, "tookMs", time.Since(started).Milliseconds())
 }
+
+// leaveUnderNotice hands everything over at once: the notice may be shorter than
+// any open answer, and the handoff itself takes milliseconds. Calls to plain
+// services cannot move and end by themselves.
+func (d *Daemon) leaveUnderNotice(ctx context.Context, deadline time.Time) {
+	d.handoff.HandOver(ctx, deadline)
+	waiting, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	_ = d.server.WaitIdle(waiting)
+}
+
+// leaveAsPlanned waits for open requests to end and hands off what is left at
+// the drain limit. It stays reachable as long as callers may keep an address, so
+// that they are told where to go.
+func (d *Daemon) leaveAsPlanned(ctx context.Context, started time.Time) {
+	waiting, cancel := context.WithTimeout(ctx, d.settings.DrainLimit)
+	defer cancel()
+	if err := d.server.WaitIdle(waiting); err != nil {
+		d.handoff.HandOver(ctx, time.Now().Add(handOverTimeout))
+	}
+	stay := time.NewTimer(time.Until(started.Add(min(d.settings.EntryTTL, d.settings.DrainLimit))))
+	defer stay.Stop()
+	select {
+	case <-stay.C:
+	case <-ctx.Done():
+	}
+}
+
+// flushOutcomes writes the outcomes of at-most-once calls that are still queued;
+// without them a repeated key would be answered as unknown.
+func (d *Daemon) flushOutcomes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := d.intents.Flush(ctx); err != nil {
+		d.logger.Warn("outcomes could not be recorded", "error", err)
+	}
+}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -63,6 +63,8 @@
 func (d *Daemon) registerPeers(party iris.Party) {
 	d.syncer.RegisterHandlers(party)
 	d.intents.RegisterHandlers(party)
+	d.handoff.RegisterHandlers(party)
+	d.movePeers.registerHandlers(party)
 }
 
 // serveReady answers 200 once a configuration is in effect and until the drain.
