Order the arrivals of the priority test

The test failed in about half of the runs: both classes arrived at the same time in the random order of a map, so that the grant for the oldest request could go to either class. Arrivals now have distinct times, with the high class first, which is the harder case; the bound is unchanged.

--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -53,9 +53,11 @@
 	p.limit.value = 1
 	p.inFlight = 1
 	for i := range 100 {
-		for class, priority := range map[string]int{"low": 1, "high": 8} {
-			_, _, _, _ = p.arrive(&Request{ID: fmt.Sprint(i), Workspace: "w", Class: class, Priority: priority}, start)
-		}
+		// High before low, and at distinct times: equal times left the aged
+		// grant to the random order of a map, and the test failed now and then.
+		at := start.Add(time.Duration(2*i) * time.Millisecond)
+		_, _, _, _ = p.arrive(&Request{ID: fmt.Sprint(i), Workspace: "w", Class: "high", Priority: 8}, at)
+		_, _, _, _ = p.arrive(&Request{ID: fmt.Sprint(i), Workspace: "w", Class: "low", Priority: 1}, at.Add(time.Millisecond))
 	}
 	counts := map[string]int{}
 	for range 100 {
