Keep the records of delivered answers for five seconds only

At one daemon's share of the target load, 84 answers of 200 tokens per second, finished records of 60 s would take 300 MB. A caller that got the whole answer has no reason to come back, so its record is dropped after 5 s; others stay for 60 s.

--- a/internal/api/validate.go
+++ b/internal/api/validate.go
@@ -22,7 +22,7 @@
 
 // reservedPrefixes are path segments that the daemon itself serves.
 var reservedPrefixes = map[string]bool{
-	"v1": true, "peer": true, "admin": true, "metrics": true, "healthz": true, "readyz": true,
+	"v1": true, "peer": true, "admin": true, "metrics": true, "debug": true, "healthz": true, "readyz": true,
 }
 
 func validateEnvelope(obj *Object, list *findings.List) {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/juju/errors"
@@ -29,7 +30,7 @@
 }
 
 func isControl(path string) bool {
-	for _, prefix := range []string{"/peer/", "/admin/", "/metrics", "/healthz", "/readyz"} {
+	for _, prefix := range []string{"/peer/", "/admin/", "/debug/", "/metrics", "/healthz", "/readyz"} {
 		if strings.HasPrefix(path, prefix) {
 			return true
 		}
@@ -54,6 +55,7 @@
 		Burn:      d.burn,
 		Drainer:   d, Scope: d.scope, Log: d.logger,
 	}).RegisterHandlers(app)
+	d.registerProfiles(app)
 	if err := app.Build(); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -67,6 +69,16 @@
 	d.movePeers.registerHandlers(party)
 }
 
+// registerProfiles serves the runtime's profiles to operators.
+func (d *Daemon) registerProfiles(app *iris.Application) {
+	profiles := app.Party("/debug/pprof", admin.RequireToken(d.settings.OperatorToken, d.scope.SubScope("profiles")))
+	profiles.Get("/profile", iris.FromStd(pprof.Profile))
+	profiles.Get("/trace", iris.FromStd(pprof.Trace))
+	profiles.Get("/{name:string}", func(c iris.Context) {
+		pprof.Handler(c.Params().Get("name")).ServeHTTP(c.ResponseWriter(), c.Request())
+	})
+}
+
 // serveReady answers 200 once a configuration is in effect and until the drain.
 func (d *Daemon) serveReady(c iris.Context) {
 	select {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,7 +20,10 @@
 
 	mu      sync.RWMutex
 	records map[string]*Record
-	// retained lists ended records in the order of their end.
+	// recent and retained list ended records in the order of their end: recent
+	// ones until it is looked at whether the caller got the whole answer, the
+	// others until their time is over.
+	recent   []retained
 	retained []retained
 	timer    *time.Timer
 	closed   bool
@@ -67,10 +70,9 @@
 		j.removeLocked(held)
 	}
 	for !j.reserve(rec.held, j.options.MaxBytes-j.options.MaxBytes/8) {
-		if len(j.retained) == 0 {
+		if !j.dropOldestLocked() {
 			return ErrTooLarge
 		}
-		j.dropOldestLocked()
 	}
 	j.records[rec.ID] = rec
 	return nil
@@ -106,12 +108,11 @@
 	limit := j.options.MaxBytes - j.options.MaxBytes/8
 	for !j.reserve(n, limit) {
 		j.mu.Lock()
-		if len(j.retained) == 0 {
-			j.mu.Unlock()
+		dropped := j.dropOldestLocked()
+		j.mu.Unlock()
+		if !dropped {
 			return false
 		}
-		j.dropOldestLocked()
-		j.mu.Unlock()
 	}
 	return true
 }
@@ -160,15 +161,23 @@
 	if j.records[rec.ID] != rec {
 		return
 	}
-	j.retained = append(j.retained, retained{record: rec, until: time.Now().Add(j.options.Retain)})
+	j.recent = append(j.recent, retained{record: rec, until: time.Now().Add(j.options.RetainComplete)})
 	j.armLocked()
 }
 
 func (j *Journal) armLocked() {
-	if j.closed || j.timer != nil || len(j.retained) == 0 {
+	if j.closed || j.timer != nil {
 		return
 	}
-	j.timer = time.AfterFunc(time.Until(j.retained[0].until), j.expire)
+	var next time.Time
+	for _, list := range [][]retained{j.recent, j.retained} {
+		if len(list) > 0 && (next.IsZero() || list[0].until.Before(next)) {
+			next = list[0].until
+		}
+	}
+	if !next.IsZero() {
+		j.timer = time.AfterFunc(time.Until(next), j.expire)
+	}
 }
 
 func (j *Journal) expire() {
@@ -176,17 +185,40 @@
 	defer j.mu.Unlock()
 	j.timer = nil
 	now := time.Now()
+	for len(j.recent) > 0 && !j.recent[0].until.After(now) {
+		rec := takeFirst(&j.recent)
+		if rec.Delivered() {
+			j.removeLocked(rec)
+			continue
+		}
+		until := now.Add(j.options.Retain - j.options.RetainComplete)
+		j.retained = append(j.retained, retained{record: rec, until: until})
+	}
 	for len(j.retained) > 0 && !j.retained[0].until.After(now) {
-		j.dropOldestLocked()
+		j.removeLocked(takeFirst(&j.retained))
 	}
 	j.armLocked()
 }
 
-func (j *Journal) dropOldestLocked() {
-	oldest := j.retained[0].record
-	j.retained[0] = retained{}
-	j.retained = j.retained[1:]
-	j.removeLocked(oldest)
+// dropOldestLocked removes the ended record that is oldest and reports whether
+// there was one.
+func (j *Journal) dropOldestLocked() bool {
+	switch {
+	case len(j.retained) > 0:
+		j.removeLocked(takeFirst(&j.retained))
+	case len(j.recent) > 0:
+		j.removeLocked(takeFirst(&j.recent))
+	default:
+		return false
+	}
+	return true
+}
+
+func takeFirst(list *[]retained) *Record {
+	first := (*list)[0].record
+	(*list)[0] = retained{}
+	*list = (*list)[1:]
+	return first
 }
 
 func (j *Journal) removeLocked(rec *Record) {
--- a/internal/journal/options.go
+++ b/internal/journal/options.go
@@ -17,6 +17,10 @@
 	// Retain is how long a finished record is kept for callers that return.
 	// Default 60 s. Memory pressure removes finished records earlier.
 	Retain time.Duration
+	// RetainComplete is the same for a record whose caller got the whole answer.
+	// At 84 answers of 200 tokens per second, 60 s of such records take 300 MB.
+	// Default 5 s, at most Retain.
+	RetainComplete time.Duration
 	// Scope receives the counters. Default: none.
 	Scope tally.Scope
 }
@@ -31,6 +35,10 @@
 	if o.Retain <= 0 {
 		o.Retain = time.Minute
 	}
+	if o.RetainComplete <= 0 {
+		o.RetainComplete = 5 * time.Second
+	}
+	o.RetainComplete = min(o.RetainComplete, o.Retain)
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
