Keep deleted objects deleted after a late list, and bound tombstones

An object that is not held at or below the revision up to which the daemon is complete is now ignored, which also lets all but 10,000 tombstones go. The at-most-once log forwards nothing to a daemon for 10 s after it did not take an intent.

--- a/internal/configsync/cache.go
+++ b/internal/configsync/cache.go
@@ -1,6 +1,8 @@
 package configsync
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -22,9 +24,19 @@
 	// objects holds the newest known state of each object; one without a value
 	// is a tombstone, kept so that an older put cannot bring the object back.
 	objects map[objectKey]objectclient.Object
-	changed chan struct{}
+	// complete is the revision up to which every change is applied. An object
+	// that is not held at or below it was deleted.
+	complete int64
+	// tombstones counts the deletions that are held, and forgotten is the
+	// highest version of one that was dropped.
+	tombstones int
+	forgotten  int64
+	changed    chan struct{}
 }
 
+// maxTombstones bounds the deletions that are held, at some 200 bytes each.
+const maxTombstones = 10_000
+
 // NewCache returns an empty Cache.
 func NewCache() *Cache {
 	c := &Cache{objects: map[objectKey]objectclient.Object{}, changed: make(chan struct{})}
@@ -46,13 +58,16 @@
 		if !key.kind.Known() {
 			continue
 		}
-		if held, ok := c.objects[key]; ok && held.Version >= o.Version {
+		held, ok := c.objects[key]
+		if ok && held.Version >= o.Version || !ok && o.Version <= c.complete {
 			continue
 		}
+		c.tombstones += tombstone(o) - tombstone(held)
 		c.objects[key] = o
 		applied++
 	}
 	if applied > 0 {
+		c.forget()
 		c.view.Store(buildView(c.objects))
 		close(c.changed)
 		c.changed = make(chan struct{})
@@ -81,6 +96,49 @@
 	return out
 }
 
+// completeTo notes that every change up to a revision is applied.
+func (c *Cache) completeTo(revision int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.complete = max(c.complete, revision)
+}
+
+// knownFrom returns the revision from which on no deletion was forgotten.
+func (c *Cache) knownFrom() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.forgotten
+}
+
+// forget drops the oldest half of the tombstones when there are too many. Only
+// those that complete covers may go, as an older put is then still recognised.
+// The lock is held.
+func (c *Cache) forget() {
+	if c.tombstones <= maxTombstones {
+		return
+	}
+	var old []objectclient.Object
+	for _, o := range c.objects {
+		if o.Value == nil && o.Version <= c.complete {
+			old = append(old, o)
+		}
+	}
+	slices.SortFunc(old, func(a, b objectclient.Object) int { return cmp.Compare(a.Version, b.Version) })
+	for _, o := range old[:len(old)/2] {
+		delete(c.objects, objectKey{kind: api.Kind(o.Kind), name: o.Name})
+		c.tombstones--
+		c.forgotten = max(c.forgotten, o.Version)
+	}
+}
+
+// tombstone returns 1 for a deletion that is held, else 0.
+func tombstone(o objectclient.Object) int {
+	if o.Version > 0 && o.Value == nil {
+		return 1
+	}
+	return 0
+}
+
 func buildView(objects map[objectKey]objectclient.Object) *View {
 	v := &View{
 		Objects:    map[api.Kind]map[string]objectclient.Object{},
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -140,12 +140,14 @@
 }
 
 // listen makes a daemon that is not running yet.
-func (c *cluster) listen(change func(*Options)) *node {
+func (c *cluster) listen(change func(*Options)) *node { return c.listenIn("r", change) }
+
+func (c *cluster) listenIn(region string, change func(*Options)) *node {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(c.t, err)
 	i := len(c.nodes)
 	n := &node{
-		self:  membership.Daemon{Name: fmt.Sprintf("d%02d", i), Address: listener.Addr().String(), Domain: fmt.Sprintf("z%d", i%3), Region: "r"},
+		self:  membership.Daemon{Name: fmt.Sprintf("d%02d", i), Address: listener.Addr().String(), Domain: fmt.Sprintf("z%d", i%3), Region: region},
 		cache: NewCache(), done: make(chan struct{}),
 	}
 	n.table = membership.NewTable(n.self, membership.Options{})
@@ -160,7 +162,7 @@
 		},
 	}}}
 	options := Options{
-		Store: c.store, Cache: n.cache, Table: n.table, Region: "r",
+		Store: c.store, Cache: n.cache, Table: n.table, Region: region,
 		Peers: &peer.Client{HTTP: client}, HTTP: client, InstanceList: c.address, Cloud: c.address,
 	}
 	if change != nil {
@@ -212,7 +214,7 @@
 	instances := []membership.Instance{upstream}
 	for _, n := range c.nodes {
 		instances = append(instances, membership.Instance{
-			Name: n.self.Name, Address: n.self.Address, Domain: n.self.Domain, Region: "r", Role: membership.RoleDaemon, State: membership.StateLive,
+			Name: n.self.Name, Address: n.self.Address, Domain: n.self.Domain, Region: n.self.Region, Role: membership.RoleDaemon, State: membership.StateLive,
 		})
 	}
 	c.platform.set(instances...)
--- /dev/null
+++ b/internal/configsync/feed_bench_test.go
@@ -0,0 +1,78 @@
+package configsync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// idleTime is how long the idle feed is measured.
+const idleTime = 10 * time.Second
+
+// BenchmarkFeed measures what the feed costs a daemon. One operation is one
+// change, from its commit until the last daemon has it. The idle figures are
+// taken before, without any change; the highest are those of a relay.
+func BenchmarkFeed(b *testing.B) {
+	for _, count := range []int{3, 9, 27, 81} {
+		b.Run(fmt.Sprint("daemons=", count), func(b *testing.B) {
+			c := newCluster(b)
+			for i := range 20 {
+				c.put("Pool", fmt.Sprint("p", i), poolValue)
+			}
+			c.start(count)
+			// The first list of some daemons may still be on its way.
+			c.put("Pool", "settled", poolValue)
+			for _, n := range c.nodes {
+				c.await(n, "settled", func() bool { return n.cache.Snapshot().Pools["settled"] != nil })
+			}
+			time.Sleep(idleTime / 2)
+			reset(c)
+			storeCalls := c.store.Calls().Total()
+			time.Sleep(idleTime)
+			idleMean, idleHighest, idleCalls := read(c)
+			idleStoreCalls := c.store.Calls().Total() - storeCalls
+
+			reset(c)
+			storeCalls = c.store.Calls().Total()
+			changes := 0
+			b.ResetTimer()
+			for b.Loop() {
+				changes++
+				version := c.put("Pool", fmt.Sprint("p", changes%20), poolValue).Version
+				for _, n := range c.nodes {
+					c.await(n, "change", func() bool { return n.cache.Snapshot().Revision >= version })
+				}
+			}
+			b.StopTimer()
+			mean, highest, calls := read(c)
+			b.ReportMetric(idleMean/idleTime.Seconds(), "idle-B/s/daemon")
+			b.ReportMetric(idleHighest/idleTime.Seconds(), "idle-B/s/highest")
+			b.ReportMetric(idleCalls/idleTime.Seconds(), "idle-calls/s/daemon")
+			b.ReportMetric(float64(idleStoreCalls), "idle-store-calls")
+			b.ReportMetric(mean/float64(changes), "B/change/daemon")
+			b.ReportMetric(highest/float64(changes), "B/change/highest")
+			b.ReportMetric(calls/float64(changes), "calls/change/daemon")
+			b.ReportMetric(float64(c.store.Calls().Total()-storeCalls)/float64(changes)-1, "store-calls/change")
+			b.ReportMetric(float64(c.store.Calls().Watches), "watches")
+		})
+	}
+}
+
+func reset(c *cluster) {
+	for _, n := range c.nodes {
+		n.bytesIn.Store(0)
+		n.calls.Store(0)
+	}
+}
+
+// read returns the mean and highest bytes that a daemon received, and the mean
+// number of its calls.
+func read(c *cluster) (mean, highest, calls float64) {
+	for _, n := range c.nodes {
+		in := float64(n.bytesIn.Load())
+		mean += in / float64(len(c.nodes))
+		highest = max(highest, in)
+		calls += float64(n.calls.Load()) / float64(len(c.nodes))
+	}
+	return mean, highest, calls
+}
--- a/internal/configsync/follow.go
+++ b/internal/configsync/follow.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// repeatDelay is the time to the next poll after an answer without news.
+const repeatDelay = 100 * time.Millisecond
+
 // probeTimeout bounds a poll of a daemon that did not answer before.
 const probeTimeout = time.Second
 
@@ -39,12 +42,17 @@
 		if s.suspects.set(address, false) {
 			s.askReplan()
 		}
-		s.applyFeed(feed)
+		news := s.applyFeed(feed)
 		if feed.Synced {
 			s.progress.setSynced()
 		}
 		if feed.Membership != nil {
-			position = feed.Membership.Position()
+			position, news = feed.Membership.Position(), true
+		}
+		if !news && len(feed.Objects) > 0 {
+			// The other relay was first, or this peer holds objects beyond its
+			// revision and would send them again at once.
+			sleep(ctx, repeatDelay)
 		}
 	}
 }
--- a/internal/configsync/handlers.go
+++ b/internal/configsync/handlers.go
@@ -88,6 +88,7 @@
 	// The revision is read before the objects, so the objects are at least as
 	// new as it says.
 	complete, floor, synced := s.progress.get()
+	floor = max(floor, s.options.Cache.knownFrom())
 	feed := Feed{Synced: synced, Revision: complete}
 	feed.Full = synced && (since < 0 || since < floor && complete > since)
 	if feed.Full {
--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -40,7 +40,8 @@
 	// ListInterval is the shortest time between two polls of the instance
 	// list. Default 1 s.
 	ListInterval time.Duration
-	// ListBytesPerSecond stretches the interval for a long list. Default 100 kB/s.
+	// ListBytesPerSecond stretches the interval for a long list. Default
+	// 10 kB/s, so that a relay stays below 14 kB/s for the whole control plane.
 	ListBytesPerSecond int64
 	// StartWait is how long a start waits for the object API once a peer has
 	// answered. Default 1 s.
@@ -65,7 +66,7 @@
 		o.Relays = 2
 	}
 	if o.ListBytesPerSecond == 0 {
-		o.ListBytesPerSecond = 100_000
+		o.ListBytesPerSecond = 10_000
 	}
 	for _, d := range []struct {
 		field    *time.Duration
--- a/internal/configsync/relay.go
+++ b/internal/configsync/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -91,7 +92,7 @@
 		s.progress.raiseFloor(lists[i].Revision)
 		s.options.Cache.Replace([]api.Kind{kind}, lists[i].Revision, lists[i].Items)
 	}
-	s.progress.raiseComplete(complete)
+	s.completeTo(complete)
 	s.progress.setSynced()
 	return nil
 }
@@ -101,7 +102,9 @@
 	for ctx.Err() == nil {
 		size := s.pollInstancesOnce(ctx)
 		stretched := time.Duration(int64(size) * int64(time.Second) / s.options.ListBytesPerSecond)
-		sleep(ctx, max(s.options.ListInterval, stretched))
+		// Relays of all regions pass on what they read, so with different
+		// phases each list is known everywhere long before the interval ends.
+		sleep(ctx, max(s.options.ListInterval, stretched*time.Duration(75+rand.IntN(50))/100))
 	}
 }
 
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -176,21 +176,28 @@
 	return addresses
 }
 
-// applyFeed takes over what a peer sent. since is what was asked for.
-func (s *Syncer) applyFeed(feed *Feed) {
+// applyFeed takes over what a peer sent and reports whether an object in it was
+// new.
+func (s *Syncer) applyFeed(feed *Feed) (news bool) {
 	if feed.Membership != nil {
 		s.options.Table.Import(*feed.Membership)
 	}
 	complete, _, _ := s.progress.get()
 	if feed.Full && feed.Revision >= complete {
 		s.progress.raiseFloor(feed.Revision)
-		s.options.Cache.Replace(api.Kinds, feed.Revision, feed.Objects)
+		news = s.options.Cache.Replace(api.Kinds, feed.Revision, feed.Objects) > 0
 	} else {
-		s.options.Cache.Apply(feed.Objects...)
+		news = s.options.Cache.Apply(feed.Objects...) > 0
 	}
 	if feed.Synced {
-		s.progress.raiseComplete(feed.Revision)
+		s.completeTo(feed.Revision)
 	}
+	return news
+}
+
+func (s *Syncer) completeTo(revision int64) {
+	s.options.Cache.completeTo(revision)
+	s.progress.raiseComplete(revision)
 }
 
 func (s *Syncer) applyEvent(event objectclient.Event) {
@@ -201,7 +208,7 @@
 		}
 		s.options.Cache.Apply(o)
 	}
-	s.progress.raiseComplete(event.Revision)
+	s.completeTo(event.Revision)
 }
 
 func (s *Syncer) askReplan() {
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -9,6 +9,7 @@
 	"rattantide/internal/api"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
+	"rattantide/internal/objecttest"
 )
 
 const poolValue = `{"spec":{"type":"chat","version":"v1"}}`
@@ -138,4 +139,52 @@
 	assert.Assert(t, view.Pools["a"] == nil && view.Pools["b"] != nil)
 	assert.Equal(t, cache.Apply(put("a", 6)), 0)
 	assert.Equal(t, cache.Apply(put("a", 8)), 1)
+	// A list that was read before a deletion and arrives after it.
+	cache.completeTo(20)
+	assert.Equal(t, cache.Apply(put("deleted", 15)), 0)
+	assert.Equal(t, cache.Apply(put("created", 21)), 1)
+}
+
+// Guards against tombstones that use up the memory, and against an object that
+// comes back because its tombstone was dropped.
+func TestTombstonesAreBounded(t *testing.T) {
+	cache := NewCache()
+	var deletions []objectclient.Object
+	for i := range maxTombstones {
+		deletions = append(deletions, objectclient.Object{Kind: "Pool", Name: fmt.Sprint("p", i), Version: int64(i + 1)})
+	}
+	assert.Equal(t, cache.Apply(deletions...), maxTombstones)
+	cache.completeTo(maxTombstones)
+	assert.Equal(t, cache.Apply(objectclient.Object{Kind: "Pool", Name: "last", Version: maxTombstones + 1}), 1)
+	assert.Assert(t, len(cache.Since(0)) <= maxTombstones/2+1)
+	assert.Equal(t, cache.knownFrom(), int64(maxTombstones/2))
+	assert.Equal(t, cache.Apply(objectclient.Object{Kind: "Pool", Name: "p0", Version: 1, Value: []byte(poolValue)}), 0)
+}
+
+// Guards against a region that misses changes and leaving daemons while it
+// cannot reach the object API and the platform.
+func TestRegionWithoutObjectAPI(t *testing.T) {
+	c := newCluster(t)
+	c.put("Pool", "before", poolValue)
+	down := objecttest.New()
+	down.SetOutage(true)
+	for range 3 {
+		c.listen(nil)
+		c.listenIn("cut", func(o *Options) { o.Store, o.Cloud = down, "" })
+	}
+	c.publish()
+	for _, n := range c.nodes {
+		n.run()
+	}
+	for _, n := range c.nodes {
+		c.await(n, "first configuration", func() bool { return n.cache.Snapshot().Pools["before"] != nil })
+	}
+	c.put("Pool", "after", poolValue)
+	for _, n := range c.nodes {
+		c.await(n, "change", func() bool { return n.cache.Snapshot().Pools["after"] != nil })
+	}
+	assert.NilError(t, c.nodes[0].syncer.AnnounceLeaving(t.Context()))
+	for _, n := range c.nodes[1:] {
+		c.await(n, "announcement", func() bool { return len(n.table.Daemons()) == 4 })
+	}
 }
--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -44,6 +44,9 @@
 // is answered or waits.
 func (w *writer) try(begins []*beginOp, finishes []*finishOp) (bool, error) {
 	now := w.log.now()
+	if now.IsZero() {
+		return false, errors.Annotate(objectclient.ErrUnavailable, "the store's time is not known")
+	}
 	base := w.head
 	ref, sealedEntries, err := w.sealBase(base)
 	if err != nil {
--- a/internal/intent/log.go
+++ b/internal/intent/log.go
@@ -24,6 +24,7 @@
 	options Options
 	id      string
 	open    *openDispatches
+	avoided avoidance
 	stats   Stats
 	limiter *rate.Limiter
 	ctx     context.Context
@@ -133,6 +134,9 @@
 			}
 			return r
 		}
+		if ctx.Err() == nil {
+			l.avoided.add(preferred.Address, time.Now())
+		}
 		l.stats.FellBack.Add(1)
 		// The preferred daemon may have written the intent.
 		op.attempted = true
@@ -222,22 +226,22 @@
 	}
 	key := objectKind + "/" + l.writers[shard].name
 	best := self
+	avoided := l.avoided.current(time.Now())
 	weight := membership.Weight(key, self.Name)
 	if self.Leaving {
 		weight = 0
 	}
 	for _, d := range l.options.Table.Daemons() {
-		if w := membership.Weight(key, d.Name); w > weight {
+		if w := membership.Weight(key, d.Name); w > weight && !avoided[d.Address] {
 			best, weight = d, w
 		}
 	}
 	return best, best.Name != self.Name
 }
 
-// now returns the store's time, or this machine's while that is not known.
+// now returns the store's time. While it is not known, it is the zero time, at
+// which nothing has passed its retention.
 func (l *Log) now() time.Time {
-	if now, ok := l.options.Store.Now(); ok {
-		return now
-	}
-	return time.Now()
+	now, _ := l.options.Store.Now()
+	return now
 }
