Keep configurations equal under any order of sources

Reclaims past their deadline are ignored, as a new relay reads all old notices and names are reused.

--- a/internal/configsync/cache.go
+++ b/internal/configsync/cache.go
@@ -24,8 +24,8 @@
 	// objects holds the newest known state of each object; one without a value
 	// is a tombstone, kept so that an older put cannot bring the object back.
 	objects map[objectKey]objectclient.Object
-	// complete is the revision up to which every change is applied. An object
-	// that is not held at or below it was deleted.
+	// complete is the revision up to which every change is applied. A version
+	// at or below it that is not held was replaced or deleted since.
 	complete int64
 	// tombstones counts the deletions that are held, and forgotten is the
 	// highest version of one that was dropped.
@@ -52,6 +52,11 @@
 func (c *Cache) Apply(objects ...objectclient.Object) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.apply(objects, c.complete)
+}
+
+// apply takes over objects above a revision. The lock is held.
+func (c *Cache) apply(objects []objectclient.Object, above int64) int {
 	applied := 0
 	for _, o := range objects {
 		key := objectKey{kind: api.Kind(o.Kind), name: o.Name}
@@ -59,7 +64,7 @@
 			continue
 		}
 		held, ok := c.objects[key]
-		if ok && held.Version >= o.Version || !ok && o.Version <= c.complete {
+		if ok && held.Version >= o.Version || o.Version <= above {
 			continue
 		}
 		c.tombstones += tombstone(o) - tombstone(held)
--- a/internal/configsync/cache_replace.go
+++ b/internal/configsync/cache_replace.go
@@ -7,7 +7,8 @@
 
 // Replace takes over everything that exists of the given kinds at a revision
 // and returns how many objects changed. A held object of these kinds that is
-// missing, and is not newer than the revision, becomes a tombstone at it.
+// missing, and is not newer than the revision, becomes a tombstone at it. A list
+// that is older than what is known has no effect.
 func (c *Cache) Replace(kinds []api.Kind, revision int64, objects []objectclient.Object) int {
 	replaced := map[api.Kind]bool{}
 	for _, kind := range kinds {
@@ -15,18 +16,19 @@
 	}
 	present := map[objectKey]bool{}
 	for _, o := range objects {
-		present[objectKey{kind: api.Kind(o.Kind), name: o.Name}] = true
+		// A tombstone may be older than a later life of the object that is held.
+		present[objectKey{kind: api.Kind(o.Kind), name: o.Name}] = o.Value != nil
 	}
-	all := append([]objectclient.Object(nil), objects...)
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if revision < c.complete {
+		return c.apply(objects, c.complete)
+	}
+	all := append([]objectclient.Object(nil), objects...)
 	for key, held := range c.objects {
 		if replaced[key.kind] && !present[key] && held.Value != nil && held.Version <= revision {
-			// A tombstone at the object's own version would not be applied, so
-			// an object whose write is the list's revision stays; it cannot be
-			// missing from a correct list.
 			all = append(all, objectclient.Object{Kind: string(key.kind), Name: key.name, Version: revision})
 		}
 	}
-	c.mu.Unlock()
-	return c.Apply(all...)
+	return c.apply(all, 0)
 }
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -97,6 +97,7 @@
 	changed := false
 	for key, r := range t.records {
 		switch {
+		case key == incarnation{t.self.Name, t.self.Address}:
 		case r.removed:
 			if now.Sub(r.removedAt) >= t.options.Remember {
 				delete(t.records, key)
@@ -121,13 +122,18 @@
 }
 
 // ApplyNotices takes over reclaim notices and cancellations, whose deadlines
-// count from now. A notice takes effect immediately.
+// count from now. A notice takes effect immediately. A reclaim whose deadline has
+// passed is ignored: a new relay reads all old notices, and the name may belong
+// to a replacement by now.
 func (t *Table) ApplyNotices(notices ...Notice) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
 	changed := false
 	for _, n := range notices {
+		if n.Kind == NoticeReclaim && n.DeadlineMs <= 0 {
+			continue
+		}
 		notice := domainNotice{seq: n.Seq, noticed: n.Kind == NoticeReclaim, by: now.Add(time.Duration(n.DeadlineMs) * time.Millisecond)}
 		if n.Instance != "" {
 			changed = t.noticeInstance(n.Instance, notice) || changed
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -40,6 +40,11 @@
 		pending: map[string]domainNotice{},
 		changed: make(chan struct{}),
 	}
+	// A notice for the own failure domain must reach a daemon that the lagging
+	// list does not name yet.
+	t.add(Instance{
+		Name: self.Name, Address: self.Address, Domain: self.Domain, Region: self.Region, Role: RoleDaemon, State: StateLive,
+	}, options.Now())
 	t.view.Store(newView(t.records, t.self))
 	return t
 }
