Test that a change is not repeated elsewhere and that reused buckets are empty

Three mutations in a scratch copy had survived: repeating a change at the next address, and a ring bucket that keeps its histograms or its spenders.

--- a/internal/burn/burn_test.go
+++ b/internal/burn/burn_test.go
@@ -89,6 +89,25 @@
 	}
 }
 
+// TestReusedBucketIsEmpty guards against a ring that keeps the distribution or
+// the spenders of the bucket that it overwrites.
+func TestReusedBucketIsEmpty(t *testing.T) {
+	r := recorder("a")
+	r.Observe(start, answered(5*time.Second))
+	later := answered(2 * time.Second)
+	later.Workspace = "engravers"
+	r.Observe(start.Add(72*time.Hour), later)
+	report, err := r.Report(start.Add(72 * time.Hour))
+	assert.NilError(t, err)
+	for _, w := range report.Classes[0].Measures[0].Windows {
+		assert.Equal(t, w.Count, int64(1), w.Window)
+		assert.Assert(t, w.MaxMs < 2100, "%s: %g ms", w.Window, w.MaxMs)
+	}
+	for _, s := range goal(t, report, "firstToken").Spenders {
+		assert.Assert(t, s.Value != "kitchen", "%v", s)
+	}
+}
+
 // TestMergeEqualsOneRecorder guards against merging by averages: whatever way
 // requests are spread over daemons, the merged report must equal the one of a
 // daemon that saw them all.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -20,6 +21,7 @@
 	"rattantide/internal/cli"
 	"rattantide/internal/configsync"
 	"rattantide/internal/objecttest"
+	"rattantide/internal/problem"
 )
 
 const config = `# Documents stand in the wrong order on purpose.
@@ -174,6 +176,24 @@
 	assert.Assert(t, strings.Contains(stderr, "may or may not have taken effect"), stderr)
 }
 
+// TestChangeIsNotRepeatedElsewhere guards against a change that is sent to a
+// second daemon although the first may have made it.
+func TestChangeIsNotRepeatedElsewhere(t *testing.T) {
+	f := newFixture(t)
+	losing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			problem.Write(w, problem.New(http.StatusNotFound, problem.CodeNotFound, "the object does not exist"))
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer losing.Close()
+	code, _, stderr := f.run("kind: Class\nname: new\nspec: {target: {answer: 9s}}\n", "apply", "-f", "-", "-address", losing.URL+","+f.address)
+	assert.Equal(t, code, 5, stderr)
+	assert.Assert(t, strings.Contains(stderr, "may or may not have taken effect"), stderr)
+	assert.Equal(t, f.store.Revision(), int64(0))
+}
+
 // TestMoveReportsOutcome guards against a watch that ends before the move has,
 // and against an undone move that looks like a success.
 func TestMoveReportsOutcome(t *testing.T) {
