--- a/internal/cli/demo/caller.go
+++ b/internal/cli/demo/caller.go
@@ -22,8 +22,9 @@
 	tryPause = 100 * time.Millisecond
 )
 
-// caller is an application that follows the caller API: it turns to another
-// entry when one is gone, and takes a broken stream up again.
+// caller is an application that follows the caller API without the client
+// library: it chooses the entry itself, so that streams can be sent through a
+// daemon that is about to go away, and it counts how often it resumes.
 type caller struct {
 	token   string
 	entries func() []string
@@ -56,57 +57,6 @@
 	return entries[try%len(entries)]
 }
 
-// whole asks for an answer without streaming.
-func (c *caller) whole(ctx context.Context, first string, q chat) (*answer, error) {
-	began := time.Now()
-	content, err := c.chatWhole(ctx, first, q)
-	if err != nil {
-		return nil, err
-	}
-	a := &answer{total: time.Since(began)}
-	var decoded completion
-	if err := json.Unmarshal(content, &decoded); err != nil {
-		return nil, errors.Annotate(err, q.id)
-	}
-	a.add(&decoded)
-	return a, nil
-}
-
-func (c *caller) chatWhole(ctx context.Context, first string, q chat) ([]byte, error) {
-	header := http.Header{"X-Request-Id": {q.id}}
-	posted := false
-	var last error
-	for try := range maxTries {
-		address := c.entry(first, try)
-		method, path, body := http.MethodPost, "/v1/chat/completions", q.body(false)
-		if posted {
-			method, path, body = http.MethodGet, "/v1/requests/"+q.id, nil
-		}
-		response, err := c.send(ctx, method, address, path, header, body)
-		if err != nil {
-			// A chat may be sent again; a daemon that has it says so.
-			last = err
-			pause(ctx)
-			continue
-		}
-		content, err := readAll(response)
-		switch {
-		case err == nil && response.StatusCode == http.StatusOK:
-			return content, nil
-		case err != nil:
-			posted, last = true, err
-		case response.StatusCode == http.StatusConflict:
-			posted, last = true, errors.New(string(content))
-		case response.StatusCode == http.StatusServiceUnavailable, posted && response.StatusCode == http.StatusNotFound:
-			last = errors.New(string(content))
-		default:
-			return nil, errors.Errorf("%s: %s: %s", q.id, response.Status, content)
-		}
-		pause(ctx)
-	}
-	return nil, errors.Annotate(last, q.id)
-}
-
 // stream asks for a stream and resumes it until it is complete.
 func (c *caller) stream(ctx context.Context, first string, q chat) (*answer, error) {
 	a := &answer{}
--- a/internal/cli/demo/show_base.go
+++ b/internal/cli/demo/show_base.go
@@ -140,12 +140,16 @@
 	if err != nil {
 		return "", err
 	}
-	c := d.caller(chatToken)
+	app, err := d.application(chatToken)
+	if err != nil {
+		return "", err
+	}
+	defer app.close()
 	group, groupCtx := errgroup.WithContext(ctx)
 	for i, q := range chats {
 		group.Go(func() error {
 			q.id += "-whole"
-			got, err := c.whole(groupCtx, d.daemonAddresses()[i%len(domains)], q)
+			got, err := app.whole(groupCtx, q)
 			if err == nil && got.text != answers[i].text {
 				err = errors.Errorf("%s differs from the stream", q.id)
 			}
--- a/internal/cli/demo/show_moves.go
+++ b/internal/cli/demo/show_moves.go
@@ -15,7 +15,10 @@
 
 // showGoodMove moves the chat pool to a version that works.
 func (d *demo) showGoodMove(ctx context.Context) (string, error) {
-	load := d.startTraffic(ctx, moveWorkers)
+	load, err := d.startTraffic(ctx, moveWorkers)
+	if err != nil {
+		return "", err
+	}
 	began := time.Now()
 	result, err := d.tool(ctx, "", "move", "briefs", "-to", "briefs-v2", "-deadline", "10s", "-name", "good")
 	load.stop()
@@ -49,7 +52,10 @@
 			return "", err
 		}
 	}
-	load := d.startTraffic(ctx, moveWorkers)
+	load, err := d.startTraffic(ctx, moveWorkers)
+	if err != nil {
+		return "", err
+	}
 	began := time.Now()
 	result, err := d.tool(ctx, "", "move", "briefs", "-to", "briefs-v3", "-deadline", "10s", "-name", "bad")
 	took := time.Since(began)
--- a/internal/cli/demo/show_reclaim.go
+++ b/internal/cli/demo/show_reclaim.go
@@ -91,9 +91,8 @@
 	}
 	chats := longChats("engine-reclaim")
 	var victim *process
-	running := 0
 	answers, err := d.reclaimDuring(ctx, version, "", chats, func() (*process, error) {
-		victim, running, err = d.busiestEngine(ctx, chats)
+		victim, err = d.busiestEngine(ctx, chats)
 		return victim, err
 	})
 	if err != nil {
@@ -104,18 +103,18 @@
 		return "", err
 	}
 	if moved == 0 {
-		return "", errors.Errorf("none of the %d streams on %s moved, so nothing was shown", running, victim.name)
+		return "", errors.Errorf("no stream on %s moved, so nothing was shown", victim.name)
 	}
 	if err := d.startEngine(ctx, victim.name+"-new", victim.domain, version); err != nil {
 		return "", err
 	}
-	return fmt.Sprintf("%s left at %s notice with %d streams: %d complete byte for byte, %d moved to another engine",
-		victim.name, reclaimNotice, running, len(answers), moved), nil
+	return fmt.Sprintf("%s left at %s notice: %d streams complete byte for byte, %d of them moved to another engine",
+		victim.name, reclaimNotice, len(answers), moved), nil
 }
 
 // busiestEngine takes the engine with most of the requests out of the list of
 // engines. Load reports lag, so the engines' logs are counted.
-func (d *demo) busiestEngine(ctx context.Context, chats []chat) (*process, int, error) {
+func (d *demo) busiestEngine(ctx context.Context, chats []chat) (*process, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var busiest *process
@@ -123,17 +122,17 @@
 	for _, e := range d.engines {
 		started, err := startedOn(ctx, e.address, chats)
 		if err != nil {
-			return nil, 0, err
+			return nil, err
 		}
 		if len(started) > most {
 			busiest, most = e, len(started)
 		}
 	}
 	if busiest == nil {
-		return nil, 0, errors.New("no engine has a stream")
+		return nil, errors.New("no engine has a stream")
 	}
 	d.engines = without(d.engines, busiest.name)
-	return busiest, most, nil
+	return busiest, nil
 }
 
 // startedOn returns the attempts of requests that an engine started.
--- a/internal/cli/demo/traffic.go
+++ b/internal/cli/demo/traffic.go
@@ -15,6 +15,7 @@
 // traffic is a bounded background load of short whole answers.
 type traffic struct {
 	cancel context.CancelFunc
+	close  func()
 	wait   sync.WaitGroup
 
 	sent   atomic.Int64
@@ -24,18 +25,20 @@
 }
 
 // startTraffic keeps workers busy until stop is called.
-func (d *demo) startTraffic(parent context.Context, workers int) *traffic {
+func (d *demo) startTraffic(parent context.Context, workers int) (*traffic, error) {
+	app, err := d.application(chatToken)
+	if err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(parent)
-	t := &traffic{cancel: cancel}
-	c := d.caller(chatToken)
+	t := &traffic{cancel: cancel, close: app.close}
 	for w := range workers {
 		t.wait.Add(1)
 		go func() {
 			defer t.wait.Done()
 			for n := 0; ctx.Err() == nil; n++ {
 				q := chat{id: "load-" + uuid.NewString(), prompt: fmt.Sprintf("Question %d of guest %d.", n, w), seed: int64(n + 1), maxTokens: 6}
-				entries := d.daemonAddresses()
-				_, err := c.whole(ctx, entries[(n+w)%len(entries)], q)
+				_, err := app.whole(ctx, q)
 				if ctx.Err() != nil {
 					return
 				}
@@ -46,7 +49,7 @@
 			}
 		}()
 	}
-	return t
+	return t, nil
 }
 
 func (t *traffic) fail(err error) {
@@ -61,6 +64,7 @@
 func (t *traffic) stop() {
 	t.cancel()
 	t.wait.Wait()
+	t.close()
 }
 
 // streams runs chats as streams, one after another at a short distance, and
