--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -256,3 +257,39 @@
 	assert.Equal(t, len(list.Items), 1)
 	assert.Equal(t, list.Items[0].Name, "older")
 }
+
+// TestConcurrentMovesLeaveOne guards against a race among daemons that leaves a
+// pool with two running moves, or with none although one was confirmed.
+func TestConcurrentMovesLeaveOne(t *testing.T) {
+	f := newFixture(t)
+	f.seed()
+	spec := `{"pool":"briefs","from":"v1","to":"v2","deadline":"10s"}`
+	var confirmed sync.Map
+	var wait sync.WaitGroup
+	for i := range 12 {
+		app := iris.New()
+		admin.New(admin.Options{Store: f.store, Config: configsync.NewCache(), OperatorToken: token}).RegisterHandlers(app)
+		assert.NilError(t, app.Build())
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			name := fmt.Sprintf("move-%d", i)
+			body := fmt.Sprintf(`{"kind":"VersionMove","name":%q,"spec":%s}`, name, spec)
+			request := httptest.NewRequest(http.MethodPut, admin.Prefix+"/objects/VersionMove/"+name, strings.NewReader(body))
+			request.Header.Set("Authorization", "Bearer "+token)
+			recorder := httptest.NewRecorder()
+			app.ServeHTTP(recorder, request)
+			if recorder.Code == http.StatusCreated {
+				confirmed.Store(name, true)
+			}
+		}()
+	}
+	wait.Wait()
+	list, err := f.store.List(context.Background(), string(api.KindVersionMove))
+	assert.NilError(t, err)
+	assert.Equal(t, len(list.Items), 1)
+	confirmed.Range(func(name, _ any) bool {
+		assert.Equal(t, name, list.Items[0].Name)
+		return true
+	})
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -231,6 +233,28 @@
 	assert.NilError(f.t, err)
 }
 
+// TestTLS guards against a tool that sends the operator token to a daemon whose
+// certificate it cannot check.
+func TestTLS(t *testing.T) {
+	f := newFixture(t)
+	sent := 0
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sent++
+		fmt.Fprint(w, `{"items":[]}`)
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "https://")
+	code, _, _ := f.run("", "get", "pools", "-address", "https://"+address)
+	assert.Equal(t, code, 5)
+	assert.Equal(t, sent, 0)
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	assert.NilError(t, os.WriteFile(file, block, 0o600))
+	code, _, stderr := f.run("", "get", "pools", "-address", address, "-tls-ca", file)
+	assert.Equal(t, code, 0, stderr)
+	assert.Equal(t, sent, 1)
+}
+
 // TestBurnSaysWhatIsMissing guards against partial figures that look complete.
 func TestBurnSaysWhatIsMissing(t *testing.T) {
 	f := newFixture(t)
--- a/internal/cli/demo/run.go
+++ b/internal/cli/demo/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -32,7 +33,6 @@
 		return errors.Trace(err)
 	}
 	d := &demo{options: options, dir: dir}
-	started := time.Now()
 	failed, err := d.run(ctx)
 	if err == nil && options.Stay && ctx.Err() == nil {
 		d.explainStay()
@@ -45,11 +45,11 @@
 	case failed > 0:
 		return errors.Errorf("%d features failed; logs are in %s", failed, dir)
 	}
-	fmt.Fprintf(options.Out, "all features shown in %s\n", time.Since(started).Round(100*time.Millisecond))
 	return errors.Trace(os.RemoveAll(dir))
 }
 
 func (d *demo) run(parent context.Context) (failed int, err error) {
+	started := time.Now()
 	ctx, cancel := context.WithTimeout(parent, limit)
 	defer cancel()
 	if err := d.start(ctx); err != nil {
@@ -73,6 +73,8 @@
 			return failed, errors.Errorf("the features took longer than %s", limit)
 		}
 	}
+	fmt.Fprintf(d.options.Out, "%d features shown in %s, %d failed\n",
+		len(d.features()), time.Since(started).Round(100*time.Millisecond), failed)
 	return failed, nil
 }
 
@@ -105,5 +107,5 @@
                  -d '{"model":"briefs","stream":true,"messages":[{"role":"user","content":"Draft a brief."}]}'
   orders       curl http://%s/orders/dies -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' \
                  -d '{"die":"seal","count":2}'
-`, entries, d.objectAPI.address, entries[0], operatorToken, entries[0], chatToken, entries[0], appToken)
+`, entries, d.objectAPI.address, strings.Join(entries, ","), operatorToken, entries[0], chatToken, entries[0], appToken)
 }
