--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -20,6 +23,7 @@
 	"rattantide/internal/cli"
 	"rattantide/internal/configsync"
 	"rattantide/internal/objecttest"
+	"rattantide/internal/problem"
 )
 
 const config = `# Documents stand in the wrong order on purpose.
@@ -174,6 +178,24 @@
 	assert.Assert(t, strings.Contains(stderr, "may or may not have taken effect"), stderr)
 }
 
+// TestChangeIsNotRepeatedElsewhere guards against a change that is sent to a
+// second daemon although the first may have made it.
+func TestChangeIsNotRepeatedElsewhere(t *testing.T) {
+	f := newFixture(t)
+	losing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			problem.Write(w, problem.New(http.StatusNotFound, problem.CodeNotFound, "the object does not exist"))
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer losing.Close()
+	code, _, stderr := f.run("kind: Class\nname: new\nspec: {target: {answer: 9s}}\n", "apply", "-f", "-", "-address", losing.URL+","+f.address)
+	assert.Equal(t, code, 5, stderr)
+	assert.Assert(t, strings.Contains(stderr, "may or may not have taken effect"), stderr)
+	assert.Equal(t, f.store.Revision(), int64(0))
+}
+
 // TestMoveReportsOutcome guards against a watch that ends before the move has,
 // and against an undone move that looks like a success.
 func TestMoveReportsOutcome(t *testing.T) {
@@ -211,6 +233,28 @@
 	assert.NilError(f.t, err)
 }
 
+// TestTLS guards against a tool that sends the operator token to a daemon whose
+// certificate it cannot check.
+func TestTLS(t *testing.T) {
+	f := newFixture(t)
+	sent := 0
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		sent++
+		fmt.Fprint(w, `{"items":[]}`)
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "https://")
+	code, _, _ := f.run("", "get", "pools", "-address", "https://"+address)
+	assert.Equal(t, code, 5)
+	assert.Equal(t, sent, 0)
+	file := filepath.Join(t.TempDir(), "ca.pem")
+	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	assert.NilError(t, os.WriteFile(file, block, 0o600))
+	code, _, stderr := f.run("", "get", "pools", "-address", address, "-tls-ca", file)
+	assert.Equal(t, code, 0, stderr)
+	assert.Equal(t, sent, 1)
+}
+
 // TestBurnSaysWhatIsMissing guards against partial figures that look complete.
 func TestBurnSaysWhatIsMissing(t *testing.T) {
 	f := newFixture(t)
