--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -69,7 +69,7 @@
 	p := c.pool(r.Pool)
 	w, displaced, rule, retryAfter := p.arrive(&r, now)
 	if displaced != nil {
-		close(displaced.done)
+		displaced.tell()
 	}
 	if w == nil {
 		c.record(&r, rule, now, now)
@@ -152,7 +152,7 @@
 // start lets waiting requests start; the lock is held.
 func (c *Controller) start(p *pool) {
 	for _, w := range p.grant() {
-		close(w.done)
+		w.tell()
 	}
 }
 
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -10,9 +10,20 @@
 	latest time.Time
 	// done is closed when the waiter is granted a place or displaced.
 	done chan struct{}
+	// notify, when set, is called instead of closing done.
+	notify func()
 	// granted is set before done is closed when a place was granted.
 	granted bool
 	// retryAfter is the advice for a waiter that was displaced.
 	retryAfter time.Duration
 	queue      *workspaceQueue
 }
+
+// tell wakes whoever waits; the controller's lock is held.
+func (w *waiter) tell() {
+	if w.notify != nil {
+		w.notify()
+		return
+	}
+	close(w.done)
+}
