--- a/internal/admission/outcome.go
+++ b/internal/admission/outcome.go
@@ -10,6 +10,8 @@
 	// First is the time from dispatch to the first token, or to the whole
 	// answer of a service.
 	First time.Duration
+	// FirstReported says that Controller.FirstToken was called with First.
+	FirstReported bool
 	// Gap is the mean time between two tokens.
 	Gap time.Duration
 	// Total is the time from dispatch to the end.
