Count own prompts as waiting until their first token

The backlog between load reports was assumed to drain at the processing rate, which is wrong while a batch is full. Attempts now report their first token to the tracker, and what has none yet counts in full.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -31,6 +31,7 @@
 // firstToken passes on the time to the first token.
 func (a *attempt) firstToken(first time.Duration) {
 	a.firstReported = true
+	a.tracker.FirstToken(a.sent)
 	a.d.opts.Admission.FirstToken(admissionRequest(a.class, &a.request), first)
 }
 
@@ -41,7 +42,8 @@
 	now := a.d.opts.Now()
 	ok := res.Status == StatusOK
 	a.tracker.Ended(a.sent, routing.Feedback{
-		OK: ok, FirstToken: res.FirstToken, PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
+		OK: ok, FirstToken: res.FirstToken, FirstReported: a.firstReported,
+		PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
 	})
 	a.d.attempts.ended(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
 	a.release(admission.Outcome{OK: ok, First: a.latency(res), FirstReported: a.firstReported, Gap: res.MeanGap, Total: res.Total})
--- a/internal/policytest/daemon.go
+++ b/internal/policytest/daemon.go
@@ -47,13 +47,13 @@
 				return
 			}
 			r.started = d.sim.events.now
-			d.send(r, release)
+			d.send(r, ar, release)
 		})
 	})
 }
 
 // send routes an attempt.
-func (d *daemon) send(r *request, release func(admission.Outcome)) {
+func (d *daemon) send(r *request, ar admission.Request, release func(admission.Outcome)) {
 	req := &routing.Request{
 		PromptTokens: r.prompt + r.generated, MaxTokens: r.answer - r.generated, Blocks: r.blocks,
 		Rand: d.random.Uint64(), Now: d.sim.time(d.sim.events.now),
@@ -67,16 +67,20 @@
 	d.sim.countBest(r)
 	target.submit(&job{
 		request: r, prompt: req.PromptTokens,
-		first: func(*job) { first = d.sim.events.now - at },
+		first: func(*job) {
+			first = d.sim.events.now - at
+			d.tracker.FirstToken(sent)
+			d.admission.FirstToken(ar, first)
+		},
 		done: func(j *job) {
 			d.sim.countRecomputed(j)
-			d.tracker.Ended(sent, routing.Feedback{OK: true, FirstToken: first, PromptTokens: j.prompt, CachedTokens: j.cached})
-			release(admission.Outcome{OK: true, First: first, Gap: r.gap(), Total: d.sim.events.now - at})
+			d.tracker.Ended(sent, routing.Feedback{OK: true, FirstToken: first, FirstReported: true, PromptTokens: j.prompt, CachedTokens: j.cached})
+			release(admission.Outcome{OK: true, First: first, FirstReported: true, Gap: r.gap(), Total: d.sim.events.now - at})
 		},
 		lost: func(j *job) {
 			d.sim.moved += r.generated
-			d.tracker.Ended(sent, routing.Feedback{FirstToken: first})
-			d.send(r, release)
+			d.tracker.Ended(sent, routing.Feedback{FirstToken: first, FirstReported: first > 0})
+			d.send(r, ar, release)
 		},
 	})
 }
--- a/internal/routing/feedback.go
+++ b/internal/routing/feedback.go
@@ -8,6 +8,8 @@
 	OK bool
 	// FirstToken is the time from dispatch to the first token; 0 when none came.
 	FirstToken time.Duration
+	// FirstReported says that Tracker.FirstToken was called.
+	FirstReported bool
 	// PromptTokens and CachedTokens are as the engine reported them; both are 0
 	// when it reported nothing.
 	PromptTokens int
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -124,6 +124,16 @@
 	return Sent{name: c.Name, ahead: ahead, uncached: uncached}
 }
 
+// FirstToken records the first token of an open attempt. Calling it is
+// optional; Ended makes up for it.
+func (t *Tracker) FirstToken(sent Sent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[sent.name]; s != nil {
+		s.pending = max(0, s.pending-sent.uncached)
+	}
+}
+
 // Ended records the end of an attempt.
 func (t *Tracker) Ended(sent Sent, f Feedback) {
 	t.mu.Lock()
@@ -134,6 +144,11 @@
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	s.running = max(0, s.running-1)
+	if s.inFlight == 0 {
+		s.pending = 0
+	} else if !f.FirstReported {
+		s.pending = max(0, s.pending-sent.uncached)
+	}
 	if f.FirstToken > 0 {
 		t.learn(s, sent, f)
 	}
--- a/internal/routing/tracker_test.go
+++ b/internal/routing/tracker_test.go
@@ -108,3 +108,28 @@
 	index.match([]uint64{4 * 9999}, &found)
 	assert.Equal(t, found[9999%5], uint16(1))
 }
+
+// Guards against forgetting own prompts that still wait, which the processing
+// rate alone would take for done, and against counting them for ever.
+func TestPendingPromptsCountUntilTheirFirstToken(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker(0)
+	upstreams := []membership.Upstream{{Name: "a"}}
+	see := func() *Candidate {
+		return &tracker.Candidates(&Request{PromptTokens: 1000, Now: now}, upstreams, nil)[0]
+	}
+	var sent []Sent
+	for range 3 {
+		sent = append(sent, tracker.Sent(&Request{PromptTokens: 1000, Now: now}, see()))
+	}
+	now = now.Add(time.Minute)
+	assert.Equal(t, see().BacklogTokens, 3000.0)
+	tracker.FirstToken(sent[0])
+	assert.Equal(t, see().BacklogTokens, 2000.0)
+	tracker.Ended(sent[0], Feedback{FirstReported: true})
+	tracker.Ended(sent[1], Feedback{})
+	assert.Equal(t, see().BacklogTokens, 1000.0)
+	tracker.Ended(sent[2], Feedback{})
+	assert.Equal(t, see().BacklogTokens, 0.0)
+	assert.Equal(t, see().InFlight, 0)
+}
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -29,6 +29,9 @@
 	// backlog is the prompt tokens that waited at backlogAt.
 	backlog   float64
 	backlogAt time.Duration
+	// pending is the prompt tokens of own attempts that have no first token yet.
+	// It does not lag, and it also holds what waits for a place in a full batch.
+	pending float64
 	// running is the batch size at the last report, plus own changes since.
 	running  float64
 	slowness float64
@@ -74,12 +77,13 @@
 	}
 }
 
-// backlogNow returns the backlog, less what was processed since.
+// backlogNow returns the backlog, less what was processed since, but at least
+// what is known to be pending.
 func (s *upstreamState) backlogNow(now time.Duration, rate float64) float64 {
 	if s.backlog <= 0 {
-		return 0
+		return s.pending
 	}
-	return max(0, s.backlog-float64(now-s.backlogAt)*1e-9*rate)
+	return max(s.pending, s.backlog-float64(now-s.backlogAt)*1e-9*rate)
 }
 
 func (s *upstreamState) sent(now time.Duration, tokens, rate float64) {
@@ -87,6 +91,7 @@
 	s.backlogAt = now
 	s.sends[s.nextSend] = send{at: now, tokens: tokens}
 	s.nextSend = (s.nextSend + 1) % rememberedSends
+	s.pending += tokens
 	s.inFlight++
 	s.running++
 }
