Judge a new version by first tokens as soon as they come

A latency was evidence only once the answer had ended. With answers of 10 s and a deadline of 10 s, a good version had no evidence at all and was undone. TestLongAnswersInAShortMove has only open answers: same latency is done, three times the latency is undone.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -32,6 +32,11 @@
 func (a *attempt) firstToken(first time.Duration) {
 	a.firstReported = true
 	a.tracker.FirstToken(a.sent)
+	if a.move != nil && a.request.Chat {
+		sample := a.moveSample(a.d.opts.Now())
+		sample.Open, sample.Latency = true, first
+		a.d.opts.Moves.Observe(sample)
+	}
 	a.d.opts.Admission.FirstToken(admissionRequest(a.class, &a.request), first)
 }
 
@@ -93,18 +98,17 @@
 	if a.move == nil {
 		return
 	}
-	sample := MoveSample{
-		Move: a.move, Version: a.upstream.Version, Route: a.request.Route, Upstream: a.upstream.Name,
-		Load: a.load, UncachedTokens: a.sent.Uncached(), StartedAt: a.startedAt, EndedAt: now,
-	}
+	sample := a.moveSample(now)
 	if res.PromptTokens > 0 {
 		sample.UncachedTokens = max(0, res.PromptTokens-res.CachedTokens)
 	}
 	switch res.Status {
 	case StatusOK:
 		sample.Gap = res.MeanGap
-		sample.Latency = res.Total
-		if a.request.Chat {
+		switch {
+		case !a.request.Chat:
+			sample.Latency = res.Total
+		case !a.firstReported:
 			sample.Latency = res.FirstToken
 		}
 	case StatusError, StatusCrash, StatusTimeout:
@@ -116,6 +120,13 @@
 	a.d.opts.Moves.Observe(sample)
 }
 
+func (a *attempt) moveSample(now time.Time) MoveSample {
+	return MoveSample{
+		Move: a.move, Version: a.upstream.Version, Route: a.request.Route, Upstream: a.upstream.Name,
+		Load: a.load, UncachedTokens: a.sent.Uncached(), StartedAt: a.startedAt, EndedAt: now,
+	}
+}
+
 func (a *attempt) observation(res Result) Observation {
 	r := &a.request
 	return Observation{
--- a/internal/dispatch/moves.go
+++ b/internal/dispatch/moves.go
@@ -11,11 +11,12 @@
 	// Share returns the share of requests that may go to the new version now,
 	// 0 to 1. It is 0 when the version was found bad or the deadline passed.
 	Share(m *configsync.Move) float64
-	// Observe records an ended attempt as evidence.
+	// Observe records an attempt as evidence: when its first token came, and
+	// when it has ended.
 	Observe(MoveSample)
 }
 
-// MoveSample is an ended attempt as evidence of a running move.
+// MoveSample is an attempt as evidence of a running move.
 type MoveSample struct {
 	Move     *configsync.Move
 	Version  string
@@ -28,6 +29,10 @@
 	// of a new version start with an empty cache, so latencies are compared
 	// among requests with about the same work.
 	UncachedTokens int
+	// Open says that the attempt has its first token and goes on: only Latency
+	// is known. A long answer would otherwise show its latency too late for a
+	// move with a short deadline.
+	Open bool
 	// Failed says that the upstream answered with an error, was lost or made no
 	// progress.
 	Failed bool
@@ -35,7 +40,7 @@
 	// its attempts at once.
 	Lost bool
 	// Latency is the time to the first token, or to the whole answer of a plain
-	// service; 0 when there was none.
+	// service; 0 when there was none, or when it was reported before.
 	Latency time.Duration
 	// Gap is the mean time between two tokens; 0 for plain services.
 	Gap       time.Duration
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -103,6 +103,10 @@
 
 // serve sends requests for a while, as the dispatcher would.
 func (f *controllerFixture) serve(d time.Duration, fails bool) {
+	f.serveWith(d, func(s *dispatch.MoveSample) { s.Failed = fails && s.Version == "v2" })
+}
+
+func (f *controllerFixture) serveWith(d time.Duration, change func(*dispatch.MoveSample)) {
 	for i := 0; i < int(d/(20*time.Millisecond)); i++ {
 		time.Sleep(20 * time.Millisecond)
 		m := f.move()
@@ -110,8 +114,10 @@
 		if dispatch.InShare(m.Name, fmt.Sprint(i), f.guard.Share(m)) {
 			version = "v2"
 		}
-		f.guard.Observe(dispatch.MoveSample{Move: m, Version: version, Route: "r", Latency: time.Duration(50+i%20) * time.Millisecond,
-			Failed: fails && version == "v2", StartedAt: time.Now(), EndedAt: time.Now()})
+		s := dispatch.MoveSample{Move: m, Version: version, Route: "r", Latency: time.Duration(50+i%20) * time.Millisecond,
+			StartedAt: time.Now(), EndedAt: time.Now()}
+		change(&s)
+		f.guard.Observe(s)
 	}
 }
 
@@ -221,3 +227,22 @@
 		assert.Equal(t, f.move().Version, o.Version)
 	})
 }
+
+// Guards against answers that take longer than the move: their first tokens
+// must count, for a good version and against a slow one.
+func TestLongAnswersInAShortMove(t *testing.T) {
+	for factor, phase := range map[time.Duration]api.MovePhase{1: api.MoveDone, 3: api.MoveUndone} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newControllerFixture(t, 10*time.Second)
+			f.run(t, func() {
+				f.serveWith(9900*time.Millisecond, func(s *dispatch.MoveSample) {
+					s.Open = true
+					if s.Version == "v2" {
+						s.Latency *= factor
+					}
+				})
+			})
+			assert.Equal(t, f.move().Status.Phase, phase, f.move().Status.Reason)
+		})
+	}
+}
--- a/internal/rollout/decide.go
+++ b/internal/rollout/decide.go
@@ -71,7 +71,7 @@
 		return Decision{Phase: api.MoveRunning, Share: next, Reason: "advanced to " + percent(next) + " of traffic"}
 	}
 	older, newer := e.Totals(0)
-	if newer.Requests == 0 {
+	if newer.answers() == 0 {
 		stay.Reason = fmt.Sprintf("held at %s: no request was answered by %s", percent(s.Share), s.To)
 		return stay
 	}
@@ -113,7 +113,7 @@
 // enough reports whether the present stage has seen enough requests.
 func enough(s State, e *Evidence) bool {
 	older, newer := e.Totals(s.slot(s.ShareSince))
-	return newer.Requests >= enoughRequests && (s.Share >= 1 || older.Requests >= enoughRequests)
+	return newer.answers() >= enoughRequests && (s.Share >= 1 || older.answers() >= enoughRequests)
 }
 
 // inDoubt returns why the move must not advance although the version is not
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -23,7 +23,7 @@
 // several. It is not safe for concurrent use.
 type Evidence struct {
 	cells map[CellKey]*cell
-	// all counts the requests and errors of all cells.
+	// all counts the requests, errors and first tokens of all cells.
 	all cell
 }
 
@@ -43,7 +43,7 @@
 	at.slot = min(max(at.slot, 0), maxSlots)
 	at.work = min(at.work, workLevels-1)
 	c.add(at, newer, seen)
-	e.all.add(at, newer, &Side{Requests: seen.Requests, Errors: seen.Errors})
+	e.all.add(at, newer, &Side{Requests: seen.Requests, Errors: seen.Errors, First: seen.First})
 }
 
 // AddRows merges rows of another daemon.
@@ -66,7 +66,7 @@
 				continue
 			}
 			for _, side := range []*Side{&s.older, &s.newer} {
-				if side.Requests == 0 {
+				if side.Requests == 0 && side.First.total == 0 {
 					continue
 				}
 				rows = append(rows, Row{
@@ -79,7 +79,8 @@
 	return rows
 }
 
-// Totals returns both versions' requests and errors from a slot on.
+// Totals returns both versions' requests, errors and first tokens from a slot
+// on.
 func (e *Evidence) Totals(from int64) (older, newer Side) { return e.all.sums(from) }
 
 // keys returns the cells in a fixed order.
@@ -103,7 +104,7 @@
 	for _, key := range e.keys() {
 		older, newer := e.cells[key].sums(0)
 		for _, side := range []*Side{&older, &newer} {
-			if side.Requests == 0 {
+			if side.Requests == 0 && side.First.total == 0 {
 				continue
 			}
 			version := from
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -118,7 +118,7 @@
 // are none since.
 func (c *cell) reported(from int64) (older, newer Side) {
 	older, newer = c.sums(from)
-	if older.Requests == 0 {
+	if older.Requests == 0 && older.First.total == 0 {
 		older, _ = c.sums(0)
 	}
 	return older, newer
@@ -140,10 +140,10 @@
 	for slot := c.last; slot >= c.first; slot-- {
 		for work := range uint8(workLevels) {
 			s := c.strata[stratumKey{slot: slot, work: work}]
-			if s == nil || s.newer.Requests == 0 {
+			if s == nil || s.newer.seen(metric) == 0 {
 				continue
 			}
-			if s.older.Requests < minSameTime && c.older[work].Requests > s.older.Requests {
+			if old := s.older.seen(metric); old < minSameTime && c.older[work].seen(metric) > old {
 				late[work].Merge(&s.newer)
 				continue
 			}
--- a/internal/rollout/side.go
+++ b/internal/rollout/side.go
@@ -18,6 +18,20 @@
 	s.Gap.Merge(&o.Gap)
 }
 
+// answers returns how many requests were answered at least in part.
+func (s *Side) answers() int { return max(s.Requests-s.Errors, s.First.total) }
+
+// seen returns the sample size of a metric.
+func (s *Side) seen(metric string) int {
+	switch metric {
+	case metricErrors:
+		return s.Requests
+	case metricFirst:
+		return s.First.total
+	}
+	return s.Gap.total
+}
+
 // errorExcess returns how many more errors the new version had than its part
 // of all errors, less a tolerated share, and the variance under the hypothesis
 // that both versions fail alike (Cochran-Mantel-Haenszel).
--- a/internal/rollout/tracked_move.go
+++ b/internal/rollout/tracked_move.go
@@ -33,7 +33,10 @@
 // tests that the sample can change are made.
 func (t *trackedMove) add(s *dispatch.MoveSample, slot int64, newer bool, now time.Time, alpha float64) *Finding {
 	key := CellKey{Route: s.Route, Band: bandOf(s.Load)}
-	seen := Side{Requests: 1}
+	seen := Side{}
+	if !s.Open {
+		seen.Requests = 1
+	}
 	switch {
 	case s.Failed:
 		seen.Errors = 1
