--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -124,6 +124,16 @@
 	return Sent{name: c.Name, ahead: ahead, uncached: uncached}
 }
 
+// FirstToken records the first token of an open attempt. Calling it is
+// optional; Ended makes up for it.
+func (t *Tracker) FirstToken(sent Sent) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.states[sent.name]; s != nil {
+		s.pending = max(0, s.pending-sent.uncached)
+	}
+}
+
 // Ended records the end of an attempt.
 func (t *Tracker) Ended(sent Sent, f Feedback) {
 	t.mu.Lock()
@@ -134,6 +144,11 @@
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	s.running = max(0, s.running-1)
+	if s.inFlight == 0 {
+		s.pending = 0
+	} else if !f.FirstReported {
+		s.pending = max(0, s.pending-sent.uncached)
+	}
 	if f.FirstToken > 0 {
 		t.learn(s, sent, f)
 	}
@@ -172,22 +187,26 @@
 		t.index.Clear(s.slot)
 		s.lastEvent = -1
 	}
-	gap := false
+	lost := int64(0)
 	for len(events) > 0 && events[0].Seq <= s.lastEvent {
 		// Overlapping polls return events twice.
 		events = events[1:]
 	}
 	for _, e := range events {
-		gap = gap || (s.lastEvent >= 0 && e.Seq > s.lastEvent+1)
+		if s.lastEvent >= 0 {
+			lost += e.Seq - s.lastEvent - 1
+		}
 		s.lastEvent = e.Seq
 	}
 	if upTo > s.lastEvent {
-		gap = gap || s.lastEvent >= 0
+		if s.lastEvent >= 0 {
+			lost += upTo - s.lastEvent
+		}
 		s.lastEvent = upTo
 	}
 	// Doubt what was held before the gap, then apply what is known since.
-	if gap {
-		t.index.Gap(s.slot)
+	if lost > 0 {
+		t.index.Gap(s.slot, lost)
 	}
 	for _, e := range events {
 		if e.Stored {
