--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -61,11 +61,25 @@
 }
 
 // spread takes the daemons in rounds: each round has one of each failure domain
-// in the order given.
+// in the order given. The region's daemons come first, and a quarter of the
+// answer is left to others, because a region may be cut off.
 func spread(daemons []membership.Daemon, region string) []Entry {
+	var near, far []membership.Daemon
+	for _, d := range daemons {
+		if region == "" || d.Region == region {
+			near = append(near, d)
+		} else {
+			far = append(far, d)
+		}
+	}
+	reserved := min(len(far), MaxEntries/4)
+	entries := rounds(nil, near, MaxEntries-reserved)
+	return rounds(entries, far, MaxEntries)
+}
+
+func rounds(entries []Entry, daemons []membership.Daemon, limit int) []Entry {
 	index := map[string]int{}
-	var near, far [][]membership.Daemon
-	byDomain := [][]membership.Daemon{}
+	var byDomain [][]membership.Daemon
 	for _, d := range daemons {
 		i, ok := index[d.Domain]
 		if !ok {
@@ -75,30 +89,17 @@
 		}
 		byDomain[i] = append(byDomain[i], d)
 	}
-	for _, list := range byDomain {
-		if region != "" && list[0].Region == region {
-			near = append(near, list)
-		} else {
-			far = append(far, list)
-		}
-	}
-	entries := make([]Entry, 0, min(len(daemons), MaxEntries))
-	for _, lists := range [][][]membership.Daemon{near, far} {
-		for round := 0; ; round++ {
-			found := false
-			for _, list := range lists {
-				if round >= len(list) {
-					continue
-				}
-				found = true
-				if len(entries) == MaxEntries {
-					return entries
-				}
-				entries = append(entries, Entry{Address: list[round].Address, Domain: list[round].Domain})
+	left := len(daemons)
+	for round := 0; left > 0; round++ {
+		for _, list := range byDomain {
+			if round >= len(list) {
+				continue
 			}
-			if !found {
-				break
+			if len(entries) >= limit {
+				return entries
 			}
+			left--
+			entries = append(entries, Entry{Address: list[round].Address, Domain: list[round].Domain})
 		}
 	}
 	return entries
