--- a/client/do.go
+++ b/client/do.go
@@ -154,6 +154,10 @@
 		return true
 	case e.Ran == RanNotRun && (e.Status == http.StatusServiceUnavailable || e.Status == http.StatusTooManyRequests):
 		return true
+	case path == chatPath && e.Code == "leaving" && e.Ran == RanUnknown:
+		// The daemon ended while it held the request; another one has a copy.
+		a.sent = true
+		return true
 	case query && e.Status == http.StatusServiceUnavailable, query && e.Status == http.StatusBadGateway && e.Code == "upstream_failed" && e.Ran == "":
 		return true
 	}
--- a/internal/journal/copy.go
+++ b/internal/journal/copy.go
@@ -80,9 +80,13 @@
 // MarkDelivered notes that a caller has the whole answer.
 func (r *Record) MarkDelivered() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.delivered = max(r.delivered, int64(len(r.ends)))
-	r.complete = r.state == StateFinished
+	first := r.state == StateFinished && !r.complete
+	r.complete = r.complete || first
+	r.mu.Unlock()
+	if first {
+		r.journal.shorten(r)
+	}
 }
 
 // Delivered reports whether a caller has got the whole answer or the problem.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,15 +20,11 @@
 
 	mu      sync.RWMutex
 	records map[string]*Record
-	// retained lists ended records in the order of their end.
-	retained []retained
-	timer    *time.Timer
-	closed   bool
-}
-
-type retained struct {
-	record *Record
-	until  time.Time
+	// ended and delivered are the records that are kept for callers that may
+	// return, each in the order in which their time is over.
+	ended, delivered retention
+	timer            *time.Timer
+	closed           bool
 }
 
 // New returns an empty Journal.
@@ -67,10 +63,9 @@
 		j.removeLocked(held)
 	}
 	for !j.reserve(rec.held, j.options.MaxBytes-j.options.MaxBytes/8) {
-		if len(j.retained) == 0 {
+		if !j.dropOldestLocked() {
 			return ErrTooLarge
 		}
-		j.dropOldestLocked()
 	}
 	j.records[rec.ID] = rec
 	return nil
@@ -106,12 +101,11 @@
 	limit := j.options.MaxBytes - j.options.MaxBytes/8
 	for !j.reserve(n, limit) {
 		j.mu.Lock()
-		if len(j.retained) == 0 {
-			j.mu.Unlock()
+		dropped := j.dropOldestLocked()
+		j.mu.Unlock()
+		if !dropped {
 			return false
 		}
-		j.dropOldestLocked()
-		j.mu.Unlock()
 	}
 	return true
 }
@@ -154,39 +148,58 @@
 }
 
 // retain keeps an ended record until its time is over.
-func (j *Journal) retain(rec *Record) {
+func (j *Journal) retain(rec *Record) { j.keep(rec, &j.ended, j.options.Retain) }
+
+// shorten lets a record go earlier, because its answer was delivered.
+func (j *Journal) shorten(rec *Record) { j.keep(rec, &j.delivered, j.options.RetainDelivered) }
+
+func (j *Journal) keep(rec *Record, in *retention, d time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.records[rec.ID] != rec {
 		return
 	}
-	j.retained = append(j.retained, retained{record: rec, until: time.Now().Add(j.options.Retain)})
+	in.add(rec, time.Now().Add(d))
 	j.armLocked()
 }
 
+// armLocked lets the timer run until the first record's time is over.
 func (j *Journal) armLocked() {
-	if j.closed || j.timer != nil || len(j.retained) == 0 {
+	until, ok := j.ended.next()
+	if other, found := j.delivered.next(); found && (!ok || other.Before(until)) {
+		until, ok = other, true
+	}
+	if !ok || j.closed {
 		return
 	}
-	j.timer = time.AfterFunc(time.Until(j.retained[0].until), j.expire)
+	if j.timer == nil {
+		j.timer = time.AfterFunc(time.Until(until), j.expire)
+		return
+	}
+	j.timer.Reset(time.Until(until))
 }
 
 func (j *Journal) expire() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.timer = nil
 	now := time.Now()
-	for len(j.retained) > 0 && !j.retained[0].until.After(now) {
-		j.dropOldestLocked()
+	for _, list := range []*retention{&j.ended, &j.delivered} {
+		for until, ok := list.next(); ok && !until.After(now); until, ok = list.next() {
+			j.removeLocked(list.first())
+		}
 	}
 	j.armLocked()
 }
 
-func (j *Journal) dropOldestLocked() {
-	oldest := j.retained[0].record
-	j.retained[0] = retained{}
-	j.retained = j.retained[1:]
-	j.removeLocked(oldest)
+// dropOldestLocked makes room; records whose answer was delivered go first.
+func (j *Journal) dropOldestLocked() bool {
+	for _, list := range []*retention{&j.delivered, &j.ended} {
+		if rec := list.first(); rec != nil {
+			j.removeLocked(rec)
+			return true
+		}
+	}
+	return false
 }
 
 func (j *Journal) removeLocked(rec *Record) {
@@ -194,6 +207,7 @@
 		return
 	}
 	delete(j.records, rec.ID)
+	rec.kept.remove()
 	rec.mu.Lock()
 	held := rec.held
 	rec.held = 0
--- a/internal/journal/options.go
+++ b/internal/journal/options.go
@@ -17,6 +17,9 @@
 	// Retain is how long a finished record is kept for callers that return.
 	// Default 60 s. Memory pressure removes finished records earlier.
 	Retain time.Duration
+	// RetainDelivered is how long a record is kept after a caller got the whole
+	// answer; the end may still have been lost on its way. Default 10 s.
+	RetainDelivered time.Duration
 	// Scope receives the counters. Default: none.
 	Scope tally.Scope
 }
@@ -31,6 +34,9 @@
 	if o.Retain <= 0 {
 		o.Retain = time.Minute
 	}
+	if o.RetainDelivered <= 0 {
+		o.RetainDelivered = 10 * time.Second
+	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -17,6 +17,8 @@
 	journal *Journal
 	// ended is closed when the record finishes or moves.
 	ended chan struct{}
+	// kept is guarded by the journal's mutex.
+	kept kept
 
 	mu       sync.Mutex
 	state    State
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -108,7 +108,7 @@
 func (r *runner) classify(ctx, attemptCtx context.Context, err error, how mode) result {
 	var failure *engineclient.Error
 	answered := errors.As(err, &failure)
-	if !answered || !failure.NotRun {
+	if !answered || !failure.NotRun && !failure.Rejected {
 		r.ran = true
 	}
 	switch {
@@ -122,9 +122,10 @@
 		return result{ending: endForgotten, err: err}
 	case how == modeResume && failure.NotRun && failure.Status == 0:
 		return result{ending: endGone, err: err}
-	case failure.Status == 0, failure.Draining, failure.Status == http.StatusTooManyRequests, failure.Status == http.StatusNotFound:
+	case failure.NotRun, failure.Status == http.StatusNotFound:
+		// An engine that answers 404 does not serve the model yet, or no longer.
 		return result{ending: endRefused, draining: failure.Draining, err: err}
-	case failure.Status >= 500 || failure.Status == http.StatusRequestTimeout:
+	case !failure.Rejected:
 		return result{ending: endError, err: err}
 	case how == modePrefix:
 		return result{ending: endPrefixRefused, err: err}
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
@@ -23,7 +22,6 @@
 type runner struct {
 	server *Server
 	rec    *journal.Record
-	log    *log.Logger
 	limits limits
 	// ran is set once an engine may have run the request.
 	ran bool
@@ -51,7 +49,6 @@
 	class := s.options.Config.Snapshot().Classes[rec.Class]
 	r := &runner{
 		server: s, rec: rec, limits: s.options.limitsFor(class),
-		log: s.options.Logger.With("request", rec.ID, "workspace", rec.Workspace, "class", rec.Class),
 	}
 	if class != nil {
 		r.priority = class.PriorityOrDefault()
@@ -59,7 +56,12 @@
 	defer r.cancels.Wait()
 	outcome, p := r.run(ctx)
 	cause := context.Cause(ctx)
-	if errors.Is(cause, errMoved) {
+	switch {
+	case errors.Is(cause, errMoved):
+		return
+	case errors.Is(cause, errClosed) && s.options.Handoff != nil:
+		// The backup still has the record: callers find it at other daemons.
+		rec.Move(rec.Epoch()+1, "")
 		return
 	}
 	if p != nil {
@@ -69,7 +71,7 @@
 		return
 	}
 	s.metrics.finished(outcome)
-	if s.options.Handoff != nil && !errors.Is(cause, errClosed) {
+	if s.options.Handoff != nil {
 		s.options.Handoff.Finished(rec)
 	}
 	r.logEnd(outcome, p)
@@ -93,26 +95,30 @@
 // logEnd writes one line about a failed request, and about a share of the
 // others.
 func (r *runner) logEnd(outcome journal.Outcome, p *problem.Problem) {
-	fields := []any{"outcome", outcome, "route", r.rec.Route, "attempts", len(r.rec.Status().Attempts),
+	fields := []any{"request", r.rec.ID, "workspace", r.rec.Workspace, "class", r.rec.Class,
+		"outcome", outcome, "route", r.rec.Route, "attempts", len(r.rec.Status().Attempts),
 		"version", r.version, "domain", r.domain, "events", r.rec.Last(), "ms", time.Since(r.rec.AcceptedAt).Milliseconds()}
 	switch {
 	case p != nil:
-		r.log.Warn("request failed", append(fields, "code", p.Code)...)
+		r.server.options.Logger.Warn("request failed", append(fields, "code", p.Code)...)
 	case rand.Float64() < r.server.options.LogShare:
-		r.log.Info("request answered", fields...)
+		r.server.options.Logger.Info("request answered", fields...)
 	}
 }
 
 func (r *runner) run(ctx context.Context) (journal.Outcome, *problem.Problem) {
+	first := 1
 	if attempts := r.rec.Status().Attempts; len(attempts) > 0 {
-		// A record that was taken over: its engine may still have the generation.
+		// A record that was taken over: it has been admitted before, and its
+		// engine may still have the generation.
+		first = 2
 		last := attempts[len(attempts)-1]
 		r.ran, r.version = true, last.Version
 		if outcome, p, done := r.resumeAdopted(ctx, last); done {
 			return outcome, p
 		}
 	}
-	for tried := 1; ; tried++ {
+	for tried := first; ; tried++ {
 		if complete(r.rec.Events()) {
 			return journal.OutcomeDone, nil
 		}
@@ -128,7 +134,7 @@
 			return r.failed(end.problem)
 		case end.ending == endStopped || ctx.Err() != nil:
 			return r.stopped(ctx, choice.Upstream.Address)
-		case tried >= r.server.options.MaxAttempts:
+		case tried-first+1 >= r.server.options.MaxAttempts:
 			return r.failed(problem.Unknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "no engine completed the answer"))
 		}
 	}
@@ -205,7 +211,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if err := r.server.options.Engine.Cancel(ctx, address, r.rec.ID); err != nil {
-			r.log.Debug("cancellation failed", "upstream", address, "error", err)
+			r.server.options.Logger.Debug("cancellation failed", "request", r.rec.ID, "upstream", address, "error", err)
 		}
 	}()
 }
--- a/internal/server/service_answer.go
+++ b/internal/server/service_answer.go
@@ -77,7 +77,7 @@
 	if len(c.body) > 0 {
 		request.Body = io.NopCloser(bytes.NewReader(c.body))
 		request.ContentLength = int64(len(c.body))
-		if c.class.IsIdempotent() {
+		if !c.once {
 			request.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(c.body)), nil }
 		}
 	}
@@ -87,7 +87,7 @@
 	request.Header.Set("X-Request-Id", c.id)
 	request.Header.Set("X-Attempt", strconv.Itoa(c.attempt))
 	request.Header.Set("X-Workspace", c.workspace)
-	if !c.class.IsIdempotent() {
+	if c.once {
 		request.Header.Set("Idempotency-Key", c.key)
 	}
 	return request, nil
--- a/internal/server/use.go
+++ b/internal/server/use.go
@@ -57,7 +57,8 @@
 			end.ending = endDone
 		}
 		r.server.metrics.attempt(status(end, ctx), how)
-		r.log.Debug("attempt ended", "attempt", number, "upstream", choice.Upstream.Name, "version", choice.Version,
+		r.server.options.Logger.Debug("attempt ended", "request", r.rec.ID, "workspace", r.rec.Workspace,
+			"class", r.rec.Class, "attempt", number, "upstream", choice.Upstream.Name, "version", choice.Version,
 			"domain", choice.Upstream.Domain, "mode", how, "status", status(end, ctx), "error", end.err)
 		measured.draining = measured.draining || end.draining
 		if r.rec.Last() > before {
