--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,18 +20,11 @@
 
 	mu      sync.RWMutex
 	records map[string]*Record
-	// recent and retained list ended records in the order of their end: recent
-	// ones until it is looked at whether the caller got the whole answer, the
-	// others until their time is over.
-	recent   []retained
-	retained []retained
-	timer    *time.Timer
-	closed   bool
-}
-
-type retained struct {
-	record *Record
-	until  time.Time
+	// ended and delivered are the records that are kept for callers that may
+	// return, each in the order in which their time is over.
+	ended, delivered retention
+	timer            *time.Timer
+	closed           bool
 }
 
 // New returns an empty Journal.
@@ -155,70 +148,58 @@
 }
 
 // retain keeps an ended record until its time is over.
-func (j *Journal) retain(rec *Record) {
+func (j *Journal) retain(rec *Record) { j.keep(rec, &j.ended, j.options.Retain) }
+
+// shorten lets a record go earlier, because its answer was delivered.
+func (j *Journal) shorten(rec *Record) { j.keep(rec, &j.delivered, j.options.RetainDelivered) }
+
+func (j *Journal) keep(rec *Record, in *retention, d time.Duration) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.records[rec.ID] != rec {
 		return
 	}
-	j.recent = append(j.recent, retained{record: rec, until: time.Now().Add(j.options.RetainComplete)})
+	in.add(rec, time.Now().Add(d))
 	j.armLocked()
 }
 
+// armLocked lets the timer run until the first record's time is over.
 func (j *Journal) armLocked() {
-	if j.closed || j.timer != nil {
-		return
+	until, ok := j.ended.next()
+	if other, found := j.delivered.next(); found && (!ok || other.Before(until)) {
+		until, ok = other, true
 	}
-	var next time.Time
-	for _, list := range [][]retained{j.recent, j.retained} {
-		if len(list) > 0 && (next.IsZero() || list[0].until.Before(next)) {
-			next = list[0].until
-		}
+	if !ok || j.closed {
+		return
 	}
-	if !next.IsZero() {
-		j.timer = time.AfterFunc(time.Until(next), j.expire)
+	if j.timer == nil {
+		j.timer = time.AfterFunc(time.Until(until), j.expire)
+		return
 	}
+	j.timer.Reset(time.Until(until))
 }
 
 func (j *Journal) expire() {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.timer = nil
 	now := time.Now()
-	for len(j.recent) > 0 && !j.recent[0].until.After(now) {
-		rec := takeFirst(&j.recent)
-		if rec.Delivered() {
-			j.removeLocked(rec)
-			continue
+	for _, list := range []*retention{&j.ended, &j.delivered} {
+		for until, ok := list.next(); ok && !until.After(now); until, ok = list.next() {
+			j.removeLocked(list.first())
 		}
-		until := now.Add(j.options.Retain - j.options.RetainComplete)
-		j.retained = append(j.retained, retained{record: rec, until: until})
-	}
-	for len(j.retained) > 0 && !j.retained[0].until.After(now) {
-		j.removeLocked(takeFirst(&j.retained))
 	}
 	j.armLocked()
 }
 
-// dropOldestLocked removes the ended record that is oldest and reports whether
-// there was one.
+// dropOldestLocked makes room; records whose answer was delivered go first.
 func (j *Journal) dropOldestLocked() bool {
-	switch {
-	case len(j.retained) > 0:
-		j.removeLocked(takeFirst(&j.retained))
-	case len(j.recent) > 0:
-		j.removeLocked(takeFirst(&j.recent))
-	default:
-		return false
+	for _, list := range []*retention{&j.delivered, &j.ended} {
+		if rec := list.first(); rec != nil {
+			j.removeLocked(rec)
+			return true
+		}
 	}
-	return true
-}
-
-func takeFirst(list *[]retained) *Record {
-	first := (*list)[0].record
-	(*list)[0] = retained{}
-	*list = (*list)[1:]
-	return first
+	return false
 }
 
 func (j *Journal) removeLocked(rec *Record) {
@@ -226,6 +207,7 @@
 		return
 	}
 	delete(j.records, rec.ID)
+	rec.kept.remove()
 	rec.mu.Lock()
 	held := rec.held
 	rec.held = 0
