Let daemons agree on upstreams for a new shared prefix

For a long prompt that no candidate holds, the two choices among the best now follow the prompt's hash.

--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -74,6 +74,13 @@
 	return first + c.ReclaimsPerSecond*exposure*recompute + c.PricePerHour*p.PriceSeconds
 }
 
+// coldShare is the cached part of a prompt below which no candidate counts as
+// holding it, and coldBlocks the least blocks for which that matters.
+const (
+	coldShare  = 0.1
+	coldBlocks = 16
+)
+
 // maxScored bounds the buffer of scores on the stack.
 const maxScored = 256
 
@@ -89,29 +96,7 @@
 		scores[i] = p.Score(req, &candidates[i])
 		best = min(best, scores[i])
 	}
-	limit := best + p.SlackSeconds + best*p.SlackShare
-	// Reservoir sampling of two among the candidates within the limit.
-	source := bitSource(req.Rand)
-	a, b, seen := -1, -1, 0
-	for i := range candidates {
-		if scores[i] > limit {
-			continue
-		}
-		seen++
-		switch {
-		case a < 0:
-			a = i
-		case b < 0:
-			b = i
-		default:
-			switch source.below(seen) {
-			case 0:
-				a = i
-			case 1:
-				b = i
-			}
-		}
-	}
+	a, b := p.draw(req, candidates, scores[:len(candidates)], best+p.SlackSeconds+best*p.SlackShare)
 	if b < 0 {
 		return a
 	}
@@ -122,3 +107,39 @@
 	}
 	return a
 }
+
+// draw returns two of the candidates whose score is within limit; the second is
+// -1 when there is only one. The draw is random, but for a long prompt that no
+// candidate holds it follows the prompt's hash: daemons that see the same new
+// prefix at the same time then send it to the same upstreams.
+func (p *Cost) draw(req *Request, candidates []Candidate, scores []float64, limit float64) (int, int) {
+	source := bitSource(req.Rand)
+	cold := len(req.Blocks) >= coldBlocks
+	for i := 0; cold && i < len(candidates); i++ {
+		cold = candidates[i].CachedTokens < coldShare*float64(req.PromptTokens)
+	}
+	key := uint64(0)
+	if cold {
+		key = req.Blocks[min(len(req.Blocks), prefixBlocks)-1]
+	}
+	a, b := -1, -1
+	var weightA, weightB uint64
+	for i := range candidates {
+		if scores[i] > limit {
+			continue
+		}
+		weight := source.next()
+		if cold {
+			own := bitSource(key ^ candidates[i].NameHash)
+			weight = own.next()
+		}
+		switch {
+		case a < 0 || weight > weightA:
+			b, weightB = a, weightA
+			a, weightA = i, weight
+		case b < 0 || weight > weightB:
+			b, weightB = i, weight
+		}
+	}
+	return a, b
+}
--- a/internal/routing/tracker_test.go
+++ b/internal/routing/tracker_test.go
@@ -133,3 +133,22 @@
 	assert.Equal(t, see().BacklogTokens, 0.0)
 	assert.Equal(t, see().InFlight, 0)
 }
+
+// Guards against daemons that each bring a new shared prefix to another
+// upstream before cache events tell them of each other.
+func TestNewPrefixesMeetOnFewUpstreams(t *testing.T) {
+	var upstreams []membership.Upstream
+	for i := range 12 {
+		upstreams = append(upstreams, membership.Upstream{Name: fmt.Sprintf("u%d", i)})
+	}
+	blocks := make([]uint64, 100)
+	for i := range blocks {
+		blocks[i] = uint64(i+1) * 0x9e3779b97f4a7c15
+	}
+	picked := map[int]int{}
+	for daemon := range uint64(8) {
+		req := &Request{PromptTokens: 1600, Blocks: blocks, Rand: daemon * 77, Now: time.Unix(1000, 0)}
+		picked[NewCost().Pick(req, NewTracker(0).Candidates(req, upstreams, nil))]++
+	}
+	assert.Assert(t, len(picked) <= 2, "8 daemons chose %d upstreams", len(picked))
+}
