Move answers off upstreams that leave before they can end

An answer that would be cut off by a reclaim waited for the loss of its connection and was then computed again. It now moves when the notice comes: with its KV cache when the engines can transfer it, otherwise with the received text as prefix. When no other upstream takes it, it stays to the end.

Recomputed tokens are counted by the reason of the loss and without those that the next engine had in its prefix cache.

--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -38,6 +38,15 @@
 	}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if !r.staying {
+		r.call.running.Store(&running{
+			upstream: choice.Upstream.Name, begun: time.Now(), before: r.rec.Last(),
+			interrupt: func() { cancel(errLeaving) },
+		})
+		defer r.call.running.Store(nil)
+		// The upstream may have begun to leave since it was chosen.
+		r.server.checkUpstream(r.call)
+	}
 	watchdog := time.AfterFunc(r.limits.first, func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	stream, err := r.server.options.Engine.Stream(attemptCtx, request)
@@ -114,6 +123,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return result{ending: endStopped, err: err}
+	case errors.Is(context.Cause(attemptCtx), errLeaving):
+		return result{ending: endLeaving, err: err}
 	case errors.Is(context.Cause(attemptCtx), errSilent) && (!answered || !failure.NotRun):
 		return result{ending: endSilent, err: err}
 	case !answered || failure.Status == 0 && !failure.NotRun:
--- a/internal/server/causes.go
+++ b/internal/server/causes.go
@@ -7,6 +7,7 @@
 	errMoved     = errors.ConstError("another daemon holds the request")
 	errAbandoned = errors.ConstError("the caller is gone")
 	errDeadline  = errors.ConstError("the deadline passed")
+	errLeaving   = errors.ConstError("the upstream is leaving")
 	errSilent    = errors.ConstError("no progress within the deadline")
 	errIsolated  = errors.ConstError("the holder cannot be verified")
 	errClosed    = errors.ConstError("the daemon ends")
--- a/internal/server/ending.go
+++ b/internal/server/ending.go
@@ -21,6 +21,8 @@
 	endPrefixRefused
 	// endDiffers: a regenerated answer is not the one that was begun.
 	endDiffers
+	// endLeaving: the attempt was interrupted because its engine is leaving.
+	endLeaving
 	// endError: the engine answered with an error of its own.
 	endError
 	// endFinal: the request cannot succeed; the problem says why.
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -140,6 +140,30 @@
 	upstreams []membership.Upstream
 	results   []dispatch.Result
 	requests  []dispatch.Request
+	changed   chan struct{}
+}
+
+func (p *fakePool) Changed() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return p.changed
+}
+
+// notice lets an upstream leave within d.
+func (p *fakePool) notice(name string, d time.Duration) {
+	p.Changed()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range p.upstreams {
+		if p.upstreams[i].Name == name {
+			p.upstreams[i].Leaving, p.upstreams[i].LeavingBy = true, time.Now().Add(d)
+		}
+	}
+	close(p.changed)
+	p.changed = nil
 }
 
 func (p *fakePool) add(name, version, address string) {
@@ -152,6 +176,9 @@
 	p.requests = append(p.requests, *r)
 next:
 	for _, u := range p.upstreams {
+		if u.Leaving {
+			continue
+		}
 		for _, name := range r.Exclude {
 			if name == u.Name {
 				continue next
@@ -167,6 +194,8 @@
 }
 
 func (p *fakePool) Upstream(name string) (membership.Upstream, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, u := range p.upstreams {
 		if u.Name == name {
 			return u, true
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -10,23 +10,23 @@
 
 // metrics are the server's counters. Tagged counters are cached by tally.
 type metrics struct {
-	scope      tally.Scope
-	accepted   tally.Counter
-	resumed    tally.Counter
-	events     tally.Counter
-	recomputed tally.Counter
-	abandoned  tally.Counter
+	scope     tally.Scope
+	accepted  tally.Counter
+	resumed   tally.Counter
+	events    tally.Counter
+	kvMoves   tally.Counter
+	abandoned tally.Counter
 }
 
 func newMetrics(scope tally.Scope) *metrics {
 	scope = scope.SubScope("server")
 	return &metrics{
-		scope:      scope,
-		accepted:   scope.Counter("accepted"),
-		resumed:    scope.Counter("resumed_streams"),
-		events:     scope.Counter("events"),
-		recomputed: scope.Counter("recomputed_tokens"),
-		abandoned:  scope.Counter("abandoned"),
+		scope:     scope,
+		accepted:  scope.Counter("accepted"),
+		resumed:   scope.Counter("resumed_streams"),
+		events:    scope.Counter("events"),
+		kvMoves:   scope.Counter("kv_moves"),
+		abandoned: scope.Counter("abandoned"),
 	}
 }
 
@@ -34,6 +34,14 @@
 	m.scope.Tagged(map[string]string{"code": string(code)}).Counter("refused").Inc(1)
 }
 
+// recomputed counts tokens that were computed again, by the reason why their
+// state was lost.
+func (m *metrics) recomputed(reason string, tokens int) {
+	if tokens > 0 {
+		m.scope.Tagged(map[string]string{"reason": reason}).Counter("recomputed_tokens").Inc(int64(tokens))
+	}
+}
+
 func (m *metrics) finished(outcome journal.Outcome) {
 	m.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter("finished").Inc(1)
 }
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -57,6 +57,9 @@
 	// MaxResumes bounds the resumptions at one engine without a new event.
 	// Default 3.
 	MaxResumes int
+	// KVMoveTokens is from how many tokens on an answer that leaves an upstream
+	// takes its KV cache along; fewer are computed again. Default 1024.
+	KVMoveTokens int
 	// ConnectTimeout bounds opening a connection to a plain service. Default 1s.
 	ConnectTimeout time.Duration
 	// FirstEvent is the longest wait for the first event of an attempt.
@@ -93,6 +96,7 @@
 	setDefault(&o.MaxRecordedBytes, 16<<10)
 	setDefault(&o.MaxAttempts, 4)
 	setDefault(&o.MaxResumes, 3)
+	setDefault(&o.KVMoveTokens, 1024)
 	setDefault(&o.ConnectTimeout, time.Second)
 	setDefault(&o.CallerWrite, 30*time.Second)
 	setDefault(&o.AbandonGrace, 30*time.Second)
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -21,6 +21,7 @@
 // runner carries one request through its attempts. It is used by one goroutine.
 type runner struct {
 	server *Server
+	call   *call
 	rec    *journal.Record
 	limits limits
 	// ran is set once an engine may have run the request.
@@ -38,23 +39,33 @@
 	// noPrefix is set once an engine refused the prefix form, or the answer
 	// cannot be given as a prefix.
 	noPrefix bool
+	// moving is set while the answer moves away from an upstream that is leaving.
+	moving *moving
+	// staying is set once the answer stays at such an upstream to its end.
+	staying bool
+	// lost is why the last attempt ended, as the reason of recomputed tokens.
+	lost string
 	// cancels counts cancellations at engines that are under way.
 	cancels sync.WaitGroup
 }
 
 // work runs a record to its end.
-func (s *Server) work(ctx context.Context, rec *journal.Record) {
+func (s *Server) work(ctx context.Context, c *call) {
+	rec := c.record
 	ctx, cancel := context.WithDeadlineCause(ctx, rec.Deadline, errDeadline)
 	defer cancel()
 	class := s.options.Config.Snapshot().Classes[rec.Class]
 	r := &runner{
-		server: s, rec: rec, limits: s.options.limitsFor(class),
+		server: s, call: c, rec: rec, limits: s.options.limitsFor(class),
 	}
 	if class != nil {
 		r.priority = class.PriorityOrDefault()
 	}
 	defer r.cancels.Wait()
 	outcome, p := r.run(ctx)
+	if r.moving != nil && r.moving.state != nil {
+		<-s.kvSlots
+	}
 	cause := context.Cause(ctx)
 	switch {
 	case errors.Is(cause, errMoved):
@@ -113,20 +124,30 @@
 		// engine may still have the generation.
 		first = 2
 		last := attempts[len(attempts)-1]
-		r.ran, r.version = true, last.Version
+		r.ran, r.version, r.lost = true, last.Version, "takeover"
 		if outcome, p, done := r.resumeAdopted(ctx, last); done {
 			return outcome, p
 		}
 	}
+	failures := 0
 	for tried := first; ; tried++ {
 		if complete(r.rec.Events()) {
 			return journal.OutcomeDone, nil
 		}
 		choice, err := r.choose(ctx, tried)
-		if err != nil {
+		var end result
+		switch {
+		case err == nil:
+			end = r.use(ctx, choice)
+		case r.moving != nil && ctx.Err() == nil:
+			choice = r.moving.from
+			end = r.stay(ctx)
+		default:
 			return r.notChosen(ctx, err)
 		}
-		end := r.use(ctx, choice)
+		if end.ending != endLeaving {
+			failures++
+		}
 		switch {
 		case end.ending == endDone:
 			return journal.OutcomeDone, nil
@@ -134,7 +155,7 @@
 			return r.failed(end.problem)
 		case end.ending == endStopped || ctx.Err() != nil:
 			return r.stopped(ctx, choice.Upstream.Address)
-		case tried-first+1 >= r.server.options.MaxAttempts:
+		case failures >= r.server.options.MaxAttempts:
 			return r.failed(problem.Unknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "no engine completed the answer"))
 		}
 	}
--- a/internal/server/seen.go
+++ b/internal/server/seen.go
@@ -14,8 +14,10 @@
 	gap         time.Duration
 	gaps        time.Duration
 	tokens      int
-	recomputed  int
-	draining    bool
+	// recomputed are the prompt and the events held at the start of an attempt
+	// that cannot continue a generation.
+	recomputed int
+	draining   bool
 	// onFirst, if set, is called with the time to the first token.
 	onFirst func(time.Duration)
 }
@@ -59,6 +61,8 @@
 	}
 	if final != nil && json.Unmarshal(final, &c) == nil {
 		r.PromptTokens, r.CachedTokens = c.Usage.PromptTokens, c.Usage.Details.CachedTokens
+		// What the engine had in its prefix cache was not computed again.
+		r.RecomputedTokens = max(0, r.RecomputedTokens-r.CachedTokens)
 	}
 	return r
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 
 	"rattantide/internal/journal"
 )
@@ -16,6 +17,10 @@
 	once     *http.Client
 	repeated *http.Client
 	idle     idleTracker
+	// kvSlots bounds the KV caches that are held here.
+	kvSlots chan struct{}
+	// stopWatch ends watchUpstreams and waits for its end.
+	stopWatch func()
 
 	mu       sync.Mutex
 	calls    map[string]*call
@@ -29,6 +34,8 @@
 	cancel context.CancelCauseFunc
 	// ended is closed when no goroutine works on the record any more.
 	ended chan struct{}
+	// running is the attempt under way, nil between attempts.
+	running atomic.Pointer[running]
 }
 
 // New returns a Server. Close it to end the requests that are open.
@@ -41,6 +48,7 @@
 		once:     newServiceClient(singleUse(options.Transport)),
 		repeated: newServiceClient(options.Transport),
 		calls:    map[string]*call{},
+		kvSlots:  make(chan struct{}, parallelKV),
 	}
 	s.mux.HandleFunc("POST /v1/chat/completions", s.serveChat)
 	s.mux.HandleFunc("GET /v1/requests/{id}", s.serveAnswer)
@@ -48,6 +56,16 @@
 	s.mux.HandleFunc("GET /v1/requests/{id}/status", s.serveStatus)
 	s.mux.HandleFunc("GET /v1/entries", s.serveEntries)
 	s.mux.HandleFunc("/", s.serveService)
+	ctx, cancel := context.WithCancel(context.Background())
+	watching := make(chan struct{})
+	go func() {
+		defer close(watching)
+		s.watchUpstreams(ctx)
+	}()
+	s.stopWatch = func() {
+		cancel()
+		<-watching
+	}
 	return s
 }
 
@@ -70,7 +88,7 @@
 		defer s.idle.add(-1)
 		defer close(c.ended)
 		defer cancel(nil)
-		s.work(ctx, rec)
+		s.work(ctx, c)
 		s.mu.Lock()
 		if s.calls[rec.ID] == c {
 			delete(s.calls, rec.ID)
@@ -111,6 +129,7 @@
 	for _, c := range open {
 		<-c.ended
 	}
+	s.stopWatch()
 	s.once.CloseIdleConnections()
 	s.repeated.CloseIdleConnections()
 }
--- a/internal/server/use.go
+++ b/internal/server/use.go
@@ -20,9 +20,20 @@
 		choice.Done(dispatch.Result{Status: dispatch.StatusCanceled})
 		return result{ending: endDiffers}
 	}
-	return r.useFrom(ctx, choice, r.modeFor(choice.Version))
+	how := r.modeFor(choice.Version)
+	if r.moving != nil && r.arrive(ctx, choice) {
+		how = modeResume
+	}
+	recomputed := 0
+	if r.ran && how != modeResume {
+		recomputed = r.toRecompute()
+	}
+	return r.useFrom(ctx, choice, how, recomputed)
 }
 
+// toRecompute is what an engine has to compute to get to where the answer is.
+func (r *runner) toRecompute() int { return r.rec.PromptTokens + int(r.rec.Last()) }
+
 // wouldMix reports whether the caller has events that this daemon does not
 // hold, and that an engine of another version cannot produce again.
 func (r *runner) wouldMix(version string) bool {
@@ -30,12 +41,10 @@
 	return r.version != "" && version != r.version && status.Delivered > status.Events
 }
 
-func (r *runner) useFrom(ctx context.Context, choice *dispatch.Choice, how mode) result {
-	measured := &seen{begun: time.Now(), onFirst: choice.FirstToken}
-	if held := int(r.rec.Last()); how == modePrefix || how == modeRegenerate {
-		measured.recomputed = held
-		r.server.metrics.recomputed.Inc(int64(held))
-	}
+// useFrom runs attempts in a mode to begin with. recomputed are the tokens that
+// this use computes again.
+func (r *runner) useFrom(ctx context.Context, choice *dispatch.Choice, how mode, recomputed int) result {
+	measured := &seen{begun: time.Now(), onFirst: choice.FirstToken, recomputed: recomputed}
 	resumes := 0
 	var end result
 	for {
@@ -70,6 +79,8 @@
 		}
 		if next == modeResume || next == modeStart {
 			resumes++
+		} else if end.ending == endForgotten {
+			measured.recomputed += r.toRecompute()
 		}
 		how = next
 	}
@@ -82,7 +93,13 @@
 			final = events[len(events)-1]
 		}
 	}
-	choice.Done(measured.result(status(end, ctx), final))
+	seen := measured.result(status(end, ctx), final)
+	r.server.metrics.recomputed(r.lost, seen.RecomputedTokens)
+	r.lost = string(seen.Status)
+	choice.Done(seen)
+	if end.ending == endLeaving && ctx.Err() == nil {
+		r.depart(ctx, choice)
+	}
 	return end
 }
 
@@ -156,7 +173,7 @@
 		how = modeStart
 	}
 	choice := &dispatch.Choice{Upstream: upstream, Version: last.Version, Priority: r.priority, Done: func(dispatch.Result) {}}
-	end := r.useFrom(ctx, choice, how)
+	end := r.useFrom(ctx, choice, how, 0)
 	switch {
 	case end.ending == endDone:
 		return journal.OutcomeDone, nil, true
@@ -181,6 +198,8 @@
 		return dispatch.StatusCrash
 	case endSilent:
 		return dispatch.StatusTimeout
+	case endLeaving:
+		return dispatch.StatusMoved
 	case endStopped:
 		if errors.Is(context.Cause(ctx), errMoved) {
 			return dispatch.StatusMoved
