Attribute lost engines correctly and shed before an engine's queue fills

Causes found by the scenarios poison, reclaim_repeated_prompt and overload: - An engine that does not know a generation right after its connection broke has crashed; the loss was not counted and a request that crashes engines was tried on all of them. It now counts as a crash, and an engine is asked only once more when nothing was received. - The end of an upstream that is known to leave counted as a crash caused by the request, which put repeated prompts into quarantine. - A 429 of an engine counted as a lost upstream and used up the retry budget: of 150 requests that arrived at once, 96 were refused as no_upstream or for the budget. It now returns the request to admission and lowers the limit, as do waiting requests in load reports. - Requests were admitted with half of the mean time left.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -185,15 +185,26 @@
 	}
 }
 
-// SetUpstreams tells how many usable upstreams a pool has.
-func (c *Controller) SetUpstreams(name string, n int) {
+// SetUpstreams tells how many usable upstreams a pool has and how many requests
+// run and wait there by their reports, of all daemons together.
+func (c *Controller) SetUpstreams(name string, n, running, waiting int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
 	p.limit.upstreams(n)
+	p.limit.reported(running, waiting, p.inFlight, c.opts.Now())
 	c.start(p)
 }
 
+// Busy reports that an upstream of a pool refused an attempt because its queue
+// was full.
+func (c *Controller) Busy(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pool(name)
+	p.limit.busy(p.inFlight, c.opts.Now())
+}
+
 // Limit returns the open attempts, the limit and the waiting requests of a
 // pool.
 func (c *Controller) Limit(name string) (inFlight, limit, waiting int) {
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -29,6 +29,11 @@
 	trialShare = 0.6
 	trialGain  = 0.85
 	trialPause = 30 * time.Second
+	// reportedSlack is the share of waiting requests at the upstreams that a
+	// batch which is about to be refilled explains.
+	reportedSlack = 0.1
+	// busyShare is what remains of the limit when an upstream's queue is full.
+	busyShare = 0.7
 	// perUpstream attempts per upstream are always allowed: a batch that small
 	// does not slow an engine.
 	perUpstream = 2
@@ -55,6 +60,9 @@
 	allowed     float64
 	sum         float64
 	peak        int
+	// reportedAt and busyAt are when reported and busy last lowered the limit.
+	reportedAt time.Time
+	busyAt     time.Time
 }
 
 func newLimit() limit { return limit{value: startLimit, floor: minLimit} }
@@ -67,6 +75,28 @@
 	}
 }
 
+// reported takes over what the upstreams report together. Requests that wait at
+// an engine could wait here, where they can still be shed as not run, so the
+// limit shrinks to the share that runs. It changes once per window, as reports
+// lag.
+func (l *limit) reported(running, waiting, inFlight int, now time.Time) {
+	if float64(waiting) <= reportedSlack*float64(running) || now.Sub(l.reportedAt) < limitWindow {
+		return
+	}
+	l.reportedAt, l.missedOnce = now, true
+	share := float64(running) / float64(running+waiting)
+	l.value = max(l.floor, min(l.value, float64(inFlight)*share))
+}
+
+// busy lowers the limit because an upstream refused work for a full queue.
+func (l *limit) busy(inFlight int, now time.Time) {
+	if now.Sub(l.busyAt) < limitWindow {
+		return
+	}
+	l.busyAt, l.missedOnce = now, true
+	l.value = max(l.floor, min(l.value, float64(inFlight)*busyShare))
+}
+
 func (l *limit) current() int { return int(l.value) }
 
 func (l *limit) started(inFlight int) { l.peak = max(l.peak, inFlight) }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -37,12 +37,12 @@
 	// seconds and tokens.
 	meanTotal float64
 	meanCost  float64
-	// service is the running mean of the total time per class, in seconds.
-	service map[string]float64
+	// service holds the running total times per class.
+	service map[string]*serviceTime
 }
 
 func newPool(maxWaiting, maxPerWorkspace int) *pool {
-	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), service: map[string]float64{}}
+	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), service: map[string]*serviceTime{}}
 }
 
 func (p *pool) class(r *Request) *classQueue {
@@ -72,7 +72,7 @@
 	}
 	q := p.class(r)
 	wait := p.expectedWait(q, r)
-	service := time.Duration(p.service[r.Class] * float64(time.Second))
+	service := p.expectedService(r)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return nil, nil, RuleShed, p.advise(wait)
 	}
@@ -87,8 +87,7 @@
 	}
 	w = &waiter{req: *r, arrived: now, done: make(chan struct{})}
 	if !r.Deadline.IsZero() {
-		// Half of the mean leaves a chance to answers shorter than the mean.
-		w.latest = r.Deadline.Add(-service / 2)
+		w.latest = r.Deadline.Add(-service)
 	}
 	q.push(w)
 	p.waiting++
@@ -171,7 +170,24 @@
 	total := o.Total.Seconds()
 	p.meanTotal = learn(p.meanTotal, total)
 	p.meanCost = learn(p.meanCost, r.cost())
-	p.service[r.Class] = learn(p.service[r.Class], total)
+	s := p.service[r.Class]
+	if s == nil {
+		s = &serviceTime{}
+		p.service[r.Class] = s
+	}
+	s.observe(total)
+}
+
+// expectedService estimates the time from dispatch to the end that a request
+// must be left, or 0 when nothing is known. A request that asks for less than
+// the mean takes less.
+func (p *pool) expectedService(r *Request) time.Duration {
+	s := p.service[r.Class]
+	if s == nil || p.meanCost == 0 {
+		return 0
+	}
+	scale := min(1, r.cost()/p.meanCost)
+	return time.Duration(s.most() * scale * float64(time.Second))
 }
 
 func learn(mean, value float64) float64 {
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -90,7 +90,7 @@
 func TestShedsWhatCannotMeetItsDeadline(t *testing.T) {
 	p := newPool(10000, 10000)
 	p.limit.value, p.inFlight = 2, 2
-	p.meanTotal, p.meanCost, p.service["c"] = 1, 100, 1
+	p.meanTotal, p.meanCost, p.service["c"] = 1, 100, &serviceTime{mean: 1}
 	accepted := 0
 	for range 100 {
 		w, _, rule, retryAfter := p.arrive(&Request{Workspace: "w", Class: "c", Cost: 100, Deadline: start.Add(10 * time.Second)}, start)
@@ -149,3 +149,20 @@
 	assert.Assert(t, !b.take(0, start))
 	assert.Assert(t, b.take(0.1, start.Add(10*time.Minute)))
 }
+
+// Guards against requests that wait at the upstreams, where they can no longer
+// be refused as not run, while the limit stays at its start.
+func TestReportedQueueLowersLimit(t *testing.T) {
+	l := newLimit()
+	l.upstreams(2)
+	before := l.current()
+	l.reported(8, 24, 32, start)
+	assert.Assert(t, l.current() < before)
+	assert.Equal(t, l.current(), 8)
+	// A second report of the same queue is not counted twice.
+	l.reported(8, 24, 32, start.Add(limitWindow/2))
+	assert.Equal(t, l.current(), 8)
+	// A batch that is about to be refilled is not a queue.
+	l.reported(100, 5, 50, start.Add(2*limitWindow))
+	assert.Equal(t, l.current(), 8)
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -52,9 +52,12 @@
 	})
 	a.d.attempts.ended(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
 	a.release(admission.Outcome{OK: ok, First: a.latency(res), FirstReported: a.firstReported, Gap: res.MeanGap, Total: res.Total})
-	if res.Status == StatusCrash {
+	if res.Status == StatusCrash && !a.wasLeaving() {
 		a.d.opts.Admission.Crashed(a.request.Fingerprint, a.upstream.Name)
 	}
+	if res.Status == StatusBusy {
+		a.d.opts.Admission.Busy(a.request.Pool)
+	}
 	a.feedMembership(res, now)
 	a.feedMove(res, now)
 	if a.d.opts.Observer != nil {
@@ -62,6 +65,13 @@
 	}
 }
 
+// wasLeaving reports whether the upstream was known to leave: its end then says
+// nothing about the request.
+func (a *attempt) wasLeaving() bool {
+	known, ok := a.d.opts.Table.Upstream(a.upstream.Name)
+	return ok && known.Leaving
+}
+
 // countsAsFailure reports whether a further attempt is a retry. A draining
 // upstream refuses without having done any work, so that going elsewhere adds
 // no load.
@@ -84,7 +94,7 @@
 }
 
 func (a *attempt) feedMembership(res Result, now time.Time) {
-	if a.d.opts.Evidence == nil || (!res.Draining && (res.Status == StatusCanceled || res.Status == StatusMoved)) {
+	if a.d.opts.Evidence == nil || res.Status == StatusBusy || (!res.Draining && (res.Status == StatusCanceled || res.Status == StatusMoved)) {
 		return
 	}
 	a.d.opts.Evidence.Observe(a.upstream.Name, Seen{
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -86,7 +86,7 @@
 	if err := d.check(r); err != nil {
 		return nil, err
 	}
-	d.opts.Admission.SetUpstreams(r.Pool, len(d.opts.Table.Upstreams(r.Pool)))
+	d.reportUpstreams(r.Pool)
 	release, err := d.enter(ctx, class, r)
 	if err != nil {
 		return nil, err
@@ -104,6 +104,13 @@
 	return choice, nil
 }
 
+// reportUpstreams tells admission what the pool's upstreams report.
+func (d *Dispatcher) reportUpstreams(pool string) {
+	upstreams := d.opts.Table.Upstreams(pool)
+	running, waiting := membership.Reported(upstreams)
+	d.opts.Admission.SetUpstreams(pool, len(upstreams), running, waiting)
+}
+
 func (d *Dispatcher) check(r *Request) error {
 	if d.opts.Admission.Quarantined(r.Fingerprint) {
 		return problem.NotRun(http.StatusUnprocessableEntity, problem.CodeQuarantined,
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -30,6 +30,16 @@
 	return append([]membership.Upstream(nil), f.upstreams...)
 }
 
+// Upstream implements Table; a removed upstream is not known any more.
+func (f *fakeTable) Upstream(name string) (membership.Upstream, bool) {
+	for _, u := range f.Upstreams("") {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return membership.Upstream{}, false
+}
+
 func (f *fakeTable) set(upstreams []membership.Upstream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -16,6 +16,9 @@
 	// StatusRefused means that the upstream did not run the call: the
 	// connection was refused, or the upstream answered that it is draining.
 	StatusRefused Status = "refused"
+	// StatusBusy means that the upstream's queue was full and that it did not
+	// run the call.
+	StatusBusy Status = "busy"
 	// StatusTimeout means that a progress deadline passed.
 	StatusTimeout Status = "timeout"
 	// StatusCanceled means that the caller gave up or another attempt won; it
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -7,4 +7,6 @@
 	// Upstreams returns the usable upstreams of a pool, without those that are
 	// leaving.
 	Upstreams(pool string) []membership.Upstream
+	// Upstream returns an upstream by name, also one that is leaving.
+	Upstream(name string) (membership.Upstream, bool)
 }
--- a/internal/policytest/daemon.go
+++ b/internal/policytest/daemon.go
@@ -94,6 +94,12 @@
 			d.upstreams[i].Load = &load
 		}
 	}
+	d.reportUpstreams()
+}
+
+func (d *daemon) reportUpstreams() {
+	running, waiting := membership.Reported(d.upstreams)
+	d.admission.SetUpstreams(poolName, len(d.upstreams), running, waiting)
 }
 
 // learn takes over cache events up to a number, losing some now and then.
@@ -121,5 +127,5 @@
 		d.tracker.Reclaimed(domain, d.sim.time(d.sim.events.now))
 	}
 	d.upstreams = kept
-	d.admission.SetUpstreams(poolName, len(kept))
+	d.reportUpstreams()
 }
--- a/internal/policytest/simulation.go
+++ b/internal/policytest/simulation.go
@@ -79,7 +79,7 @@
 			admission: admission.New(admission.Options{Now: func() time.Time { return s.time(s.events.now) }}),
 			upstreams: append([]membership.Upstream(nil), upstreams...),
 		}
-		d.admission.SetUpstreams(poolName, len(upstreams))
+		d.admission.SetUpstreams(poolName, len(upstreams), 0, 0)
 		s.daemons = append(s.daemons, d)
 	}
 }
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -122,6 +122,8 @@
 		return result{ending: endForgotten, err: err}
 	case how == modeResume && failure.NotRun && failure.Status == 0:
 		return result{ending: endGone, err: err}
+	case failure.Status == http.StatusTooManyRequests:
+		return result{ending: endBusy, err: err}
 	case failure.NotRun, failure.Status == http.StatusNotFound:
 		// An engine that answers 404 does not serve the model yet, or no longer.
 		return result{ending: endRefused, draining: failure.Draining, err: err}
--- a/internal/server/ending.go
+++ b/internal/server/ending.go
@@ -9,6 +9,8 @@
 	endDone ending = iota
 	// endRefused: the engine did not take the request.
 	endRefused
+	// endBusy: the engine's queue is full and it did not take the request.
+	endBusy
 	// endGone: the engine cannot be reached for a resumption.
 	endGone
 	// endLost: the connection broke or skipped events.
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -18,6 +18,10 @@
 // generation by itself later if it fails.
 const cancelTimeout = 2 * time.Second
 
+// busyPause is the least time before an engine that is full is asked again, and
+// the range of what is added by chance so that requests do not return together.
+const busyPause = 50 * time.Millisecond
+
 // runner carries one request through its attempts. It is used by one goroutine.
 type runner struct {
 	server *Server
@@ -134,6 +138,10 @@
 			return r.failed(end.problem)
 		case end.ending == endStopped || ctx.Err() != nil:
 			return r.stopped(ctx, choice.Upstream.Address)
+		case end.ending == endBusy:
+			// The request goes back to admission, whose limit has shrunk.
+			tried--
+			pause(ctx, busyPause+rand.N(busyPause))
 		case tried-first+1 >= r.server.options.MaxAttempts:
 			return r.failed(problem.Unknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "no engine completed the answer"))
 		}
@@ -154,6 +162,8 @@
 	}
 	if last > 0 || rec.Status().Delivered > 0 {
 		request.PinVersion = r.version
+		// An answer that was begun does not queue behind new requests.
+		request.Attempt = max(2, tried)
 	}
 	choice, err := r.server.options.Chooser.Choose(ctx, request)
 	if err != nil {
@@ -164,6 +174,15 @@
 	return choice, nil
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // notChosen ends the request because no upstream could be chosen.
 func (r *runner) notChosen(ctx context.Context, err error) (journal.Outcome, *problem.Problem) {
 	if ctx.Err() != nil {
--- a/internal/server/use.go
+++ b/internal/server/use.go
@@ -37,6 +37,7 @@
 		r.server.metrics.recomputed.Inc(int64(held))
 	}
 	resumes := 0
+	lost := false
 	var end result
 	for {
 		number := r.rec.BeginAttempt(choice.Upstream.Name, choice.Upstream.Address, choice.Version)
@@ -61,6 +62,13 @@
 			"class", r.rec.Class, "attempt", number, "upstream", choice.Upstream.Name, "version", choice.Version,
 			"domain", choice.Upstream.Domain, "mode", how, "status", status(end, ctx), "error", end.err)
 		measured.draining = measured.draining || end.draining
+		if end.ending == endForgotten && lost {
+			// An engine keeps a generation whose connection broke. One that does
+			// not know it any more has crashed and started again.
+			end.ending = endGone
+			break
+		}
+		lost = end.ending == endLost
 		if r.rec.Last() > before {
 			resumes = 0
 		}
@@ -111,8 +119,10 @@
 			return modeResume, true
 		}
 		// Without an event there is nothing to resume after; an engine that has
-		// the generation recognises the same request.
-		return modeStart, true
+		// the generation recognises the same request. It is asked once only, as
+		// a request that crashes engines before the first event would crash it
+		// again each time.
+		return modeStart, resumes == 0
 	case endPrefixRefused:
 		r.noPrefix = true
 		return modeRegenerate, true
@@ -131,7 +141,7 @@
 // leave ends the use of an upstream that did not complete the answer.
 func (r *runner) leave(ctx context.Context, choice *dispatch.Choice, end result) {
 	switch end.ending {
-	case endDone, endStopped, endFinal:
+	case endDone, endStopped, endFinal, endBusy:
 		return
 	}
 	r.exclude = append(r.exclude, choice.Upstream.Name)
@@ -177,6 +187,8 @@
 		return dispatch.StatusOK
 	case endRefused:
 		return dispatch.StatusRefused
+	case endBusy:
+		return dispatch.StatusBusy
 	case endGone, endLost:
 		return dispatch.StatusCrash
 	case endSilent:
