--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -83,6 +83,8 @@
 	server *http.Server
 	cancel context.CancelFunc
 	done   chan struct{}
+	// hung makes the daemon's server accept calls and never answer them.
+	hung atomic.Bool
 	// bytesIn and calls count what peers and the platform sent.
 	bytesIn, calls atomic.Int64
 }
@@ -93,6 +95,26 @@
 	_ = n.server.Close()
 }
 
+// hangingWriter keeps the answers of a hung daemon back, those of calls that
+// were waiting before too.
+type hangingWriter struct {
+	http.ResponseWriter
+	node *node
+}
+
+func (h *hangingWriter) Write(p []byte) (int, error) {
+	if h.node.hung.Load() {
+		return len(p), nil
+	}
+	return h.ResponseWriter.Write(p)
+}
+
+func (h *hangingWriter) WriteHeader(status int) {
+	if !h.node.hung.Load() {
+		h.ResponseWriter.WriteHeader(status)
+	}
+}
+
 // countingTransport counts the calls and the bytes of the answers as they
 // arrive on the wire, compressed ones as they are.
 type countingTransport struct {
@@ -173,7 +195,13 @@
 	app.Logger().SetLevel("disable")
 	n.syncer.RegisterHandlers(app.Party("/peer/v1"))
 	assert.NilError(c.t, app.Build())
-	n.server = &http.Server{Handler: app}
+	n.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hanging := &hangingWriter{ResponseWriter: w, node: n}
+		app.ServeHTTP(hanging, r)
+		if n.hung.Load() {
+			<-r.Context().Done()
+		}
+	})}
 	go func() { _ = n.server.Serve(listener) }()
 	c.nodes = append(c.nodes, n)
 	return n
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -91,6 +91,34 @@
 	}
 }
 
+// Guards against daemons that wait for a relay whose connections stay open and
+// never answer. The polls last longer than the test's patience, so only the
+// other relay can bring the change.
+func TestHungRelayDelaysNobody(t *testing.T) {
+	c := newCluster(t)
+	for range 5 {
+		c.listen(func(o *Options) { o.Wait = 2 * patience })
+	}
+	c.publish()
+	for _, n := range c.nodes {
+		n.run()
+		c.await(n, "membership", func() bool { return len(n.table.AllDaemons()) == 4 && len(n.table.Upstreams("p")) == 1 })
+	}
+	relay := rankRelays("r", append(c.nodes[0].table.Daemons(), c.nodes[0].self), 2)[0].Name
+	for _, n := range c.nodes {
+		if n.self.Name == relay {
+			n.hung.Store(true)
+		}
+	}
+	c.put("Pool", "after", poolValue)
+	c.platform.notice(membership.Notice{Instance: "u1", DeadlineMs: 30_000, Kind: membership.NoticeReclaim})
+	for _, n := range c.nodes {
+		c.await(n, "change and notice", func() bool {
+			return n.cache.Snapshot().Pools["after"] != nil && len(n.table.Upstreams("p")) == 0
+		})
+	}
+}
+
 // Guards against a start that needs the object API or the instance list.
 func TestStartDuringOutage(t *testing.T) {
 	c := newCluster(t)
--- a/internal/intent/calls_test.go
+++ b/internal/intent/calls_test.go
@@ -22,7 +22,7 @@
 // takes 10 ms of the bubble's time and an order 200 ms.
 func measure(t *testing.T, rate int, length time.Duration) (m measurement) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, 9, 16)
+		f := newFleet(t, 9, 16, nil)
 		f.store.SetLatency(10 * time.Millisecond)
 		for _, l := range f.logs {
 			l.options.SegmentBytes, l.options.WriteBurst = 256<<10, 20
--- a/internal/intent/history_test.go
+++ b/internal/intent/history_test.go
@@ -22,6 +22,7 @@
 	"rattantide/internal/objectclient"
 	"rattantide/internal/objecttest"
 	"rattantide/internal/peer"
+	"rattantide/internal/standin/objectapi"
 )
 
 // pausedStore holds back the calls, and the answers, of one Log, as if its
@@ -76,6 +77,10 @@
 func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
 	n.mu.Lock()
 	app := n.apps[r.URL.Host]
+	if r.URL.Host == apiAddress {
+		n.mu.Unlock()
+		return serveAPI(app, r)
+	}
 	refused := n.refuse > 0
 	n.refuse = max(0, n.refuse-1)
 	n.mu.Unlock()
@@ -96,6 +101,23 @@
 	return recorder.Result(), nil
 }
 
+const apiAddress = "objectapi"
+
+// serveAPI answers a call of the object API, which may abort it.
+func serveAPI(app http.Handler, r *http.Request) (response *http.Response, err error) {
+	defer func() {
+		if recover() != nil {
+			response, err = nil, errors.New("connection reset")
+		}
+	}()
+	recorder := httptest.NewRecorder()
+	app.ServeHTTP(recorder, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
+
 // call is an operation of the history: a Begin, or a Finish when finish is set.
 type call struct {
 	key, nonce string
@@ -148,7 +170,9 @@
 
 // fleet is a number of Logs that share a store and forward to each other.
 type fleet struct {
-	store   *objecttest.Store
+	store *objecttest.Store
+	// api replaces store when the Logs use the HTTP client.
+	api     *objectapi.API
 	network *network
 	paused  []*pausedStore
 	logs    []*Log
@@ -159,8 +183,8 @@
 	running sync.WaitGroup
 }
 
-func newFleet(t *testing.T, count, shards int) *fleet {
-	f := &fleet{store: objecttest.New(), network: &network{apps: map[string]http.Handler{}}}
+func newFleet(t *testing.T, count, shards int, api *objectapi.API) *fleet {
+	f := &fleet{store: objecttest.New(), api: api, network: &network{apps: map[string]http.Handler{apiAddress: api}}}
 	var instances []membership.Instance
 	for i := range count {
 		name := fmt.Sprintf("d%d", i)
@@ -170,6 +194,9 @@
 		table := membership.NewTable(membership.Daemon{Name: instance.Name, Address: instance.Address}, membership.Options{})
 		table.ApplyList(membership.InstanceList{Revision: 1, Instances: instances})
 		paused := &pausedStore{Store: f.store}
+		if f.api != nil {
+			paused.Store = objectclient.New(objectclient.Options{Address: apiAddress, HTTP: &http.Client{Transport: f.network}})
+		}
 		l := newTestLog(t, paused, func(o *Options) {
 			o.Table, o.Shards, o.SegmentBytes = table, shards, 600
 			o.Peers = &peer.Client{HTTP: &http.Client{Transport: f.network}}
@@ -213,6 +240,10 @@
 func (f *fleet) fault(which, log int) {
 	f.network.mu.Lock()
 	defer f.network.mu.Unlock()
+	if f.api != nil && which <= 7 {
+		f.api.Faults().Update(func(faults *objectapi.Faults) { apiFault(which, faults) })
+		return
+	}
 	switch which {
 	case 0:
 		f.store.LoseAnswers(2)
@@ -241,7 +272,29 @@
 	}
 }
 
+// apiFault switches the fault of the stand-in that corresponds to one of the
+// store's.
+func apiFault(which int, faults *objectapi.Faults) {
+	switch which {
+	case 0:
+		faults.LoseAnswers = 2
+	case 1, 2:
+		faults.LateWrites, faults.LateMs = 2, 3000
+	case 3, 4:
+		faults.Outage = which == 3
+	case 5:
+		faults.SlowMs = 700
+	case 6:
+		faults.SlowMs = 0
+	case 7:
+		faults.StaleBehind = 2
+	}
+}
+
 func (f *fleet) heal() {
+	if f.api != nil {
+		f.api.Faults().Update(func(faults *objectapi.Faults) { *faults = objectapi.Faults{} })
+	}
 	f.store.SetOutage(false)
 	f.store.SetLatency(0)
 	f.store.SetStale(0)
@@ -282,10 +335,15 @@
 func TestHistoryIsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := drawSteps(rt)
+		overHTTP := rapid.Bool().Draw(rt, "over HTTP")
 		// A failure inside of the bubble must not unwind through it.
 		failure := ""
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, 3, 2)
+			var api *objectapi.API
+			if overHTTP {
+				api = objectapi.New(objectapi.Config{})
+			}
+			f := newFleet(t, 3, 2, api)
 			for i, s := range steps {
 				time.Sleep(s.before)
 				if s.fault >= 0 {
--- a/internal/objectclient/client.go
+++ b/internal/objectclient/client.go
@@ -61,7 +61,8 @@
 	case err == nil:
 		return stored, nil
 	case errors.Is(err, ErrConflict):
-		if stored.Name == "" {
+		if stored.Version == 0 {
+			// The object does not exist.
 			return nil, errors.Trace(err)
 		}
 		return stored, errors.Trace(err)
