Collect evidence of peers once per time slot

Every look at a move, up to ten a second, asked all peers for the last slots again. TestEvidenceOfPeers counts at most three times as many rows sent as there are.

--- a/internal/rollout/collected.go
+++ b/internal/rollout/collected.go
@@ -5,8 +5,8 @@
 type collected struct {
 	rows    map[string]map[int64][]Row
 	verdict *Verdict
-	// turns counts the collections.
-	turns int
+	// peersSlot is the slot in which peers were last asked; -1 before.
+	peersSlot int64
 }
 
 // take merges a report. Rows of slots that it covers replace those held.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -22,11 +22,6 @@
 	maxInterval   = 2 * time.Second
 	idleInterval  = time.Second
 	callTimeout   = 3 * time.Second
-	// recollectSlots is how many slots before the present one are asked for
-	// again, and recollectAll how often all slots are, for peers that did not
-	// answer in between.
-	recollectSlots = 2
-	recollectAll   = 10
 	// evidenceRefresh is how many times within the deadline the status is
 	// written for its evidence alone.
 	evidenceRefresh = 20
@@ -219,28 +214,26 @@
 	return &status
 }
 
-// collect gathers evidence from this daemon and its peers. Slots that are
-// still filling are asked for again.
+// collect gathers evidence from this daemon and, once per time slot, from its
+// peers. A slot that was not complete is asked for again, so that each is sent
+// about twice. What a peer that did not answer has seen in between is missing
+// here; its own guard still judges it.
 func (c *Controller) collect(ctx context.Context, m *configsync.Move, state *State, now time.Time) *collected {
 	key := keyOf(m)
 	held := c.moves[key]
 	if held == nil {
-		held = &collected{}
+		held = &collected{peersSlot: -1}
 		c.moves[key] = held
 	}
-	since := int64(0)
-	if held.turns%recollectAll != 0 {
-		since = max(0, state.slot(now)-recollectSlots)
-	}
-	held.turns++
 	own := c.opts.Guard.Report(m.Name, key.declaredMs, 0)
 	held.take(&own)
-	if c.opts.Peers != nil {
-		for _, r := range c.opts.Peers.Collect(ctx, m.Name, key.declaredMs, since) {
+	if slot := state.slot(now); c.opts.Peers != nil && slot != held.peersSlot {
+		for _, r := range c.opts.Peers.Collect(ctx, m.Name, key.declaredMs, max(0, held.peersSlot)) {
 			if r.Move == m.Name && r.DeclaredMs == key.declaredMs && r.Daemon != own.Daemon {
 				held.take(&r)
 			}
 		}
+		held.peersSlot = slot
 	}
 	if held.verdict != nil {
 		c.opts.Guard.Import(*held.verdict)
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -246,3 +246,43 @@
 		})
 	}
 }
+
+// fakePeers answers with the evidence of another guard and counts the rows.
+type fakePeers struct {
+	guard *Guard
+	rows  int
+}
+
+func (p *fakePeers) Collect(_ context.Context, move string, declaredMs, since int64) []Report {
+	r := p.guard.Report(move, declaredMs, since)
+	p.rows += len(r.Rows)
+	return []Report{r}
+}
+
+// Guards against evidence of peers that is not used, is counted twice, or is
+// sent over and over again.
+func TestEvidenceOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newControllerFixture(t, 60*time.Second)
+		own := f.guard
+		peers := &fakePeers{guard: NewGuard(GuardOptions{Daemon: "d2", StoreNow: f.store.Now})}
+		f.opts.Peers = peers
+		f.guard = peers.guard
+		f.run(t, func() { f.serve(58*time.Second, false) })
+		assert.Equal(t, f.move().Status.Phase, api.MoveDone, f.move().Status.Reason)
+		assert.Equal(t, len(own.Report("VersionMove", f.move().Status.DeclaredMs, 0).Rows), 0)
+		report := peers.guard.Report("VersionMove", f.move().Status.DeclaredMs, 0)
+		seen, known := 0, 0
+		ended := StateOf(f.move())
+		for _, row := range report.Rows {
+			if row.Slot < ended.slot(time.UnixMilli(f.move().Status.EndedMs)) {
+				seen += row.Requests
+			}
+		}
+		for _, e := range f.move().Status.Evidence {
+			known += int(e.Requests)
+		}
+		assert.Assert(t, known >= seen*9/10 && known <= seen*11/10, "the controller counted %d of %d requests", known, seen)
+		assert.Assert(t, peers.rows <= 3*len(report.Rows), "%d rows were sent for %d", peers.rows, len(report.Rows))
+	})
+}
