--- a/internal/dispatch/version.go
+++ b/internal/dispatch/version.go
@@ -96,7 +96,7 @@
 	if w.move != nil {
 		return ofVersion(kept, "")
 	}
-	var rest []membership.Upstream
+	rest := make([]membership.Upstream, 0, len(kept))
 	for i := range kept {
 		if !refused(view, r.Pool, kept[i].Version) {
 			rest = append(rest, kept[i])
@@ -125,7 +125,7 @@
 	if allOf(upstreams, version) {
 		return upstreams
 	}
-	var found []membership.Upstream
+	found := make([]membership.Upstream, 0, len(upstreams))
 	for i := range upstreams {
 		if upstreams[i].Version == version {
 			found = append(found, upstreams[i])
