--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -24,20 +24,6 @@
 
 func sampled(block uint64) bool { return block&sampleMask == 0 }
 
-type slotSet [slotWords]uint64
-
-func (s *slotSet) set(slot int)      { s[slot>>6] |= 1 << (slot & 63) }
-func (s *slotSet) clear(slot int)    { s[slot>>6] &^= 1 << (slot & 63) }
-func (s *slotSet) has(slot int) bool { return s[slot>>6]&(1<<(slot&63)) != 0 }
-func (s *slotSet) empty() bool       { return *s == slotSet{} }
-
-type blockEntry struct {
-	held slotSet
-	// doubtful marks holders whose later events were lost, so that a removal
-	// may have been missed.
-	doubtful slotSet
-}
-
 // Index knows which upstream is believed to hold which cache blocks. It is not
 // safe for concurrent use. It keeps two generations of entries and drops the
 // older one when the newer one is full, so its memory is bounded.
