--- a/internal/burn/plot.go
+++ b/internal/burn/plot.go
@@ -43,7 +43,7 @@
 	x := func(ms float64) float64 { return plotWidth * (math.Log10(max(ms, 0.1)) - first) / (last - first) }
 	const decades = 4.0
 	y := func(above float64) float64 {
-		return plotHeight * min(decades, -math.Log10(max(above, 1e-9))) / decades
+		return plotHeight * min(decades, max(0, -math.Log10(max(above, 1e-9)))) / decades
 	}
 	var path strings.Builder
 	for i, p := range m.Curve {
