--- a/internal/cli/demo/control.go
+++ b/internal/cli/demo/control.go
@@ -56,3 +56,10 @@
 	err := call(ctx, http.MethodGet, address, "/control/log?event="+event, nil, &answer)
 	return answer.Entries, err
 }
+
+// notify publishes a reclaim notice.
+func (d *demo) notify(ctx context.Context, target reclaim) error {
+	return call(ctx, http.MethodPost, d.cloud.address, "/control/notices", map[string]any{
+		"instance": target.instance, "domain": target.domain, "deadlineMs": reclaimNotice.Milliseconds(), "kind": "reclaim",
+	}, nil)
+}
--- a/internal/cli/demo/platform.go
+++ b/internal/cli/demo/platform.go
@@ -109,6 +109,7 @@
 	if err != nil {
 		return err
 	}
+	p.domain = domain
 	d.mu.Lock()
 	d.services = append(d.services, p)
 	d.mu.Unlock()
--- a/internal/cli/demo/process.go
+++ b/internal/cli/demo/process.go
@@ -18,8 +18,8 @@
 // process is a started program. Its output goes to a file.
 type process struct {
 	name string
-	// domain and slot are set for engines and daemons; the slot chooses a fixed
-	// address.
+	// domain is the failure domain, empty for the platform's processes; the slot
+	// chooses the fixed address of a daemon.
 	domain  string
 	slot    int
 	address string
--- a/internal/cli/demo/run.go
+++ b/internal/cli/demo/run.go
@@ -90,6 +90,7 @@
 		{"bad version move", d.showBadMove},
 		{"upstream reclaimed", d.showUpstreamReclaim},
 		{"daemon reclaimed", d.showDaemonReclaim},
+		{"failure domain reclaimed", d.showDomainReclaim},
 		{"status and burn", d.showStatus},
 	}
 }
--- /dev/null
+++ b/internal/cli/demo/show_domain.go
@@ -0,0 +1,90 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// showDomainReclaim reclaims a whole failure domain: its daemon, its engines
+// and its service instance end together.
+func (d *demo) showDomainReclaim(ctx context.Context) (string, error) {
+	const domain = "b"
+	version, err := d.effective(ctx)
+	if err != nil {
+		return "", err
+	}
+	victims := d.inDomain(domain)
+	versions := map[string]string{}
+	for _, v := range victims {
+		if versions[v.name], err = d.versionOf(ctx, v); err != nil {
+			return "", err
+		}
+	}
+	chats := longChats("domain-reclaim")
+	answers, err := d.reclaimDuring(ctx, version, "", chats, func() (reclaim, error) {
+		return reclaim{domain: domain, victims: victims}, nil
+	})
+	slot := 0
+	d.mu.Lock()
+	for _, v := range victims {
+		if strings.HasPrefix(v.name, "entry-") {
+			slot = v.slot
+		}
+		d.engines, d.services, d.daemons = without(d.engines, v.name), without(d.services, v.name), without(d.daemons, v.name)
+	}
+	d.mu.Unlock()
+	for _, v := range victims {
+		if restartErr := d.replace(ctx, v, versions[v.name], slot); err == nil {
+			err = restartErr
+		}
+	}
+	if err != nil {
+		return "", err
+	}
+	resumes := 0
+	for _, a := range answers {
+		resumes += a.resumes
+	}
+	return fmt.Sprintf("domain %s with %d instances left at %s notice: %d streams complete byte for byte, resumed %d times",
+		domain, len(victims), reclaimNotice, len(answers), resumes), nil
+}
+
+// inDomain lists the processes of a failure domain.
+func (d *demo) inDomain(domain string) []*process {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []*process
+	for _, list := range [][]*process{d.engines, d.services, d.daemons} {
+		for _, p := range list {
+			if p.domain == domain {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
+// versionOf returns the version of an upstream; "" for a daemon.
+func (d *demo) versionOf(ctx context.Context, p *process) (string, error) {
+	if strings.HasPrefix(p.name, "entry-") {
+		return "", nil
+	}
+	var load struct{ Version string }
+	err := call(ctx, "GET", p.address, "/v1/load", nil, &load)
+	return load.Version, errors.Annotate(err, p.name)
+}
+
+// replace starts a successor of a process that was reclaimed.
+func (d *demo) replace(ctx context.Context, p *process, version string, slot int) error {
+	name := p.name + "-new"
+	switch {
+	case strings.HasPrefix(p.name, "entry-"):
+		return d.startDaemon(ctx, name, p.domain, slot)
+	case strings.HasPrefix(p.name, "service-"):
+		return d.startService(ctx, name, p.domain)
+	}
+	return d.startEngine(ctx, name, p.domain, version)
+}
--- a/internal/cli/demo/show_moves.go
+++ b/internal/cli/demo/show_moves.go
@@ -101,9 +101,3 @@
 	lines := strings.Split(strings.TrimSpace(text), "\n")
 	return lines[len(lines)-1]
 }
-
-// notify publishes a reclaim notice.
-func (d *demo) notify(ctx context.Context, instance string, notice time.Duration) error {
-	return call(ctx, http.MethodPost, d.cloud.address, "/control/notices",
-		map[string]any{"instance": instance, "deadlineMs": notice.Milliseconds(), "kind": "reclaim"}, nil)
-}
--- a/internal/cli/demo/show_reclaim.go
+++ b/internal/cli/demo/show_reclaim.go
@@ -31,9 +31,16 @@
 	return chats
 }
 
-// reclaimDuring runs streams, reclaims the instance that pick chooses in the
-// middle and kills it at the end of the notice.
-func (d *demo) reclaimDuring(ctx context.Context, version, entry string, chats []chat, pick func() (*process, error)) ([]*answer, error) {
+// reclaim is a notice and the processes that end with it.
+type reclaim struct {
+	// instance or domain is what the notice names.
+	instance, domain string
+	victims          []*process
+}
+
+// reclaimDuring runs streams, reclaims what pick chooses in the middle, and
+// kills it at the end of the notice.
+func (d *demo) reclaimDuring(ctx context.Context, version, entry string, chats []chat, pick func() (reclaim, error)) ([]*answer, error) {
 	type outcome struct {
 		answers []*answer
 		err     error
@@ -46,20 +53,26 @@
 	if err := d.untilBusy(ctx, len(chats)); err != nil {
 		return nil, err
 	}
-	victim, err := pick()
+	target, err := pick()
 	if err != nil {
 		return nil, err
 	}
-	if err := d.notify(ctx, victim.name, reclaimNotice); err != nil {
+	if err := d.notify(ctx, target); err != nil {
 		return nil, err
 	}
+	// A daemon may end before the notice does; an upstream does not.
+	end := time.NewTimer(reclaimNotice)
+	defer end.Stop()
 	select {
-	case <-victim.ended:
-	case <-time.After(reclaimNotice):
+	case <-ctx.Done():
+		return nil, errors.Trace(ctx.Err())
+	case <-end.C:
 	}
-	victim.kill()
-	if err := call(ctx, http.MethodDelete, d.instances.address, "/control/instances/"+victim.name, nil, nil); err != nil {
-		return nil, err
+	for _, victim := range target.victims {
+		victim.kill()
+		if err := call(ctx, http.MethodDelete, d.instances.address, "/control/instances/"+victim.name, nil, nil); err != nil {
+			return nil, err
+		}
 	}
 	result := <-done
 	return result.answers, result.err
@@ -91,9 +104,11 @@
 	}
 	chats := longChats("engine-reclaim")
 	var victim *process
-	answers, err := d.reclaimDuring(ctx, version, "", chats, func() (*process, error) {
-		victim, err = d.busiestEngine(ctx, chats)
-		return victim, err
+	answers, err := d.reclaimDuring(ctx, version, "", chats, func() (reclaim, error) {
+		if victim, err = d.busiestEngine(ctx, chats); err != nil {
+			return reclaim{}, err
+		}
+		return reclaim{instance: victim.name, victims: []*process{victim}}, nil
 	})
 	if err != nil {
 		return "", err
@@ -180,9 +195,8 @@
 	d.mu.Lock()
 	victim := d.daemons[len(d.daemons)-1]
 	d.mu.Unlock()
-	answers, err := d.reclaimDuring(ctx, version, victim.address, longChats("daemon-reclaim"), func() (*process, error) {
-		// Callers know the daemon until they ask for entries again.
-		return victim, nil
+	answers, err := d.reclaimDuring(ctx, version, victim.address, longChats("daemon-reclaim"), func() (reclaim, error) {
+		return reclaim{instance: victim.name, victims: []*process{victim}}, nil
 	})
 	d.mu.Lock()
 	d.daemons = without(d.daemons, victim.name)
