Prefer the version of an upstream's load report over the instance list

The list's label lags behind orders to load another version, so after such an order the dispatcher would send requests to an engine as the wrong version. The label still counts before the first report and when a report names no version.

--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -45,10 +45,19 @@
 	return r.ejectedUntil
 }
 
+// version returns what the upstream serves: what its load report says, as the
+// list lags behind orders to load another version.
+func (r *record) version() string {
+	if r.load != nil && r.load.Version != "" {
+		return r.load.Version
+	}
+	return r.Version
+}
+
 func (r *record) upstream() Upstream {
 	return Upstream{
 		Name: r.Name, Address: r.Address, Domain: r.Domain, Region: r.Region,
-		Pool: r.Pool, Version: r.Version, Class: r.Class, PricePerHour: r.PricePerHour,
+		Pool: r.Pool, Version: r.version(), Class: r.Class, PricePerHour: r.PricePerHour,
 		Leaving: r.leaving(), LeavingBy: r.leavingBy, Load: r.load,
 	}
 }
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -5,11 +5,13 @@
 // Upstream is an upstream as known here. Values handed out by a Table are
 // copies; changing them has no effect.
 type Upstream struct {
-	Name    string        `json:"name"`
-	Address string        `json:"address"`
-	Domain  string        `json:"domain"`
-	Region  string        `json:"region"`
-	Pool    string        `json:"pool"`
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Region  string `json:"region"`
+	Pool    string `json:"pool"`
+	// Version is what the load report says; before the first report, or when it
+	// names none, what the instance list says.
 	Version string        `json:"version"`
 	Class   InstanceClass `json:"class"`
 	// PricePerHour is in the currency of the instance list.
