--- /dev/null
+++ b/internal/orders/leases.go
@@ -0,0 +1,13 @@
+package orders
+
+import "rattantide/internal/lease"
+
+// Leases is what a Controller needs of lease.Manager.
+type Leases interface {
+	// Want makes the manager try to hold a duty's lease.
+	Want(duty string)
+	// Held returns the fencing token while the lease is held.
+	Held(duty string) (fence int64, ok bool)
+}
+
+var _ Leases = (*lease.Manager)(nil)
