--- a/internal/handoff/cluster_test.go
+++ b/internal/handoff/cluster_test.go
@@ -140,16 +140,17 @@
 }
 
 type cluster struct {
-	t      *testing.T
+	t      testing.TB
 	view   *view
 	engine *engine.Engine
 	nodes  []*node
 	client *http.Client
 }
 
-func newCluster(t *testing.T, size int) *cluster {
+func newCluster(t testing.TB, size int) *cluster {
 	config := engine.DefaultConfig()
 	config.TokenTime = 2 * time.Millisecond
+	config.Slots, config.MaxWaiting, config.KVTokens = 1024, 1024, 1<<30
 	c := &cluster{t: t, engine: engine.New(config), view: &view{changed: make(chan struct{})}, client: &http.Client{Transport: &http.Transport{}}}
 	backend := httptest.NewServer(c.engine)
 	c.view.upstream = membership.Upstream{Name: "engine", Address: backend.Listener.Addr().String(), Version: "v1", Domain: "a"}
