Let a refused identifier be used again and charge bodies as they come

A request that was not run kept its identifier for the time of its record, so that a caller who repeated it was told that it exists. A body without a length was charged with the largest size, which let 28 uploads fill the default limit.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -56,8 +56,9 @@
 	defer j.mu.Unlock()
 	if held := j.records[rec.ID]; held != nil {
 		status := held.Status()
-		// A record that moved away may come back with a higher epoch.
-		if !status.Moved || status.Epoch >= rec.epoch {
+		// A record that moved away may come back with a higher epoch, and a
+		// request that was not run may be sent again.
+		if status.Outcome != OutcomeNotRun && (!status.Moved || status.Epoch >= rec.epoch) {
 			return ErrExists
 		}
 		j.removeLocked(held)
@@ -110,6 +111,19 @@
 	return true
 }
 
+// MakeRoom forgets ended records until n bytes are free, so that an answer that
+// has begun can grow. It reports whether they are.
+func (j *Journal) MakeRoom(n int64) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for j.bytes.Load()+n > j.options.MaxBytes {
+		if !j.dropOldestLocked() {
+			return false
+		}
+	}
+	return true
+}
+
 // Release gives back what Reserve took.
 func (j *Journal) Release(n int64) { j.credit(n) }
 
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -15,6 +15,10 @@
 	"rattantide/internal/relay"
 )
 
+// growth is the room that is made when the journal is full, in bytes. It is
+// more than the buffer of most answers.
+const growth = 256 << 10
+
 var doneData = []byte("[DONE]")
 
 // attempt runs one stream from an engine into the journal.
@@ -88,6 +92,9 @@
 	}
 	for {
 		err := r.rec.Append(number, event.ID, event.Data)
+		if errors.Is(err, journal.ErrTooLarge) && r.server.options.Journal.MakeRoom(growth) {
+			err = r.rec.Append(number, event.ID, event.Data)
+		}
 		switch {
 		case err == nil:
 			measured.event(time.Now())
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -9,38 +9,56 @@
 	"rattantide/internal/problem"
 )
 
+// bodyStep is how much memory is charged at a time for a body of unknown length.
+const bodyStep = 64 << 10
+
 // readBody reads a caller's body into memory that is charged to the journal's
-// limit. release gives the memory back and may be called more than once.
+// limit. release gives the memory back.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, release func(), p *problem.Problem) {
 	limit := s.options.MaxBodyBytes
 	if r.ContentLength > limit {
 		return nil, nil, tooLarge()
 	}
-	size := r.ContentLength
-	if size < 0 {
-		size = limit
-	}
-	if !s.options.Journal.Reserve(size) {
-		return nil, nil, problem.NotRun(http.StatusServiceUnavailable, problem.CodeOverloaded,
-			"the memory for requests is in use").WithRetryAfter(retryAfterFull)
-	}
-	held := size
-	release = func() {
-		s.options.Journal.Release(held)
-		held = 0
-	}
+	held := int64(0)
+	release = func() { s.options.Journal.Release(held) }
 	var buffer bytes.Buffer
-	// The spare bytes.MinRead saves the copy to a larger buffer at the end.
-	buffer.Grow(int(max(r.ContentLength, 0)) + bytes.MinRead)
-	if _, err := io.Copy(&buffer, http.MaxBytesReader(w, r.Body, limit)); err != nil {
-		release()
+	if r.ContentLength >= 0 {
+		if !s.options.Journal.Reserve(r.ContentLength) {
+			return nil, nil, memoryInUse()
+		}
+		held = r.ContentLength
+		// The spare bytes.MinRead saves the copy to a larger buffer at the end.
+		buffer.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	from := http.MaxBytesReader(w, r.Body, limit)
+	for {
+		step := int64(bodyStep)
+		if r.ContentLength >= 0 {
+			step = r.ContentLength + 1
+		} else if !s.options.Journal.Reserve(step) {
+			release()
+			return nil, nil, memoryInUse()
+		} else {
+			held += step
+		}
+		_, err := io.CopyN(&buffer, from, step)
 		var large *http.MaxBytesError
-		if errors.As(err, &large) {
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer.Bytes(), release, nil
+		case errors.As(err, &large):
+			release()
 			return nil, nil, tooLarge()
+		case err != nil:
+			release()
+			return nil, nil, problem.NotRun(http.StatusBadRequest, problem.CodeBadRequest, "the body could not be read")
 		}
-		return nil, nil, problem.NotRun(http.StatusBadRequest, problem.CodeBadRequest, "the body could not be read")
 	}
-	return buffer.Bytes(), release, nil
+}
+
+func memoryInUse() *problem.Problem {
+	return problem.NotRun(http.StatusServiceUnavailable, problem.CodeOverloaded,
+		"the memory for requests is in use").WithRetryAfter(retryAfterFull)
 }
 
 func tooLarge() *problem.Problem {
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -83,8 +83,7 @@
 		return nil, problem.NotRun(http.StatusConflict, problem.CodeDuplicateRequest,
 			"a request with this identifier is held; ask for it under /v1/requests/")
 	case err != nil:
-		return nil, problem.NotRun(http.StatusServiceUnavailable, problem.CodeOverloaded,
-			"the memory for requests is in use").WithRetryAfter(retryAfterFull)
+		return nil, memoryInUse()
 	}
 	return rec, nil
 }
--- a/internal/server/chat_test.go
+++ b/internal/server/chat_test.go
@@ -267,13 +267,26 @@
 		problem.CodeNoRoute:      chat(`{"model":"none","messages":[]}`),
 		problem.CodeBadRequest:   chat(`{"model":1}`),
 		problem.CodeTooLarge:     chat(strings.Repeat(" ", 2<<10)),
-		problem.CodeNoUpstream:   chat(wholeBody),
+		problem.CodeNoUpstream:   chat(wholeBody, "X-Request-Id", "again"),
 	} {
 		p := problemOf(t, response)
 		assert.Equal(t, p.Code, code)
 		assert.Equal(t, p.Ran, problem.RanNotRun)
 		assert.Equal(t, response.StatusCode, p.Status)
 	}
+	// A request that was not run may be sent again under its identifier, and its
+	// body may be of unknown length.
+	pool.add("up", "v1", newFakeEngine(t, "v1", nil).URL)
+	for code, body := range map[problem.Code]string{"": wholeBody, problem.CodeTooLarge: strings.Repeat(" ", 2<<10)} {
+		request, err := http.NewRequest("POST", h.http.URL+"/v1/chat/completions", io.MultiReader(strings.NewReader(body)))
+		assert.NilError(t, err)
+		request.Header.Set("Authorization", "Bearer "+testToken)
+		request.Header.Set("X-Request-Id", "again")
+		response, err := h.http.Client().Do(request)
+		assert.NilError(t, err)
+		assert.Equal(t, problemOf(t, response).Code, code)
+		response.Body.Close()
+	}
 	h.BeginDrain()
 	var refused leaving
 	assert.NilError(t, json.NewDecoder(chat(wholeBody).Body).Decode(&refused))
--- a/internal/server/relay_holder.go
+++ b/internal/server/relay_holder.go
@@ -21,6 +21,8 @@
 	// relayProbe is how long a holder may stay silent before it is asked
 	// whether it still holds the request.
 	relayProbe = 3 * time.Second
+	// maxRelayed bounds a whole answer that is passed on, in bytes.
+	maxRelayed = 64 << 20
 )
 
 // callHolder passes the caller's query on to the holder of the record, which
@@ -85,7 +87,7 @@
 		return false
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRelayed))
 	if err != nil || response.StatusCode == http.StatusSeeOther || leavingHolder(response.StatusCode, body) {
 		return false
 	}
@@ -104,7 +106,7 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		body, err := io.ReadAll(response.Body)
+		body, err := io.ReadAll(io.LimitReader(response.Body, maxRelayed))
 		if err != nil || out.begun || leavingHolder(response.StatusCode, body) {
 			return after, false
 		}
