Read a prompt in two passes instead of eight

Decoding the messages apart from the request, and each content apart from its message, took most of the time between acceptance and dispatch.

--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"rattantide/internal/api"
@@ -70,12 +69,12 @@
 	if err != nil {
 		return nil, problem.NotRun(http.StatusBadRequest, problem.CodeBadRequest, "the body cannot be encoded again")
 	}
-	tokens, blocks := s.options.Prompt(q.Messages)
+	prompt := s.readPrompt(q, body)
 	now := time.Now()
 	rec, err := s.options.Journal.Create(journal.Request{
 		ID: id, Workspace: name, Class: route.Class, Route: routeName, Pool: route.Pool, Model: q.Model,
-		Body: engineBody, Seed: seed, PromptTokens: tokens, MaxTokens: q.maxTokens(), Blocks: blocks,
-		Fingerprint: xxhash.Sum64(q.Messages), Stream: q.streams(),
+		Body: engineBody, Seed: seed, PromptTokens: prompt.tokens, MaxTokens: q.maxTokens(), Blocks: prompt.blocks,
+		Fingerprint: prompt.fingerprint, Stream: q.streams(),
 		AcceptedAt: now, Deadline: now.Add(class.Deadline.D()),
 	})
 	switch {
--- a/internal/server/chat_request.go
+++ b/internal/server/chat_request.go
@@ -15,14 +15,39 @@
 
 // chatRequest is what the server reads of a chat completion.
 type chatRequest struct {
-	Model               string          `json:"model"`
-	Stream              *bool           `json:"stream"`
-	Seed                *int64          `json:"seed"`
-	N                   *int            `json:"n"`
-	MaxTokens           int             `json:"max_tokens"`
-	MaxCompletionTokens int             `json:"max_completion_tokens"`
-	Messages            json.RawMessage `json:"messages"`
-	PrefixTokens        int             `json:"rattantide_prefix_tokens"`
+	Model               string        `json:"model"`
+	Stream              *bool         `json:"stream"`
+	Seed                *int64        `json:"seed"`
+	N                   *int          `json:"n"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Messages            []chatMessage `json:"messages"`
+	PrefixTokens        int           `json:"rattantide_prefix_tokens"`
+}
+
+// chatMessage is decoded together with the request, because a further pass over
+// a long prompt takes a large part of the time to the first token that the
+// server may add.
+type chatMessage struct {
+	Role string `json:"role"`
+	// Content is a string, nil, or a list of parts.
+	Content any `json:"content"`
+}
+
+// text joins the text of the message's parts.
+func (m *chatMessage) text() string {
+	if text, ok := m.Content.(string); ok {
+		return text
+	}
+	var joined string
+	parts, _ := m.Content.([]any)
+	for _, part := range parts {
+		if fields, ok := part.(map[string]any); ok {
+			text, _ := fields["text"].(string)
+			joined += text
+		}
+	}
+	return joined
 }
 
 func parseChat(body []byte) (*chatRequest, *problem.Problem) {
@@ -33,8 +58,8 @@
 	switch {
 	case q.Model == "":
 		return nil, problem.NotRun(400, problem.CodeBadRequest, "model is missing")
-	case len(bytes.TrimSpace(q.Messages)) == 0 || q.Messages[0] != '[':
-		return nil, problem.NotRun(400, problem.CodeBadRequest, "messages must be a list")
+	case len(q.Messages) == 0:
+		return nil, problem.NotRun(400, problem.CodeBadRequest, "messages must not be empty")
 	case q.N != nil && *q.N != 1:
 		return nil, problem.NotRun(400, problem.CodeBadRequest, "n must be 1")
 	case q.PrefixTokens != 0:
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -33,7 +33,7 @@
 	// Observer may be nil.
 	Observer Observer
 	// Prompt estimates a prompt's tokens and hashes its prefix blocks. Default:
-	// as the engines do.
+	// as engineclient does, without another pass over the body.
 	Prompt func(messages json.RawMessage) (tokens int, blocks []uint64)
 
 	Logger *log.Logger
@@ -87,9 +87,6 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	if o.Prompt == nil {
-		o.Prompt = readPrompt
-	}
 	setDefault(&o.MaxBodyBytes, 8<<20)
 	setDefault(&o.MaxHeaderValueBytes, 1<<10)
 	setDefault(&o.MaxEventBytes, 64<<10)
