--- a/internal/dispatch/dispatcher_bench_test.go
+++ b/internal/dispatch/dispatcher_bench_test.go
@@ -36,3 +36,13 @@
 		c.Done(Result{Status: StatusOK})
 	}
 }
+
+// Upstream implements Table.
+func (s sharedTable) Upstream(name string) (membership.Upstream, bool) {
+	for i := range s {
+		if s[i].Name == name {
+			return s[i], true
+		}
+	}
+	return membership.Upstream{}, false
+}
