Take latencies below 8 ms as equal when versions are compared

The comparison was relative at any scale, so scheduling on a busy machine made a good version look slow. Ruled out: prefix cache differences (the comparison is at equal uncached work).

Change: the first histogram bucket reaches to 8 ms, below any target.

--- a/internal/rollout/guard_test.go
+++ b/internal/rollout/guard_test.go
@@ -63,3 +63,19 @@
 	assert.Equal(t, report.Verdict.Reason, "fails")
 	assert.Assert(t, len(report.Rows) > 0)
 }
+
+// Guards against a good version that is taken back for a difference of a few
+// milliseconds, which says nothing about targets of tens of milliseconds.
+func TestMillisecondsAreNotSlowness(t *testing.T) {
+	var newer, older Histogram
+	for range 1000 {
+		newer.Add(4 * time.Millisecond)
+		older.Add(2 * time.Millisecond)
+	}
+	score, _ := rankSum(&newer, &older, 0)
+	assert.Equal(t, score, 0.0)
+	var slow Histogram
+	slow.Add(40 * time.Millisecond)
+	score, _ = rankSum(&slow, &older, shiftNow)
+	assert.Assert(t, score > 0)
+}
--- a/internal/rollout/histogram.go
+++ b/internal/rollout/histogram.go
@@ -9,8 +9,12 @@
 	// bucketsPerOctave makes a bucket 19% wide: a difference of one bucket is
 	// the least slowness that counts as bad.
 	bucketsPerOctave = 4
-	// buckets reach from 1 ms to 131 s.
-	buckets = 17 * bucketsPerOctave
+	// resolution is the upper bound of the first bucket. Shorter times count as
+	// equal: no target is that short, and a good version was taken back for a
+	// median of 4 ms against 2 ms, which scheduling on the instance explains.
+	resolution = 8 * time.Millisecond
+	// buckets reach from resolution to 262 s.
+	buckets = 15 * bucketsPerOctave
 )
 
 // Histogram counts durations in logarithmic buckets. The zero value is empty;
@@ -23,11 +27,15 @@
 }
 
 func bucketOf(d time.Duration) int {
-	ms := float64(d) / float64(time.Millisecond)
-	if ms <= 1 {
+	if d <= resolution {
 		return 0
 	}
-	return min(buckets-1, int(math.Log2(ms)*bucketsPerOctave))
+	return min(buckets-1, 1+int(math.Log2(float64(d)/float64(resolution))*bucketsPerOctave))
+}
+
+// upperBound returns the longest duration of a bucket.
+func upperBound(bucket int) time.Duration {
+	return time.Duration(math.Exp2(float64(bucket)/bucketsPerOctave) * float64(resolution))
 }
 
 // Add counts a duration.
@@ -66,7 +74,7 @@
 	for b, n := range h.counts {
 		seen += int(n)
 		if seen >= rank {
-			return time.Duration(math.Exp2(float64(b+1)/bucketsPerOctave) * float64(time.Millisecond))
+			return upperBound(b)
 		}
 	}
 	return 0
