Replace a reclaimed failure domain in another one in the demo

Replacements now start in another failure domain, as they would when a reclaimed one has no capacity, and streams are spread over all entries.

--- a/internal/cli/demo/show_domain.go
+++ b/internal/cli/demo/show_domain.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 
 	"github.com/juju/errors"
 )
 
 // showDomainReclaim reclaims a whole failure domain: its daemon, its engines
-// and its service instance end together.
+// and its service instance end together. Their replacements start in another
+// failure domain, since a reclaimed one has no capacity.
 func (d *demo) showDomainReclaim(ctx context.Context) (string, error) {
-	const domain = "b"
+	const domain, other = "b", "d"
 	version, err := d.effective(ctx)
 	if err != nil {
 		return "", err
@@ -37,7 +39,7 @@
 	}
 	d.mu.Unlock()
 	for _, v := range victims {
-		if restartErr := d.replace(ctx, v, versions[v.name], slot); err == nil {
+		if restartErr := d.replace(ctx, v, other, versions[v.name], slot); err == nil {
 			err = restartErr
 		}
 	}
@@ -48,6 +50,9 @@
 	for _, a := range answers {
 		resumes += a.resumes
 	}
+	if resumes == 0 {
+		return "", errors.New("no stream was resumed, so nothing was shown")
+	}
 	return fmt.Sprintf("domain %s with %d instances left at %s notice: %d streams complete byte for byte, resumed %d times",
 		domain, len(victims), reclaimNotice, len(answers), resumes), nil
 }
@@ -73,18 +78,18 @@
 		return "", nil
 	}
 	var load struct{ Version string }
-	err := call(ctx, "GET", p.address, "/v1/load", nil, &load)
+	err := call(ctx, http.MethodGet, p.address, "/v1/load", nil, &load)
 	return load.Version, errors.Annotate(err, p.name)
 }
 
 // replace starts a successor of a process that was reclaimed.
-func (d *demo) replace(ctx context.Context, p *process, version string, slot int) error {
+func (d *demo) replace(ctx context.Context, p *process, domain, version string, slot int) error {
 	name := p.name + "-new"
 	switch {
 	case strings.HasPrefix(p.name, "entry-"):
-		return d.startDaemon(ctx, name, p.domain, slot)
+		return d.startDaemon(ctx, name, domain, slot)
 	case strings.HasPrefix(p.name, "service-"):
-		return d.startService(ctx, name, p.domain)
+		return d.startService(ctx, name, domain)
 	}
-	return d.startEngine(ctx, name, p.domain, version)
+	return d.startEngine(ctx, name, domain, version)
 }
--- a/internal/cli/demo/traffic.go
+++ b/internal/cli/demo/traffic.go
@@ -67,8 +67,9 @@
 	t.close()
 }
 
-// streams runs chats as streams, one after another at a short distance, and
-// compares each answer with the reference.
+// streams runs chats as streams that start one after another at a short
+// distance, and compares each answer with the reference. Without an entry they
+// are spread over all.
 func (d *demo) streams(ctx context.Context, version, entry string, chats []chat) ([]*answer, error) {
 	expected := make([]string, len(chats))
 	references, referenceCtx := errgroup.WithContext(ctx)
@@ -85,11 +86,16 @@
 	// references looks busy.
 	time.Sleep(300 * time.Millisecond)
 	c := d.caller(chatToken)
+	entries := d.daemonAddresses()
 	answers := make([]*answer, len(chats))
 	group := errgroup.Group{}
 	for i, q := range chats {
 		group.Go(func() error {
-			a, err := c.stream(ctx, entry, q)
+			first := entry
+			if first == "" {
+				first = entries[i%len(entries)]
+			}
+			a, err := c.stream(ctx, first, q)
 			if err != nil {
 				return errors.Trace(err)
 			}
