--- a/internal/server/ending.go
+++ b/internal/server/ending.go
@@ -9,6 +9,8 @@
 	endDone ending = iota
 	// endRefused: the engine did not take the request.
 	endRefused
+	// endBusy: the engine's queue is full and it did not take the request.
+	endBusy
 	// endGone: the engine cannot be reached for a resumption.
 	endGone
 	// endLost: the connection broke or skipped events.
@@ -21,6 +23,8 @@
 	endPrefixRefused
 	// endDiffers: a regenerated answer is not the one that was begun.
 	endDiffers
+	// endLeaving: the attempt was interrupted because its engine is leaving.
+	endLeaving
 	// endError: the engine answered with an error of its own.
 	endError
 	// endFinal: the request cannot succeed; the problem says why.
