Refuse a forwarded intent that was withdrawn before it was committed

In one of some 9,000 random runs a key stayed blocked: its intent was withdrawn while another call's record held the key, and the preferred daemon committed it afterwards. A write that the object API refused for its rate limit no longer leads to a read, and a nonce granted for one key does not count for another.

--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -155,6 +155,9 @@
 			}
 		}
 		return err
+	case errors.Is(err, objectclient.ErrRateLimited):
+		// The write had no effect, and a read would add to the calls.
+		return err
 	}
 	w.head, w.doubt = nil, true
 	return err
@@ -218,6 +221,9 @@
 	case verdictReused:
 		op.settle(result{err: errors.Annotatef(ErrKeyReused, "route %s", op.key.Route)})
 		w.dismissRecorded(op, found)
+	case verdictWithdrawn:
+		op.settle(result{err: errors.Annotate(objectclient.ErrUnavailable, "the intent was withdrawn")})
+		op.release()
 	case verdictFull:
 		op.settle(result{err: errors.Annotate(objectclient.ErrUnavailable, "too many calls are in progress")})
 		w.dismiss(op)
--- a/internal/intent/evaluate.go
+++ b/internal/intent/evaluate.go
@@ -11,8 +11,18 @@
 	verdictWait
 	verdictReused
 	verdictFull
+	verdictWithdrawn
 )
 
+// maxWithdrawn bounds the notes in one shard, at some 100 bytes each. An intent
+// beyond it that is committed late leaves its key with an unknown outcome.
+const maxWithdrawn = 1000
+
+// withdrawnFor is how long the nonce of a withdrawn intent is noted. A forwarded
+// intent is committed within the commit timeout of its arrival or not at all, so
+// this leaves most of a minute for its way.
+const withdrawnFor = time.Minute
+
 // maxPending bounds the calls in progress in one shard. At some 400 bytes each
 // they leave room in a head of 1 MB for the finished ones.
 const maxPending = 1000
@@ -21,6 +31,9 @@
 // sealed entry of the key when the head has none. It reports whether the head
 // was changed.
 func (h *head) begin(op *beginOp, sealed *entry, now time.Time) (v verdict, found *entry, changed bool) {
+	if _, ok := h.withdrawn[op.nonce]; ok {
+		return verdictWithdrawn, nil, false
+	}
 	e := h.entries[op.key]
 	if e == nil {
 		e = sealed
@@ -57,9 +70,10 @@
 		e = sealed
 	}
 	switch {
-	case e == nil && op.withdrawn != nil:
-		e = op.withdrawn
 	case e == nil || e.Nonce != op.nonce:
+		if op.elsewhere && len(h.withdrawn) < maxWithdrawn {
+			h.withdrawn[op.nonce] = now.Add(withdrawnFor).UnixMilli()
+		}
 		return true
 	case e.Outcome != nil && e.Outcome.Ran != RanUnknown:
 		return false
--- a/internal/intent/head.go
+++ b/internal/intent/head.go
@@ -27,6 +27,9 @@
 	version  int64
 	segments []segmentRef
 	entries  map[Key]*entry
+	// withdrawn holds the nonces of withdrawn intents that another daemon may
+	// still try to commit, with the end of the note in the store's time.
+	withdrawn map[string]int64
 	// pending is the number of calls in progress.
 	pending int
 }
@@ -38,16 +41,23 @@
 	Write    string            `json:"write"`
 	Segments []segmentRef      `json:"segments,omitempty"`
 	Entries  []json.RawMessage `json:"entries"`
+	// Withdrawn maps nonces to the end of their notes.
+	Withdrawn map[string]int64 `json:"withdrawn,omitempty"`
 }
 
-func emptyHead() *head { return &head{entries: map[Key]*entry{}} }
+func emptyHead() *head {
+	return &head{entries: map[Key]*entry{}, withdrawn: map[string]int64{}}
+}
 
 func decodeHead(o *objectclient.Object) (*head, error) {
 	var value headValue
 	if err := json.Unmarshal(o.Value, &value); err != nil {
 		return nil, errors.Annotatef(err, "%s/%s", o.Kind, o.Name)
 	}
-	h := &head{version: o.Version, segments: value.Segments, entries: make(map[Key]*entry, len(value.Entries))}
+	h := &head{version: o.Version, segments: value.Segments, entries: make(map[Key]*entry, len(value.Entries)), withdrawn: value.Withdrawn}
+	if h.withdrawn == nil {
+		h.withdrawn = map[string]int64{}
+	}
 	for _, raw := range value.Entries {
 		e := &entry{}
 		if err := json.Unmarshal(raw, e); err != nil {
@@ -65,7 +75,9 @@
 // encode returns the stored form. The order of entries is fixed, so that equal
 // heads have equal segments sealed from them.
 func (h *head) encode(write string) (json.RawMessage, error) {
-	value := headValue{Write: write, Segments: h.segments, Entries: make([]json.RawMessage, 0, len(h.entries))}
+	value := headValue{
+		Write: write, Segments: h.segments, Withdrawn: h.withdrawn, Entries: make([]json.RawMessage, 0, len(h.entries)),
+	}
 	for _, e := range h.ordered() {
 		value.Entries = append(value.Entries, e.encode())
 	}
@@ -84,7 +96,10 @@
 
 // clone returns a head that can be changed.
 func (h *head) clone() *head {
-	return &head{version: h.version, segments: slices.Clone(h.segments), entries: maps.Clone(h.entries), pending: h.pending}
+	return &head{
+		version: h.version, segments: slices.Clone(h.segments), entries: maps.Clone(h.entries),
+		withdrawn: maps.Clone(h.withdrawn), pending: h.pending,
+	}
 }
 
 // set records an entry.
@@ -115,6 +130,7 @@
 			delete(h.entries, key)
 		}
 	}
+	maps.DeleteFunc(h.withdrawn, func(_ string, untilMs int64) bool { return untilMs < now.UnixMilli() })
 	var dropped []segmentRef
 	h.segments = slices.DeleteFunc(h.segments, func(s segmentRef) bool {
 		if s.UntilMs >= oldest {
--- a/internal/intent/history_test.go
+++ b/internal/intent/history_test.go
@@ -278,14 +278,16 @@
 	switch which {
 	case 0:
 		faults.LoseAnswers = 2
-	case 1, 2:
+	case 1:
 		faults.LateWrites, faults.LateMs = 2, 3000
+	case 2:
+		faults.WritesPerSecond, faults.ReadsPerSecond = 2, 4
 	case 3, 4:
 		faults.Outage = which == 3
 	case 5:
 		faults.SlowMs = 700
 	case 6:
-		faults.SlowMs = 0
+		faults.SlowMs, faults.WritesPerSecond, faults.ReadsPerSecond = 0, 0, 0
 	case 7:
 		faults.StaleBehind = 2
 	}
--- a/internal/intent/log.go
+++ b/internal/intent/log.go
@@ -94,7 +94,7 @@
 
 // Begin implements Recorder.
 func (l *Log) Begin(ctx context.Context, key Key, digest, nonce string) (Grant, error) {
-	if l.open.granted(nonce) != nil {
+	if d := l.open.granted(nonce); d != nil && d.key == key.bounded() {
 		return Grant{Granted: true}, nil
 	}
 	key = key.bounded()
@@ -139,7 +139,7 @@
 		}
 		l.stats.FellBack.Add(1)
 		// The preferred daemon may have written the intent.
-		op.attempted = true
+		op.attempted, op.elsewhere = true, true
 	}
 	return l.beginHere(ctx, op)
 }
--- a/internal/intent/op.go
+++ b/internal/intent/op.go
@@ -34,6 +34,9 @@
 	// attempted says that a write with the intent was sent, so that it may take
 	// effect although the operation failed.
 	attempted bool
+	// elsewhere says that the operation was forwarded to a daemon that did not
+	// answer, so that the intent may be committed there.
+	elsewhere bool
 	// waits says that another dispatch with the key is in progress.
 	waits bool
 }
@@ -94,7 +97,7 @@
 func (o *beginOp) withdrawal() *finishOp {
 	return &finishOp{
 		key: o.key, nonce: o.nonce, outcome: Outcome{Ran: RanNotRun}, done: o.release,
-		withdrawn: &entry{Key: o.key, Digest: o.digest, Nonce: o.nonce, By: o.by, AtMs: time.Now().UnixMilli()},
+		elsewhere: o.elsewhere,
 	}
 }
 
@@ -103,10 +106,10 @@
 	key     Key
 	nonce   string
 	outcome Outcome
-	// withdrawn is set for an intent whose commit is in doubt: the outcome is
-	// recorded even when the intent is not found, so that it cannot be taken
-	// for one in progress when its write arrives late.
-	withdrawn *entry
+	// elsewhere is set for the withdrawal of an intent that was forwarded. When
+	// it is not found, its nonce is noted, so that the other daemon cannot
+	// commit it later.
+	elsewhere bool
 	// done is called once the outcome is committed.
 	done func()
 }
--- a/internal/objectclient/client.go
+++ b/internal/objectclient/client.go
@@ -66,7 +66,7 @@
 			return nil, errors.Trace(err)
 		}
 		return stored, errors.Trace(err)
-	case errors.Is(err, errNotProcessed), !errors.Is(err, ErrUnavailable), version == AnyVersion:
+	case errors.Is(err, ErrRateLimited), !errors.Is(err, ErrUnavailable), version == AnyVersion:
 		return nil, errors.Trace(err)
 	}
 	c.options.Scope.Counter("object_api_read_back").Inc(1)
@@ -91,7 +91,7 @@
 // and reports ErrUnavailable while the object is unchanged.
 func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
 	err := c.decode(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), version: version, conditional: true}, nil)
-	if err == nil || errors.Is(err, errNotProcessed) || !errors.Is(err, ErrUnavailable) {
+	if err == nil || errors.Is(err, ErrRateLimited) || !errors.Is(err, ErrUnavailable) {
 		return errors.Trace(err)
 	}
 	current, readErr := c.Get(ctx, kind, name)
--- a/internal/objectclient/errors.go
+++ b/internal/objectclient/errors.go
@@ -9,4 +9,7 @@
 	ErrTooLarge    = errors.ConstError("object too large")
 	ErrCompacted   = errors.ConstError("revision compacted")
 	ErrUnavailable = errors.ConstError("object API unavailable")
+	// ErrRateLimited comes together with ErrUnavailable: the store refused the
+	// call because of its rate limit, so the call had no effect.
+	ErrRateLimited = errors.ConstError("object API rate limit")
 )
--- a/internal/objectclient/request.go
+++ b/internal/objectclient/request.go
@@ -11,10 +11,6 @@
 	"github.com/juju/errors"
 )
 
-// errNotProcessed marks an answer from the store itself that the call had no
-// effect; it comes together with ErrUnavailable.
-const errNotProcessed = errors.ConstError("call was not processed")
-
 // request is one call of the object API.
 type request struct {
 	method, path string
@@ -69,7 +65,7 @@
 // limitedError is the error of a 429: the call had no effect, and a read may be
 // repeated after the announced delay.
 func limitedError(response *http.Response) error {
-	causes := causes{ErrUnavailable, errNotProcessed}
+	causes := causes{ErrUnavailable, ErrRateLimited}
 	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
 		causes = append(causes, backoff.RetryAfter(seconds))
 	}
