Let a daemon restart under its name and address

What the earlier process announced kept the new one out for as long as it was remembered, and made it drain itself once it read its peers' view. Announcements now carry the start of the process, a later one ends what an earlier one announced, and a start is announced to the relays, which also makes a new daemon known before the instance list names it.

--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -55,6 +55,7 @@
 
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	tasks.Go(func() { s.announceLive(ctx) })
 	running := map[string]context.CancelFunc{}
 	launch := func(key string, task func(context.Context)) {
 		if _, ok := running[key]; ok {
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -199,25 +199,35 @@
 	return true
 }
 
-// Announce takes over an instance's own word that it is leaving. It holds until
-// the incarnation changes, whatever the list says.
+// Announce takes over an instance's own word that it is leaving, which holds
+// until the incarnation or the generation changes, whatever the list says, or
+// that it is live, before the lagging list names it.
 func (t *Table) Announce(a Announcement) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Now()
-	key := incarnation{a.Name, a.Address}
-	r := t.records[key]
+	r := t.records[incarnation{a.Name, a.Address}]
+	known := r != nil && !r.removed
 	if r == nil {
-		r = t.add(Instance{Name: a.Name, Address: a.Address, Domain: a.Domain, Region: a.Region, Role: a.Role}, now)
-		r.absentSince = now
+		r = t.add(Instance{
+			Name: a.Name, Address: a.Address, Domain: a.Domain, Region: a.Region, Role: a.Role, State: StateLive,
+		}, now)
 	}
-	if r.announced {
+	if !known {
+		r.removed, r.absentSince = false, now
+	}
+	before := *r
+	if !r.takeGeneration(a.Generation) {
 		return
 	}
-	r.announced = true
-	if a.LeavingInMs > 0 {
-		r.leavingBy = now.Add(time.Duration(a.LeavingInMs) * time.Millisecond)
+	if !a.Live && !r.announced {
+		r.announced = true
+		if a.LeavingInMs > 0 {
+			r.leavingBy = now.Add(time.Duration(a.LeavingInMs) * time.Millisecond)
+		}
+	}
+	if !known || before.generation != r.generation || before.announced != r.announced {
+		r.seq = t.next()
+		t.publish()
 	}
-	r.seq = t.next()
-	t.publish()
 }
--- a/internal/membership/export.go
+++ b/internal/membership/export.go
@@ -100,13 +100,16 @@
 	if in.NoticeSeq > 0 {
 		changed = r.notice(domainNotice{seq: in.NoticeSeq, noticed: in.Noticed, by: by}) || changed
 	}
-	if in.Announced && !r.announced {
+	generation := r.generation
+	counts := r.takeGeneration(in.Generation)
+	if in.Announced && counts && !r.announced {
 		r.announced = true
 		if !by.IsZero() {
 			r.leavingBy = by
 		}
 		changed = true
 	}
+	changed = changed || generation != r.generation
 	if changed {
 		r.seq = t.next()
 	}
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -18,10 +18,11 @@
 	removed     bool
 	removedAt   time.Time
 
-	announced bool
-	noticeSeq int64
-	noticed   bool
-	leavingBy time.Time
+	generation int64
+	announced  bool
+	noticeSeq  int64
+	noticed    bool
+	leavingBy  time.Time
 
 	drainedAt    time.Time
 	drainedUntil time.Time
@@ -45,6 +46,18 @@
 	return r.ejectedUntil
 }
 
+// takeGeneration takes over a generation and reports whether what that process
+// announced counts. A later one ends the announcement of the one before.
+func (r *record) takeGeneration(generation int64) bool {
+	if generation > r.generation {
+		r.generation, r.announced = generation, false
+		if !r.noticed {
+			r.leavingBy = time.Time{}
+		}
+	}
+	return generation == r.generation
+}
+
 func (r *record) upstream() Upstream {
 	return Upstream{
 		Name: r.Name, Address: r.Address, Domain: r.Domain, Region: r.Region,
@@ -59,7 +72,7 @@
 
 func (r *record) state(now time.Time) InstanceState {
 	return InstanceState{
-		Instance: r.Instance, Listed: r.listed, Announced: r.announced,
+		Instance: r.Instance, Listed: r.listed, Generation: r.generation, Announced: r.announced,
 		NoticeSeq: r.noticeSeq, Noticed: r.noticed,
 		LeavingInMs: remaining(r.leavingBy, now), Removed: r.removed,
 	}
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -21,8 +21,10 @@
 	Instance
 	// Listed says that the list names the instance.
 	Listed bool `json:"listed,omitempty"`
-	// Announced says that the instance itself announced that it is leaving.
-	Announced bool `json:"announced,omitempty"`
+	// Generation is the latest process that announced itself under this name
+	// and address, and Announced says that it announced that it is leaving.
+	Generation int64 `json:"generation,omitempty"`
+	Announced  bool  `json:"announced,omitempty"`
 	// NoticeSeq is the latest reclaim notice for the instance, 0 for none, and
 	// Noticed whether it was a reclaim rather than a cancellation.
 	NoticeSeq int64 `json:"noticeSeq,omitempty"`
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -42,9 +42,12 @@
 	}
 	// A notice for the own failure domain must reach a daemon that the lagging
 	// list does not name yet.
-	t.add(Instance{
+	own := t.add(Instance{
 		Name: self.Name, Address: self.Address, Domain: self.Domain, Region: self.Region, Role: RoleDaemon, State: StateLive,
 	}, options.Now())
+	// An announcement of an earlier process under the own name and address must
+	// not make this one leave.
+	own.generation = options.Now().UnixMilli()
 	t.view.Store(newView(t.records, t.self))
 	return t
 }
@@ -53,6 +56,16 @@
 // notice or the daemon itself said so.
 func (t *Table) Self() Daemon { return t.view.Load().self }
 
+// Announcement returns this daemon's own announcement.
+func (t *Table) Announcement(live bool) Announcement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Announcement{
+		Name: t.self.Name, Address: t.self.Address, Domain: t.self.Domain, Region: t.self.Region, Role: RoleDaemon,
+		Generation: t.records[incarnation{t.self.Name, t.self.Address}].generation, Live: live,
+	}
+}
+
 // Upstreams returns the subset of a pool's upstreams that this daemon sends
 // new work to: live, not leaving and not ejected. It is bounded by SubsetSize.
 // The slice is shared between callers and must not be changed.
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -62,6 +62,34 @@
 	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0001", "u0003"})
 }
 
+// Guards against a daemon that is restarted in place and stays out, or leaves
+// again, because of what its earlier process announced.
+func TestRestartInPlace(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	peer := newTestTable(clock, "peer")
+	earlier := newTestTable(clock, "d")
+	left := earlier.Announcement(false)
+	peer.Announce(left)
+	clock.now = clock.now.Add(time.Second)
+	restarted := newTestTable(clock, "d")
+	assert.Equal(t, len(peer.Daemons()), 0)
+
+	restarted.Import(peer.Export(""))
+	assert.Assert(t, !restarted.Self().Leaving)
+	peer.Announce(restarted.Announcement(true))
+	assert.Equal(t, len(peer.Daemons()), 1)
+	peer.Announce(left)
+	peer.Import(earlier.Export(""))
+	assert.Equal(t, len(peer.Daemons()), 1, "a late announcement of the earlier process")
+
+	third := newTestTable(clock, "third")
+	third.Announce(left)
+	third.Import(peer.Export(""))
+	assert.Equal(t, len(third.Daemons()), 2)
+	peer.Announce(restarted.Announcement(false))
+	assert.Equal(t, len(peer.Daemons()), 0)
+}
+
 // Guards against a domain notice that misses instances which the lagging list
 // names only later, and against one that hits later replacements.
 func TestDomainNotice(t *testing.T) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -53,7 +53,10 @@
 		if p == nil {
 			p = &pool{}
 			v.pools[r.Pool] = p
-			v.poolNames = append(v.poolNames, r.Pool)
+			// Before the list names it, the pool of an instance is not known.
+			if r.Pool != "" {
+				v.poolNames = append(v.poolNames, r.Pool)
+			}
 		}
 		p.records = append(p.records, r)
 	}
