--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -141,11 +141,13 @@
 	stored, err := w.log.options.Store.Put(ctx, objectKind, w.name, next.version, value)
 	switch {
 	case err == nil:
+		w.log.options.Scope.Counter("intent_writes").Inc(1)
 		next.version = stored.Version
 		w.head, w.readAt, w.doubt = next, time.Now(), false
 		return nil
 	case errors.Is(err, objectclient.ErrConflict):
 		w.log.stats.Conflicts.Add(1)
+		w.log.options.Scope.Counter("intent_conflicts").Inc(1)
 		// The stored version has moved on, so no earlier write can take effect.
 		w.head, w.doubt = nil, false
 		if stored != nil {
@@ -212,6 +214,7 @@
 	switch v {
 	case verdictGranted:
 		w.log.stats.Granted.Add(1)
+		w.log.options.Scope.Counter("intent_granted").Inc(1)
 		if !op.settle(result{grant: Grant{Granted: true}}) && !op.forwarded {
 			w.enqueue(nil, op.withdrawal())
 		}
--- /dev/null
+++ b/internal/intent/fleet_test.go
@@ -0,0 +1,257 @@
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/juju/errors"
+	"github.com/kataras/iris/v12"
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/objecttest"
+	"rattantide/internal/peer"
+	"rattantide/internal/standin/objectapi"
+)
+
+// pausedStore holds back the calls, and the answers, of one Log, as if its
+// process was paused.
+type pausedStore struct {
+	objectclient.Store
+	mu     sync.Mutex
+	resume chan struct{}
+}
+
+func (p *pausedStore) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume == nil {
+		p.resume = make(chan struct{})
+	}
+}
+
+func (p *pausedStore) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume != nil {
+		close(p.resume)
+		p.resume = nil
+	}
+}
+
+func (p *pausedStore) wait() {
+	p.mu.Lock()
+	resume := p.resume
+	p.mu.Unlock()
+	if resume != nil {
+		<-resume
+	}
+}
+
+func (p *pausedStore) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+	p.wait()
+	o, err := p.Store.Put(ctx, kind, name, version, value)
+	p.wait()
+	return o, err
+}
+
+// network carries the calls between Logs in memory and may lose them or their
+// answers.
+type network struct {
+	mu           sync.Mutex
+	apps         map[string]http.Handler
+	refuse, lose int
+}
+
+func (n *network) RoundTrip(r *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	app := n.apps[r.URL.Host]
+	if r.URL.Host == apiAddress {
+		n.mu.Unlock()
+		return serveAPI(app, r)
+	}
+	refused := n.refuse > 0
+	n.refuse = max(0, n.refuse-1)
+	n.mu.Unlock()
+	if refused || app == nil {
+		return nil, errors.New("connection refused")
+	}
+	recorder := httptest.NewRecorder()
+	app.ServeHTTP(recorder, r)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lose > 0 {
+		n.lose--
+		return nil, errors.New("connection reset")
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
+
+const apiAddress = "objectapi"
+
+// serveAPI answers a call of the object API, which may abort it.
+func serveAPI(app http.Handler, r *http.Request) (response *http.Response, err error) {
+	defer func() {
+		if recover() != nil {
+			response, err = nil, errors.New("connection reset")
+		}
+	}()
+	recorder := httptest.NewRecorder()
+	app.ServeHTTP(recorder, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return recorder.Result(), nil
+}
+
+// fleet is a number of Logs that share a store and forward to each other.
+type fleet struct {
+	store *objecttest.Store
+	// api replaces store when the Logs use the HTTP client.
+	api     *objectapi.API
+	network *network
+	paused  []*pausedStore
+	logs    []*Log
+
+	clock   atomic.Int64
+	mu      sync.Mutex
+	history []porcupine.Operation
+	running sync.WaitGroup
+}
+
+func newFleet(t *testing.T, count, shards int, api *objectapi.API) *fleet {
+	f := &fleet{store: objecttest.New(), api: api, network: &network{apps: map[string]http.Handler{apiAddress: api}}}
+	var instances []membership.Instance
+	for i := range count {
+		name := fmt.Sprintf("d%d", i)
+		instances = append(instances, membership.Instance{Name: name, Address: name, Role: membership.RoleDaemon, State: membership.StateLive})
+	}
+	for _, instance := range instances {
+		table := membership.NewTable(membership.Daemon{Name: instance.Name, Address: instance.Address}, membership.Options{})
+		table.ApplyList(membership.InstanceList{Revision: 1, Instances: instances})
+		paused := &pausedStore{Store: f.store}
+		if f.api != nil {
+			paused.Store = objectclient.New(objectclient.Options{Address: apiAddress, HTTP: &http.Client{Transport: f.network}})
+		}
+		l := newTestLog(t, paused, func(o *Options) {
+			o.Table, o.Shards, o.SegmentBytes = table, shards, 600
+			o.Peers = &peer.Client{HTTP: &http.Client{Transport: f.network}}
+		})
+		app := iris.New()
+		app.Logger().SetLevel("disable")
+		l.RegisterHandlers(app.Party("/peer/v1"))
+		assert.NilError(t, app.Build())
+		f.network.apps[instance.Address] = app
+		f.paused, f.logs = append(f.paused, paused), append(f.logs, l)
+	}
+	return f
+}
+
+func (f *fleet) record(in call, called int64, out callResult, returned int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.history = append(f.history, porcupine.Operation{Input: in, Call: called, Output: out, Return: returned})
+}
+
+// request begins a call on a Log and finishes it after some time when it is
+// granted.
+func (f *fleet) request(l *Log, name, nonce string, patience, takes time.Duration, ran Ran) callResult {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	called := f.clock.Add(1)
+	grant, err := l.Begin(ctx, key(name), "digest", nonce)
+	out := callResult{grant: grant, failed: err != nil}
+	f.record(call{key: name, nonce: nonce}, called, out, f.clock.Add(1))
+	if out.failed || !grant.Granted {
+		return out
+	}
+	time.Sleep(takes)
+	called = f.clock.Add(1)
+	l.Finish(key(name), nonce, Outcome{Ran: ran, Body: []byte(nonce)})
+	// The outcome is recorded at some time after Finish.
+	f.record(call{key: name, nonce: nonce, finish: ran}, called, callResult{}, 1<<60)
+	return out
+}
+
+func (f *fleet) fault(which, log int) {
+	f.network.mu.Lock()
+	defer f.network.mu.Unlock()
+	if f.api != nil && which <= 7 {
+		f.api.Faults().Update(func(faults *objectapi.Faults) { apiFault(which, faults) })
+		return
+	}
+	switch which {
+	case 0:
+		f.store.LoseAnswers(2)
+	case 1:
+		f.store.HoldWrites(2)
+	case 2:
+		f.store.ReleaseWrites()
+	case 3:
+		f.store.SetOutage(true)
+	case 4:
+		f.store.SetOutage(false)
+	case 5:
+		f.store.SetLatency(700 * time.Millisecond)
+	case 6:
+		f.store.SetLatency(0)
+	case 7:
+		f.store.SetStale(2)
+	case 8:
+		f.paused[log].pause()
+	case 9:
+		f.paused[log].wake()
+	case 10:
+		f.network.refuse = 2
+	case 11:
+		f.network.lose = 2
+	}
+}
+
+// apiFault switches the fault of the stand-in that corresponds to one of the
+// store's.
+func apiFault(which int, faults *objectapi.Faults) {
+	switch which {
+	case 0:
+		faults.LoseAnswers = 2
+	case 1:
+		faults.LateWrites, faults.LateMs = 2, 3000
+	case 2:
+		faults.WritesPerSecond, faults.ReadsPerSecond = 2, 4
+	case 3, 4:
+		faults.Outage = which == 3
+	case 5:
+		faults.SlowMs = 700
+	case 6:
+		faults.SlowMs, faults.WritesPerSecond, faults.ReadsPerSecond = 0, 0, 0
+	case 7:
+		faults.StaleBehind = 2
+	}
+}
+
+func (f *fleet) heal() {
+	if f.api != nil {
+		f.api.Faults().Update(func(faults *objectapi.Faults) { *faults = objectapi.Faults{} })
+	}
+	f.store.SetOutage(false)
+	f.store.SetLatency(0)
+	f.store.SetStale(0)
+	f.store.HoldWrites(0)
+	f.store.LoseAnswers(0)
+	f.store.ReleaseWrites()
+	for _, p := range f.paused {
+		p.wake()
+	}
+}
--- a/internal/intent/log.go
+++ b/internal/intent/log.go
@@ -138,6 +138,7 @@
 			l.avoided.add(preferred.Address, time.Now())
 		}
 		l.stats.FellBack.Add(1)
+		l.options.Scope.Counter("intent_fell_back").Inc(1)
 		// The preferred daemon may have written the intent.
 		op.attempted, op.elsewhere = true, true
 	}
