--- a/internal/configsync/feed_bench_test.go
+++ b/internal/configsync/feed_bench_test.go
@@ -5,6 +5,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"rattantide/internal/membership"
 )
 
 // idleTime is how long the idle feed is measured.
@@ -69,6 +71,40 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// BenchmarkNotice measures from a reclaim notice until the last daemon gives the
+// upstream no new work, with all relays well and with one that hangs.
+func BenchmarkNotice(b *testing.B) {
+	for _, hung := range []bool{false, true} {
+		for _, count := range []int{9, 81} {
+			b.Run(fmt.Sprintf("daemons=%d/hungRelay=%v", count, hung), func(b *testing.B) {
+				c := newCluster(b)
+				c.start(count)
+				relay := rankRelays("r", append(c.nodes[0].table.Daemons(), c.nodes[0].self), 2)[0].Name
+				for _, n := range c.nodes {
+					n.hung.Store(hung && n.self.Name == relay)
+					c.await(n, "upstream known", func() bool { return len(n.table.Upstreams("p")) == 1 })
+				}
+				var longest time.Duration
+				for b.Loop() {
+					started := time.Now()
+					c.platform.notice(membership.Notice{Instance: "u1", DeadlineMs: 600_000, Kind: membership.NoticeReclaim})
+					for _, n := range c.nodes {
+						c.await(n, "notice", func() bool { return len(n.table.Upstreams("p")) == 0 })
+					}
+					longest = max(longest, time.Since(started))
+					b.StopTimer()
+					c.platform.notice(membership.Notice{Instance: "u1", Kind: membership.NoticeCancel})
+					for _, n := range c.nodes {
+						c.await(n, "cancellation", func() bool { return len(n.table.Upstreams("p")) == 1 })
+					}
+					b.StartTimer()
+				}
+				b.ReportMetric(float64(longest.Milliseconds()), "longest-ms")
+			})
+		}
+	}
+}
+
 func reset(c *cluster) {
 	for _, n := range c.nodes {
 		n.bytesIn.Store(0)
--- a/internal/configsync/start.go
+++ b/internal/configsync/start.go
@@ -51,7 +51,7 @@
 
 	var limit <-chan time.Time
 	var configured, current, listed bool
-	for pending > 0 && !(listed && current) {
+	for pending > 0 && (!listed || !current) {
 		select {
 		case a := <-answers:
 			pending--
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -107,6 +107,31 @@
 	})
 }
 
+// Guards against a duty that a leaving daemon takes, or keeps until its lease
+// expires.
+func TestLeavingDaemonReleases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		managers := group(store, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, m := range managers {
+			m.Want("move")
+			go func() { _ = m.Run(ctx) }()
+		}
+		time.Sleep(30 * time.Second)
+		first, _ := holders(managers, "move")
+		assert.Equal(t, len(first), 1)
+		table := managers[first[0]].options.Table
+		table.Announce(table.Announcement(false))
+		managers[1-first[0]].options.Table.Announce(table.Announcement(false))
+		time.Sleep(time.Minute)
+		second, _ := holders(managers, "move")
+		assert.DeepEqual(t, second, []int{1 - first[0]})
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against two holders at the same time, or a fencing token that does not
 // grow, under random faults of the object API.
 func TestNeverTwoHolders(t *testing.T) {
