--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -141,11 +141,13 @@
 	stored, err := w.log.options.Store.Put(ctx, objectKind, w.name, next.version, value)
 	switch {
 	case err == nil:
+		w.log.options.Scope.Counter("intent_writes").Inc(1)
 		next.version = stored.Version
 		w.head, w.readAt, w.doubt = next, time.Now(), false
 		return nil
 	case errors.Is(err, objectclient.ErrConflict):
 		w.log.stats.Conflicts.Add(1)
+		w.log.options.Scope.Counter("intent_conflicts").Inc(1)
 		// The stored version has moved on, so no earlier write can take effect.
 		w.head, w.doubt = nil, false
 		if stored != nil {
@@ -155,6 +157,9 @@
 			}
 		}
 		return err
+	case errors.Is(err, objectclient.ErrRateLimited):
+		// The write had no effect, and a read would add to the calls.
+		return err
 	}
 	w.head, w.doubt = nil, true
 	return err
@@ -209,6 +214,7 @@
 	switch v {
 	case verdictGranted:
 		w.log.stats.Granted.Add(1)
+		w.log.options.Scope.Counter("intent_granted").Inc(1)
 		if !op.settle(result{grant: Grant{Granted: true}}) && !op.forwarded {
 			w.enqueue(nil, op.withdrawal())
 		}
@@ -218,6 +224,9 @@
 	case verdictReused:
 		op.settle(result{err: errors.Annotatef(ErrKeyReused, "route %s", op.key.Route)})
 		w.dismissRecorded(op, found)
+	case verdictWithdrawn:
+		op.settle(result{err: errors.Annotate(objectclient.ErrUnavailable, "the intent was withdrawn")})
+		op.release()
 	case verdictFull:
 		op.settle(result{err: errors.Annotate(objectclient.ErrUnavailable, "too many calls are in progress")})
 		w.dismiss(op)
--- a/internal/intent/log.go
+++ b/internal/intent/log.go
@@ -94,7 +94,7 @@
 
 // Begin implements Recorder.
 func (l *Log) Begin(ctx context.Context, key Key, digest, nonce string) (Grant, error) {
-	if l.open.granted(nonce) != nil {
+	if d := l.open.granted(nonce); d != nil && d.key == key.bounded() {
 		return Grant{Granted: true}, nil
 	}
 	key = key.bounded()
@@ -138,8 +138,9 @@
 			l.avoided.add(preferred.Address, time.Now())
 		}
 		l.stats.FellBack.Add(1)
+		l.options.Scope.Counter("intent_fell_back").Inc(1)
 		// The preferred daemon may have written the intent.
-		op.attempted = true
+		op.attempted, op.elsewhere = true, true
 	}
 	return l.beginHere(ctx, op)
 }
