--- a/internal/configsync/options.go
+++ b/internal/configsync/options.go
@@ -1,6 +1,7 @@
 package configsync
 
 import (
+	"io"
 	"net/http"
 	"time"
 
@@ -83,15 +84,9 @@
 		}
 	}
 	if o.Logger == nil {
-		o.Logger = log.New(discard{})
+		o.Logger = log.New(io.Discard)
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
 }
-
-// discard is an io.Writer that writes nothing.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/internal/configsync/relay.go
+++ b/internal/configsync/relay.go
@@ -125,12 +125,6 @@
 	return size
 }
 
-// noticeAnswer is the cloud API's answer to a poll for notices.
-type noticeAnswer struct {
-	Seq     int64               `json:"seq"`
-	Notices []membership.Notice `json:"notices"`
-}
-
 // pollNotices follows the reclaim notices until ctx ends.
 func (s *Syncer) pollNotices(ctx context.Context) {
 	var since int64
--- a/internal/configsync/start.go
+++ b/internal/configsync/start.go
@@ -8,20 +8,6 @@
 // maxStartPeers is the number of peers that a start asks.
 const maxStartPeers = 3
 
-// startAnswer is what one source of a start led to.
-type startAnswer struct {
-	source startSource
-	ok     bool
-}
-
-type startSource int
-
-const (
-	startStore startSource = iota
-	startInstances
-	startPeer
-)
-
 // start asks the object API, the instance list and up to three peers at once.
 // It returns when the instance list has answered or failed and either the object
 // API has answered, or all have answered or failed, or StartWait has passed since
--- a/internal/intent/op.go
+++ b/internal/intent/begin_op.go
@@ -5,12 +5,6 @@
 	"time"
 )
 
-// result is the end of a begin operation.
-type result struct {
-	grant Grant
-	err   error
-}
-
 // beginOp asks for an intent. Its caller may stop waiting at any time.
 type beginOp struct {
 	key    Key
@@ -100,16 +94,3 @@
 		elsewhere: o.elsewhere,
 	}
 }
-
-// finishOp records an outcome.
-type finishOp struct {
-	key     Key
-	nonce   string
-	outcome Outcome
-	// elsewhere is set for the withdrawal of an intent that was forwarded. When
-	// it is not found, its nonce is noted, so that the other daemon cannot
-	// commit it later.
-	elsewhere bool
-	// done is called once the outcome is committed.
-	done func()
-}
--- a/internal/intent/entry.go
+++ b/internal/intent/entry.go
@@ -9,14 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// requester is the Log that asked for an intent. A restarted daemon has a new
-// Log identifier.
-type requester struct {
-	Daemon  string `json:"daemon"`
-	Address string `json:"address"`
-	Log     string `json:"log"`
-}
-
 // entry is one recorded call. It is immutable once it is in a head.
 type entry struct {
 	Key    Key    `json:"key"`
--- a/internal/intent/forward.go
+++ b/internal/intent/forward.go
@@ -23,38 +23,6 @@
 	forwardSlack = 500 * time.Millisecond
 )
 
-// beginRequest asks the preferred daemon of a shard for an intent.
-type beginRequest struct {
-	Key    Key       `json:"key"`
-	Digest string    `json:"digest"`
-	Nonce  string    `json:"nonce"`
-	By     requester `json:"by"`
-	// WithinMs is the time left for the commit.
-	WithinMs int64 `json:"withinMs"`
-}
-
-// beginAnswer is the answer to a beginRequest.
-type beginAnswer struct {
-	Grant Grant `json:"grant"`
-	// InProgress says that another dispatch with the key is in progress and
-	// that the request may be repeated to wait further.
-	InProgress bool `json:"inProgress,omitempty"`
-	Reused     bool `json:"reused,omitempty"`
-}
-
-// recordedOutcome is one outcome of a finishRequest.
-type recordedOutcome struct {
-	Key     Key     `json:"key"`
-	Nonce   string  `json:"nonce"`
-	Outcome Outcome `json:"outcome"`
-}
-
-// finishRequest hands outcomes to the preferred daemon of their shard. It is
-// answered once they are committed.
-type finishRequest struct {
-	Outcomes []recordedOutcome `json:"outcomes"`
-}
-
 // RegisterHandlers serves the forwarded operations on a party that is mounted
 // at /peer/v1 and checks the peer token.
 func (l *Log) RegisterHandlers(party iris.Party) {
--- a/internal/intent/head.go
+++ b/internal/intent/head.go
@@ -13,13 +13,6 @@
 	"rattantide/internal/objectclient"
 )
 
-// segmentRef names a sealed segment of a shard.
-type segmentRef struct {
-	Name string `json:"name"`
-	// UntilMs is when the latest of its outcomes was recorded.
-	UntilMs int64 `json:"untilMs"`
-}
-
 // head is the object of a shard at one version. It is immutable once it is
 // stored or read.
 type head struct {
@@ -34,17 +27,6 @@
 	pending int
 }
 
-// headValue is the stored form of a head.
-type headValue struct {
-	// Write is unique to each write, so that a read-back tells one's own write
-	// from another's.
-	Write    string            `json:"write"`
-	Segments []segmentRef      `json:"segments,omitempty"`
-	Entries  []json.RawMessage `json:"entries"`
-	// Withdrawn maps nonces to the end of their notes.
-	Withdrawn map[string]int64 `json:"withdrawn,omitempty"`
-}
-
 func emptyHead() *head {
 	return &head{entries: map[Key]*entry{}, withdrawn: map[string]int64{}}
 }
--- a/internal/intent/open.go
+++ b/internal/intent/open.go
@@ -2,13 +2,6 @@
 
 import "sync"
 
-// dispatch is a call that this daemon was granted.
-type dispatch struct {
-	key Key
-	// nonce is the one in the record.
-	nonce string
-}
-
 // openDispatches are the dispatches of this daemon without a committed outcome,
 // by the caller's nonce and by the nonce of the entry. It is safe for concurrent
 // use.
--- a/internal/intent/segments.go
+++ b/internal/intent/segments.go
@@ -18,11 +18,6 @@
 // loadParallel is the number of segments that are read at a time.
 const loadParallel = 8
 
-// segmentValue is the stored form of a segment.
-type segmentValue struct {
-	Entries []json.RawMessage `json:"entries"`
-}
-
 // segments knows which keys the sealed segments of a shard hold, by the hashes
 // of the keys. Segments never change, so each is read once.
 type segments struct {
--- a/internal/intent/waiting.go
+++ b/internal/intent/waiting.go
@@ -6,17 +6,6 @@
 	"time"
 )
 
-// knownRequest asks a Log whether a dispatch is in progress there.
-type knownRequest struct {
-	Log   string `json:"log"`
-	Nonce string `json:"nonce"`
-}
-
-// knownAnswer is the answer to a knownRequest.
-type knownAnswer struct {
-	Known bool `json:"known"`
-}
-
 // knownTimeout bounds the question whether a dispatch is in progress.
 const knownTimeout = time.Second
 
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"io"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -40,15 +41,9 @@
 		o.MaxInterval = 10 * time.Minute
 	}
 	if o.Logger == nil {
-		o.Logger = log.New(discard{})
+		o.Logger = log.New(io.Discard)
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
 }
-
-// discard is an io.Writer that writes nothing.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(p []byte) (int, error) { return len(p), nil }
--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -1,14 +1,5 @@
 package membership
 
-// Role tells what runs on an instance.
-type Role string
-
-// The roles of instances.
-const (
-	RoleDaemon   Role = "daemon"
-	RoleUpstream Role = "upstream"
-)
-
 // The states of instances in the instance list.
 const (
 	StateLive    = "live"
@@ -30,8 +21,3 @@
 	// State is StateLive or StateLeaving, as the list last said.
 	State string `json:"state,omitempty"`
 }
-
-// incarnation identifies one life of an instance.
-type incarnation struct{ name, address string }
-
-func (i Instance) incarnation() incarnation { return incarnation{i.Name, i.Address} }
--- a/internal/membership/notice.go
+++ b/internal/membership/notice.go
@@ -1,14 +1,5 @@
 package membership
 
-// NoticeKind tells what a Notice announces.
-type NoticeKind string
-
-// The kinds of notices.
-const (
-	NoticeReclaim NoticeKind = "reclaim"
-	NoticeCancel  NoticeKind = "cancel"
-)
-
 // Notice is a reclaim notice of the cloud API, or its cancellation. It names
 // one instance or a whole failure domain.
 type Notice struct {
--- a/internal/membership/subset.go
+++ b/internal/membership/subset.go
@@ -4,8 +4,6 @@
 	"sort"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // remoteBelow is the share of the subset's size below which a region counts as
@@ -93,26 +91,3 @@
 	}
 	return out
 }
-
-// Weight is the rendezvous weight of a candidate for a key: among several
-// candidates, the one with the highest weight is preferred.
-func Weight(key, candidate string) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(candidate)
-	return d.Sum64()
-}
-
-// Preferred returns the names ordered by falling weight for the key.
-func Preferred(key string, names []string) []string {
-	out := append([]string(nil), names...)
-	sort.Slice(out, func(i, j int) bool {
-		a, b := Weight(key, out[i]), Weight(key, out[j])
-		if a != b {
-			return a > b
-		}
-		return out[i] < out[j]
-	})
-	return out
-}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"sync/atomic"
 )
 
 // view is the structure of a Table as readers see it. It is immutable but for
@@ -17,22 +16,6 @@
 	upstreams map[string]*record
 }
 
-// pool holds the current incarnations of one pool's upstreams.
-type pool struct {
-	records []*record
-	subset  atomic.Pointer[subset]
-}
-
-// touch marks the loads in the subset as outdated.
-func (p *pool) touch() {
-	if s := p.subset.Load(); s != nil {
-		s.stale.Store(true)
-	}
-}
-
-// expire makes the next reader choose the subset anew.
-func (p *pool) expire() { p.subset.Store(nil) }
-
 func newView(records map[incarnation]*record, self Daemon) *view {
 	v := &view{self: self, pools: map[string]*pool{}, upstreams: map[string]*record{}}
 	daemons := map[string]*record{}
