--- a/test/scenarios/harness/condition.go
+++ b/test/scenarios/harness/condition.go
@@ -96,6 +96,10 @@
 		one(1)
 		p := s.find(ts, name)
 		return func() (string, error) { return probe(p.address, rest[0]) }
+	case "versions":
+		one(1)
+		p := s.find(ts, name)
+		return func() (string, error) { return probeVersions(p.address, rest[0]) }
 	case "exit":
 		one(0)
 		p := s.find(ts, name)
--- a/test/scenarios/harness/doc.go
+++ b/test/scenarios/harness/doc.go
@@ -35,6 +35,7 @@
 //	stat NAME PATH OP VALUE          a field of GET /control/stats
 //	get NAME URL-PATH FIELD OP VALUE a field of any JSON answer
 //	answer NAME MODEL|/PATH OP N     the status of a short chat or a GET
+//	versions NAME MODEL OP LIST      the versions that answer 20 short chats
 //	exit NAME OP CODE                the exit code of a process
 //
 // with OP one of == != < <= > >=. A leading "!" before expect negates it.
--- a/test/scenarios/harness/platform.go
+++ b/test/scenarios/harness/platform.go
@@ -53,6 +53,8 @@
 		req.Header.Set("Authorization", "Bearer "+peerToken)
 	case strings.HasPrefix(path, "/admin/"):
 		req.Header.Set("Authorization", "Bearer "+operatorToken)
+	default:
+		req.Header.Set("Authorization", "Bearer "+workspaceToken)
 	}
 	res, err := control.Do(req)
 	if err != nil {
