Do not pass expired domain notices on, nor count callers' mistakes as failures

Cause: a daemon started in a failure domain after its reclaim drained at once. Peers exported the expired notice with a millisecond left, and the receiver attached it to itself. The new test failed before the change ('assertion failed: expression is false: !replacement.Self().Leaving').

A reused idempotency key or a malformed request no longer spends a class's completeness budget.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,7 +161,7 @@
 		Engine: server.EngineClient{Client: d.engines}, Journal: d.journal, Intents: d.intents,
 		Handoff:  d.handoff,
 		Observer: observer{d.burn},
-		Prompt:   estimatePrompt, Logger: d.logger, Scope: d.scope, LogShare: s.LogRequests,
+		Logger:   d.logger, Scope: d.scope, LogShare: s.LogRequests,
 		MaxBodyBytes: s.MaxBodyBytes, MaxEventBytes: s.MaxEventBytes,
 		AbandonGrace: s.AbandonGrace, EntryTTL: s.EntryTTL,
 	})
--- a/internal/membership/export.go
+++ b/internal/membership/export.go
@@ -23,7 +23,10 @@
 		}
 	}
 	for domain, notice := range t.domains {
-		if notice.changed > from {
+		// A reclaim whose time is over says nothing about instances that the
+		// receiver has not seen; those it meant carry it themselves.
+		expired := notice.noticed && !now.Before(notice.by)
+		if notice.changed > from && !expired {
 			state.Domains = append(state.Domains, DomainState{
 				Domain: domain, NoticeSeq: notice.seq, Noticed: notice.noticed,
 				LeavingInMs: remaining(notice.by, now),
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -108,6 +108,18 @@
 	assert.DeepEqual(t, names(table.Upstreams("p")), []string{"u0001", "u0006"})
 }
 
+// Guards against a replacement daemon in a reclaimed failure domain that drains
+// at once: peers passed the expired notice on with a millisecond left.
+func TestExpiredDomainNoticeIsNotPassedOn(t *testing.T) {
+	clock := &testClock{time.Unix(1000, 0)}
+	table := newTestTable(clock, "d")
+	table.ApplyNotices(Notice{Seq: 1, Domain: "z0", DeadlineMs: 3_000, Kind: NoticeReclaim})
+	clock.now = clock.now.Add(4 * time.Second)
+	replacement := newTestTable(clock, "replacement")
+	replacement.Import(table.Export(""))
+	assert.Assert(t, !replacement.Self().Leaving)
+}
+
 // Guards against a short list that empties a pool, and against an instance that
 // stays for ever.
 func TestAbsenceRemovesAfterGrace(t *testing.T) {
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -90,7 +90,9 @@
 		s.options.Handoff.Finished(rec)
 	}
 	r.logEnd(outcome, p)
-	s.ended(r.observation(outcome, p))
+	if p == nil || !isCallersFault(p) {
+		s.ended(r.observation(outcome, p))
+	}
 }
 
 func (r *runner) observation(outcome journal.Outcome, p *problem.Problem) Ended {
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -174,10 +174,22 @@
 	s.metrics.refused(p.Code)
 	s.options.Logger.Warn("call failed", "request", c.id, "attempt", c.attempt, "workspace", c.workspace,
 		"class", c.route.Class, "route", c.routeName, "code", p.Code, "ran", p.Ran)
-	s.endedService(c, nil, false, p)
+	if !isCallersFault(p) {
+		s.endedService(c, nil, false, p)
+	}
 	problem.Write(w, p.WithRequestID(c.id))
 }
 
+// isCallersFault reports whether a call was refused for what the caller sent. Such
+// a refusal spends no service-level budget.
+func isCallersFault(p *problem.Problem) bool {
+	switch p.Code {
+	case problem.CodeBadRequest, problem.CodeTooLarge, problem.CodeKeyReused, problem.CodeQuarantined:
+		return true
+	}
+	return false
+}
+
 // endedService reports the end of a call; upstream is nil when none answered.
 func (s *Server) endedService(c *serviceCall, upstream *membership.Upstream, ok bool, p *problem.Problem) {
 	e := Ended{
