--- a/test/bench/cluster.go
+++ b/test/bench/cluster.go
@@ -123,6 +123,21 @@
 	})
 }
 
+// listPhantoms names further upstreams on the instance list. They share the
+// addresses of the engines that run, so that polls of them are answered.
+func (c *cluster) listPhantoms(ctx context.Context, n int) error {
+	for i := range n {
+		err := c.list(ctx, instances.Instance{
+			Name: fmt.Sprintf("phantom-%d", i), Address: c.engines[i%len(c.engines)].Address, Domain: domainOf(i),
+			Region: region, Role: "upstream", Pool: pool, Version: "v1", Class: "reclaimable", PricePerHour: 1, State: "live",
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c *cluster) list(ctx context.Context, i instances.Instance) error {
 	return send(ctx, http.MethodPost, "http://"+c.instances.Address+"/control/instances", "", i)
 }
