--- a/test/scenarios/harness/harness.go
+++ b/test/scenarios/harness/harness.go
@@ -127,13 +127,13 @@
 	return p
 }
 
-// ofKind returns the running processes of a kind in the order of their start.
+// ofKind returns the ready processes of a kind in the order of their start.
 func (s *state) ofKind(kind string) []*process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []*process
 	for _, name := range s.order {
-		if p := s.processes[name]; p != nil && p.kind == kind && !p.exited() {
+		if p := s.processes[name]; p != nil && p.kind == kind && p.address != "" && !p.exited() {
 			out = append(out, p)
 		}
 	}
--- a/test/scenarios/harness/order.go
+++ b/test/scenarios/harness/order.go
@@ -64,7 +64,9 @@
 		if n > 1 {
 			key += "-" + strconv.Itoa(i)
 		}
+		group.mu.Lock()
 		group.calls[key] = ordered
+		group.mu.Unlock()
 		req, err := http.NewRequestWithContext(ctx, o.text("method", "POST"), "http://"+entries[i%len(entries)]+o.text("path", "/orders"), strings.NewReader(o.text("body", `{"die":"brass"}`)))
 		ts.Check(err)
 		req.Header.Set("Authorization", "Bearer "+o.text("token", workspaceToken))
--- a/test/scenarios/harness/process.go
+++ b/test/scenarios/harness/process.go
@@ -14,8 +14,9 @@
 
 // process is a daemon or stand-in that the script started.
 type process struct {
-	name    string
-	kind    string
+	name string
+	kind string
+	// address is set once, under the state's mutex, when the process is ready.
 	address string
 	labels  map[string]string
 	command *exec.Cmd
@@ -77,14 +78,18 @@
 	}
 	s.processes[name] = p
 	s.mu.Unlock()
+	address := ""
 	ready := until(defaultWait, func() bool {
 		content, err := os.ReadFile(file)
-		p.address = strings.TrimSpace(string(content))
-		return p.exited() || err == nil && p.address != ""
+		address = strings.TrimSpace(string(content))
+		return p.exited() || err == nil && address != ""
 	})
 	if !ready || p.exited() {
 		s.fail(ts, "%s did not start (exit code %d)", name, p.code())
 	}
+	s.mu.Lock()
+	p.address = address
+	s.mu.Unlock()
 	ts.Setenv(name, p.address)
 	if kind == "daemon" {
 		ts.Setenv("RATTANTIDE_ADDRESS", strings.Join(s.daemons(), ","))
