--- a/internal/cli/demo/control.go
+++ b/internal/cli/demo/control.go
@@ -59,7 +59,7 @@
 
 // notify publishes a reclaim notice.
 func (d *demo) notify(ctx context.Context, target reclaim) error {
-	return call(ctx, http.MethodPost, d.cloud.address, "/control/notices", map[string]any{
+	return call(ctx, http.MethodPost, d.cloud.Address, "/control/notices", map[string]any{
 		"instance": target.instance, "domain": target.domain, "deadlineMs": reclaimNotice.Milliseconds(), "kind": "reclaim",
 	}, nil)
 }
--- a/internal/cli/demo/platform.go
+++ b/internal/cli/demo/platform.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"rattantide/internal/proc"
 	"rattantide/internal/standin/instances"
 )
 
@@ -78,10 +79,13 @@
 }
 
 func (d *demo) launch(ctx context.Context, name, program string, env []string, args ...string) (*process, error) {
-	p, err := startProcess(ctx, d.dir, name, filepath.Join(d.options.Bin, program), env, args...)
+	started, err := proc.Start(ctx, proc.Spec{
+		Name: name, Program: filepath.Join(d.options.Bin, program), Args: args, Env: env, Dir: d.dir,
+	})
 	if err != nil {
-		return nil, err
+		return nil, errors.Trace(err)
 	}
+	p := &process{Process: started}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.all = append(d.all, p)
@@ -90,7 +94,7 @@
 
 func (d *demo) startEngine(ctx context.Context, name, domain, version string) error {
 	p, err := d.standin(ctx, name, "engine", "-name", name, "-pool", "briefs", "-version", version,
-		"-token-time", "8ms", "-load-time", "200ms", "-weights", d.weights.address)
+		"-token-time", "8ms", "-load-time", "200ms", "-weights", d.weights.Address)
 	if err != nil {
 		return err
 	}
@@ -99,7 +103,7 @@
 	d.engines = append(d.engines, p)
 	d.mu.Unlock()
 	return d.list(ctx, instances.Instance{
-		Name: name, Address: p.address, Domain: domain, Region: region, Role: "upstream", Pool: "briefs",
+		Name: name, Address: p.Address, Domain: domain, Region: region, Role: "upstream", Pool: "briefs",
 		Version: version, Class: "reclaimable", PricePerHour: 1.2,
 	})
 }
@@ -114,7 +118,7 @@
 	d.services = append(d.services, p)
 	d.mu.Unlock()
 	return d.list(ctx, instances.Instance{
-		Name: name, Address: p.address, Domain: domain, Region: region, Role: "upstream", Pool: "orders",
+		Name: name, Address: p.Address, Domain: domain, Region: region, Role: "upstream", Pool: "orders",
 		Version: "orders-v1", Class: "on-demand", PricePerHour: 0.3,
 	})
 }
@@ -128,16 +132,16 @@
 	}
 	env := []string{"RATTANTIDE_PEER_TOKEN=" + peerToken, "RATTANTIDE_OPERATOR_TOKEN=" + operatorToken}
 	p, err := d.launch(ctx, name, "rattantided", env, "-name", name, "-listen", listen, "-domain", domain, "-region", region,
-		"-object-api", d.objectAPI.address, "-instance-list", d.instances.address, "-cloud", d.cloud.address,
+		"-object-api", d.objectAPI.Address, "-instance-list", d.instances.Address, "-cloud", d.cloud.Address,
 		"-entry-ttl", "1s", "-drain-limit", "10s")
 	if err != nil {
 		return err
 	}
-	err = eventually(ctx, 10*time.Second, func() error {
-		return call(ctx, http.MethodGet, p.address, "/healthz", nil, nil)
-	}, p.ended)
+	err = proc.Eventually(ctx, 10*time.Second, p.Ended(), func() error {
+		return call(ctx, http.MethodGet, p.Address, "/healthz", nil, nil)
+	})
 	if err != nil {
-		return errors.Annotatef(err, "%s: %s", name, p.lastLines())
+		return errors.Annotatef(err, "%s: %s", name, p.LastLines())
 	}
 	p.domain, p.slot = domain, slot
 	d.mu.Lock()
@@ -145,12 +149,12 @@
 	slices.SortFunc(d.daemons, func(a, b *process) int { return cmp.Compare(a.slot, b.slot) })
 	d.mu.Unlock()
 	return d.list(ctx, instances.Instance{
-		Name: name, Address: p.address, Domain: domain, Region: region, Role: "daemon", Class: "reclaimable", PricePerHour: 0.1,
+		Name: name, Address: p.Address, Domain: domain, Region: region, Role: "daemon", Class: "reclaimable", PricePerHour: 0.1,
 	})
 }
 
 func (d *demo) list(ctx context.Context, i instances.Instance) error {
-	return call(ctx, http.MethodPost, d.instances.address, "/control/instances", i, nil)
+	return call(ctx, http.MethodPost, d.instances.Address, "/control/instances", i, nil)
 }
 
 // stop ends all processes, daemons first.
@@ -163,7 +167,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			all[i].stop()
+			all[i].Stop(stopTimeout)
 		}()
 	}
 	wait.Wait()
@@ -190,12 +194,12 @@
 func addressesOf(processes []*process) []string {
 	out := make([]string, len(processes))
 	for i, p := range processes {
-		out[i] = p.address
+		out[i] = p.Address
 	}
 	return out
 }
 
 // without returns the list without the process of that name.
 func without(list []*process, name string) []*process {
-	return slices.DeleteFunc(slices.Clone(list), func(p *process) bool { return p.name == name })
+	return slices.DeleteFunc(slices.Clone(list), func(p *process) bool { return p.Name == name })
 }
--- a/internal/cli/demo/run.go
+++ b/internal/cli/demo/run.go
@@ -108,5 +108,5 @@
                  -d '{"model":"briefs","stream":true,"messages":[{"role":"user","content":"Draft a brief."}]}'
   orders       curl http://%s/orders/dies -H 'Authorization: Bearer %s' -H 'Idempotency-Key: order-1' \
                  -d '{"die":"seal","count":2}'
-`, entries, d.objectAPI.address, strings.Join(entries, ","), operatorToken, entries[0], chatToken, entries[0], appToken)
+`, entries, d.objectAPI.Address, strings.Join(entries, ","), operatorToken, entries[0], chatToken, entries[0], appToken)
 }
--- a/internal/cli/demo/show_base.go
+++ b/internal/cli/demo/show_base.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rattantide/internal/admin"
+	"rattantide/internal/proc"
 )
 
 // showConfiguration applies the objects with the tool and waits until they are
@@ -50,7 +51,7 @@
 // inForce waits until all daemons have a revision. The bound is the design's.
 func (d *demo) inForce(ctx context.Context, revision int64) error {
 	for _, address := range d.daemonAddresses() {
-		err := eventually(ctx, 3*time.Second, func() error {
+		err := proc.Eventually(ctx, 3*time.Second, nil, func() error {
 			status, err := d.status(ctx, address)
 			if err == nil && status.Revision < revision {
 				err = errors.Errorf("%s has revision %d, expected %d", address, status.Revision, revision)
@@ -95,7 +96,7 @@
 func (d *demo) showEntries(ctx context.Context) (string, error) {
 	var got entryList
 	for _, address := range d.daemonAddresses() {
-		err := eventually(ctx, 10*time.Second, func() (err error) {
+		err := proc.Eventually(ctx, 10*time.Second, nil, func() (err error) {
 			got, err = d.entries(ctx, address)
 			if err == nil && len(got.Entries) != len(d.daemonAddresses()) {
 				err = errors.Errorf("%s names %d entries", address, len(got.Entries))
--- a/internal/cli/demo/show_domain.go
+++ b/internal/cli/demo/show_domain.go
@@ -21,7 +21,7 @@
 	victims := d.inDomain(domain)
 	versions := map[string]string{}
 	for _, v := range victims {
-		if versions[v.name], err = d.versionOf(ctx, v); err != nil {
+		if versions[v.Name], err = d.versionOf(ctx, v); err != nil {
 			return "", err
 		}
 	}
@@ -32,14 +32,14 @@
 	slot := 0
 	d.mu.Lock()
 	for _, v := range victims {
-		if strings.HasPrefix(v.name, "entry-") {
+		if strings.HasPrefix(v.Name, "entry-") {
 			slot = v.slot
 		}
-		d.engines, d.services, d.daemons = without(d.engines, v.name), without(d.services, v.name), without(d.daemons, v.name)
+		d.engines, d.services, d.daemons = without(d.engines, v.Name), without(d.services, v.Name), without(d.daemons, v.Name)
 	}
 	d.mu.Unlock()
 	for _, v := range victims {
-		if restartErr := d.replace(ctx, v, other, versions[v.name], slot); err == nil {
+		if restartErr := d.replace(ctx, v, other, versions[v.Name], slot); err == nil {
 			err = restartErr
 		}
 	}
@@ -74,21 +74,21 @@
 
 // versionOf returns the version of an upstream; "" for a daemon.
 func (d *demo) versionOf(ctx context.Context, p *process) (string, error) {
-	if strings.HasPrefix(p.name, "entry-") {
+	if strings.HasPrefix(p.Name, "entry-") {
 		return "", nil
 	}
 	var load struct{ Version string }
-	err := call(ctx, http.MethodGet, p.address, "/v1/load", nil, &load)
-	return load.Version, errors.Annotate(err, p.name)
+	err := call(ctx, http.MethodGet, p.Address, "/v1/load", nil, &load)
+	return load.Version, errors.Annotate(err, p.Name)
 }
 
 // replace starts a successor of a process that was reclaimed.
 func (d *demo) replace(ctx context.Context, p *process, domain, version string, slot int) error {
-	name := p.name + "-new"
+	name := p.Name + "-new"
 	switch {
-	case strings.HasPrefix(p.name, "entry-"):
+	case strings.HasPrefix(p.Name, "entry-"):
 		return d.startDaemon(ctx, name, domain, slot)
-	case strings.HasPrefix(p.name, "service-"):
+	case strings.HasPrefix(p.Name, "service-"):
 		return d.startService(ctx, name, domain)
 	}
 	return d.startEngine(ctx, name, domain, version)
--- a/internal/cli/demo/show_moves.go
+++ b/internal/cli/demo/show_moves.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/proc"
 )
 
 // moveWorkers keep enough traffic for the evidence of a move.
@@ -32,7 +34,7 @@
 		return "", errors.Errorf("%d of %d requests failed: %v", load.failed.Load(), load.sent.Load(), load.first)
 	}
 	version := ""
-	err = eventually(ctx, 5*time.Second, func() (err error) {
+	err = proc.Eventually(ctx, 5*time.Second, nil, func() (err error) {
 		if version, err = d.effective(ctx); err == nil && version != "briefs-v2" {
 			err = errors.Errorf("the pool has version %s", version)
 		}
--- a/internal/cli/demo/show_orders.go
+++ b/internal/cli/demo/show_orders.go
@@ -96,7 +96,7 @@
 // showLostAnswer loses answers of the object API to writes that took effect.
 func (d *demo) showLostAnswer(ctx context.Context) (string, error) {
 	fault := func(kind string) error {
-		return call(ctx, http.MethodPost, d.objectAPI.address, "/control/faults", map[string]any{"loseAnswers": 1, "loseKind": kind}, nil)
+		return call(ctx, http.MethodPost, d.objectAPI.Address, "/control/faults", map[string]any{"loseAnswers": 1, "loseKind": kind}, nil)
 	}
 	if err := fault("intentlog"); err != nil {
 		return "", err
@@ -125,7 +125,7 @@
 		return "", err
 	}
 	var left struct{ LoseAnswers int }
-	if err := call(ctx, http.MethodGet, d.objectAPI.address, "/control/faults", nil, &left); err != nil {
+	if err := call(ctx, http.MethodGet, d.objectAPI.Address, "/control/faults", nil, &left); err != nil {
 		return "", err
 	}
 	if left.LoseAnswers != 0 {
--- a/internal/cli/demo/show_reclaim.go
+++ b/internal/cli/demo/show_reclaim.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/burn"
+	"rattantide/internal/proc"
 )
 
 const (
@@ -69,8 +70,8 @@
 	case <-end.C:
 	}
 	for _, victim := range target.victims {
-		victim.kill()
-		if err := call(ctx, http.MethodDelete, d.instances.address, "/control/instances/"+victim.name, nil, nil); err != nil {
+		victim.Kill()
+		if err := call(ctx, http.MethodDelete, d.instances.Address, "/control/instances/"+victim.Name, nil, nil); err != nil {
 			return nil, err
 		}
 	}
@@ -80,7 +81,7 @@
 
 // untilBusy waits until the daemons hold that many requests.
 func (d *demo) untilBusy(ctx context.Context, want int) error {
-	return eventually(ctx, 10*time.Second, func() error {
+	return proc.Eventually(ctx, 10*time.Second, nil, func() error {
 		open := 0
 		for _, address := range d.daemonAddresses() {
 			status, err := d.status(ctx, address)
@@ -108,7 +109,7 @@
 		if victim, err = d.busiestEngine(ctx, chats); err != nil {
 			return reclaim{}, err
 		}
-		return reclaim{instance: victim.name, victims: []*process{victim}}, nil
+		return reclaim{instance: victim.Name, victims: []*process{victim}}, nil
 	})
 	if err != nil {
 		return "", err
@@ -118,13 +119,13 @@
 		return "", err
 	}
 	if moved == 0 {
-		return "", errors.Errorf("no stream on %s moved, so nothing was shown", victim.name)
+		return "", errors.Errorf("no stream on %s moved, so nothing was shown", victim.Name)
 	}
-	if err := d.startEngine(ctx, victim.name+"-new", victim.domain, version); err != nil {
+	if err := d.startEngine(ctx, victim.Name+"-new", victim.domain, version); err != nil {
 		return "", err
 	}
 	return fmt.Sprintf("%s left at %s notice: %d streams complete byte for byte, %d of them moved to another engine",
-		victim.name, reclaimNotice, len(answers), moved), nil
+		victim.Name, reclaimNotice, len(answers), moved), nil
 }
 
 // busiestEngine takes the engine with most of the requests out of the list of
@@ -135,7 +136,7 @@
 	var busiest *process
 	most := 0
 	for _, e := range d.engines {
-		started, err := startedOn(ctx, e.address, chats)
+		started, err := startedOn(ctx, e.Address, chats)
 		if err != nil {
 			return nil, err
 		}
@@ -146,7 +147,7 @@
 	if busiest == nil {
 		return nil, errors.New("no engine has a stream")
 	}
-	d.engines = without(d.engines, busiest.name)
+	d.engines = without(d.engines, busiest.Name)
 	return busiest, nil
 }
 
@@ -195,14 +196,14 @@
 	d.mu.Lock()
 	victim := d.daemons[len(d.daemons)-1]
 	d.mu.Unlock()
-	answers, err := d.reclaimDuring(ctx, version, victim.address, longChats("daemon-reclaim"), func() (reclaim, error) {
-		return reclaim{instance: victim.name, victims: []*process{victim}}, nil
+	answers, err := d.reclaimDuring(ctx, version, victim.Address, longChats("daemon-reclaim"), func() (reclaim, error) {
+		return reclaim{instance: victim.Name, victims: []*process{victim}}, nil
 	})
 	d.mu.Lock()
-	d.daemons = without(d.daemons, victim.name)
+	d.daemons = without(d.daemons, victim.Name)
 	d.mu.Unlock()
 	// The replacement starts in any case, for the features that follow.
-	if startErr := d.startDaemon(ctx, victim.name+"-new", victim.domain, victim.slot); err == nil {
+	if startErr := d.startDaemon(ctx, victim.Name+"-new", victim.domain, victim.slot); err == nil {
 		err = startErr
 	}
 	if err != nil {
@@ -216,7 +217,7 @@
 		return "", errors.New("no stream was resumed, so nothing was shown")
 	}
 	return fmt.Sprintf("%s left at %s notice: %d streams resumed %d times at other daemons, complete byte for byte",
-		victim.name, reclaimNotice, len(answers), resumes), nil
+		victim.Name, reclaimNotice, len(answers), resumes), nil
 }
 
 // showStatus asks for what operators see at the end.
