--- a/cmd/rattantided/main.go
+++ b/cmd/rattantided/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 
 	"github.com/juju/errors"
@@ -38,6 +39,9 @@
 		fmt.Fprintf(os.Stderr, "rattantided: %v\n", err)
 		return exitSettings
 	}
+	if s.MaxProcs > 0 {
+		runtime.GOMAXPROCS(s.MaxProcs)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	d, err := daemon.New(s, logger)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -56,6 +56,7 @@
 	inRange(list, "max-object-bytes", float64(s.MaxObjectBytes), 1<<10, maxStoredObject)
 	inRange(list, "max-journal-bytes", float64(s.MaxJournalBytes), 1<<20, 1<<36)
 	inRange(list, "intent-shards", float64(s.IntentShards), 1, 4096)
+	inRange(list, "max-procs", float64(s.MaxProcs), 0, 1024)
 	inRange(list, "subset-size", float64(s.SubsetSize), 1, 10000)
 	atLeast(list, "drain-limit", s.DrainLimit, 0)
 	atLeast(list, "notice-reserve", s.NoticeReserve, 0)
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -67,6 +67,7 @@
 	flags.IntVar(&s.IntentShards, "intent-shards", 16, "shards of at-most-once records, equal on all daemons")
 	flags.DurationVar(&s.IntentRetention, "intent-retention", time.Hour, "how long an idempotency key is remembered")
 	flags.DurationVar(&s.LeaseTTL, "lease-ttl", 6*time.Second, "lifetime of a duty lease")
+	flags.IntVar(&s.MaxProcs, "max-procs", 2, "`threads` that run Go code at a time; 0 leaves it to the runtime")
 	flags.IntVar(&s.SubsetSize, "subset-size", 100, "upstreams of a pool that the daemon works with")
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -69,6 +69,11 @@
 	IntentRetention time.Duration
 	// LeaseTTL is the lifetime of a duty lease.
 	LeaseTTL time.Duration
+	// MaxProcs is the number of threads that run Go code at a time; 0 leaves it
+	// to the runtime. Relaying wakes a thread per token, and each further thread
+	// costs processor time: 17,100 events per second take 0.37 cores with 2
+	// threads and 0.56 with 10. Default 2.
+	MaxProcs int
 	// SubsetSize bounds the upstreams of a pool that the daemon works with.
 	SubsetSize int
 }
