--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -85,7 +85,7 @@
 		return errors.New("the store's time is not known")
 	}
 	t := targetOf(c.opts.Config.Snapshot(), name, upstreams)
-	due := p.due(t, upstreams, time.Now(), storeNow)
+	due, _ := p.due(t, upstreams, time.Now(), storeNow)
 	c.metrics.outOfPlace(name, len(p.engines))
 	if len(due) == 0 {
 		c.metrics.loading(name, 0)
@@ -101,9 +101,9 @@
 		return nil
 	}
 	t = targetOf(view, name, upstreams)
-	due = p.due(t, upstreams, time.Now(), storeNow)
+	due, ordered := p.due(t, upstreams, time.Now(), storeNow)
 	limit := max(1, int(float64(len(upstreams))*c.opts.LoadShare))
-	due = due[:min(len(due), max(maxParallel, observedPerLoad*limit))]
+	due = due[:min(len(due), ordered+max(maxParallel, observedPerLoad*limit))]
 	seen := c.observe(ctx, due, t)
 	loading := 0
 	var wanting []membership.Upstream
@@ -115,7 +115,9 @@
 			delete(p.inherited, due[i].Name)
 			p.engine(due[i].Name).delay(time.Now())
 		case seenWanting:
-			wanting = append(wanting, due[i])
+			if i >= ordered {
+				wanting = append(wanting, due[i])
+			}
 		}
 	}
 	wanting = wanting[:max(0, min(len(wanting), limit-loading))]
--- a/internal/orders/holder_test.go
+++ b/internal/orders/holder_test.go
@@ -24,6 +24,8 @@
 	beforeCheck, afterCheck, flight atomic.Int64
 	// checks counts Held within a pass: the second is before sending.
 	checks atomic.Int64
+	// refused counts the orders that fail, from 1 on; 0 lets them through.
+	refused atomic.Int64
 }
 
 func pause(d *atomic.Int64) { time.Sleep(time.Duration(d.Swap(0))) }
@@ -48,6 +50,10 @@
 
 // Order implements Engines.
 func (h *holder) Order(ctx context.Context, address string, order engineclient.Order) (*engineclient.OrderState, error) {
+	if h.refused.Load() > 0 {
+		h.refused.Add(1)
+		return nil, context.DeadlineExceeded
+	}
 	delay := time.Duration(h.flight.Swap(0))
 	if delay == 0 {
 		return h.Client.Order(ctx, address, order)
--- a/internal/orders/pool_state.go
+++ b/internal/orders/pool_state.go
@@ -44,15 +44,17 @@
 
 // due returns the engines to look at now: those out of place that have been idle
 // long enough, and those with an inherited intent that can no longer be in
-// flight.
-func (p *poolState) due(t target, upstreams []membership.Upstream, now, storeNow time.Time) []membership.Upstream {
-	var out []membership.Upstream
+// flight. Those that were ordered lately come first: they may be loading, and
+// must be counted although their next order is not due. There are ordered of
+// them.
+func (p *poolState) due(t target, upstreams []membership.Upstream, now, storeNow time.Time) (out []membership.Upstream, ordered int) {
+	var rest []membership.Upstream
 	kept := map[string]*engineState{}
 	for i := range upstreams {
 		u := &upstreams[i]
 		old, isInherited := p.inherited[u.Name]
 		outOfPlace := t.outOfPlace(u)
-		if !outOfPlace && !isInherited || u.Leaving {
+		if !outOfPlace && !isInherited {
 			continue
 		}
 		e := p.engine(u.Name)
@@ -67,10 +69,13 @@
 		if isInherited {
 			ready = old.settled(storeNow) && (ready || !outOfPlace)
 		}
-		if ready && !now.Before(e.notBefore) {
+		switch {
+		case ready && now.Before(e.notBefore):
 			out = append(out, *u)
+		case ready:
+			rest = append(rest, *u)
 		}
 	}
 	p.engines = kept
-	return out
+	return append(out, rest...), len(out)
 }
