--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -281,3 +281,14 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "table-MB")
 	runtime.KeepAlive(other)
 }
+
+// Guards against requests that are sent to an engine as the version of the
+// lagging list after it was ordered to load another one.
+func TestReportedVersionTakesPrecedence(t *testing.T) {
+	table := NewTable(Daemon{Name: "d"}, Options{})
+	table.ApplyList(InstanceList{Revision: 1, Instances: []Instance{{Name: "e", Address: "e:1", Role: RoleUpstream, Pool: "p", Version: "v1"}}})
+	for i, step := range []struct{ reported, want string }{{"", "v1"}, {"v2", "v2"}, {"v3", "v3"}} {
+		table.SetLoad("e", Load{Version: step.reported, Seq: int64(i)})
+		assert.Equal(t, table.Upstreams("p")[0].Version, step.want)
+	}
+}
