--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -55,6 +55,7 @@
 
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
+	tasks.Go(func() { s.announceLive(ctx) })
 	running := map[string]context.CancelFunc{}
 	launch := func(key string, task func(context.Context)) {
 		if _, ok := running[key]; ok {
@@ -110,72 +111,6 @@
 	return 0
 }
 
-// start asks the object API, the instance list and up to three peers at once,
-// and returns when the object API has answered, when all have answered or
-// failed, or StartWait after a peer has answered.
-func (s *Syncer) start(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct{ fromStore, ok bool }
-	answers := make(chan answer, 2+maxStartPeers)
-	pending := 1
-	go func() { answers <- answer{true, s.listAll(ctx) == nil} }()
-
-	s.pollInstancesOnce(ctx)
-	for _, address := range s.startPeers() {
-		pending++
-		go func() { answers <- answer{false, s.pollSnapshot(ctx, address) == nil} }()
-	}
-	var limit <-chan time.Time
-	succeeded := false
-	defer func() {
-		if succeeded {
-			s.progress.setSynced()
-		}
-	}()
-	for ; pending > 0; pending-- {
-		select {
-		case a := <-answers:
-			succeeded = succeeded || a.ok
-			if a.ok && a.fromStore {
-				return
-			}
-			if a.ok && limit == nil {
-				limit = time.After(s.options.StartWait)
-			}
-		case <-limit:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// maxStartPeers is the number of peers that a start asks.
-const maxStartPeers = 3
-
-func (s *Syncer) startPeers() []string {
-	var addresses []string
-	seen := map[string]bool{s.options.Table.Self().Address: true}
-	add := func(address string) {
-		if !seen[address] && len(addresses) < maxStartPeers {
-			seen[address] = true
-			addresses = append(addresses, address)
-		}
-	}
-	daemons := s.options.Table.Daemons()
-	for _, d := range rankRelays(s.options.Region, daemons, s.options.Relays) {
-		add(d.Address)
-	}
-	for _, address := range s.options.PeerAddresses {
-		add(address)
-	}
-	for _, d := range daemons {
-		add(d.Address)
-	}
-	return addresses
-}
-
 // applyFeed takes over what a peer sent and reports whether an object in it was
 // new.
 func (s *Syncer) applyFeed(feed *Feed) (news bool) {
--- a/internal/intent/op.go
+++ b/internal/intent/begin_op.go
@@ -5,12 +5,6 @@
 	"time"
 )
 
-// result is the end of a begin operation.
-type result struct {
-	grant Grant
-	err   error
-}
-
 // beginOp asks for an intent. Its caller may stop waiting at any time.
 type beginOp struct {
 	key    Key
@@ -34,6 +28,9 @@
 	// attempted says that a write with the intent was sent, so that it may take
 	// effect although the operation failed.
 	attempted bool
+	// elsewhere says that the operation was forwarded to a daemon that did not
+	// answer, so that the intent may be committed there.
+	elsewhere bool
 	// waits says that another dispatch with the key is in progress.
 	waits bool
 }
@@ -94,19 +91,6 @@
 func (o *beginOp) withdrawal() *finishOp {
 	return &finishOp{
 		key: o.key, nonce: o.nonce, outcome: Outcome{Ran: RanNotRun}, done: o.release,
-		withdrawn: &entry{Key: o.key, Digest: o.digest, Nonce: o.nonce, By: o.by, AtMs: time.Now().UnixMilli()},
+		elsewhere: o.elsewhere,
 	}
 }
-
-// finishOp records an outcome.
-type finishOp struct {
-	key     Key
-	nonce   string
-	outcome Outcome
-	// withdrawn is set for an intent whose commit is in doubt: the outcome is
-	// recorded even when the intent is not found, so that it cannot be taken
-	// for one in progress when its write arrives late.
-	withdrawn *entry
-	// done is called once the outcome is committed.
-	done func()
-}
--- a/internal/membership/export.go
+++ b/internal/membership/export.go
@@ -23,7 +23,10 @@
 		}
 	}
 	for domain, notice := range t.domains {
-		if notice.changed > from {
+		// A reclaim whose time is over says nothing about instances that the
+		// receiver has not seen; those it meant carry it themselves.
+		expired := notice.noticed && !now.Before(notice.by)
+		if notice.changed > from && !expired {
 			state.Domains = append(state.Domains, DomainState{
 				Domain: domain, NoticeSeq: notice.seq, Noticed: notice.noticed,
 				LeavingInMs: remaining(notice.by, now),
@@ -100,13 +103,16 @@
 	if in.NoticeSeq > 0 {
 		changed = r.notice(domainNotice{seq: in.NoticeSeq, noticed: in.Noticed, by: by}) || changed
 	}
-	if in.Announced && !r.announced {
+	generation := r.generation
+	counts := r.takeGeneration(in.Generation)
+	if in.Announced && counts && !r.announced {
 		r.announced = true
 		if !by.IsZero() {
 			r.leavingBy = by
 		}
 		changed = true
 	}
+	changed = changed || generation != r.generation
 	if changed {
 		r.seq = t.next()
 	}
