--- a/internal/orders/pool_state.go
+++ b/internal/orders/pool_state.go
@@ -44,9 +44,8 @@
 
 // due returns the engines to look at now: those out of place that have been idle
 // long enough, and those with an inherited intent that can no longer be in
-// flight. Those that were ordered lately come first: they may be loading, and
-// must be counted although their next order is not due. There are ordered of
-// them.
+// flight. The first of them, as many as ordered says, were ordered lately: they
+// may be loading and must be counted, although their next order is not due.
 func (p *poolState) due(t target, upstreams []membership.Upstream, now, storeNow time.Time) (out []membership.Upstream, ordered int) {
 	var rest []membership.Upstream
 	kept := map[string]*engineState{}
