Refuse early what cannot be answered before its deadline

- The latest useful start of a waiting request was computed at its arrival, when no service time was known, and never again.
Requests got a place seconds before their deadline.
- A pool started with 32 attempts per upstream.
That filled the engines' queues (4 slots, 16 waiting), where nothing can be refused as not run.
- Load reports reached admission only with arrivals.
After a burst there are none, so each end refilled the engines' queues.
- A report was applied to the attempts open at that moment, so one made before a batch ended lowered the limit twice.

Admission now checks the deadline again when a place is granted and once per second for all that wait, with the service time learned meanwhile. A limit starts at 8 per upstream and grows with each first token within the target. Ends take over load reports as well. Waiting requests count as a queue only if an own attempt has had no first token for 500 ms: in rising traffic those that wait for the next step are a large share. Delays in a queue that the limit was lowered for are not learned. A request that a full engine sent back keeps its place among its workspace's requests.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -97,7 +97,9 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		p.ticking = false
-		p.limit.tick(c.opts.Now())
+		now := c.opts.Now()
+		p.limit.tick(now)
+		c.sweep(p, now)
 		c.start(p)
 		c.tickLater(p)
 	})
@@ -134,13 +136,13 @@
 		return c.releaser(w.req), nil
 	case w.granted:
 		// The place was granted while the caller gave up.
-		p.inFlight--
+		p.left(false)
 		c.start(p)
 	case w.queue.position(w) >= 0:
 		w.retryAfter = p.advise(p.expectedWait(p.class(&w.req), &w.req))
 		p.remove(w)
 	default:
-		rule = RuleFull
+		rule = w.refusedBy
 	}
 	c.record(&w.req, rule, w.arrived, now)
 	return nil, refusal(&w.req, rule, w.retryAfter)
@@ -151,7 +153,7 @@
 func (c *Controller) Enter(r Request) func(Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pool(r.Pool).enter()
+	c.pool(r.Pool).enter(c.opts.Now())
 	return c.releaser(r)
 }
 
@@ -174,13 +176,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(r.Pool)
-	p.limit.first(&r, first, c.opts.Now())
+	p.firstToken(&r, first, c.opts.Now())
 	c.start(p)
 }
 
 // start lets waiting requests start; the lock is held.
 func (c *Controller) start(p *pool) {
-	for _, w := range p.grant() {
+	for _, w := range p.grant(c.opts.Now()) {
+		w.tell()
+	}
+}
+
+// sweep refuses waiting requests that cannot be answered in time; the lock is
+// held.
+func (c *Controller) sweep(p *pool, now time.Time) {
+	for _, w := range p.sweep(now) {
 		w.tell()
 	}
 }
@@ -192,7 +202,9 @@
 	defer c.mu.Unlock()
 	p := c.pool(name)
 	p.limit.upstreams(n)
-	p.limit.reported(running, waiting, p.inFlight, c.opts.Now())
+	now := c.opts.Now()
+	p.reported(running, waiting, now)
+	c.sweep(p, now)
 	c.start(p)
 }
 
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -4,11 +4,11 @@
 
 const (
 	startLimit = 64.0
-	// startPerUpstream is the limit per upstream until the targets are first
-	// missed: about the batch of an engine at the target size, 400,000 open
-	// requests over 12,000 engines. A lower start made the first requests at
-	// 84 per second wait 0.7 s in the median while every target was met.
-	startPerUpstream = 32
+	// startPerUpstream is the limit per upstream until the first token comes.
+	// What exceeds the batch of an engine waits there and cannot be refused as
+	// not run any more. Every first token within the target then raises the
+	// limit, so that a small start does not delay the first requests for long.
+	startPerUpstream = 8
 	minLimit         = 4.0
 	// maxLimit is twice the open requests per daemon at the target size.
 	maxLimit = 2100.0
@@ -20,9 +20,12 @@
 	limitSamples = 20
 	limitDown    = 0.9
 	limitUp      = 0.05
-	// slowStart is the growth per window until the targets are first missed, so
-	// that a new daemon reaches its limit within seconds.
-	slowStart = 0.5
+	// slowStart is the growth per first token within the target until the
+	// targets are first missed: a limit that is in use doubles in about the time
+	// to the first token.
+	slowStart = 1.0
+	// slowStartUse is the share of the limit that must be in use for it to grow.
+	slowStartUse = 0.5
 	// A trial of lower limits ends at trialShare of its start. If latency is
 	// then still above trialGain of what it was, load is not the cause, and the
 	// limit is restored and left alone for trialPause.
@@ -47,6 +50,8 @@
 type limit struct {
 	value float64
 	floor float64
+	// grown says that the limit has left its start value.
+	grown bool
 	// missedOnce ends the slow start.
 	missedOnce bool
 	// trialFrom and trialMean are the limit and the mean latency, relative to
@@ -63,29 +68,38 @@
 	// reportedAt and busyAt are when reported and busy last lowered the limit.
 	reportedAt time.Time
 	busyAt     time.Time
+	// recent is the highest number of open attempts in this window and the
+	// previous one, which began at recentSince.
+	recent      [2]int
+	recentSince time.Time
+	// loweredAt is when a queue at the upstreams last lowered the limit.
+	loweredAt time.Time
 }
 
 func newLimit() limit { return limit{value: startLimit, floor: minLimit} }
 
 func (l *limit) upstreams(n int) {
 	l.floor = max(minLimit, float64(n*perUpstream))
-	l.value = max(l.value, l.floor)
-	if !l.missedOnce {
-		l.value = min(maxLimit, max(l.value, float64(n*startPerUpstream)))
+	if n > 0 && !l.grown && !l.missedOnce {
+		l.value = min(maxLimit, float64(n*startPerUpstream))
 	}
+	l.value = max(l.value, l.floor)
 }
 
 // reported takes over what the upstreams report together. Requests that wait at
 // an engine could wait here, where they can still be shed as not run, so the
 // limit shrinks to the share that runs. It changes once per window, as reports
-// lag.
+// lag. The share applies to the open attempts of the time of the reports:
+// applied to those that remain once a batch has ended, it halved the limit
+// again although the queue had gone.
 func (l *limit) reported(running, waiting, inFlight int, now time.Time) {
+	inFlight = l.recentPeak(inFlight, now)
 	if float64(waiting) <= reportedSlack*float64(running) || now.Sub(l.reportedAt) < limitWindow {
 		return
 	}
 	l.reportedAt, l.missedOnce = now, true
 	share := float64(running) / float64(running+waiting)
-	l.value = max(l.floor, min(l.value, float64(inFlight)*share))
+	l.lowerTo(float64(inFlight)*share, now)
 }
 
 // busy lowers the limit because an upstream refused work for a full queue.
@@ -94,7 +108,26 @@
 		return
 	}
 	l.busyAt, l.missedOnce = now, true
-	l.value = max(l.floor, min(l.value, float64(inFlight)*busyShare))
+	l.lowerTo(float64(inFlight)*busyShare, now)
+}
+
+func (l *limit) lowerTo(value float64, now time.Time) {
+	if value = max(l.floor, value); value < l.value {
+		l.value, l.loweredAt = value, now
+	}
+}
+
+// recentPeak returns the highest number of open attempts that it was called
+// with in the last one to two windows.
+func (l *limit) recentPeak(inFlight int, now time.Time) int {
+	switch since := now.Sub(l.recentSince); {
+	case since >= 2*limitWindow:
+		l.recent, l.recentSince = [2]int{}, now
+	case since >= limitWindow:
+		l.recent, l.recentSince = [2]int{0, l.recent[0]}, now
+	}
+	l.recent[0] = max(l.recent[0], inFlight)
+	return max(l.recent[0], l.recent[1])
 }
 
 func (l *limit) current() int { return int(l.value) }
@@ -103,20 +136,29 @@
 
 // first takes the time to the first token into account as soon as it is known:
 // an answer of 200 tokens ends ten seconds later.
-func (l *limit) first(r *Request, first time.Duration, now time.Time) {
-	if r.FirstTarget > 0 && first > 0 {
-		l.sample(r, float64(first)/float64(r.FirstTarget), now)
+// Without a target every answer counts as in time.
+func (l *limit) first(r *Request, first time.Duration, inFlight int, now time.Time) {
+	if first <= 0 {
+		return
+	}
+	ratio := 0.0
+	if r.FirstTarget > 0 {
+		ratio = float64(first) / float64(r.FirstTarget)
+	}
+	if !l.missedOnce && ratio <= 1 && float64(inFlight) >= slowStartUse*l.value {
+		l.value, l.grown = min(maxLimit, l.value+slowStart), true
 	}
+	l.sample(r, ratio, now)
 }
 
 // ended takes an outcome into account. The time to the first token counts only
 // if first was not called for the attempt.
-func (l *limit) ended(r *Request, o Outcome, now time.Time) {
+func (l *limit) ended(r *Request, o Outcome, inFlight int, now time.Time) {
 	if !o.OK {
 		return
 	}
 	if !o.FirstReported {
-		l.first(r, o.First, now)
+		l.first(r, o.First, inFlight, now)
 	}
 	if r.GapTarget > 0 && o.Gap > 0 {
 		l.sample(r, float64(o.Gap)/float64(r.GapTarget), now)
@@ -155,20 +197,12 @@
 	case float64(l.missed) <= l.allowed:
 		l.trialFrom = 0
 		if float64(l.peak) >= 0.8*l.value {
-			l.raise()
+			l.value = min(maxLimit, l.value+max(1, l.value*limitUp))
 		}
 	}
 	l.windowStart, l.samples, l.missed, l.allowed, l.sum, l.peak = now, 0, 0, 0, 0, 0
 }
 
-func (l *limit) raise() {
-	share := limitUp
-	if !l.missedOnce {
-		share = slowStart
-	}
-	l.value = min(maxLimit, l.value+max(1, l.value*share))
-}
-
 func (l *limit) lower(mean float64, now time.Time) {
 	if now.Before(l.pauseUntil) {
 		return
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -16,7 +16,15 @@
 	// class, so that lower classes make progress under a lasting overload.
 	agedGrant = 10
 	// learnShare is the weight of a new observation in the running means.
-	learnShare    = 0.05
+	learnShare = 0.05
+	// delayShare is that of the delays at the upstreams, which come and go with
+	// the load within seconds.
+	delayShare = 0.2
+	// queueDelay is the least time without a first token after which reported
+	// waiting requests count as a queue. A request waits for the next step of a
+	// batch as well; while traffic rises, those are a large share of the running
+	// ones.
+	queueDelay    = 500 * time.Millisecond
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
 )
@@ -30,15 +38,22 @@
 	// ticking says that a look at the limit is scheduled.
 	ticking  bool
 	inFlight int
-	classes  []*classQueue
-	waiting  int
-	grants   int
+	// unanswered are the attempts among them that have no first token.
+	unanswered unanswered
+	classes    []*classQueue
+	waiting    int
+	grants     int
 	// meanTotal and meanCost are running means over answered attempts, in
-	// seconds and tokens.
+	// seconds without delays and in tokens.
 	meanTotal float64
 	meanCost  float64
-	// service holds the running total times per class.
+	// service holds the running total times per class, without delays.
 	service map[string]*serviceTime
+	// delay is the time beyond the target that first tokens take, which is
+	// mostly spent in the queue of an upstream.
+	delay serviceTime
+	// sweptAt is when the waiting requests were last checked.
+	sweptAt time.Time
 }
 
 func newPool(maxWaiting, maxPerWorkspace int) *pool {
@@ -57,8 +72,9 @@
 }
 
 // enter takes a place without regard to the limit.
-func (p *pool) enter() {
+func (p *pool) enter(now time.Time) {
 	p.inFlight++
+	p.unanswered.started(now)
 	p.limit.started(p.inFlight)
 }
 
@@ -66,13 +82,18 @@
 // the advised delay. The displaced waiter, if any, must be told by the caller.
 func (p *pool) arrive(r *Request, now time.Time) (w, displaced *waiter, rule Rule, retryAfter time.Duration) {
 	p.limit.tick(now)
+	service := p.expectedService(r)
 	if p.waiting == 0 && p.inFlight < p.limit.current() {
-		p.enter()
+		// A new request may use a free place whatever is expected, so that wrong
+		// expectations are corrected.
+		if returned := !r.AcceptedAt.IsZero() && now.Sub(r.AcceptedAt) > limitWindow; returned && late(r, service, now) {
+			return nil, nil, RuleShed, minRetryAfter
+		}
+		p.enter(now)
 		return nil, nil, RuleAdmitted, 0
 	}
 	q := p.class(r)
 	wait := p.expectedWait(q, r)
-	service := p.expectedService(r)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
 		return nil, nil, RuleShed, p.advise(wait)
 	}
@@ -83,7 +104,7 @@
 		if displaced = p.displace(q, r); displaced == nil {
 			return nil, nil, RuleFull, p.advise(wait)
 		}
-		displaced.retryAfter = p.advise(wait)
+		displaced.refusedBy, displaced.retryAfter = RuleFull, p.advise(wait)
 	}
 	w = &waiter{req: *r, arrived: now, done: make(chan struct{})}
 	if !r.Deadline.IsZero() {
@@ -126,18 +147,24 @@
 	p.waiting--
 }
 
-// grant returns the waiters that may start now.
-func (p *pool) grant() []*waiter {
-	var granted []*waiter
+// grant returns the waiters that may start now, and those whose turn it is but
+// which would end too late: what was expected when they arrived may have been
+// less, or not known.
+func (p *pool) grant(now time.Time) []*waiter {
+	var decided []*waiter
 	for p.waiting > 0 && p.inFlight < p.limit.current() {
 		w := p.nextClass().pop()
 		p.waiting--
+		decided = append(decided, w)
+		if late(&w.req, p.expectedService(&w.req), now) {
+			w.refusedBy, w.retryAfter = RuleShed, minRetryAfter
+			continue
+		}
 		p.grants++
-		p.enter()
+		p.enter(now)
 		w.granted = true
-		granted = append(granted, w)
 	}
-	return granted
+	return decided
 }
 
 // nextClass returns the waiting class of the highest priority, or now and then
@@ -162,12 +189,19 @@
 }
 
 func (p *pool) ended(r *Request, o Outcome, now time.Time) {
-	p.inFlight--
-	p.limit.ended(r, o, now)
+	p.limit.ended(r, o, p.inFlight, now)
+	p.left(o.FirstReported)
 	if !o.OK || o.Total <= 0 {
 		return
 	}
-	total := o.Total.Seconds()
+	delay := delayOf(r, o.First)
+	if p.outdated(delay, now.Add(-o.Total)) {
+		return
+	}
+	if !o.FirstReported {
+		p.delay.observe(delay.Seconds(), delayShare)
+	}
+	total := (o.Total - delay).Seconds()
 	p.meanTotal = learn(p.meanTotal, total)
 	p.meanCost = learn(p.meanCost, r.cost())
 	s := p.service[r.Class]
@@ -175,7 +209,49 @@
 		s = &serviceTime{}
 		p.service[r.Class] = s
 	}
-	s.observe(total)
+	s.observe(total, learnShare)
+}
+
+// left frees a place.
+func (p *pool) left(answered bool) {
+	p.inFlight--
+	if !answered {
+		p.unanswered.answered()
+	}
+}
+
+// reported takes over what the upstreams report together.
+func (p *pool) reported(running, waiting int, now time.Time) {
+	if p.unanswered.age(now) < queueDelay {
+		waiting = 0
+	}
+	p.limit.reported(running, waiting, p.inFlight, now)
+}
+
+// firstToken takes the time to the first token of an open attempt into account.
+func (p *pool) firstToken(r *Request, first time.Duration, now time.Time) {
+	p.unanswered.answered()
+	p.limit.first(r, first, p.inFlight, now)
+	if delay := delayOf(r, first); !p.outdated(delay, now.Add(-first)) {
+		p.delay.observe(delay.Seconds(), delayShare)
+	}
+}
+
+// outdated reports whether an attempt was delayed by a queue for which the limit
+// has been lowered since it was sent: the next ones will not meet that queue. A
+// burst whose first attempts waited for 4 s at the upstreams would otherwise
+// have all others refused, although they could be answered in time.
+func (p *pool) outdated(delay time.Duration, sent time.Time) bool {
+	return delay > 0 && sent.Before(p.limit.loweredAt)
+}
+
+// delayOf returns the part of the time to the first token that is beyond the
+// target.
+func delayOf(r *Request, first time.Duration) time.Duration {
+	if r.FirstTarget <= 0 {
+		return 0
+	}
+	return max(0, first-r.FirstTarget)
 }
 
 // expectedService estimates the time from dispatch to the end that a request
@@ -187,7 +263,7 @@
 		return 0
 	}
 	scale := min(1, r.cost()/p.meanCost)
-	return time.Duration(s.most() * scale * float64(time.Second))
+	return time.Duration((s.most()*scale + p.delay.most()) * float64(time.Second))
 }
 
 func learn(mean, value float64) float64 {
@@ -209,7 +285,13 @@
 			before += other.cost()
 		}
 	}
-	requests := before / p.meanCost
+	return p.waitBehind(before)
+}
+
+// waitBehind estimates the time until this much work has started. What is open
+// beyond the limit ends first.
+func (p *pool) waitBehind(cost float64) time.Duration {
+	requests := cost/p.meanCost + max(0, float64(p.inFlight)-p.limit.value)
 	return time.Duration(requests * p.meanTotal / max(1, p.limit.value) * float64(time.Second))
 }
 
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -30,7 +30,7 @@
 		served := map[string]float64{}
 		for p.class(&Request{Class: "c"}).ring != nil && len(p.classes[0].ring) == workspaces {
 			p.ended(&Request{Class: "c"}, Outcome{}, start)
-			for _, w := range p.grant() {
+			for _, w := range p.grant(start) {
 				served[w.req.Workspace] += w.req.cost()
 			}
 			assert.Assert(t, p.waiting == 0 || p.inFlight == p.limit.current())
@@ -62,7 +62,7 @@
 	counts := map[string]int{}
 	for range 100 {
 		p.ended(&Request{Class: "high"}, Outcome{}, start)
-		for _, w := range p.grant() {
+		for _, w := range p.grant(start) {
 			counts[w.req.Class]++
 		}
 	}
@@ -114,7 +114,7 @@
 		r := Request{Class: "c", Workspace: "w", FirstTarget: time.Second, Within: 0.95}
 		for i := range 200 {
 			for p.inFlight < p.limit.current() {
-				p.enter()
+				p.enter(start)
 			}
 			took := latency(p.inFlight)
 			now = now.Add(max(took, limitWindow))
@@ -166,3 +166,75 @@
 	l.reported(100, 5, 50, start.Add(2*limitWindow))
 	assert.Equal(t, l.current(), 8)
 }
+
+// Guards against requests that are accepted before any service time is known
+// and get a place when too little time is left, and against refusing them only
+// at their deadline.
+func TestRefusesWhatBecameLate(t *testing.T) {
+	const service = 3 * time.Second
+	p := newPool(10000, 10000)
+	p.limit.value, p.inFlight = 1, 1
+	r := Request{Workspace: "w", Class: "c", Cost: 100, Deadline: start.Add(10 * time.Second)}
+	for range 10 {
+		w, _, _, _ := p.arrive(&r, start)
+		assert.Assert(t, w != nil)
+	}
+	now, answered, refused := start, 1, 0
+	for p.inFlight > 0 {
+		now = now.Add(service)
+		p.ended(&r, Outcome{OK: true, Total: service}, now)
+		decided := append(p.sweep(now), p.grant(now)...)
+		for _, w := range decided {
+			if w.granted {
+				answered++
+				continue
+			}
+			assert.Equal(t, w.refusedBy, RuleShed)
+			assert.Assert(t, w.retryAfter >= minRetryAfter)
+			refused++
+		}
+		assert.Assert(t, refused >= 8, "%d refused once the service time is known", refused)
+	}
+	assert.Equal(t, p.waiting, 0)
+	assert.Equal(t, answered+refused, 11)
+	assert.Assert(t, answered >= 2 && !now.After(r.Deadline), "%d answered by %s", answered, now)
+}
+
+// Guards against requests that an upstream with a full queue sent back and that
+// then queue behind later ones.
+func TestReturnedRequestKeepsItsPlace(t *testing.T) {
+	p := newPool(10000, 10000)
+	p.limit.value, p.inFlight = 1, 1
+	for _, at := range []int{2, 3, 1} {
+		w, _, _, _ := p.arrive(&Request{Workspace: "w", Class: "c", AcceptedAt: start.Add(time.Duration(at))}, start)
+		assert.Assert(t, w != nil)
+	}
+	for at := range 3 {
+		p.ended(&Request{Class: "c"}, Outcome{}, start)
+		assert.Equal(t, p.grant(start)[0].req.AcceptedAt, start.Add(time.Duration(at+1)))
+	}
+}
+
+// Guards against a limit that stays at its start because some requests wait for
+// the next step of a batch while traffic rises, and against one that keeps a
+// queue at the upstreams.
+func TestQueueIsToldFromRisingTraffic(t *testing.T) {
+	p := newPool(10000, 10000)
+	p.limit.upstreams(2)
+	r := Request{Class: "c", FirstTarget: time.Second, Within: 0.95}
+	begun := p.limit.current()
+	for range begun {
+		p.enter(start)
+	}
+	now := start.Add(50 * time.Millisecond)
+	p.reported(4, 4, now)
+	for range begun {
+		p.firstToken(&r, 50*time.Millisecond, now)
+	}
+	assert.Equal(t, p.limit.current(), 2*begun)
+	for range begun {
+		p.enter(now)
+	}
+	p.reported(begun, begun, now.Add(2*queueDelay))
+	assert.Equal(t, p.limit.current(), begun)
+}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -13,6 +13,9 @@
 	// Cost is the work that the request brings, in tokens; it is what
 	// workspaces share fairly. Values below 1 count as 1.
 	Cost float64
+	// AcceptedAt is when the request was accepted. One that comes back from an
+	// upstream that was full goes before later ones of its workspace.
+	AcceptedAt time.Time
 	// Deadline bounds the whole answer. Zero means none.
 	Deadline time.Time
 	// FirstTarget and GapTarget are the class's targets to the first token (or
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -8,13 +8,15 @@
 	arrived time.Time
 	// latest is the last time at which a start is useful; zero means any.
 	latest time.Time
-	// done is closed when the waiter is granted a place or displaced.
+	// done is closed when the waiter is granted a place or refused.
 	done chan struct{}
 	// notify, when set, is called instead of closing done.
 	notify func()
 	// granted is set before done is closed when a place was granted.
 	granted bool
-	// retryAfter is the advice for a waiter that was displaced.
+	// refusedBy is the rule by which a waiter was refused, and retryAfter the
+	// advice that it gets.
+	refusedBy  Rule
 	retryAfter time.Duration
 	queue      *workspaceQueue
 }
--- a/internal/admission/workspace_queue.go
+++ b/internal/admission/workspace_queue.go
@@ -1,7 +1,9 @@
 package admission
 
-// workspaceQueue holds the waiting requests of a workspace in a class, first
-// come first served.
+import "slices"
+
+// workspaceQueue holds the waiting requests of a workspace in a class in the
+// order in which they were accepted.
 type workspaceQueue struct {
 	name    string
 	waiters []*waiter
@@ -15,7 +17,11 @@
 
 func (q *workspaceQueue) push(w *waiter) {
 	w.queue = q
-	q.waiters = append(q.waiters, w)
+	i := len(q.waiters)
+	for i > 0 && q.waiters[i-1].req.AcceptedAt.After(w.req.AcceptedAt) {
+		i--
+	}
+	q.waiters = slices.Insert(q.waiters, i, w)
 	q.cost += w.req.cost()
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -51,6 +51,9 @@
 		PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
 	})
 	a.d.attempts.ended(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
+	// Between two arrivals only ends tell admission about the reports; a burst
+	// would otherwise keep the upstreams' queues filled to its end.
+	a.d.reportUpstreams(a.request.Pool)
 	a.release(admission.Outcome{OK: ok, First: a.latency(res), FirstReported: a.firstReported, Gap: res.MeanGap, Total: res.Total})
 	if res.Status == StatusCrash && !a.wasLeaving() {
 		a.d.opts.Admission.Crashed(a.request.Fingerprint, a.upstream.Name)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -183,7 +183,7 @@
 	return admission.Request{
 		ID: r.ID, Workspace: r.Workspace, Class: r.Class, Pool: r.Pool,
 		Priority: class.PriorityOrDefault(), Cost: float64(r.PromptTokens + r.MaxTokens),
-		Deadline: r.Deadline, FirstTarget: first.D(), GapTarget: class.Target.BetweenTokens.D(),
+		AcceptedAt: r.AcceptedAt, Deadline: r.Deadline, FirstTarget: first.D(), GapTarget: class.Target.BetweenTokens.D(),
 		Within: within,
 	}
 }
--- a/internal/server/runner.go
+++ b/internal/server/runner.go
@@ -210,7 +210,9 @@
 
 // notChosen ends the request because no upstream could be chosen.
 func (r *runner) notChosen(ctx context.Context, err error) (journal.Outcome, *problem.Problem) {
-	if ctx.Err() != nil {
+	// A deadline that ends the wait for a place is a refusal for load: what
+	// admission says of it advises when to come back.
+	if ctx.Err() != nil && (r.ran || !errors.Is(context.Cause(ctx), errDeadline)) {
 		return r.stopped(ctx, "")
 	}
 	p := asProblem(err, problem.NotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no upstream can take the request"))
