Raise the reclaim risk of failure domains under notice

Cause: nothing called routing.Trackers.Reclaimed, so that upstream selection knew only the prior rate of reclaims.

The daemon now looks at the membership after each change, at most once per second, and counts each upstream and daemon under a reclaim notice once. Only a notice states when an instance is expected to be gone, which tells it from a planned stop. Trackers of pools that were not used yet are made first, as they would miss the reclaim.

Ruled out: counting at the notices themselves; a daemon that learns of them from a peer, or starts later, would not see them.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -64,6 +64,7 @@
 	parts.Go(func() error { d.movePeers.Run(ctx); return nil })
 	parts.Go(func() error { d.handoff.Run(ctx); return nil })
 	parts.Go(func() error { d.watchNotice(ctx); return nil })
+	parts.Go(func() error { newReclaims(d.table, d.trackers).Run(ctx); return nil })
 }
 
 func (d *Daemon) serve(web *http.Server) error {
