Ask at most 16 daemons per time slot for evidence on a move

Cause: the controller of a move asked all daemons in each time slot, which at 380 daemons exceeds the 14 KB/s that a daemon may spend on control.

Fleets of up to 16 other daemons are still asked completely. In larger ones the slot selects the next 16 in an order by hash, so that all get their turn within 24 slots of a move's 64. A daemon is asked for the same slots as before, so that the evidence is a sample; old and new version are sampled alike, and a daemon that sees the new version to be bad still tells all others by itself.

Ruled out: asking each daemon for all slots since its last turn. It misses nothing, but 16 daemons with 24 slots send half as much as 380 with 2.

--- a/internal/daemon/move_peers.go
+++ b/internal/daemon/move_peers.go
@@ -1,11 +1,14 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/kataras/iris/v12"
 	"golang.org/x/sync/errgroup"
@@ -22,6 +25,10 @@
 	peerCallTimeout = time.Second
 	// peerParallel bounds the calls that are open at once.
 	peerParallel = 32
+	// maxAsked bounds the daemons that are asked for evidence in a time slot. It
+	// asks all of today's fleets; asking all 380 daemons of the target size
+	// exceeds the 14 KB/s that a daemon may spend on control.
+	maxAsked = 16
 	// maxVerdictBody and maxEvidenceBody bound messages in bytes.
 	maxVerdictBody  = 4 << 10
 	maxEvidenceBody = 1 << 10
@@ -64,7 +71,7 @@
 	for {
 		select {
 		case v := <-p.verdicts:
-			p.toAll(ctx, func(ctx context.Context, d membership.Daemon) {
+			p.call(ctx, p.table.AllDaemons(), func(ctx context.Context, d membership.Daemon) {
 				if err := p.client.Call(ctx, http.MethodPost, d.Address, verdictPath, v, nil); err != nil {
 					p.logger.Warn("peer did not take the verdict", "peer", d.Name, "move", v.Move, "error", err)
 				}
@@ -75,12 +82,15 @@
 	}
 }
 
-// Collect implements rollout.Collector.
+// Collect implements rollout.Collector. It asks the daemons whose turn it is.
+// Both versions' rows come from the same daemons and time, so that what it
+// returns is a sample that compares them fairly; a daemon that sees the new
+// version to be bad tells all others without being asked.
 func (p *movePeers) Collect(ctx context.Context, move string, declaredMs, since int64) []rollout.Report {
 	request := evidenceRequest{Move: move, DeclaredMs: declaredMs, Since: since}
 	var mu sync.Mutex
 	var reports []rollout.Report
-	p.toAll(ctx, func(ctx context.Context, d membership.Daemon) {
+	p.call(ctx, p.turn(move, since), func(ctx context.Context, d membership.Daemon) {
 		var report rollout.Report
 		if err := p.client.Call(ctx, http.MethodPost, d.Address, evidencePath, request, &report); err != nil {
 			p.logger.Debug("peer gave no evidence", "peer", d.Name, "move", move, "error", err)
@@ -93,11 +103,31 @@
 	return reports
 }
 
-// toAll calls fn for every other daemon, leaving ones too: they still serve.
-func (p *movePeers) toAll(ctx context.Context, fn func(context.Context, membership.Daemon)) {
+// turn returns the daemons to ask in a time slot: all, leaving ones too because
+// they still serve, or the next maxAsked in an order that spreads failure
+// domains. Over successive slots all get their turn.
+func (p *movePeers) turn(move string, slot int64) []membership.Daemon {
+	all := p.table.AllDaemons()
+	if len(all) <= maxAsked {
+		return all
+	}
+	order := slices.Clone(all)
+	slices.SortFunc(order, func(a, b membership.Daemon) int {
+		return cmp.Compare(xxhash.Sum64String(move+"/"+a.Name), xxhash.Sum64String(move+"/"+b.Name))
+	})
+	turn := make([]membership.Daemon, 0, maxAsked)
+	first := slot % int64(len(order)) * maxAsked
+	for i := range int64(maxAsked) {
+		turn = append(turn, order[(first+i)%int64(len(order))])
+	}
+	return turn
+}
+
+// call calls fn for each of the daemons.
+func (p *movePeers) call(ctx context.Context, daemons []membership.Daemon, fn func(context.Context, membership.Daemon)) {
 	var group errgroup.Group
 	group.SetLimit(peerParallel)
-	for _, d := range p.table.AllDaemons() {
+	for _, d := range daemons {
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 			defer cancel()
