Set stream and seed for engines after the fields of the caller

The new FuzzChatRequest found that a request with "stream":null or "seed":null reached engines with the null after the inserted value. The last field of a name counts, so the engine answered whole instead of as a stream, and without the seed that makes a regenerated answer identical. The values are now inserted at the end.

--- a/internal/server/chat_request.go
+++ b/internal/server/chat_request.go
@@ -107,18 +107,18 @@
 	}
 	var insert []byte
 	if q.Stream == nil {
-		insert = append(insert, `"stream":true,`...)
+		insert = append(insert, `,"stream":true`...)
 	}
 	if q.Seed == nil {
-		insert = append(insert, `"seed":`...)
+		insert = append(insert, `,"seed":`...)
 		insert = strconv.AppendInt(insert, seed, 10)
-		insert = append(insert, ',')
 	}
 	if len(insert) == 0 {
 		return body, seed, nil
 	}
-	// The body was decoded as an object with at least one field.
-	at := bytes.IndexByte(body, '{') + 1
+	// The body was decoded as an object with at least one field. Of two fields
+	// with one name the last counts, so the end is where a null is overruled.
+	at := bytes.LastIndexByte(body, '}')
 	out := make([]byte, 0, len(body)+len(insert))
 	out = append(out, body[:at]...)
 	out = append(out, insert...)
