Report a duplicate identifier as unknown

A second POST with the identifier of a held request was refused with ran=not_run although the request itself may have run, and a caller that asks again after a lost connection would take it for the outcome. The check in the server's test failed before ('unknown' expected, 'not_run' found).

--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -79,7 +79,8 @@
 	})
 	switch {
 	case errors.Is(err, journal.ErrExists):
-		return nil, problem.NotRun(http.StatusConflict, problem.CodeDuplicateRequest,
+		// The caller may be asking again for the same request, which may have run.
+		return nil, problem.Unknown(http.StatusConflict, problem.CodeDuplicateRequest,
 			"a request with this identifier is held; ask for it under /v1/requests/")
 	case err != nil:
 		return nil, memoryInUse()
--- a/internal/server/chat_test.go
+++ b/internal/server/chat_test.go
@@ -238,7 +238,9 @@
 	other := h.do(t, "GET", "/v1/requests/returns", "", "Authorization", "Bearer "+otherToken)
 	assert.Equal(t, problemOf(t, other).Code, problem.CodeNotFound)
 	again := h.do(t, "POST", "/v1/chat/completions", streamBody, "X-Request-Id", "returns")
-	assert.Equal(t, problemOf(t, again).Code, problem.CodeDuplicateRequest)
+	refusal := problemOf(t, again)
+	assert.Equal(t, refusal.Code, problem.CodeDuplicateRequest)
+	assert.Equal(t, refusal.Ran, problem.RanUnknown, "the request with this identifier did run")
 }
 
 // TestAbandonedRequestIsCancelled guards against generations that go on for
