Leave out what a paused daemon measures when versions are judged

Ruled out: a slow engine; both versions run the same stand-in.

Change: attempts that started before or within 5 s after a gap of more than a second in the daemon's own time are not evidence.

--- a/internal/rollout/guard.go
+++ b/internal/rollout/guard.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -26,10 +27,12 @@
 type Guard struct {
 	opts GuardOptions
 
+	stall stall
+
 	mu    sync.Mutex
 	moves map[moveKey]*trackedMove
 
-	samples, verdicts, imported tally.Counter
+	samples, stalled, verdicts, imported tally.Counter
 }
 
 var _ dispatch.Moves = (*Guard)(nil)
@@ -56,11 +59,15 @@
 		opts:     opts,
 		moves:    map[moveKey]*trackedMove{},
 		samples:  scope.Counter("samples"),
+		stalled:  scope.Counter("stalled_samples"),
 		verdicts: scope.Counter("verdicts"),
 		imported: scope.Counter("imported_verdicts"),
 	}
 }
 
+// Run watches for pauses of this daemon until ctx ends.
+func (g *Guard) Run(ctx context.Context) { g.stall.run(ctx) }
+
 func (g *Guard) now() time.Time {
 	if g.opts.StoreNow != nil {
 		if now, ok := g.opts.StoreNow(); ok {
@@ -102,6 +109,10 @@
 	if !newer && s.Version != s.Move.Spec.From {
 		return
 	}
+	if g.stall.covers(s.StartedAt, time.Now()) {
+		g.stalled.Inc(1)
+		return
+	}
 	now := g.now()
 	g.mu.Lock()
 	t := g.tracked(keyOf(s.Move), now)
