Stay reachable for two seconds after a handoff under notice

Cause: in one of 3 runs of all tests, proof_two_domains lost 2 of 10 whole answers. Two daemons got their notices 2 ms apart; the first named the second as successor, and that one had handed everything on and ended 40 ms later, before the callers that were sent to it arrived. Ruled out by the logs: records that were not handed over (25 and 19, none kept).

Change: a daemon under notice answers for two more seconds, within its notice, and sends such callers on; outcomes are recorded before. Ten seconds, the lifetime of an entry, was tried first: proof_handover_early then failed, as the daemon outlived the streams that it must not wait for.

--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -9,6 +9,9 @@
 // closeTimeout bounds the wait for connections to close once no request is open.
 const closeTimeout = 5 * time.Second
 
+// lingerTime is how long a daemon under notice answers callers after its handoff.
+const lingerTime = 2 * time.Second
+
 // handOverTimeout bounds the handoff at the end of a planned stop.
 const handOverTimeout = 10 * time.Second
 
@@ -67,7 +70,6 @@
 	} else {
 		d.leaveAsPlanned(ctx, started)
 	}
-	d.flushOutcomes(ctx)
 	closing, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	if err := web.Shutdown(closing); err != nil {
@@ -85,6 +87,17 @@
 	waiting, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	_ = d.server.WaitIdle(waiting)
+	d.flushOutcomes(ctx)
+	// A daemon that learned of its own notice at the same time may have named
+	// this one as the successor, and its callers are on their way.
+	d.stayReachable(ctx, earlier(deadline, time.Now().Add(lingerTime)))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // leaveAsPlanned waits for open requests to end and hands off what is left at
@@ -96,7 +109,14 @@
 	if err := d.server.WaitIdle(waiting); err != nil {
 		d.handoff.HandOver(ctx, time.Now().Add(handOverTimeout))
 	}
-	stay := time.NewTimer(time.Until(started.Add(min(d.settings.EntryTTL, d.settings.DrainLimit))))
+	d.flushOutcomes(ctx)
+	d.stayReachable(ctx, started.Add(min(d.settings.EntryTTL, d.settings.DrainLimit)))
+}
+
+// stayReachable keeps answering callers that still have this address, from the
+// list of entries or as the successor of a request, and tells them where to go.
+func (d *Daemon) stayReachable(ctx context.Context, until time.Time) {
+	stay := time.NewTimer(time.Until(until))
 	defer stay.Stop()
 	select {
 	case <-stay.C:
