Remove the unused prompt option and build the programs in one place

Nothing sets server.Options.Prompt since the daemon stopped doing so; with it went a second pass over the body that no caller could reach any more. The benchmarks, the scenarios and the fault combinations each had their own copy of compiling the programs and now call proc.Build.

--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return nil, problem.NotRun(http.StatusBadRequest, problem.CodeBadRequest, "the body cannot be encoded again")
 	}
-	prompt := s.readPrompt(q, body)
+	prompt := readPrompt(q)
 	now := time.Now()
 	rec, err := s.options.Journal.Create(journal.Request{
 		ID: id, Workspace: name, Class: route.Class, Route: routeName, Pool: route.Pool, Model: q.Model,
--- a/internal/server/fuzz_test.go
+++ b/internal/server/fuzz_test.go
@@ -24,7 +24,6 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	s := &Server{}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		q, p := parseChat(body)
 		if p != nil {
@@ -32,7 +31,7 @@
 			return
 		}
 		assert.Assert(t, q.maxTokens() > 0)
-		before := s.readPrompt(q, body)
+		before := readPrompt(q)
 		sent, seed, err := q.engineBody(body)
 		assert.NilError(t, err)
 		assert.Assert(t, json.Valid(sent), "%q", sent)
@@ -40,7 +39,7 @@
 		assert.Assert(t, p == nil, "%v: %q", p, sent)
 		assert.Assert(t, got.streams(), "%q", sent)
 		assert.Assert(t, got.Seed != nil && *got.Seed == seed, "%q", sent)
-		assert.Equal(t, s.readPrompt(got, sent).fingerprint, before.fingerprint)
+		assert.Equal(t, readPrompt(got).fingerprint, before.fingerprint)
 	})
 }
 
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -32,9 +31,6 @@
 	Handoff Handoff
 	// Observer may be nil.
 	Observer Observer
-	// Prompt estimates a prompt's tokens and hashes its prefix blocks. Default:
-	// as engineclient does, without another pass over the body.
-	Prompt func(messages json.RawMessage) (tokens int, blocks []uint64)
 
 	Logger *log.Logger
 	Scope  tally.Scope
--- a/internal/server/prompt_test.go
+++ b/internal/server/prompt_test.go
@@ -22,7 +22,7 @@
 	body := []byte(`{"model":"brief","messages":` + messages + `}`)
 	q, p := parseChat(body)
 	assert.Assert(t, p == nil)
-	got := (&Server{}).readPrompt(q, body)
+	got := readPrompt(q)
 	assert.Equal(t, got.tokens, engineclient.PromptTokens(text))
 	assert.DeepEqual(t, got.blocks, engineclient.PromptBlocks(text))
 	assert.Assert(t, len(got.blocks) > 4)
--- a/test/bench/bench_test.go
+++ b/test/bench/bench_test.go
@@ -27,7 +27,7 @@
 func startCluster(b *testing.B, engines, daemons int, args ...string) *cluster {
 	b.Helper()
 	bin := b.TempDir()
-	assert.NilError(b, build(b.Context(), bin))
+	assert.NilError(b, proc.Build(b.Context(), bin))
 	c := &cluster{dir: b.TempDir(), bin: bin}
 	b.Cleanup(c.stop)
 	assert.NilError(b, c.start(b.Context(), engines, daemons, args...))
--- a/test/bench/cluster.go
+++ b/test/bench/cluster.go
@@ -8,8 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -41,13 +39,6 @@
 	all       []*proc.Process
 }
 
-// build compiles the programs into dir.
-func build(ctx context.Context, dir string) error {
-	command := exec.CommandContext(ctx, "go", "build", "-o", dir+"/", "rattantide/cmd/...")
-	command.Stderr = os.Stderr
-	return errors.Annotate(command.Run(), "build")
-}
-
 // start starts the platform, the engines and the daemons, applies the
 // configuration, and waits until every daemon serves. The failure domains
 // rotate over three.
--- a/test/combinations/main_test.go
+++ b/test/combinations/main_test.go
@@ -1,11 +1,13 @@
 package combinations
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"testing"
+
+	"rattantide/internal/proc"
 )
 
 var (
@@ -29,10 +31,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(bin) }()
-	build := exec.Command("go", "build", "-o", bin, "rattantide/cmd/...")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "building the programs:", err)
+	if err := proc.Build(context.Background(), bin); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -2,9 +2,9 @@
 package scenarios
 
 import (
+	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -12,6 +12,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"rattantide/internal/proc"
 	"rattantide/test/scenarios/harness"
 )
 
@@ -27,10 +28,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(bin) }()
-	build := exec.Command("go", "build", "-o", bin, "rattantide/cmd/...")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		fmt.Fprintln(os.Stderr, "building the programs:", err)
+	if err := proc.Build(context.Background(), bin); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
