Try the suspects of one crash apart and withdraw orders to engines

poison_bystanders: requests that were on a crashed upstream could meet again on the next one, so that a second crash counted against all of them. Suspects of a crash are now sent to different upstreams while there are enough. Ruled out: counting fewer crashes per request, as the crash reports of one upstream arrive one after the other and the first reporter cannot know the others.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -264,6 +264,14 @@
 	return c.quarantine.holds(fingerprint, c.opts.Now())
 }
 
+// Suspected reports whether the request's content was on an upstream that
+// crashed.
+func (c *Controller) Suspected(fingerprint uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantine.suspects(fingerprint, c.opts.Now())
+}
+
 func (c *Controller) pool(name string) *pool {
 	p := c.pools[name]
 	if p == nil {
--- a/internal/admission/quarantine.go
+++ b/internal/admission/quarantine.go
@@ -49,6 +49,12 @@
 	return r != nil && len(r.upstreams) >= quarantineCrashes && now.Sub(r.at) <= quarantineTime
 }
 
+// suspects reports whether the content was on an upstream that crashed.
+func (q *quarantine) suspects(fingerprint uint64, now time.Time) bool {
+	r := q.records[fingerprint]
+	return r != nil && now.Sub(r.at) <= quarantineTime
+}
+
 // makeRoom drops expired records, or else the oldest one.
 func (q *quarantine) makeRoom(now time.Time) {
 	if len(q.records) < maxQuarantine {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"rattantide/internal/lease"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
-	"rattantide/internal/orders"
 	"rattantide/internal/peer"
 	"rattantide/internal/rollout"
 	"rattantide/internal/routing"
@@ -60,7 +59,6 @@
 	guard      *rollout.Guard
 	moves      *rollout.Controller
 	movePeers  *movePeers
-	orders     *orders.Controller
 	watcher    *upstreamwatch.Watcher
 	handoff    *handoff.Manager
 
@@ -140,10 +138,6 @@
 	d.trackers = &routing.Trackers{}
 	d.admission = admission.New(admission.Options{Scope: d.scope})
 	d.engines = engineclient.New(nil)
-	d.orders = orders.New(orders.Options{
-		Store: d.store, Config: d.cache, Leases: d.leases, Table: d.table, Engines: d.engines,
-		LeaseTTL: s.LeaseTTL, Logger: d.logger, Scope: d.scope,
-	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Config: d.cache, Table: d.table, Admission: d.admission, Trackers: d.trackers,
 		Moves: d.guard, Evidence: evidence{d.table}, Scope: d.scope,
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -60,7 +60,6 @@
 	parts.Go(func() error { return d.leases.Run(ctx) })
 	parts.Go(func() error { return d.moves.Run(ctx) })
 	parts.Go(func() error { d.guard.Run(ctx); return nil })
-	parts.Go(func() error { return d.orders.Run(ctx) })
 	parts.Go(func() error { return d.watcher.Run(ctx) })
 	parts.Go(func() error { d.movePeers.Run(ctx); return nil })
 	parts.Go(func() error { d.handoff.Run(ctx); return nil })
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -24,6 +24,8 @@
 	startedAt time.Time
 	release   func(admission.Outcome)
 	once      sync.Once
+	// suspect says that the request was on an upstream that crashed.
+	suspect bool
 	// firstReported is set by firstToken, which runs before done.
 	firstReported bool
 }
@@ -50,6 +52,9 @@
 		OK: ok, FirstToken: res.FirstToken, FirstReported: a.firstReported,
 		PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
 	})
+	if a.suspect {
+		a.d.suspects.ended(a.upstream.Name)
+	}
 	a.d.attempts.ended(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
 	// Between two arrivals only ends tell admission about the reports; a burst
 	// would otherwise keep the upstreams' queues filled to its end.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -30,6 +30,7 @@
 type Dispatcher struct {
 	opts     Options
 	attempts attempts
+	suspects suspects
 	buffers  sync.Pool
 
 	started, moved, resumed, retried, hedged, noUpstream tally.Counter
@@ -217,6 +218,10 @@
 
 func (d *Dispatcher) choose(class *api.Class, r *Request, move *configsync.Move, upstreams []membership.Upstream, release func(admission.Outcome)) *Choice {
 	now := d.opts.Now()
+	suspect := d.opts.Admission.Suspected(r.Fingerprint)
+	if suspect {
+		upstreams = d.suspects.apart(upstreams)
+	}
 	req := &routing.Request{
 		PromptTokens: r.PromptTokens + r.ResumedTokens,
 		MaxTokens:    max(0, r.MaxTokens-r.ResumedTokens),
@@ -233,7 +238,10 @@
 	a := &attempt{
 		d: d, request: *r, class: class, move: move, upstream: upstreams[i],
 		load: picked.Running, sent: tracker.Sent(req, &picked), tracker: tracker,
-		startedAt: now, release: release,
+		startedAt: now, release: release, suspect: suspect,
+	}
+	if suspect {
+		d.suspects.started(a.upstream.Name)
 	}
 	d.started.Inc(1)
 	d.attempts.started(r, a.upstream.Name)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -190,6 +190,44 @@
 	assert.Equal(t, codeOf(t, err), problem.CodeQuarantined)
 }
 
+// Guards against requests that are quarantined because they ran beside one that
+// crashes its upstreams: those of one crash must not meet again on the next
+// upstream.
+func TestSuspectsOfOneCrashAreTriedApart(t *testing.T) {
+	f := newFixture(t, -1)
+	f.table.upstreams = append(f.table.upstreams, membership.Upstream{Name: "crashed", Pool: "p", Version: "v1"})
+	// Routing alone would send all of them to u0.
+	for _, busy := range []int{2, 4} {
+		f.table.upstreams[busy].Load = &membership.Load{Running: 60, Waiting: 60, ReceivedAt: time.Now()}
+	}
+	var open []*Choice
+	request := func(i, attempt int) *Request {
+		r := f.request(fmt.Sprintf("r%d", i), attempt)
+		r.Fingerprint = uint64(100 + i)
+		return r
+	}
+	for i := range 3 {
+		r := request(i, 1)
+		r.Exclude = []string{"u0", "u2", "u4"}
+		c, err := f.Choose(context.Background(), r)
+		assert.NilError(t, err)
+		assert.Equal(t, c.Upstream.Name, "crashed")
+		open = append(open, c)
+	}
+	for _, c := range open {
+		c.Done(Result{Status: StatusCrash})
+	}
+	seen := map[string]bool{}
+	for i := range 3 {
+		r := request(i, 2)
+		r.Exclude, r.ResumedTokens = []string{"crashed"}, 1
+		c, err := f.Choose(context.Background(), r)
+		assert.NilError(t, err)
+		assert.Assert(t, !seen[c.Upstream.Name], "two suspects of one crash are on %s", c.Upstream.Name)
+		seen[c.Upstream.Name] = true
+	}
+}
+
 // Guards against ignoring a pinned version or the exclusion list, and against
 // failing at once when no upstream is usable for a moment.
 func TestPinExcludeAndWait(t *testing.T) {
