--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -129,8 +129,17 @@
 func (d *Dispatcher) enter(ctx context.Context, class *api.Class, r *Request) (func(admission.Outcome), error) {
 	ar := admissionRequest(class, r)
 	if r.Attempt <= 1 {
+		if d.opts.Repeats != nil {
+			d.opts.Repeats.First(r.Pool)
+		}
 		return d.opts.Admission.Admit(ctx, ar)
 	}
+	if d.opts.Repeats != nil {
+		if !d.opts.Repeats.Take(r.Pool) {
+			return nil, overBudget(r, "the budget for repeats is used up")
+		}
+		return d.opts.Admission.Enter(ar), nil
+	}
 	open, failed := d.attempts.previous(r.ID)
 	switch {
 	case r.ResumedTokens > 0:
@@ -183,12 +192,20 @@
 	}
 	return admission.Request{
 		ID: r.ID, Workspace: r.Workspace, Class: r.Class, Pool: r.Pool,
-		Priority: class.PriorityOrDefault(), Cost: float64(r.PromptTokens + r.MaxTokens),
+		Priority: priorityOf(class, r), Cost: float64(r.PromptTokens + r.MaxTokens),
 		AcceptedAt: r.AcceptedAt, Deadline: r.Deadline, FirstTarget: first.D(), GapTarget: class.Target.BetweenTokens.D(),
 		Within: within,
 	}
 }
 
+// priorityOf returns the request's own priority, or that of its class.
+func priorityOf(class *api.Class, r *Request) int {
+	if r.Priority != nil {
+		return *r.Priority
+	}
+	return class.PriorityOrDefault()
+}
+
 // place selects the upstream, waiting for a while when none is usable.
 func (d *Dispatcher) place(ctx context.Context, class *api.Class, r *Request, release func(admission.Outcome)) (*Choice, error) {
 	until := d.opts.Now().Add(d.opts.UpstreamWait)
@@ -249,7 +266,7 @@
 	choice := &Choice{
 		Upstream: a.upstream,
 		Version:  a.upstream.Version,
-		Priority: class.PriorityOrDefault(),
+		Priority: priorityOf(class, r),
 		Done:     a.done,
 	}
 	if r.Chat {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -6,7 +6,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"rattantide/internal/admission"
-	"rattantide/internal/configsync"
 	"rattantide/internal/routing"
 )
 
@@ -16,7 +15,7 @@
 
 // Options configures a Dispatcher. Config and Table are required.
 type Options struct {
-	Config *configsync.Cache
+	Config Config
 	Table  Table
 	// Admission admits first attempts. Default a controller with defaults.
 	Admission *admission.Controller
@@ -30,6 +29,9 @@
 	// Evidence and Observer may be nil.
 	Evidence Evidence
 	Observer Observer
+	// Repeats, when set, replaces the budgets of the classes: each attempt after
+	// the first draws on it.
+	Repeats Repeats
 	// UpstreamWait replaces DefaultUpstreamWait.
 	UpstreamWait time.Duration
 	// Scope receives the metrics. Default none.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -35,4 +35,6 @@
 	// Fingerprint identifies the content, so that a request that crashed
 	// several upstreams is recognised under another identifier.
 	Fingerprint uint64
+	// Priority, when not nil, takes precedence over the class's, 0 (lowest) to 9.
+	Priority *int
 }
--- /dev/null
+++ b/internal/fleetdaemon/daemon.go
@@ -0,0 +1,209 @@
+package fleetdaemon
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/admission"
+	"rattantide/internal/bootclock"
+	"rattantide/internal/dispatch"
+	"rattantide/internal/fleetconfig"
+	"rattantide/internal/fleetsync"
+	"rattantide/internal/gateway"
+	"rattantide/internal/lease"
+	"rattantide/internal/membership"
+	"rattantide/internal/peering"
+	"rattantide/internal/quota"
+	"rattantide/internal/routing"
+	"rattantide/internal/telemetry"
+	"rattantide/internal/truetime"
+	"rattantide/internal/upstreamconn"
+	"rattantide/internal/usage"
+	"rattantide/platform"
+)
+
+const (
+	// dutyLease is the lease of all duties: they act for the whole deployment.
+	dutyLease = "duties"
+	// dutyTTL is the lifetime of that lease; a holder that is gone delays usage
+	// reports by about this time, and renewals are calls of the store.
+	dutyTTL = 6 * time.Second
+	// keyMargin is subtracted from the time for which keys hold without a
+	// confirmation, for the way of a request.
+	keyMargin = 500 * time.Millisecond
+)
+
+// Daemon is one daemon of a deployment. Run must be called once.
+type Daemon struct {
+	settings *platform.Settings
+	logger   *log.Logger
+	scope    tally.Scope
+	metrics  http.Handler
+	closer   io.Closer
+	process  string
+
+	store     *platform.Store
+	cloud     *platform.Cloud
+	holder    *fleetconfig.Holder
+	table     *membership.Table
+	peers     *peering.Node
+	clock     *truetime.Clock
+	conns     *upstreamconn.Pools
+	admission *admission.Controller
+	trackers  *routing.Trackers
+	quota     *quota.Keeper
+	counter   *usage.Counter
+	ledger    *usage.Ledger
+	leases    *lease.Manager
+	gateway   *gateway.Server
+	config    *fleetsync.ConfigSync
+	upstreams *fleetsync.UpstreamSync
+	listed    atomic.Bool
+	instances atomic.Pointer[[]membership.Instance]
+	leaving   atomic.Bool
+	revision  atomic.Int64
+
+	callers, readiness, directory, control, metricsListener net.Listener
+}
+
+// New opens the listeners and builds all parts. Nothing runs until Run.
+func New(s *platform.Settings, logger *log.Logger) (*Daemon, error) {
+	scope, metrics, closer := telemetry.NewScope()
+	d := &Daemon{settings: s, logger: logger, scope: scope, metrics: metrics, closer: closer, process: uuid.NewString()[:8]}
+	if err := d.listen(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.buildState()
+	if err := d.buildPeers(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.buildDuties()
+	d.buildRequestPath()
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	s := d.settings
+	for _, l := range []struct {
+		address  string
+		listener *net.Listener
+	}{
+		{s.CallerAddress, &d.callers}, {s.ReadinessAddress, &d.readiness}, {s.DirectoryAddress, &d.directory},
+	} {
+		if l.address == "" {
+			continue
+		}
+		var err error
+		if *l.listener, err = net.Listen("tcp4", l.address); err != nil {
+			return errors.Annotatef(err, "listen on %s", l.address)
+		}
+	}
+	var err error
+	if d.metricsListener, err = net.Listen("tcp4", joinPort(s.IP, s.MetricsPort)); err != nil {
+		return errors.Annotate(err, "listen for metrics")
+	}
+	return nil
+}
+
+// buildState builds what the daemon knows.
+func (d *Daemon) buildState() {
+	s := d.settings
+	calls := &http.Client{Transport: newTransport()}
+	d.store = platform.NewStore(platform.StoreOptions{
+		Address: s.Store.Address, HTTP: calls, Logger: d.logger, Scope: d.scope, MaxValueBytes: s.Store.MaxValueBytes,
+	})
+	d.cloud = &platform.Cloud{Address: s.Cloud.Address, Holder: s.Name, HTTP: calls}
+	d.holder = fleetconfig.NewHolder()
+	d.clock = truetime.New(bootclock.Now, time.Now)
+	self := membership.Daemon{Name: s.Name, Address: s.CallerAddress, Domain: s.Domain, Region: s.Region}
+	d.table = membership.NewTable(self, membership.Options{Grace: -1, Scope: d.scope})
+	d.config = fleetsync.NewConfigSync(fleetsync.ConfigOptions{
+		Store: d.store, Kind: platform.ConfigKind, Name: platform.ConfigName, Decode: platform.DecodeConfig,
+		Holder: d.holder, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
+	})
+	d.upstreams = fleetsync.NewUpstreamSync(fleetsync.UpstreamOptions{
+		Store: d.store, Kind: platform.UpstreamKind, Decode: decodeInstance(s.Region), Apply: d.applyUpstreams,
+		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+	})
+	d.counter = usage.NewCounter(s.Bound.UsageWindow, d.clock.Now)
+	d.ledger = usage.NewLedger()
+}
+
+func (d *Daemon) buildPeers() error {
+	s := d.settings
+	peers, err := peering.New(peering.Options{
+		IP: s.IP, Port: s.PeerPort, Self: d.report, Received: d.received, Changed: d.applyMembers,
+		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+	})
+	if err != nil {
+		return errors.Annotate(err, "listen for daemons")
+	}
+	d.peers = peers
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			peers.Add(host)
+		}
+	}
+	return nil
+}
+
+// buildDuties builds what one daemon at a time does for all.
+func (d *Daemon) buildDuties() {
+	d.leases = lease.NewManager(lease.Options{
+		Store: d.store, Holder: d.settings.Name, Table: d.table, TTL: dutyTTL, Observed: true, Now: bootclock.Now,
+		Logger: d.logger, Scope: d.scope,
+	})
+	d.leases.Want(dutyLease)
+}
+
+// buildRequestPath builds what a caller's request passes through.
+func (d *Daemon) buildRequestPath() {
+	bound := d.settings.Bound
+	d.trackers = &routing.Trackers{}
+	d.admission = admission.New(admission.Options{Scope: d.scope})
+	d.conns = &upstreamconn.Pools{Scope: d.scope}
+	d.quota = quota.NewKeeper(quota.Options{
+		Part: d.part, Window: bound.QuotaWindow, Overshoot: bound.QuotaOvershoot, Slack: bound.QuotaSlack, Now: bootclock.Now,
+	})
+	repeats := &admission.RepeatBudget{
+		Share: bound.RetryShare, Window: bound.RetryWindow, Now: time.Now,
+		Fixed: func() float64 { return bound.RetrySlack * d.part() },
+	}
+	dispatcher := dispatch.New(dispatch.Options{
+		Config: &viewSource{holder: d.holder}, Table: d.table, Admission: d.admission, Trackers: d.trackers,
+		Evidence: evidence{d.table}, Repeats: repeats, Scope: d.scope,
+	})
+	d.gateway = gateway.New(gateway.Options{
+		Codec: platform.Codec{}, Config: d.holder, Chooser: dispatcher, Conns: d.conns, ConnLimit: d.connLimit,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, KeysValidFor: bound.RevokeWithin - keyMargin,
+		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, Leaving: d.leaving.Load,
+	})
+}
+
+// part returns this daemon's part of what all daemons share.
+func (d *Daemon) part() float64 { return 1 / float64(1+d.peers.Known()) }
+
+// connLimit returns the bound on connections to one upstream of a service.
+func (d *Daemon) connLimit(s *fleetconfig.Service) int {
+	if s.MaxConns <= 0 {
+		return 0
+	}
+	return max(1, int(float64(s.MaxConns)*d.part()))
+}
+
+// ready reports whether the daemon can serve callers.
+func (d *Daemon) ready() bool {
+	if d.leaving.Load() || !d.listed.Load() {
+		return false
+	}
+	config, confirmedAt := d.holder.Current()
+	return config != nil && bootclock.Now().Sub(confirmedAt) < d.settings.Bound.RevokeWithin
+}
--- /dev/null
+++ b/internal/fleetdaemon/members.go
@@ -0,0 +1,202 @@
+package fleetdaemon
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rattantide/internal/bootclock"
+	"rattantide/internal/dispatch"
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/peering"
+	"rattantide/platform"
+)
+
+const (
+	// daemonKind is the kind of the daemons' own entries in the store.
+	daemonKind = "daemons"
+	// registerEvery is how often the entries are compared with what is known, so
+	// that daemons that do not know of each other meet.
+	registerEvery = 20 * time.Second
+	registerRetry = time.Second
+	// usageWindowsSent is how many windows of counts a report carries.
+	usageWindowsSent = 3
+	// addressTTL is how long callers may use an answer with addresses. A daemon
+	// that is gone costs a caller up to a second for each new connection.
+	addressTTL = 2 * time.Second
+)
+
+// daemonEntry is a daemon's entry in the store.
+type daemonEntry struct {
+	IP string `json:"ip"`
+}
+
+// evidence passes on what attempts showed of an upstream.
+type evidence struct {
+	table *membership.Table
+}
+
+// Observe implements dispatch.Evidence.
+func (e evidence) Observe(upstream string, seen dispatch.Seen, _ time.Time) {
+	switch {
+	case seen.Lost:
+		e.table.Observe(upstream, membership.EvidenceCrash)
+	case seen.OK:
+		e.table.Observe(upstream, membership.EvidenceOK)
+	}
+}
+
+// decodeInstance returns the decoder of upstream entries. The platform's entries
+// name no region, so upstreams count to that of this daemon.
+func decodeInstance(region string) func(*objectclient.Object) (membership.Instance, error) {
+	return func(o *objectclient.Object) (membership.Instance, error) {
+		u, err := platform.DecodeUpstream(o.Name, o.Value)
+		if err != nil {
+			return membership.Instance{}, err
+		}
+		u.Region = region
+		return u.Instance, nil
+	}
+}
+
+// applyUpstreams takes over the list of upstreams.
+func (d *Daemon) applyUpstreams(instances []membership.Instance) {
+	d.instances.Store(&instances)
+	d.listed.Store(true)
+	d.applyMembers()
+}
+
+// applyMembers gives the membership table the upstreams and the daemons that are
+// alive.
+func (d *Daemon) applyMembers() {
+	list := membership.InstanceList{Revision: d.revision.Add(1)}
+	list.Instances = append(list.Instances, membership.Instance{
+		Name: d.settings.Name, Address: d.settings.CallerAddress, Domain: d.settings.Domain, Region: d.settings.Region,
+		Role: membership.RoleDaemon, State: membership.StateLive,
+	})
+	for _, p := range d.peers.Peers() {
+		if !p.Alive || p.Leaving {
+			continue
+		}
+		list.Instances = append(list.Instances, membership.Instance{
+			Name: p.Name, Address: p.CallerAddress, Domain: p.Domain, Region: d.settings.Region,
+			Role: membership.RoleDaemon, State: membership.StateLive,
+		})
+	}
+	if upstreams := d.instances.Load(); upstreams != nil {
+		list.Instances = append(list.Instances, *upstreams...)
+	}
+	d.table.ApplyList(list)
+}
+
+// report is what this daemon says of itself to others.
+func (d *Daemon) report() peering.Report {
+	s := d.settings
+	r := peering.Report{
+		Name: s.Name, Process: d.process, IP: s.IP, Domain: s.Domain, CallerAddress: s.CallerAddress,
+		Ready: d.ready(), Leaving: d.leaving.Load(), ConfigAgeMs: -1, WallMs: time.Now().UnixMilli(),
+	}
+	if config, confirmedAt := d.holder.Current(); config != nil {
+		r.ConfigVersion, r.ConfigAgeMs = config.Version, bootclock.Now().Sub(confirmedAt).Milliseconds()
+	}
+	if s.Cloud.ReportsUsage {
+		r.Counts = map[int64]map[string]int64{}
+		for window, counts := range d.counter.Windows(usageWindowsSent) {
+			r.Counts[window] = counts
+		}
+	}
+	return r
+}
+
+// received takes over another daemon's report.
+func (d *Daemon) received(r peering.Report, sentAt, receivedAt time.Time) {
+	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
+	for window, counts := range r.Counts {
+		d.ledger.Set(r.Name+"/"+r.Process, countsOf(window, counts))
+	}
+	if r.ConfigAgeMs < 0 {
+		return
+	}
+	// The report was made after the question was sent, so what was confirmed
+	// then was confirmed no earlier than its age before that.
+	confirmedAt := sentAt.Add(-time.Duration(r.ConfigAgeMs) * time.Millisecond)
+	d.holder.Confirm(r.ConfigVersion, confirmedAt)
+	if config, _ := d.holder.Current(); config == nil || r.ConfigVersion > config.Version {
+		d.config.Kick()
+	}
+}
+
+// register keeps this daemon's entry in the store and makes the others known.
+func (d *Daemon) register(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := registerEvery
+		if err := d.registerOnce(ctx); err != nil {
+			wait = registerRetry
+			d.logger.Warn("daemon could not be registered", "error", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) registerOnce(ctx context.Context) error {
+	list, err := d.store.List(ctx, daemonKind)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	own := false
+	for _, o := range list.Items {
+		var entry daemonEntry
+		if err := json.Unmarshal(o.Value, &entry); err != nil {
+			d.logger.Warn("entry names no daemon", "entry", o.Name, "error", err)
+			continue
+		}
+		if o.Name == d.settings.Name {
+			own = entry.IP == d.settings.IP
+			continue
+		}
+		d.peers.Add(entry.IP)
+	}
+	if own {
+		return nil
+	}
+	value, err := json.Marshal(daemonEntry{IP: d.settings.IP})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	_, err = d.store.Put(ctx, daemonKind, d.settings.Name, objectclient.MustNotExist, value)
+	if errors.Is(err, objectclient.ErrConflict) {
+		_, err = d.store.Put(ctx, daemonKind, d.settings.Name, objectclient.AnyVersion, value)
+	}
+	return errors.Trace(err)
+}
+
+// entries returns the addresses for a caller: those of its failure domain first.
+func (d *Daemon) entries(caller platform.Caller) ([]string, time.Duration) {
+	type candidate struct {
+		address string
+		near    bool
+	}
+	var found []candidate
+	if d.ready() {
+		found = append(found, candidate{d.settings.CallerAddress, caller.Domain == d.settings.Domain})
+	}
+	for _, p := range d.peers.Peers() {
+		if p.Alive && p.Ready && !p.Leaving {
+			found = append(found, candidate{p.CallerAddress, p.Domain == caller.Domain})
+		}
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].near && !found[j].near })
+	addresses := make([]string, len(found))
+	for i, c := range found {
+		addresses[i] = c.address
+	}
+	return addresses, min(addressTTL, d.settings.Bound.MaxAddressTTL)
+}
--- /dev/null
+++ b/internal/fleetdaemon/run.go
@@ -0,0 +1,165 @@
+package fleetdaemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"rattantide/internal/bootclock"
+	"rattantide/internal/usage"
+	"rattantide/platform"
+)
+
+const (
+	// callerIdle is how long an idle connection of a caller is kept while the
+	// configuration does not say.
+	callerIdle = 60 * time.Second
+	// headerTimeout bounds the time in which a caller must send its header.
+	headerTimeout = 5 * time.Second
+	// maxHeader bounds a caller's header; the configuration's bound may be lower.
+	maxHeader = 64 << 10
+	// sweepEvery is how often idle connections to upstreams are looked at.
+	sweepEvery = time.Second
+	// lingerTTLs is how long a leaving daemon still accepts connections, in
+	// lifetimes of the callers' addresses.
+	lingerTTLs = 1.5
+	// stopMargin is the part of the grace period that is left for the end.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Run serves until ctx ends, then drains and returns.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	parts, work := errgroup.WithContext(work)
+	parts.Go(func() error { return d.config.Run(work) })
+	parts.Go(func() error { return d.upstreams.Run(work) })
+	parts.Go(func() error { return d.peers.Run(work) })
+	parts.Go(func() error { return d.leases.Run(work) })
+	parts.Go(func() error { return d.register(work) })
+	parts.Go(func() error { return d.housekeeping(work) })
+	d.startDuties(work, parts)
+	servers := d.startServers(parts)
+	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
+		"domain", d.settings.Domain, "seeds", d.settings.Seeds)
+	parts.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			d.drain(servers)
+		case <-work.Done():
+		}
+		for _, s := range servers {
+			s.Close()
+		}
+		return nil
+	})
+	err := parts.Wait()
+	d.conns.Close()
+	d.closer.Close()
+	d.logger.Info("daemon stopped", "daemon", d.settings.Name, "error", err)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return errors.Trace(err)
+}
+
+// startDuties runs what acts while this daemon holds the lease of the duties.
+func (d *Daemon) startDuties(ctx context.Context, parts *errgroup.Group) {
+	if d.settings.Cloud.Address == "" {
+		return
+	}
+	if d.settings.Cloud.ReportsUsage {
+		reporter := usage.NewReporter(usage.ReporterOptions{
+			Store: d.store, Sender: d.cloud, Counter: d.counter, Ledger: d.ledger, Held: d.held, Now: d.clock.Now,
+			Logger: d.logger, Scope: d.scope,
+			StaleFence: func(err error) bool { return errors.Is(err, platform.ErrStaleFence) },
+		})
+		parts.Go(func() error { return reporter.Run(ctx) })
+	}
+}
+
+// held returns the fencing token while this daemon has the duties.
+func (d *Daemon) held() (int64, bool) { return d.leases.Held(dutyLease) }
+
+func (d *Daemon) startServers(parts *errgroup.Group) []*http.Server {
+	var servers []*http.Server
+	serve := func(l net.Listener, handler http.Handler) {
+		if l == nil {
+			return
+		}
+		s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader}
+		servers = append(servers, s)
+		parts.Go(func() error {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Annotatef(err, "serve %s", l.Addr())
+			}
+			return nil
+		})
+	}
+	serve(d.callers, d.gateway)
+	serve(d.readiness, platform.ReadinessHandler(d.ready))
+	serve(d.directory, platform.EntriesHandler(d.entries))
+	serve(d.metricsListener, d.metrics)
+	return servers
+}
+
+// drain lets callers go elsewhere and waits for the open requests.
+func (d *Daemon) drain(servers []*http.Server) {
+	d.logger.Info("daemon is leaving", "daemon", d.settings.Name, "open", d.gateway.Open())
+	d.leaving.Store(true)
+	d.peers.Announce()
+	grace := d.settings.Bound.Grace - stopMargin
+	deadline := bootclock.Now().Add(grace)
+	linger := time.Duration(lingerTTLs * float64(min(addressTTL, d.settings.Bound.MaxAddressTTL)))
+	time.Sleep(min(linger, grace/2))
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(bootclock.Now()))
+	defer cancel()
+	// The first server is that of the callers; the others stay for the platform's
+	// checks until it is done.
+	if len(servers) > 0 {
+		if err := servers[0].Shutdown(ctx); err != nil {
+			d.logger.Warn("requests were open at the end of the grace period", "open", d.gateway.Open(), "error", err)
+		}
+	}
+}
+
+// housekeeping does what is due about once a second.
+func (d *Daemon) housekeeping(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		known := map[string]bool{}
+		if upstreams := d.instances.Load(); upstreams != nil {
+			for _, u := range *upstreams {
+				known[u.Address] = true
+			}
+		}
+		d.conns.Sweep(func(address string) bool { return known[address] })
+		d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
+	}
+}
+
+// newTransport is for the calls of the platform.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+	}
+}
+
+func joinPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+func countsOf(window int64, counts map[string]int64) map[int64]usage.Counts {
+	return map[int64]usage.Counts{window: counts}
+}
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -24,7 +24,7 @@
 	mu sync.Mutex
 	// fence is 0 while the lease is not held.
 	fence int64
-	// until is when the holder must stop, on the monotonic clock.
+	// until is when the holder must stop, on the clock of Options.Now.
 	until time.Time
 
 	// The fields below belong to the duty's goroutine.
@@ -35,6 +35,10 @@
 	// sentAt is when the acquisition with nonce was sent.
 	sentAt    time.Time
 	freeSince time.Time
+	// seenVersion is the version of the object at the last look, and seenAt when
+	// it was first seen.
+	seenVersion int64
+	seenAt      time.Time
 }
 
 // held returns the fencing token while the holder may act.
@@ -64,7 +68,7 @@
 func (d *duty) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		var wait time.Duration
-		switch _, held := d.held(time.Now()); {
+		switch _, held := d.held(d.now()); {
 		case d.manager.leaving():
 			d.release(ctx)
 			wait = d.manager.options.TTL
@@ -104,29 +108,64 @@
 		// The acquisition took effect although its answer was lost.
 		return d.acquired(version)
 	}
-	storeNow, known := options.Store.Now()
+	expiresIn, known := d.expiresIn(stored, version)
 	if !known {
 		return options.TTL / 4
 	}
-	expiresIn := time.UnixMilli(stored.ExpiresMs).Sub(storeNow)
 	switch {
 	case expiresIn > 0:
 		d.freeSince = time.Time{}
 	case d.freeSince.IsZero():
-		d.freeSince = time.Now()
+		d.freeSince = d.now()
 	}
 	o := observation{rank: d.manager.rank(d.name), ttl: options.TTL, freeSince: d.freeSince, expiresIn: expiresIn}
-	acquire, wait := o.plan(time.Now(), options.MaxInterval)
+	acquire, wait := o.plan(d.now(), options.MaxInterval)
 	if !acquire {
+		if options.Observed && o.rank <= 1 {
+			// The change of a lease is seen at a look only, so the next in line
+			// looks more often than a lease may last.
+			wait = min(wait, options.TTL/2)
+		}
 		return wait
 	}
-	return d.acquire(ctx, version, storeNow)
+	return d.acquire(ctx, version)
+}
+
+// expiresIn returns the time until a lease expires, at most 0 for one that is
+// free. It is not known before the store told its time.
+func (d *duty) expiresIn(stored value, version int64) (left time.Duration, known bool) {
+	options := d.manager.options
+	if !options.Observed {
+		storeNow, known := options.Store.Now()
+		return time.UnixMilli(stored.ExpiresMs).Sub(storeNow), known
+	}
+	if stored.ExpiresMs == 0 {
+		return 0, true
+	}
+	if version != d.seenVersion {
+		d.seenVersion, d.seenAt = version, d.now()
+	}
+	return options.TTL - d.now().Sub(d.seenAt), true
 }
 
-func (d *duty) acquire(ctx context.Context, version int64, storeNow time.Time) time.Duration {
+// expiry returns the end of a lease that is written now, in the store's time. A
+// store that does not tell its time gets the lifetime, which only differs from
+// that of a released lease.
+func (d *duty) expiry() int64 {
 	options := d.manager.options
-	d.nonce, d.sentAt, d.renewals = uuid.NewString(), time.Now(), 0
-	stored, err := d.put(ctx, version, value{Holder: options.Holder, Nonce: d.nonce, ExpiresMs: storeNow.Add(options.TTL).UnixMilli()})
+	if options.Observed {
+		return options.TTL.Milliseconds()
+	}
+	storeNow, _ := options.Store.Now()
+	return storeNow.Add(options.TTL).UnixMilli()
+}
+
+func (d *duty) now() time.Time { return d.manager.options.Now() }
+
+func (d *duty) acquire(ctx context.Context, version int64) time.Duration {
+	options := d.manager.options
+	d.nonce, d.sentAt, d.renewals = uuid.NewString(), d.now(), 0
+	stored, err := d.put(ctx, version, value{Holder: options.Holder, Nonce: d.nonce, ExpiresMs: d.expiry()})
 	if err != nil {
 		options.Scope.Counter("lease_not_acquired").Inc(1)
 		return options.TTL / 4
@@ -137,7 +176,7 @@
 func (d *duty) acquired(version int64) time.Duration {
 	d.version, d.freeSince = version, time.Time{}
 	d.hold(version, d.sentAt)
-	if _, held := d.held(time.Now()); !held {
+	if _, held := d.held(d.now()); !held {
 		// The answer came too late; the lease expires and is sought again.
 		d.drop()
 		d.nonce = ""
@@ -156,8 +195,7 @@
 // until the holder must stop.
 func (d *duty) renew(ctx context.Context) time.Duration {
 	options := d.manager.options
-	storeNow, _ := options.Store.Now()
-	sentAt := time.Now()
+	sentAt := d.now()
 	fence, held := d.held(sentAt)
 	if !held {
 		return 0
@@ -165,7 +203,7 @@
 	d.renewals++
 	stored, err := d.put(ctx, d.version, value{
 		Holder: options.Holder, Nonce: d.nonce, Fence: fence, Renewals: d.renewals,
-		ExpiresMs: storeNow.Add(options.TTL).UnixMilli(),
+		ExpiresMs: d.expiry(),
 	})
 	switch {
 	case err == nil:
@@ -189,7 +227,7 @@
 
 // release gives the lease up so that another daemon can take it at once.
 func (d *duty) release(ctx context.Context) {
-	fence, held := d.held(time.Now())
+	fence, held := d.held(d.now())
 	d.drop()
 	if !held {
 		return
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"time"
 
 	"rattantide/internal/membership"
 )
@@ -82,7 +81,7 @@
 	if d == nil {
 		return 0, false
 	}
-	return d.held(time.Now())
+	return d.held(m.options.Now())
 }
 
 // launch starts the goroutine of a duty. The lock is held.
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -27,6 +27,13 @@
 	// MaxInterval bounds the time between two looks at a lease that another
 	// daemon holds. Default 10 min.
 	MaxInterval time.Duration
+	// Observed is for stores that do not tell their time: a lease then counts as
+	// expired once its object has stayed unchanged for TTL on this daemon's own
+	// clock.
+	Observed bool
+	// Now is the clock of this daemon. It must count the time during which the
+	// process was suspended, if that happens. Default time.Now.
+	Now func() time.Time
 	// Logger receives acquisitions and losses. Default: none.
 	Logger *log.Logger
 	// Scope receives the metrics. Default: none.
@@ -40,6 +47,9 @@
 	if o.MaxInterval == 0 {
 		o.MaxInterval = 10 * time.Minute
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
 	if o.Logger == nil {
 		o.Logger = log.New(io.Discard)
 	}
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -12,7 +12,8 @@
 	// Default 100.
 	SubsetSize int
 	// Grace is how long an instance may be absent from the list before it is
-	// removed. Default 30 s.
+	// removed. Default 30 s; a negative value removes it at once, for lists that
+	// are complete and up to date.
 	Grace time.Duration
 	// EvidenceWindow is the time within which a second crash without an
 	// answered call in between ejects an upstream. Default 5 s.
--- a/internal/objectclient/store.go
+++ b/internal/objectclient/store.go
@@ -19,6 +19,9 @@
 	Name    string          `json:"name"`
 	Version int64           `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
+	// Status is what the system reported about the object, in stores that keep
+	// it apart from the value.
+	Status json.RawMessage `json:"status,omitempty"`
 }
 
 // ObjectList is the content of one kind at a revision.
--- /dev/null
+++ b/internal/peering/node.go
@@ -0,0 +1,330 @@
+package peering
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// round is how often some daemons are asked.
+	round = 250 * time.Millisecond
+	// askEvery is how often each daemon is asked, as far as maxPerRound allows.
+	askEvery = 700 * time.Millisecond
+	// maxPerRound bounds the questions per round, so that the traffic of a daemon
+	// does not grow with their number.
+	maxPerRound = 8
+	// maxUnanswered is how many questions in a row a daemon may leave unanswered;
+	// datagrams are lost now and then.
+	maxUnanswered = 3
+	// minSilence is the least time without an answer after which a daemon counts
+	// as gone.
+	minSilence = 2500 * time.Millisecond
+	// silenceRounds is the same in rounds over all daemons.
+	silenceRounds = 4
+	// forgetAfter is when a daemon that is gone is no longer asked.
+	forgetAfter = 45 * time.Second
+	maxMessage  = 60 << 10
+	maxOthers   = 512
+)
+
+// Options configures a Node. Self, Port, Now and Logger are required.
+type Options struct {
+	// IP is the address to listen on, Port the port of all daemons.
+	IP   string
+	Port int
+	// Self returns this daemon's report.
+	Self func() Report
+	// Received is called with each report of another daemon. sentAt is when the
+	// question that it answers was sent, on the boot clock, so that what the
+	// report calls fresh was so then or later.
+	Received func(r Report, sentAt, receivedAt time.Time)
+	// Changed is called when a daemon appears, changes its state or is gone.
+	Changed func()
+	Now     func() time.Time
+	Logger  *log.Logger
+	Scope   tally.Scope
+}
+
+// Node asks the other daemons and answers them. It is safe for concurrent use.
+type Node struct {
+	opts Options
+	conn *net.UDPConn
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	order  []string
+	next   int
+	number uint64
+	alive  map[string]bool
+}
+
+// New opens the port. Nothing is asked until Run.
+func New(opts Options) (*Node, error) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(opts.IP), Port: opts.Port})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if opts.Port == 0 {
+		opts.Port = conn.LocalAddr().(*net.UDPAddr).Port
+	}
+	return &Node{opts: opts, conn: conn, peers: map[string]*peer{}, alive: map[string]bool{}}, nil
+}
+
+// Add makes daemons known by the addresses of their instances.
+func (n *Node) Add(ips ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, ip := range ips {
+		n.add(ip)
+	}
+}
+
+// add returns the state of a daemon. The lock is held.
+func (n *Node) add(ip string) *peer {
+	if ip == "" || ip == n.opts.IP || net.ParseIP(ip) == nil {
+		return nil
+	}
+	p := n.peers[ip]
+	if p == nil {
+		p = &peer{ip: ip, firstAt: n.opts.Now()}
+		n.peers[ip] = p
+		n.order = append(n.order, ip)
+	}
+	return p
+}
+
+// Peers returns the daemons whose state is known, in order of their names.
+func (n *Node) Peers() []Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Now()
+	silence := n.silence()
+	out := make([]Peer, 0, len(n.peers))
+	for _, p := range n.peers {
+		if p.known {
+			out = append(out, Peer{Report: p.report, Alive: p.alive(now, silence)})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Known returns the number of other daemons that were seen or announced.
+func (n *Node) Known() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers)
+}
+
+// silence is the time without an answer after which a daemon counts as gone. The
+// lock is held.
+func (n *Node) silence() time.Duration {
+	rounds := (len(n.peers) + maxPerRound - 1) / maxPerRound
+	return max(minSilence, time.Duration(rounds)*round*silenceRounds)
+}
+
+// Run asks and answers until ctx ends.
+func (n *Node) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.receive(ctx)
+	}()
+	ticker := time.NewTicker(round)
+	defer ticker.Stop()
+	for {
+		n.ask()
+		select {
+		case <-ctx.Done():
+			n.conn.Close()
+			<-done
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// Announce tells all daemons the present state at once, without waiting for their
+// next question.
+func (n *Node) Announce() {
+	n.mu.Lock()
+	ips := append([]string(nil), n.order...)
+	n.mu.Unlock()
+	for _, ip := range ips {
+		n.question(ip)
+	}
+}
+
+// ask sends the questions of a round.
+func (n *Node) ask() {
+	for _, ip := range n.due() {
+		n.question(ip)
+	}
+	n.notice()
+}
+
+// due returns the daemons to ask now, in turn.
+func (n *Node) due() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Now()
+	n.forget(now)
+	var due []string
+	for range n.order {
+		if len(due) == maxPerRound {
+			break
+		}
+		n.next = (n.next + 1) % len(n.order)
+		p := n.peers[n.order[n.next]]
+		if now.Sub(p.sentAt) >= askEvery {
+			due = append(due, p.ip)
+		}
+	}
+	return due
+}
+
+// forget drops the daemons that have been gone for long. The lock is held.
+func (n *Node) forget(now time.Time) {
+	kept := n.order[:0]
+	for _, ip := range n.order {
+		p := n.peers[ip]
+		last := p.answeredAt
+		if last.IsZero() {
+			last = p.firstAt
+		}
+		if now.Sub(last) > forgetAfter {
+			delete(n.peers, ip)
+			continue
+		}
+		kept = append(kept, ip)
+	}
+	n.order = kept
+	if n.next >= len(n.order) {
+		n.next = 0
+	}
+}
+
+func (n *Node) question(ip string) {
+	n.mu.Lock()
+	p := n.peers[ip]
+	if p == nil {
+		n.mu.Unlock()
+		return
+	}
+	n.number++
+	p.number, p.sentAt = n.number, n.opts.Now()
+	p.unanswered++
+	m := message{Number: p.number, Report: n.opts.Self(), Known: len(n.peers)}
+	n.mu.Unlock()
+	n.send(ip, m)
+}
+
+func (n *Node) send(ip string, m message) {
+	text, err := json.Marshal(m)
+	if err != nil || len(text) > maxMessage {
+		n.opts.Logger.Error("message to a daemon could not be written", "peer", ip, "bytes", len(text), "error", err)
+		return
+	}
+	_, err = n.conn.WriteToUDP(text, &net.UDPAddr{IP: net.ParseIP(ip), Port: n.opts.Port})
+	if err != nil {
+		// The daemon is asked again in the next round.
+		n.opts.Scope.Counter("peer_send_errors").Inc(1)
+	}
+}
+
+func (n *Node) receive(ctx context.Context) {
+	buf := make([]byte, maxMessage)
+	for ctx.Err() == nil {
+		size, from, err := n.conn.ReadFromUDP(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				n.opts.Scope.Counter("peer_receive_errors").Inc(1)
+			}
+			continue
+		}
+		var m message
+		if err := json.Unmarshal(buf[:size], &m); err != nil || m.Report.Name == "" {
+			n.opts.Scope.Counter("peer_bad_messages").Inc(1)
+			continue
+		}
+		n.take(from.IP.String(), &m)
+	}
+}
+
+// take handles a message.
+func (n *Node) take(ip string, m *message) {
+	if !m.Answer {
+		n.answer(ip, m)
+		return
+	}
+	n.mu.Lock()
+	now := n.opts.Now()
+	p := n.peers[ip]
+	if p == nil || p.number != m.Number {
+		n.mu.Unlock()
+		return
+	}
+	sentAt := p.sentAt
+	p.report, p.known, p.answeredAt, p.unanswered = m.Report, true, sentAt, 0
+	for _, other := range m.Others {
+		n.add(other)
+	}
+	n.mu.Unlock()
+	if n.opts.Received != nil {
+		n.opts.Received(m.Report, sentAt, now)
+	}
+	n.notice()
+}
+
+// answer answers a question. A daemon that knows fewer others learns of them.
+func (n *Node) answer(ip string, m *message) {
+	n.mu.Lock()
+	p := n.add(ip)
+	if p != nil && (!p.known || p.report.Process != m.Report.Process || m.Report.Leaving || !m.Report.Ready) {
+		// A state that leads callers away is taken over at once; one that leads
+		// them there waits for an answer to a question.
+		p.report, p.known = m.Report, true
+	}
+	reply := message{Number: m.Number, Answer: true, Report: n.opts.Self(), Known: len(n.peers)}
+	if m.Known < len(n.peers) {
+		reply.Others = n.order[:min(len(n.order), maxOthers)]
+		reply.Others = append([]string(nil), reply.Others...)
+	}
+	n.mu.Unlock()
+	n.send(ip, reply)
+	n.notice()
+}
+
+// notice calls Changed when the set of daemons that are alive and ready changed.
+func (n *Node) notice() {
+	n.mu.Lock()
+	now := n.opts.Now()
+	silence := n.silence()
+	alive := map[string]bool{}
+	for _, p := range n.peers {
+		if p.alive(now, silence) && !p.report.Leaving {
+			alive[p.report.Name+" "+p.report.CallerAddress] = p.report.Ready
+		}
+	}
+	same := len(alive) == len(n.alive)
+	for name, ready := range alive {
+		before, known := n.alive[name]
+		same = same && known && before == ready
+	}
+	n.alive = alive
+	n.mu.Unlock()
+	if !same {
+		n.opts.Logger.Info("daemons changed", "alive", len(alive))
+		if n.opts.Changed != nil {
+			n.opts.Changed()
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstreamconn/request.go
@@ -0,0 +1,49 @@
+package upstreamconn
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+)
+
+// Request is a call as it is to be sent.
+type Request struct {
+	Method string
+	// Target is the path and query as the caller sent them.
+	Target string
+	Host   string
+	// Header holds no header that concerns only one connection.
+	Header http.Header
+	// Body is the whole body; HasBody tells an empty one from none.
+	Body    []byte
+	HasBody bool
+}
+
+// append encodes the request's head.
+func (r *Request) append(buf []byte) []byte {
+	buf = append(buf, r.Method...)
+	buf = append(buf, ' ')
+	buf = append(buf, r.Target...)
+	buf = append(buf, " HTTP/1.1\r\nHost: "...)
+	buf = append(buf, r.Host...)
+	buf = append(buf, "\r\n"...)
+	names := make([]string, 0, len(r.Header))
+	for name := range r.Header {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		for _, value := range r.Header[name] {
+			buf = append(buf, name...)
+			buf = append(buf, ": "...)
+			buf = append(buf, value...)
+			buf = append(buf, "\r\n"...)
+		}
+	}
+	if r.HasBody {
+		buf = append(buf, "Content-Length: "...)
+		buf = strconv.AppendInt(buf, int64(len(r.Body)), 10)
+		buf = append(buf, "\r\n"...)
+	}
+	return append(buf, "\r\n"...)
+}
