Follow the settings file, on SIGHUP and without a signal

The file is read again on the signal and every 5 s; bounds and seeds take effect at once, addresses need a restart, a file with findings changes nothing.

--- a/internal/admission/repeat_budget.go
+++ b/internal/admission/repeat_budget.go
@@ -17,10 +17,9 @@
 // own first attempts and its part of the fixed number. It is safe for concurrent
 // use.
 type RepeatBudget struct {
-	// Share is the share of requests that may be repeated.
-	Share float64
-	// Fixed returns this daemon's part of the fixed number of repeats.
-	Fixed func() float64
+	// Bound returns the share of requests that may be repeated, and this daemon's
+	// part of the fixed number of repeats. Both may change.
+	Bound func() (share, fixed float64)
 	// Window is the length of the sliding window.
 	Window time.Duration
 	// Now is the clock.
@@ -79,7 +78,8 @@
 		firsts += s.firsts
 		repeats += s.repeats
 	}
-	if repeats+1 > repeatMargin*(b.Share*firsts+b.Fixed()) {
+	share, fixed := b.Bound()
+	if repeats+1 > repeatMargin*(share*firsts+fixed) {
 		return false
 	}
 	w.slots[at].repeats++
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -43,7 +43,9 @@
 
 // Daemon is one daemon of a deployment. Run must be called once.
 type Daemon struct {
+	// settings are those of the start; bounds follow the settings file.
 	settings *platform.Settings
+	bounds   atomic.Pointer[platform.Bounds]
 	logger   *log.Logger
 	scope    tally.Scope
 	metrics  http.Handler
@@ -78,6 +80,7 @@
 func New(s *platform.Settings, logger *log.Logger) (*Daemon, error) {
 	scope, metrics, closer := telemetry.NewScope()
 	d := &Daemon{settings: s, logger: logger, scope: scope, metrics: metrics, closer: closer, process: uuid.NewString()[:8]}
+	d.bounds.Store(&s.Bound)
 	if err := d.listen(); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -147,12 +150,20 @@
 		return errors.Annotate(err, "listen for daemons")
 	}
 	d.peers = peers
-	for _, seed := range s.Seeds {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			peers.Add(host)
+	d.addSeeds(s.Seeds)
+	return nil
+}
+
+// addSeeds makes the daemons known that the settings name.
+func (d *Daemon) addSeeds(seeds []string) {
+	for _, seed := range seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			d.logger.Warn("seed is not an address", "seed", seed, "error", err)
+			continue
 		}
+		d.peers.Add(host)
 	}
-	return nil
 }
 
 // buildDuties builds what one daemon at a time does for all.
@@ -166,16 +177,22 @@
 
 // buildRequestPath builds what a caller's request passes through.
 func (d *Daemon) buildRequestPath() {
-	bound := d.settings.Bound
 	d.trackers = &routing.Trackers{}
 	d.admission = admission.New(admission.Options{Scope: d.scope})
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	d.quota = quota.NewKeeper(quota.Options{
-		Part: d.part, Window: bound.QuotaWindow, Overshoot: bound.QuotaOvershoot, Slack: bound.QuotaSlack, Now: bootclock.Now,
+		Part: d.part, Now: bootclock.Now,
+		Bound: func() quota.Bound {
+			b := d.bounds.Load()
+			return quota.Bound{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
+		},
 	})
 	repeats := &admission.RepeatBudget{
-		Share: bound.RetryShare, Window: bound.RetryWindow, Now: time.Now,
-		Fixed: func() float64 { return bound.RetrySlack * d.part() },
+		Window: d.settings.Bound.RetryWindow, Now: time.Now,
+		Bound: func() (share, fixed float64) {
+			b := d.bounds.Load()
+			return b.RetryShare, b.RetrySlack * d.part()
+		},
 	}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: &viewSource{holder: d.holder}, Table: d.table, Admission: d.admission, Trackers: d.trackers,
@@ -183,7 +200,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: dispatcher, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, KeysValidFor: bound.RevokeWithin - keyMargin,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, Leaving: d.leaving.Load,
 	})
 }
@@ -191,6 +208,9 @@
 // part returns this daemon's part of what all daemons share.
 func (d *Daemon) part() float64 { return 1 / float64(1+d.peers.Known()) }
 
+// keysValidFor returns how long keys hold without a confirmation.
+func (d *Daemon) keysValidFor() time.Duration { return d.bounds.Load().RevokeWithin - keyMargin }
+
 // connLimit returns the bound on connections to one upstream of a service.
 func (d *Daemon) connLimit(s *fleetconfig.Service) int {
 	if s.MaxConns <= 0 {
@@ -205,5 +225,5 @@
 		return false
 	}
 	config, confirmedAt := d.holder.Current()
-	return config != nil && bootclock.Now().Sub(confirmedAt) < d.settings.Bound.RevokeWithin
+	return config != nil && bootclock.Now().Sub(confirmedAt) < d.bounds.Load().RevokeWithin
 }
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -43,6 +43,7 @@
 	parts.Go(func() error { return d.leases.Run(work) })
 	parts.Go(func() error { return d.register(work) })
 	parts.Go(func() error { return d.housekeeping(work) })
+	parts.Go(func() error { return d.followSettings(work) })
 	d.startDuties(work, parts)
 	servers := d.startServers(parts)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -23,7 +23,7 @@
 		return refuseFor(http.StatusServiceUnavailable, "no configuration yet", startRetryAfter)
 	}
 	x.config, x.configAge = config, s.opts.BootNow().Sub(confirmedAt)
-	fresh := x.configAge < s.opts.KeysValidFor
+	fresh := x.configAge < s.opts.KeysValidFor()
 	x.route = config.Route(x.request.Host, x.request.URL.Path)
 	if x.route == nil {
 		if !fresh {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -43,9 +43,9 @@
 	Quota     Quota
 	Usage     Usage
 	Loads     Loads
-	// KeysValidFor is how long keys may be accepted after the configuration was
-	// last confirmed as the newest one.
-	KeysValidFor time.Duration
+	// KeysValidFor returns how long keys may be accepted after the configuration
+	// was last confirmed as the newest one.
+	KeysValidFor func() time.Duration
 	// Logger receives a line for each request. Required.
 	Logger *log.Logger
 	Scope  tally.Scope
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -21,15 +21,20 @@
 	maxAfter = 5 * time.Second
 )
 
+// Bound says by how much all daemons together may exceed a quota: by a share of
+// what it allows per window, and by a fixed cost.
+type Bound struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
 // Options configures a Keeper. All fields are required.
 type Options struct {
 	// Part returns this daemon's part of each quota, 0 to 1.
 	Part func() float64
-	// Window, Overshoot and Slack say by how much all daemons together may exceed
-	// a quota: a share of, and a fixed cost above, what it allows per window.
-	Window    time.Duration
-	Overshoot float64
-	Slack     float64
+	// Bound returns by how much a quota may be exceeded; it may change.
+	Bound func() Bound
 	// Now is the clock that counts suspensions.
 	Now func() time.Time
 }
@@ -85,7 +90,8 @@
 // refill brings the workspace's bucket up to date. The lock is held.
 func (k *Keeper) refill(w *fleetconfig.Workspace) (b *bucket, rate, capacity float64) {
 	part := k.opts.Part()
-	extra := extraShare * (k.opts.Overshoot*(w.Rate*k.opts.Window.Seconds()+w.Burst) + k.opts.Slack)
+	bound := k.opts.Bound()
+	extra := extraShare * (bound.Overshoot*(w.Rate*bound.Window.Seconds()+w.Burst) + bound.Slack)
 	rate = w.Rate * part
 	capacity = (w.Burst + extra) * part
 	now := k.opts.Now()
