Order upstreams: some on demand, more of them reclaimable

The holder of the duties now orders for each failure domain; the target follows the share of late requests.

--- /dev/null
+++ b/internal/autoscale/controller.go
@@ -0,0 +1,126 @@
+package autoscale
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/fleetconfig"
+	"rattantide/internal/membership"
+)
+
+// reconcileEvery is how often the services are looked at.
+const reconcileEvery = 500 * time.Millisecond
+
+// Sender sends an order under a fencing token.
+type Sender interface {
+	OrderUpstreams(ctx context.Context, fence int64, service, domain string, count int, reclaimable bool) error
+}
+
+// Options configures a Controller. All fields are required.
+type Options struct {
+	Config *fleetconfig.Holder
+	Sender Sender
+	// Upstreams returns all known upstreams, leaving ones too.
+	Upstreams func() []membership.Instance
+	// Lateness returns the share of recent requests to a service that were late
+	// or nearly so, and their number.
+	Lateness func(service string) (share float64, requests int)
+	// Held returns the fencing token while this daemon has the duty.
+	Held   func() (fence int64, ok bool)
+	Now    func() time.Time
+	Logger *log.Logger
+	Scope  tally.Scope
+}
+
+// Controller orders upstreams while this daemon holds the duty.
+type Controller struct {
+	opts     Options
+	fence    int64
+	planners map[string]*Planner
+}
+
+// New returns a Controller.
+func New(opts Options) *Controller { return &Controller{opts: opts} }
+
+// Run reconciles until ctx ends.
+func (c *Controller) Run(ctx context.Context) error {
+	ticker := time.NewTicker(reconcileEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			c.reconcile(ctx)
+		}
+	}
+}
+
+func (c *Controller) reconcile(ctx context.Context) {
+	fence, ok := c.opts.Held()
+	config, _ := c.opts.Config.Current()
+	if !ok || config == nil {
+		c.planners = nil
+		return
+	}
+	if fence != c.fence || c.planners == nil {
+		// What an earlier holder ordered is not known.
+		c.fence, c.planners = fence, map[string]*Planner{}
+	}
+	upstreams := c.opts.Upstreams()
+	for name, service := range config.Services {
+		if service.Autoscale == nil {
+			continue
+		}
+		planner := c.planners[name]
+		if planner == nil {
+			planner = NewPlanner()
+			c.planners[name] = planner
+		}
+		observed := observe(service, upstreams, c.opts.Now())
+		observed.Late, observed.Requests = c.opts.Lateness(name)
+		for _, order := range planner.Plan(observed) {
+			c.send(ctx, fence, name, planner, order, observed)
+		}
+	}
+}
+
+// observe counts the upstreams of a service that serve.
+func observe(service *fleetconfig.Service, upstreams []membership.Instance, now time.Time) *Observed {
+	o := &Observed{Bounds: service.Autoscale, Live: map[Place]int{}, Now: now}
+	for _, u := range upstreams {
+		if u.Pool != service.Name || u.State != membership.StateLive {
+			continue
+		}
+		kind := OnDemand
+		if u.Class == membership.Reclaimable {
+			kind = Reclaimable
+		}
+		o.Live[Place{u.Domain, kind}]++
+	}
+	return o
+}
+
+func (c *Controller) send(ctx context.Context, fence int64, service string, planner *Planner, order Order, o *Observed) {
+	// The lease may have ended while an earlier order was on its way.
+	if now, ok := c.opts.Held(); !ok || now != fence {
+		return
+	}
+	reclaimable := order.Kind == Reclaimable
+	err := c.opts.Sender.OrderUpstreams(ctx, fence, service, order.Domain, order.Count, reclaimable)
+	fields := []any{
+		"service", service, "domain", order.Domain, "count", order.Count, "reclaimable", reclaimable, "fence", fence,
+		"live", o.Live[order.Place], "target", planner.Target(), "late", o.Late, "requests", o.Requests,
+	}
+	if err != nil {
+		planner.Refused(order, c.opts.Now())
+		c.opts.Scope.Counter("orders_refused").Inc(1)
+		c.opts.Logger.Warn("order of upstreams was not carried out", append(fields, "error", err)...)
+		return
+	}
+	c.opts.Scope.Counter("orders_sent").Inc(1)
+	c.opts.Logger.Info("ordered upstreams", fields...)
+}
--- /dev/null
+++ b/internal/autoscale/state.go
@@ -0,0 +1,54 @@
+package autoscale
+
+import (
+	"time"
+
+	"rattantide/internal/fleetconfig"
+)
+
+// Kind tells whether upstreams can be reclaimed.
+type Kind int
+
+// The kinds of upstreams.
+const (
+	OnDemand Kind = iota
+	Reclaimable
+)
+
+// Place is a kind of upstreams in a failure domain.
+type Place struct {
+	Domain string
+	Kind   Kind
+}
+
+// Order asks for a number of upstreams.
+type Order struct {
+	Place
+	Count int
+}
+
+// Observed is what is known of a service now.
+type Observed struct {
+	Bounds *fleetconfig.Autoscale
+	// Live are the upstreams that serve, by place.
+	Live map[Place]int
+	// Late is the share of recent requests whose first answer took more than
+	// lateShare of its target; Requests is their number.
+	Late     float64
+	Requests int
+	Now      time.Time
+}
+
+// total returns all upstreams that serve.
+func (o *Observed) total() int {
+	n := 0
+	for _, count := range o.Live {
+		n += count
+	}
+	return n
+}
+
+// live returns the upstreams of both kinds in a failure domain.
+func (o *Observed) live(domain string) int {
+	return o.Live[Place{domain, OnDemand}] + o.Live[Place{domain, Reclaimable}]
+}
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -14,6 +14,7 @@
 	Workspaces []*Workspace
 	Limits     Limits
 
+	byName map[string]*Route
 	byHost map[string][]*Route
 	byKey  map[string]*Workspace
 }
@@ -22,7 +23,9 @@
 // shared.
 func (c *Config) Index() {
 	c.byHost = map[string][]*Route{}
+	c.byName = map[string]*Route{}
 	for _, r := range c.Routes {
+		c.byName[r.Name] = r
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
 	}
 	for _, routes := range c.byHost {
@@ -53,6 +56,9 @@
 	return nil
 }
 
+// RouteNamed returns a route by name, or nil.
+func (c *Config) RouteNamed(name string) *Route { return c.byName[name] }
+
 // WorkspaceOf returns the workspace that holds a key, or nil.
 func (c *Config) WorkspaceOf(key string) *Workspace { return c.byKey[key] }
 
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -65,6 +65,7 @@
 	counter   *usage.Counter
 	ledger    *usage.Ledger
 	leases    *lease.Manager
+	lateness  *lateness
 	gateway   *gateway.Server
 	config    *fleetsync.ConfigSync
 	upstreams *fleetsync.UpstreamSync
@@ -178,6 +179,7 @@
 // buildRequestPath builds what a caller's request passes through.
 func (d *Daemon) buildRequestPath() {
 	d.trackers = &routing.Trackers{}
+	d.lateness = newLateness(d.holder, time.Now)
 	d.admission = admission.New(admission.Options{Scope: d.scope})
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	d.quota = quota.NewKeeper(quota.Options{
@@ -196,7 +198,7 @@
 	}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: &viewSource{holder: d.holder}, Table: d.table, Admission: d.admission, Trackers: d.trackers,
-		Evidence: evidence{d.table}, Repeats: repeats, Scope: d.scope,
+		Evidence: evidence{d.table}, Observer: d.lateness, Repeats: repeats, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: dispatcher, Conns: d.conns, ConnLimit: d.connLimit,
--- /dev/null
+++ b/internal/fleetdaemon/lateness.go
@@ -0,0 +1,87 @@
+package fleetdaemon
+
+import (
+	"sync"
+	"time"
+
+	"rattantide/internal/dispatch"
+	"rattantide/internal/fleetconfig"
+)
+
+const (
+	// latenessWindow is the time over which late requests are counted.
+	latenessWindow = 4 * time.Second
+	// lateShare is the part of a target above which a request counts as late: a
+	// service must grow before targets are missed.
+	lateShare = 0.7
+)
+
+// lateness keeps the share of late requests per service. It implements
+// dispatch.Observer and is safe for concurrent use.
+type lateness struct {
+	holder *fleetconfig.Holder
+	now    func() time.Time
+
+	mu       sync.Mutex
+	services map[string][]latenessSample
+}
+
+type latenessSample struct {
+	at   time.Time
+	late bool
+}
+
+func newLateness(holder *fleetconfig.Holder, now func() time.Time) *lateness {
+	return &lateness{holder: holder, now: now, services: map[string][]latenessSample{}}
+}
+
+// Observe implements dispatch.Observer.
+func (l *lateness) Observe(o dispatch.Observation) {
+	if o.Outcome != dispatch.StatusOK && o.Outcome != dispatch.StatusTimeout && o.Outcome != dispatch.StatusBusy {
+		return
+	}
+	config, _ := l.holder.Current()
+	if config == nil {
+		return
+	}
+	route := config.RouteNamed(o.Route)
+	if route == nil || route.Target <= 0 {
+		return
+	}
+	took := o.Queued + o.Total
+	if route.Kind == fleetconfig.Stream {
+		took = o.Queued + o.FirstToken
+	}
+	late := o.Outcome != dispatch.StatusOK || float64(took) > lateShare*float64(route.Target)
+	now := l.now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.services[o.Pool] = append(l.recent(o.Pool, now), latenessSample{at: now, late: late})
+}
+
+// recent drops the samples that are too old. The lock is held.
+func (l *lateness) recent(service string, now time.Time) []latenessSample {
+	samples := l.services[service]
+	for len(samples) > 0 && now.Sub(samples[0].at) > latenessWindow {
+		samples = samples[1:]
+	}
+	return samples
+}
+
+// Share returns the share of late requests to a service, and their number.
+func (l *lateness) Share(service string) (share float64, requests int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	samples := l.recent(service, l.now())
+	l.services[service] = samples
+	late := 0
+	for _, s := range samples {
+		if s.late {
+			late++
+		}
+	}
+	if len(samples) == 0 {
+		return 0, 0
+	}
+	return float64(late) / float64(len(samples)), len(samples)
+}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -10,7 +10,9 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
+	"rattantide/internal/membership"
 	"rattantide/internal/usage"
 	"rattantide/platform"
 )
@@ -83,6 +85,21 @@
 		})
 		parts.Go(func() error { return reporter.Run(ctx) })
 	}
+	if d.settings.Cloud.OrdersRunners {
+		controller := autoscale.New(autoscale.Options{
+			Config: d.holder, Sender: d.cloud, Upstreams: d.knownUpstreams, Lateness: d.lateness.Share, Held: d.held,
+			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		})
+		parts.Go(func() error { return controller.Run(ctx) })
+	}
+}
+
+// knownUpstreams returns the upstreams as the store lists them.
+func (d *Daemon) knownUpstreams() []membership.Instance {
+	if upstreams := d.instances.Load(); upstreams != nil {
+		return *upstreams
+	}
+	return nil
 }
 
 // held returns the fencing token while this daemon has the duties.
@@ -141,10 +158,8 @@
 		case <-ticker.C:
 		}
 		known := map[string]bool{}
-		if upstreams := d.instances.Load(); upstreams != nil {
-			for _, u := range *upstreams {
-				known[u.Address] = true
-			}
+		for _, u := range d.knownUpstreams() {
+			known[u.Address] = true
 		}
 		d.conns.Sweep(func(address string) bool { return known[address] })
 		d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
