Hold work back while first answers come late

The limit on open attempts never bound, as prompts differ too much. The work limit bounds the prompt work without a first answer by the median time to the first answer; who cannot start in time is refused at once. Ruled out: more upstreams (none are to be had for 14 s).

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -35,6 +35,9 @@
 	if opts.MaxPerWorkspace <= 0 {
 		opts.MaxPerWorkspace = DefaultMaxPerWorkspace
 	}
+	if opts.MinRetryAfter <= 0 {
+		opts.MinRetryAfter = minRetryAfter
+	}
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -93,12 +96,12 @@
 		return
 	}
 	p.ticking = true
-	time.AfterFunc(limitWindow, func() {
+	time.AfterFunc(p.lookEvery(), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		p.ticking = false
 		now := c.opts.Now()
-		p.limit.tick(now)
+		p.tick(now)
 		c.sweep(p, now)
 		c.start(p)
 		c.tickLater(p)
@@ -136,7 +139,7 @@
 		return c.releaser(w.req), nil
 	case w.granted:
 		// The place was granted while the caller gave up.
-		p.left(false)
+		p.left(&w.req, false, now)
 		c.start(p)
 	case w.queue.position(w) >= 0:
 		w.retryAfter = p.advise(p.expectedWait(p.class(&w.req), &w.req))
@@ -153,7 +156,7 @@
 func (c *Controller) Enter(r Request) func(Outcome) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pool(r.Pool).enter(c.opts.Now())
+	c.pool(r.Pool).enter(&r, c.opts.Now())
 	return c.releaser(r)
 }
 
@@ -201,7 +204,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pool(name)
-	p.limit.upstreams(n)
+	p.upstreams(n)
 	now := c.opts.Now()
 	p.reported(running, waiting, now)
 	c.sweep(p, now)
@@ -276,6 +279,10 @@
 	p := c.pools[name]
 	if p == nil {
 		p = newPool(c.opts.MaxWaiting, c.opts.MaxPerWorkspace)
+		p.minRetryAfter = c.opts.MinRetryAfter
+		if c.opts.LimitWork {
+			p.work = newWorkLimit()
+		}
 		c.pools[name] = p
 	}
 	return p
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -35,6 +35,9 @@
 	maxWaiting      int
 	maxPerWorkspace int
 	limit           limit
+	// work is nil unless work is held back while first answers come late.
+	work          *workLimit
+	minRetryAfter time.Duration
 	// ticking says that a look at the limit is scheduled.
 	ticking  bool
 	inFlight int
@@ -57,7 +60,7 @@
 }
 
 func newPool(maxWaiting, maxPerWorkspace int) *pool {
-	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), service: map[string]*serviceTime{}}
+	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), service: map[string]*serviceTime{}, minRetryAfter: minRetryAfter}
 }
 
 func (p *pool) class(r *Request) *classQueue {
@@ -72,8 +75,11 @@
 }
 
 // enter takes a place without regard to the limit.
-func (p *pool) enter(now time.Time) {
+func (p *pool) enter(r *Request, now time.Time) {
 	p.inFlight++
+	if p.work != nil {
+		p.work.sent(r.cost(), r.FirstTarget)
+	}
 	p.unanswered.started(now)
 	p.limit.started(p.inFlight)
 }
@@ -81,20 +87,20 @@
 // arrive admits a request at once, queues it, or refuses it with the rule and
 // the advised delay. The displaced waiter, if any, must be told by the caller.
 func (p *pool) arrive(r *Request, now time.Time) (w, displaced *waiter, rule Rule, retryAfter time.Duration) {
-	p.limit.tick(now)
+	p.tick(now)
 	service := p.expectedService(r)
-	if p.waiting == 0 && p.inFlight < p.limit.current() {
+	if p.waiting == 0 && p.free() {
 		// A new request may use a free place whatever is expected, so that wrong
 		// expectations are corrected.
 		if returned := !r.AcceptedAt.IsZero() && now.Sub(r.AcceptedAt) > limitWindow; returned && late(r, service, now) {
-			return nil, nil, RuleShed, minRetryAfter
+			return nil, nil, RuleShed, p.minRetryAfter
 		}
-		p.enter(now)
+		p.enter(r, now)
 		return nil, nil, RuleAdmitted, 0
 	}
 	q := p.class(r)
 	wait := p.expectedWait(q, r)
-	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) {
+	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) || !r.FirstBy.IsZero() && now.Add(wait).After(p.startBy(r)) {
 		return nil, nil, RuleShed, p.advise(wait)
 	}
 	if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace {
@@ -110,6 +116,11 @@
 	if !r.Deadline.IsZero() {
 		w.latest = r.Deadline.Add(-service)
 	}
+	if !r.FirstBy.IsZero() {
+		if by := p.startBy(r); w.latest.IsZero() || by.Before(w.latest) {
+			w.latest = by
+		}
+	}
 	q.push(w)
 	p.waiting++
 	return w, displaced, "", 0
@@ -152,16 +163,16 @@
 // less, or not known.
 func (p *pool) grant(now time.Time) []*waiter {
 	var decided []*waiter
-	for p.waiting > 0 && p.inFlight < p.limit.current() {
+	for p.waiting > 0 && p.free() {
 		w := p.nextClass().pop()
 		p.waiting--
 		decided = append(decided, w)
-		if late(&w.req, p.expectedService(&w.req), now) {
-			w.refusedBy, w.retryAfter = RuleShed, minRetryAfter
+		if late(&w.req, p.expectedService(&w.req), now) || !w.latest.IsZero() && now.After(w.latest) {
+			w.refusedBy, w.retryAfter = RuleShed, p.minRetryAfter
 			continue
 		}
 		p.grants++
-		p.enter(now)
+		p.enter(&w.req, now)
 		w.granted = true
 	}
 	return decided
@@ -190,7 +201,14 @@
 
 func (p *pool) ended(r *Request, o Outcome, now time.Time) {
 	p.limit.ended(r, o, p.inFlight, now)
-	p.left(o.FirstReported)
+	if p.work != nil && !o.FirstReported {
+		took := o.First
+		if !o.OK {
+			took = 0
+		}
+		p.work.answered(r.cost(), r.FirstTarget, took, now)
+	}
+	p.leave(o.FirstReported)
 	if !o.OK || o.Total <= 0 {
 		return
 	}
@@ -212,8 +230,50 @@
 	s.observe(total, learnShare)
 }
 
-// left frees a place.
-func (p *pool) left(answered bool) {
+// left frees the place of a request that was not sent after all.
+func (p *pool) left(r *Request, answered bool, now time.Time) {
+	if p.work != nil {
+		p.work.answered(r.cost(), r.FirstTarget, 0, now)
+	}
+	p.leave(answered)
+}
+
+// free reports whether another request may start.
+func (p *pool) free() bool {
+	return p.inFlight < p.limit.current() && (p.work == nil || p.work.free())
+}
+
+// tick brings the limits up to date.
+func (p *pool) tick(now time.Time) {
+	p.limit.tick(now)
+	if p.work != nil {
+		p.work.tick(p.unanswered.age(now), now)
+	}
+}
+
+// lookEvery is how often the limits are looked at while requests wait.
+func (p *pool) lookEvery() time.Duration {
+	if p.work != nil {
+		return workEvery
+	}
+	return limitWindow
+}
+
+// upstreams takes over the number of usable upstreams.
+func (p *pool) upstreams(n int) {
+	p.limit.upstreams(n)
+	if p.work != nil {
+		p.work.pool(n)
+	}
+}
+
+// startBy returns when a request must start for its first answer to be on time.
+func (p *pool) startBy(r *Request) time.Time {
+	return r.FirstBy.Add(-time.Duration(startMargin * float64(r.FirstTarget)))
+}
+
+// leave frees a place.
+func (p *pool) leave(answered bool) {
 	p.inFlight--
 	if !answered {
 		p.unanswered.answered()
@@ -231,6 +291,9 @@
 // firstToken takes the time to the first token of an open attempt into account.
 func (p *pool) firstToken(r *Request, first time.Duration, now time.Time) {
 	p.unanswered.answered()
+	if p.work != nil {
+		p.work.answered(r.cost(), r.FirstTarget, first, now)
+	}
 	p.limit.first(r, first, p.inFlight, now)
 	if delay := delayOf(r, first); !p.outdated(delay, now.Add(-first)) {
 		p.delay.observe(delay.Seconds(), delayShare)
@@ -291,12 +354,15 @@
 // waitBehind estimates the time until this much work has started. What is open
 // beyond the limit ends first.
 func (p *pool) waitBehind(cost float64) time.Duration {
+	if p.work != nil {
+		return p.work.wait(cost)
+	}
 	requests := cost/p.meanCost + max(0, float64(p.inFlight)-p.limit.value)
 	return time.Duration(requests * p.meanTotal / max(1, p.limit.value) * float64(time.Second))
 }
 
 func (p *pool) advise(wait time.Duration) time.Duration {
-	return min(max(wait, minRetryAfter), maxRetryAfter)
+	return min(max(wait, p.minRetryAfter), maxRetryAfter)
 }
 
 // holding names the rule that keeps a waiter waiting.
--- a/internal/admission/pool_test.go
+++ b/internal/admission/pool_test.go
@@ -114,7 +114,7 @@
 		r := Request{Class: "c", Workspace: "w", FirstTarget: time.Second, Within: 0.95}
 		for i := range 200 {
 			for p.inFlight < p.limit.current() {
-				p.enter(start)
+				p.enter(&Request{}, start)
 			}
 			took := latency(p.inFlight)
 			now = now.Add(max(took, limitWindow))
@@ -224,7 +224,7 @@
 	r := Request{Class: "c", FirstTarget: time.Second, Within: 0.95}
 	begun := p.limit.current()
 	for range begun {
-		p.enter(start)
+		p.enter(&Request{}, start)
 	}
 	now := start.Add(50 * time.Millisecond)
 	p.reported(4, 4, now)
@@ -233,7 +233,7 @@
 	}
 	assert.Equal(t, p.limit.current(), 2*begun)
 	for range begun {
-		p.enter(now)
+		p.enter(&Request{}, now)
 	}
 	p.reported(begun, begun, now.Add(2*queueDelay))
 	assert.Equal(t, p.limit.current(), begun)
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -18,6 +18,9 @@
 	AcceptedAt time.Time
 	// Deadline bounds the whole answer. Zero means none.
 	Deadline time.Time
+	// FirstBy is when the first answer is due; a request that cannot have it by
+	// then is refused at once. Zero means that only Deadline counts.
+	FirstBy time.Time
 	// FirstTarget and GapTarget are the class's targets to the first token (or
 	// the whole answer of a service) and between tokens; 0 means none.
 	FirstTarget time.Duration
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -128,6 +128,9 @@
 // budgets. Moved attempts consume no budget.
 func (d *Dispatcher) enter(ctx context.Context, class *api.Class, r *Request) (func(admission.Outcome), error) {
 	ar := admissionRequest(class, r)
+	if d.opts.FirstInTime && ar.FirstTarget > 0 {
+		ar.FirstBy = r.AcceptedAt.Add(ar.FirstTarget)
+	}
 	if r.Attempt <= 1 {
 		if d.opts.Repeats != nil {
 			d.opts.Repeats.First(r.Pool)
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -32,6 +32,9 @@
 	// Repeats, when set, replaces the budgets of the classes: each attempt after
 	// the first draws on it.
 	Repeats Repeats
+	// FirstInTime makes requests that cannot have their first answer within its
+	// target be refused at once, instead of late answers for all.
+	FirstInTime bool
 	// UpstreamWait replaces DefaultUpstreamWait.
 	UpstreamWait time.Duration
 	// Scope receives the metrics. Default none.
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -36,6 +36,8 @@
 	// dutyTTL is the lifetime of that lease; a holder that is gone delays usage
 	// reports by about this time, and renewals are calls of the store.
 	dutyTTL = 6 * time.Second
+	// minRetryAfter is the least delay that refused callers are advised.
+	minRetryAfter = 150 * time.Millisecond
 	// keyMargin is subtracted from the time for which keys hold without a
 	// confirmation, for the way of a request.
 	keyMargin = 500 * time.Millisecond
@@ -188,7 +190,7 @@
 func (d *Daemon) buildRequestPath() {
 	d.trackers = &routing.Trackers{}
 	d.lateness = newLateness(d.holder, time.Now)
-	d.admission = admission.New(admission.Options{Scope: d.scope})
+	d.admission = admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	d.quota = quota.NewKeeper(quota.Options{
 		Part: d.part, Now: bootclock.Now,
@@ -206,7 +208,7 @@
 	}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: &viewSource{holder: d.holder}, Table: d.table, Admission: d.admission, Trackers: d.trackers,
-		Evidence: evidence{d.table}, Observer: d.lateness, Repeats: repeats, Scope: d.scope,
+		Evidence: evidence{d.table}, Observer: d.lateness, Repeats: repeats, FirstInTime: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: dispatcher, Conns: d.conns, ConnLimit: d.connLimit,
