Let three daemons read the store, and keep quotas in one pool

Three daemons, by rendezvous hashing, read the store; the others hear from them how fresh their configuration is and which upstreams changed, and read for themselves when they hear nothing. The holder of the duties keeps a pool of each quota; daemons that cannot ask it have a fixed part, which the pool leaves out.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -65,6 +65,7 @@
 	admission *admission.Controller
 	trackers  *routing.Trackers
 	quota     *quota.Keeper
+	quotaPool *quota.Pool
 	counter   *usage.Counter
 	ledger    *usage.Ledger
 	leases    *lease.Manager
@@ -96,6 +97,7 @@
 		return nil, errors.Trace(err)
 	}
 	d.buildDuties()
+	d.buildQuota()
 	d.buildRequestPath()
 	return d, nil
 }
@@ -137,10 +139,10 @@
 	d.table = membership.NewTable(self, membership.Options{Grace: -1, Scope: d.scope})
 	d.config = fleetsync.NewConfigSync(fleetsync.ConfigOptions{
 		Store: d.store, Kind: platform.ConfigKind, Name: platform.ConfigName, Decode: platform.DecodeConfig,
-		Holder: d.holder, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		Holder: d.holder, Direct: d.direct, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
 	d.upstreams = fleetsync.NewUpstreamSync(fleetsync.UpstreamOptions{
-		Store: d.store, Kind: platform.UpstreamKind, Decode: decodeInstance(s.Region), Apply: d.applyUpstreams,
+		Store: d.store, Kind: platform.UpstreamKind, Decode: decodeInstance(s.Region), Direct: d.direct, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
 	d.counter = usage.NewCounter(s.Bound.UsageWindow, d.clock.Now)
@@ -150,7 +152,8 @@
 func (d *Daemon) buildPeers() error {
 	s := d.settings
 	peers, err := peering.New(peering.Options{
-		IP: s.IP, Port: s.PeerPort, Self: d.report, Received: d.received, Changed: d.applyMembers,
+		IP: s.IP, Port: s.PeerPort, Name: s.Name, Self: d.report, Received: d.received, Asked: d.asked,
+		Feed: d.upstreams.Feed, Called: d.called, Important: d.important, Changed: d.applyMembers,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
 	if err != nil {
@@ -186,19 +189,26 @@
 	d.leases.Want(dutyLease)
 }
 
+// buildQuota builds what holds workspaces to their quotas.
+func (d *Daemon) buildQuota() {
+	bound := func() quota.Bound {
+		b := d.bounds.Load()
+		return quota.Bound{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
+	}
+	d.quotaPool = quota.NewPool(quota.PoolOptions{
+		Daemons: func() int { return 1 + d.peers.Known() }, Bound: bound, Now: bootclock.Now,
+	})
+	d.quota = quota.NewKeeper(quota.Options{
+		Part: d.part, Bound: bound, Pool: d.quotaPool, Held: d.held, Source: quotaSource{d.peers}, Now: bootclock.Now,
+	})
+}
+
 // buildRequestPath builds what a caller's request passes through.
 func (d *Daemon) buildRequestPath() {
 	d.trackers = &routing.Trackers{}
 	d.lateness = newLateness(d.holder, time.Now)
 	d.admission = admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
-	d.quota = quota.NewKeeper(quota.Options{
-		Part: d.part, Now: bootclock.Now,
-		Bound: func() quota.Bound {
-			b := d.bounds.Load()
-			return quota.Bound{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
-		},
-	})
 	repeats := &admission.RepeatBudget{
 		Window: d.settings.Bound.RetryWindow, Now: time.Now,
 		Bound: func() (share, fixed float64) {
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -88,6 +88,14 @@
 	if config, confirmedAt := d.holder.Current(); config != nil {
 		r.ConfigVersion, r.ConfigAgeMs = config.Version, bootclock.Now().Sub(confirmedAt).Milliseconds()
 	}
+	if fence, held := d.held(); held {
+		r.Fence = fence
+	}
+	r.QuotaFrom = d.quota.Holder()
+	r.UpstreamAgeMs = -1
+	if revision, age, ok := d.upstreams.Position(); ok {
+		r.UpstreamRevision, r.UpstreamAgeMs = revision, age.Milliseconds()
+	}
 	if s.Cloud.ReportsUsage {
 		r.Counts = map[int64]map[string]int64{}
 		for window, counts := range d.counter.Windows(usageWindowsSent) {
@@ -98,7 +106,11 @@
 }
 
 // received takes over another daemon's report.
-func (d *Daemon) received(r peering.Report, sentAt, receivedAt time.Time) {
+func (d *Daemon) received(r peering.Report, feed peering.Feed, sentAt, receivedAt time.Time) {
+	d.quota.Heard(r.Name, r.Fence, sentAt)
+	if r.UpstreamAgeMs >= 0 {
+		d.upstreams.Absorb(feed, r.UpstreamRevision, sentAt.Add(-time.Duration(r.UpstreamAgeMs)*time.Millisecond))
+	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
 	for window, counts := range r.Counts {
 		d.ledger.Set(r.Name+"/"+r.Process, countsOf(window, counts))
--- /dev/null
+++ b/internal/fleetdaemon/relays.go
@@ -0,0 +1,101 @@
+package fleetdaemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/peering"
+)
+
+// relays is how many daemons read the store on their own. The others hear from
+// them, so that the calls of the store do not grow with the number of daemons.
+const relays = 3
+
+// relayNames returns the daemons that read the store, by the view of this one. Two
+// views may differ for a moment; more daemons than needed then read it.
+func (d *Daemon) relayNames() []string {
+	names := []string{d.settings.Name}
+	for _, other := range d.table.Daemons() {
+		names = append(names, other.Name)
+	}
+	preferred := membership.Preferred("relay", names)
+	return preferred[:min(relays, len(preferred))]
+}
+
+// direct reports whether this daemon reads the store on its own.
+func (d *Daemon) direct() bool { return slices.Contains(d.relayNames(), d.settings.Name) }
+
+// important reports whether requests depend on the answers of a daemon.
+func (d *Daemon) important(name string) bool {
+	return d.quota.Holds(name) || slices.Contains(d.relayNames(), name)
+}
+
+// asked takes over what a daemon that asks says of itself.
+func (d *Daemon) asked(r peering.Report) {
+	if r.QuotaFrom == d.settings.Name {
+		d.quotaPool.Heard(r.Name)
+	}
+}
+
+// quotaCall asks the holder of the pool for a part of a quota.
+type quotaCall struct {
+	Workspace string  `json:"w"`
+	Cost      float64 `json:"c"`
+	More      float64 `json:"m"`
+}
+
+// quotaReply is the holder's answer. A daemon that is not the holder answers with
+// Held false.
+type quotaReply struct {
+	Held    bool    `json:"h"`
+	Granted float64 `json:"g"`
+	AfterMs int64   `json:"a,omitempty"`
+}
+
+// called answers a call of another daemon.
+func (d *Daemon) called(_ peering.Report, body json.RawMessage) json.RawMessage {
+	var call quotaCall
+	var reply quotaReply
+	if err := json.Unmarshal(body, &call); err != nil {
+		d.scope.Counter("peer_bad_calls").Inc(1)
+	} else if fence, held := d.held(); held {
+		reply.Held = true
+		d.quotaPool.Open(fence)
+		if config, _ := d.holder.Current(); config != nil {
+			if w := config.Workspace(call.Workspace); w != nil {
+				granted, after := d.quotaPool.Grant(w, call.Cost, call.More)
+				reply.Granted, reply.AfterMs = granted, after.Milliseconds()
+			}
+		}
+	}
+	text, err := json.Marshal(reply)
+	if err != nil {
+		d.logger.Error("answer to a daemon could not be written", "error", err)
+	}
+	return text
+}
+
+// quotaSource implements quota.Source by calls to the holder.
+type quotaSource struct {
+	peers *peering.Node
+}
+
+// Ask implements quota.Source.
+func (q quotaSource) Ask(ctx context.Context, holder, workspace string, cost, more float64) (granted float64, after time.Duration, ok bool) {
+	text, err := json.Marshal(quotaCall{Workspace: workspace, Cost: cost, More: more})
+	if err != nil {
+		return 0, 0, false
+	}
+	answer, answered := q.peers.Call(ctx, holder, text)
+	if !answered {
+		return 0, 0, false
+	}
+	var reply quotaReply
+	if err := json.Unmarshal(answer, &reply); err != nil || !reply.Held {
+		return 0, 0, false
+	}
+	return reply.Granted, time.Duration(reply.AfterMs) * time.Millisecond, true
+}
--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -17,7 +17,12 @@
 const (
 	// readEvery is how often the configuration is read: several reads fit into
 	// the time within which a change must be in effect.
-	readEvery = 900 * time.Millisecond
+	readEvery = 700 * time.Millisecond
+	// staleAfter is the age of the configuration's confirmation from which on a
+	// daemon that hears of it from others reads it itself.
+	staleAfter = 1900 * time.Millisecond
+	// lookEvery is how often such a daemon looks at the age.
+	lookEvery = 200 * time.Millisecond
 	// retryEvery is how often it is tried while reads fail.
 	retryEvery = 300 * time.Millisecond
 	// jitter spreads the reads of the daemons.
@@ -33,6 +38,9 @@
 	// Decode reads the stored configuration.
 	Decode func(json.RawMessage) (*fleetconfig.Config, error)
 	Holder *fleetconfig.Holder
+	// Direct reports whether this daemon reads the store on its own; the others
+	// hear from those that do whether their configuration is the newest one.
+	Direct func() bool
 	// BootNow is the clock that counts suspensions.
 	BootNow func() time.Time
 	Logger  *log.Logger
@@ -65,9 +73,12 @@
 
 // Run reads until ctx ends.
 func (c *ConfigSync) Run(ctx context.Context) error {
+	kicked := false
 	for ctx.Err() == nil {
 		wait := readEvery
-		if err := c.read(ctx); err != nil {
+		if !kicked && !c.opts.Direct() && c.fresh() {
+			wait = lookEvery
+		} else if err := c.read(ctx); err != nil {
 			wait = retryEvery
 			c.opts.Scope.Counter("config_read_failed").Inc(1)
 			if !c.failing && ctx.Err() == nil {
@@ -80,16 +91,24 @@
 		}
 		wait += time.Duration(jitter * rand.Float64() * float64(wait))
 		timer := time.NewTimer(wait)
+		kicked = false
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
 		case <-c.kick:
+			kicked = true
 		}
 		timer.Stop()
 	}
 	return nil
 }
 
+// fresh reports whether the configuration was lately confirmed.
+func (c *ConfigSync) fresh() bool {
+	config, confirmedAt := c.opts.Holder.Current()
+	return config != nil && c.opts.BootNow().Sub(confirmedAt) < staleAfter
+}
+
 func (c *ConfigSync) read(ctx context.Context) error {
 	sentAt := c.opts.BootNow()
 	object, err := c.opts.Store.Get(ctx, c.opts.Kind, c.opts.Name)
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -10,6 +11,7 @@
 
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
+	"rattantide/internal/peering"
 )
 
 const (
@@ -19,6 +21,15 @@
 	// returnTime is how long the entries that vanished while the store was away
 	// are kept after its return: upstreams that live are back by then.
 	returnTime = 2200 * time.Millisecond
+	// feedSilence is the time without news from other daemons after which a daemon
+	// reads the store itself.
+	feedSilence = 1500 * time.Millisecond
+	// feedPoll is how often a daemon looks whether it must.
+	feedPoll = 200 * time.Millisecond
+	// maxLog bounds the changes that are kept for other daemons, and maxFeed those
+	// of one answer, which must fit into a datagram.
+	maxLog  = 1024
+	maxFeed = 60
 	// awayAfter is the time without an answer after which entries may have
 	// vanished although their upstreams live.
 	awayAfter = 2500 * time.Millisecond
@@ -39,6 +50,9 @@
 	Kind string
 	// Decode reads an entry; an error means that it names no upstream.
 	Decode func(*objectclient.Object) (membership.Instance, error)
+	// Direct reports whether this daemon reads the store itself. The others take
+	// changes from those that do, and read the store only when they hear nothing.
+	Direct func() bool
 	// Apply takes over the whole list after each change.
 	Apply  func([]membership.Instance)
 	Now    func() time.Time
@@ -46,17 +60,25 @@
 	Scope  tally.Scope
 }
 
-// UpstreamSync keeps the list of upstreams.
+// UpstreamSync keeps the list of upstreams. It is safe for concurrent use.
 type UpstreamSync struct {
-	opts     UpstreamOptions
-	entries  map[string]membership.Instance
+	opts UpstreamOptions
+
+	mu      sync.Mutex
+	entries map[string]membership.Instance
+	// revision is the store's revision up to which entries is complete.
 	revision int64
 	listed   bool
-	// heardAt is when the store last answered.
+	// heardAt is when the list was last known to be complete.
 	heardAt time.Time
+	// log holds the latest changes, and logFrom the revision after which it is
+	// complete.
+	log     []peering.Change
+	logFrom int64
 	// absent holds, for entries that vanished while the store was away, until
 	// when they are kept.
-	absent  map[string]time.Time
+	absent map[string]time.Time
+
 	failing bool
 }
 
@@ -68,69 +90,147 @@
 // Run keeps the list until ctx ends.
 func (u *UpstreamSync) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := u.step(ctx)
+		wait := u.step(ctx)
 		u.expire()
-		switch {
-		case err == nil:
-			u.heardAt = u.opts.Now()
-			if u.failing {
-				u.failing = false
-				u.opts.Logger.Info("list of upstreams can be read again", "upstreams", len(u.entries))
-			}
+		if wait <= 0 {
 			continue
-		case errors.Is(err, objectclient.ErrCompacted):
-			u.listed = false
-			u.opts.Scope.Counter("upstream_relists").Inc(1)
-			continue
-		}
-		// A watch that broke off may have missed changes.
-		u.listed = false
-		u.opts.Scope.Counter("upstream_list_failed").Inc(1)
-		if !u.failing && ctx.Err() == nil {
-			u.opts.Logger.Warn("list of upstreams could not be read", "error", err)
 		}
-		u.failing = true
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryEvery):
+		case <-time.After(wait):
 		}
 	}
 	return nil
 }
 
-// step lists once, or waits for the next changes.
-func (u *UpstreamSync) step(ctx context.Context) error {
-	if !u.listed {
-		return u.list(ctx)
+// step reads the store if this daemon must, and returns the time until the next
+// step.
+func (u *UpstreamSync) step(ctx context.Context) time.Duration {
+	if !u.opts.Direct() && u.fed() {
+		return feedPoll
 	}
-	changed := false
-	next, err := u.opts.Store.WatchOnce(ctx, u.opts.Kind, u.revision, watchWait, func(e objectclient.Event) error {
-		if e.Object != nil {
-			changed = u.event(e) || changed
+	err := u.read(ctx)
+	switch {
+	case err == nil:
+		if u.failing {
+			u.failing = false
+			u.opts.Logger.Info("list of upstreams can be read again")
 		}
+		return 0
+	case errors.Is(err, objectclient.ErrCompacted):
+		u.forgetPosition()
+		u.opts.Scope.Counter("upstream_relists").Inc(1)
+		return 0
+	}
+	// A watch that broke off may have missed changes.
+	u.forgetPosition()
+	u.opts.Scope.Counter("upstream_list_failed").Inc(1)
+	if !u.failing && ctx.Err() == nil {
+		u.opts.Logger.Warn("list of upstreams could not be read", "error", err)
+	}
+	u.failing = true
+	return retryEvery
+}
+
+// fed reports whether other daemons keep the list up to date.
+func (u *UpstreamSync) fed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.listed && u.opts.Now().Sub(u.heardAt) < feedSilence
+}
+
+func (u *UpstreamSync) forgetPosition() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.listed = false
+}
+
+// read lists once, or waits for the next changes.
+func (u *UpstreamSync) read(ctx context.Context) error {
+	sentAt := u.opts.Now()
+	u.mu.Lock()
+	listed, revision := u.listed, u.revision
+	u.mu.Unlock()
+	if !listed {
+		list, err := u.opts.Store.List(ctx, u.opts.Kind)
+		if err != nil {
+			return err
+		}
+		u.takeList(list, sentAt)
 		return nil
-	})
-	if changed {
-		u.publish()
 	}
+	var changes []peering.Change
+	next, err := u.opts.Store.WatchOnce(ctx, u.opts.Kind, revision, watchWait, func(e objectclient.Event) error {
+		if e.Object == nil {
+			return nil
+		}
+		change := peering.Change{Revision: e.Object.Version, Name: e.Object.Name}
+		if e.Type == objectclient.EventPut {
+			change.Value = e.Object.Value
+		}
+		changes = append(changes, change)
+		return nil
+	})
 	if err != nil {
 		return err
 	}
-	u.revision = next
+	for i := range changes {
+		if changes[i].Revision <= revision {
+			// A deletion may carry the revision of the object that it removes.
+			changes[i].Revision = next
+		}
+	}
+	u.takeChanges(revision, changes, next, u.opts.Now())
 	return nil
 }
 
-func (u *UpstreamSync) list(ctx context.Context) error {
-	list, err := u.opts.Store.List(ctx, u.opts.Kind)
-	if err != nil {
-		return err
+// Absorb takes over what another daemon tells of the list: its changes after the
+// revision that this daemon named, up to revision. confirmedAt is when they were
+// known to be all, on the boot clock.
+func (u *UpstreamSync) Absorb(feed peering.Feed, revision int64, confirmedAt time.Time) {
+	if feed.Complete {
+		u.takeChanges(feed.Since, feed.Changes, revision, confirmedAt)
 	}
+}
+
+// Feed returns the changes after a revision for another daemon.
+func (u *UpstreamSync) Feed(since int64) peering.Feed {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	feed := peering.Feed{Since: since}
+	if !u.listed || since < u.logFrom || since > u.revision {
+		return feed
+	}
+	for i := range u.log {
+		if u.log[i].Revision > since {
+			feed.Changes = append(feed.Changes, u.log[i])
+		}
+	}
+	if len(feed.Changes) > maxFeed {
+		return peering.Feed{Since: since}
+	}
+	feed.Complete = true
+	return feed
+}
+
+// Position returns the revision up to which the list is complete, and how long ago
+// that was confirmed; ok is false before the first list.
+func (u *UpstreamSync) Position() (revision int64, age time.Duration, ok bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.revision, u.opts.Now().Sub(u.heardAt), u.listed
+}
+
+// takeList replaces the entries by those of a list.
+func (u *UpstreamSync) takeList(list *objectclient.ObjectList, sentAt time.Time) {
 	found := make(map[string]membership.Instance, len(list.Items))
 	for i := range list.Items {
 		if instance, ok := u.decode(&list.Items[i]); ok {
 			found[instance.Name] = instance
 		}
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	now := u.opts.Now()
 	wasAway := !u.heardAt.IsZero() && now.Sub(u.heardAt) > awayAfter
 	for name, before := range u.entries {
@@ -145,9 +245,38 @@
 			found[name] = before
 		}
 	}
-	u.entries, u.revision, u.listed = found, list.Revision, true
+	u.entries, u.revision, u.listed, u.heardAt = found, list.Revision, true, sentAt
+	u.log, u.logFrom = nil, list.Revision
 	u.publish()
-	return nil
+}
+
+// takeChanges applies changes that are complete from one revision to another.
+func (u *UpstreamSync) takeChanges(from int64, changes []peering.Change, to int64, confirmedAt time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.listed || from > u.revision {
+		return
+	}
+	changed := false
+	for i := range changes {
+		c := &changes[i]
+		if c.Revision <= u.revision {
+			continue
+		}
+		changed = u.apply(c) || changed
+		u.log = append(u.log, *c)
+	}
+	if over := len(u.log) - maxLog; over > 0 {
+		u.logFrom = u.log[over-1].Revision
+		u.log = append([]peering.Change(nil), u.log[over:]...)
+	}
+	u.revision = max(u.revision, to)
+	if confirmedAt.After(u.heardAt) {
+		u.heardAt = confirmedAt
+	}
+	if changed {
+		u.publish()
+	}
 }
 
 func (u *UpstreamSync) decode(o *objectclient.Object) (membership.Instance, bool) {
@@ -160,33 +289,35 @@
 	return instance, true
 }
 
-// event takes over a change and reports whether it changed the list.
-func (u *UpstreamSync) event(e objectclient.Event) bool {
-	name := e.Object.Name
-	before, known := u.entries[name]
-	delete(u.absent, name)
-	if e.Type == objectclient.EventDelete {
-		delete(u.entries, name)
+// apply takes over a change and reports whether it changed the list. The lock is
+// held.
+func (u *UpstreamSync) apply(c *peering.Change) bool {
+	before, known := u.entries[c.Name]
+	delete(u.absent, c.Name)
+	if len(c.Value) == 0 {
+		delete(u.entries, c.Name)
 		if known {
-			u.opts.Logger.Info("upstream is gone", "upstream", name, "revision", e.Revision)
+			u.opts.Logger.Info("upstream is gone", "upstream", c.Name, "revision", c.Revision)
 		}
 		return known
 	}
-	instance, ok := u.decode(e.Object)
+	instance, ok := u.decode(&objectclient.Object{Name: c.Name, Version: c.Revision, Value: c.Value})
 	if !ok {
-		delete(u.entries, name)
+		delete(u.entries, c.Name)
 		return known
 	}
-	u.entries[name] = instance
+	u.entries[c.Name] = instance
 	if instance != before {
-		u.opts.Logger.Info("upstream changed", "upstream", name, "pool", instance.Pool, "domain", instance.Domain,
-			"state", instance.State, "version", instance.Version, "revision", e.Revision)
+		u.opts.Logger.Info("upstream changed", "upstream", c.Name, "pool", instance.Pool, "domain", instance.Domain,
+			"state", instance.State, "version", instance.Version, "revision", c.Revision)
 	}
 	return instance != before
 }
 
 // expire removes the entries that did not come back.
 func (u *UpstreamSync) expire() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	now := u.opts.Now()
 	changed := false
 	for name, until := range u.absent {
@@ -203,6 +334,7 @@
 	}
 }
 
+// publish hands out the list. The lock is held.
 func (u *UpstreamSync) publish() {
 	out := make([]membership.Instance, 0, len(u.entries))
 	for _, instance := range u.entries {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -78,7 +78,7 @@
 		return nil
 	}
 	x.cost = x.workspace.Cost(x.call.PromptTokens+x.call.MaxTokens, x.call.HasTokens)
-	ok, after := x.server.opts.Quota.Take(x.workspace, x.cost)
+	ok, after := x.server.opts.Quota.Take(x.request.Context(), x.workspace, x.cost)
 	if !ok {
 		x.cost = 0
 		return refuseFor(http.StatusTooManyRequests, "quota of the workspace is used up", after)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,7 @@
 }
 
 // Take implements gateway.Quota.
-func (q *openQuota) Take(_ *fleetconfig.Workspace, cost float64) (bool, time.Duration) {
+func (q *openQuota) Take(_ context.Context, _ *fleetconfig.Workspace, cost float64) (bool, time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.held += cost
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,7 +17,7 @@
 type Quota interface {
 	// Take takes cost from the workspace's quota. When it does not suffice, ok is
 	// false and after is when it may.
-	Take(w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration)
+	Take(ctx context.Context, w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration)
 	// Return gives back the cost of a request that did not run.
 	Return(w *fleetconfig.Workspace, cost float64)
 }
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -18,6 +19,13 @@
 	round = 250 * time.Millisecond
 	// askEvery is how often each daemon is asked, as far as maxPerRound allows.
 	askEvery = 700 * time.Millisecond
+	// askImportant is how often daemons are asked on whose answers requests
+	// depend.
+	askImportant = 400 * time.Millisecond
+	// callWait is how long a call waits for its answer, and callAgain when it is
+	// sent once more, as datagrams are lost now and then.
+	callWait  = 150 * time.Millisecond
+	callAgain = 40 * time.Millisecond
 	// maxPerRound bounds the questions per round, so that the traffic of a daemon
 	// does not grow with their number.
 	maxPerRound = 8
@@ -40,12 +48,22 @@
 	// IP is the address to listen on, Port the port of all daemons.
 	IP   string
 	Port int
+	// Name is the name of this daemon.
+	Name string
 	// Self returns this daemon's report.
 	Self func() Report
 	// Received is called with each report of another daemon. sentAt is when the
 	// question that it answers was sent, on the boot clock, so that what the
 	// report calls fresh was so then or later.
-	Received func(r Report, sentAt, receivedAt time.Time)
+	Received func(r Report, feed Feed, sentAt, receivedAt time.Time)
+	// Asked is called with the report of a daemon that asks.
+	Asked func(r Report)
+	// Feed returns the changes of the list of upstreams after a revision.
+	Feed func(since int64) Feed
+	// Important reports whether a daemon is asked more often than others.
+	Important func(name string) bool
+	// Called answers a call of another daemon.
+	Called func(from Report, body json.RawMessage) json.RawMessage
 	// Changed is called when a daemon appears, changes its state or is gone.
 	Changed func()
 	Now     func() time.Time
@@ -64,6 +82,7 @@
 	next   int
 	number uint64
 	alive  map[string]bool
+	calls  map[uint64]chan json.RawMessage
 }
 
 // New opens the port. Nothing is asked until Run.
@@ -72,10 +91,13 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if opts.Important == nil {
+		opts.Important = func(string) bool { return false }
+	}
 	if opts.Port == 0 {
 		opts.Port = conn.LocalAddr().(*net.UDPAddr).Port
 	}
-	return &Node{opts: opts, conn: conn, peers: map[string]*peer{}, alive: map[string]bool{}}, nil
+	return &Node{opts: opts, conn: conn, peers: map[string]*peer{}, alive: map[string]bool{}, calls: map[uint64]chan json.RawMessage{}}, nil
 }
 
 // Add makes daemons known by the addresses of their instances.
@@ -178,13 +200,18 @@
 	now := n.opts.Now()
 	n.forget(now)
 	var due []string
+	for _, ip := range n.order {
+		if p := n.peers[ip]; len(due) < maxPerRound && p.known && now.Sub(p.sentAt) >= askImportant && n.opts.Important(p.report.Name) {
+			due = append(due, ip)
+		}
+	}
 	for range n.order {
-		if len(due) == maxPerRound {
+		if len(due) >= maxPerRound {
 			break
 		}
 		n.next = (n.next + 1) % len(n.order)
 		p := n.peers[n.order[n.next]]
-		if now.Sub(p.sentAt) >= askEvery {
+		if now.Sub(p.sentAt) >= askEvery && !slices.Contains(due, p.ip) {
 			due = append(due, p.ip)
 		}
 	}
@@ -222,8 +249,10 @@
 	n.number++
 	p.number, p.sentAt = n.number, n.opts.Now()
 	p.unanswered++
-	m := message{Number: p.number, Report: n.opts.Self(), Known: len(n.peers)}
+	m := message{Number: p.number, Known: len(n.peers)}
 	n.mu.Unlock()
+	m.Report = n.opts.Self()
+	m.Feed.Since = m.Report.UpstreamRevision
 	n.send(ip, m)
 }
 
@@ -261,7 +290,14 @@
 
 // take handles a message.
 func (n *Node) take(ip string, m *message) {
-	if !m.Answer {
+	switch {
+	case len(m.Call) > 0:
+		n.send(ip, message{Number: m.Number, Answer: true, Report: Report{Name: n.opts.Name}, Reply: n.opts.Called(m.Report, m.Call)})
+		return
+	case len(m.Reply) > 0:
+		n.replied(m)
+		return
+	case !m.Answer:
 		n.answer(ip, m)
 		return
 	}
@@ -279,7 +315,7 @@
 	}
 	n.mu.Unlock()
 	if n.opts.Received != nil {
-		n.opts.Received(m.Report, sentAt, now)
+		n.opts.Received(m.Report, m.Feed, sentAt, now)
 	}
 	n.notice()
 }
@@ -293,16 +329,80 @@
 		// them there waits for an answer to a question.
 		p.report, p.known = m.Report, true
 	}
-	reply := message{Number: m.Number, Answer: true, Report: n.opts.Self(), Known: len(n.peers)}
+	reply := message{Number: m.Number, Answer: true, Known: len(n.peers)}
 	if m.Known < len(n.peers) {
 		reply.Others = n.order[:min(len(n.order), maxOthers)]
 		reply.Others = append([]string(nil), reply.Others...)
 	}
 	n.mu.Unlock()
+	if n.opts.Asked != nil {
+		n.opts.Asked(m.Report)
+	}
+	reply.Report = n.opts.Self()
+	if n.opts.Feed != nil {
+		reply.Feed = n.opts.Feed(m.Feed.Since)
+	}
 	n.send(ip, reply)
 	n.notice()
 }
 
+// Call sends a call to the daemon of a name and returns its answer, or false when
+// none comes within callWait.
+func (n *Node) Call(ctx context.Context, name string, body json.RawMessage) (json.RawMessage, bool) {
+	n.mu.Lock()
+	ip := ""
+	for _, p := range n.peers {
+		if p.known && p.report.Name == name {
+			ip = p.ip
+		}
+	}
+	n.number++
+	number := n.number
+	answered := make(chan json.RawMessage, 1)
+	n.calls[number] = answered
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.calls, number)
+		n.mu.Unlock()
+	}()
+	if ip == "" {
+		return nil, false
+	}
+	m := message{Number: number, Report: Report{Name: n.opts.Name}, Call: body}
+	n.send(ip, m)
+	again := time.NewTimer(callAgain)
+	defer again.Stop()
+	late := time.NewTimer(callWait)
+	defer late.Stop()
+	for {
+		select {
+		case reply := <-answered:
+			return reply, true
+		case <-again.C:
+			n.send(ip, m)
+		case <-late.C:
+			n.opts.Scope.Counter("peer_calls_unanswered").Inc(1)
+			return nil, false
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// replied passes the answer to a call on to whoever waits for it.
+func (n *Node) replied(m *message) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if answered := n.calls[m.Number]; answered != nil {
+		select {
+		case answered <- m.Reply:
+		default:
+			// The answer to the second sending of the same call.
+		}
+	}
+}
+
 // notice calls Changed when the set of daemons that are alive and ready changed.
 func (n *Node) notice() {
 	n.mu.Lock()
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -1,5 +1,7 @@
 package peering
 
+import "encoding/json"
+
 // Report is what a daemon says of itself.
 type Report struct {
 	Name string `json:"n"`
@@ -19,16 +21,49 @@
 	ConfigAgeMs   int64 `json:"a"`
 	// WallMs is the daemon's time of day.
 	WallMs int64 `json:"w"`
+	// Fence is the fencing token of the duties while the daemon holds them, else 0.
+	Fence int64 `json:"f,omitempty"`
+	// QuotaFrom names the daemon from whose pool this one takes its quotas.
+	QuotaFrom string `json:"qf,omitempty"`
+	// UpstreamRevision is the store's revision up to which the list of upstreams
+	// is complete, and UpstreamAgeMs how long ago that was confirmed, in
+	// milliseconds; -1 when not known.
+	UpstreamRevision int64 `json:"ur"`
+	UpstreamAgeMs    int64 `json:"ua"`
 	// Counts holds requests that began, by window and workspace.
 	Counts map[int64]map[string]int64 `json:"u,omitempty"`
 }
 
+// Change is a change of the list of upstreams.
+type Change struct {
+	// Revision is the store's revision of the change.
+	Revision int64  `json:"r"`
+	Name     string `json:"n"`
+	// Value is the entry as stored; empty for one that is gone.
+	Value json.RawMessage `json:"v,omitempty"`
+}
+
+// Feed is what an answer tells of the list of upstreams: the changes after the
+// revision Since, which the question named, up to that of the report. It is empty
+// when the answering daemon no longer knows all of them.
+type Feed struct {
+	Since    int64    `json:"s"`
+	Complete bool     `json:"c,omitempty"`
+	Changes  []Change `json:"l,omitempty"`
+}
+
 // message is a datagram. A question has no Answer.
 type message struct {
 	// Number pairs an answer with its question.
 	Number uint64 `json:"q"`
 	Answer bool   `json:"y,omitempty"`
 	Report Report `json:"s"`
+	// Feed holds, in a question, the revision that the sender has, and in an
+	// answer the changes since.
+	Feed Feed `json:"u"`
+	// Call and Reply carry a call to the handler of the other daemon.
+	Call  json.RawMessage `json:"b,omitempty"`
+	Reply json.RawMessage `json:"e,omitempty"`
 	// Others are addresses of daemons that the sender knows; they are sent to a
 	// daemon that is not known yet.
 	Others []string `json:"o,omitempty"`
--- /dev/null
+++ b/internal/quota/bucket.go
@@ -0,0 +1,63 @@
+package quota
+
+import (
+	"time"
+
+	"rattantide/internal/fleetconfig"
+)
+
+const (
+	// extraShare is the part of the allowed overshoot that is used. The rest
+	// covers requests that arrive at their upstream in a later window.
+	extraShare = 0.4
+	// maxAfter bounds the advised delay, and minAfter is its least value.
+	maxAfter = 5 * time.Second
+	minAfter = 50 * time.Millisecond
+)
+
+// Bound says by how much all daemons together may exceed a quota: by a share of
+// what it allows per window, and by a fixed cost.
+type Bound struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// extra returns what may be spent above a quota per window.
+func (b Bound) extra(w *fleetconfig.Workspace) float64 {
+	return extraShare * (b.Overshoot*(w.Rate*b.Window.Seconds()+w.Burst) + b.Slack)
+}
+
+// bucket is a token bucket. It holds a part of a workspace's quota, which may
+// change.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+// refill brings the bucket up to date for a part of the quota, 0 to 1.
+func (b *bucket) refill(w *fleetconfig.Workspace, bound Bound, part float64, now time.Time) (rate, capacity float64) {
+	rate = w.Rate * part
+	capacity = (w.Burst + bound.extra(w)) * part
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.level += rate * elapsed.Seconds()
+		b.at = now
+	}
+	b.level = min(b.level, capacity)
+	return rate, capacity
+}
+
+// take takes a cost. A cost above the capacity is taken when the bucket is full,
+// and paid back before the next one.
+func (b *bucket) take(cost, rate, capacity float64) (ok bool, after time.Duration) {
+	needed := min(cost, capacity)
+	if b.level >= needed && capacity > 0 {
+		b.level -= cost
+		return true, 0
+	}
+	if rate <= 0 {
+		return false, maxAfter
+	}
+	wait := time.Duration((needed - b.level) / rate * float64(time.Second))
+	return false, min(max(wait, minAfter), maxAfter)
+}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -1,9 +1,11 @@
-// Package quota holds workspaces to their quotas. All daemons share a quota; each
-// has a part of it as a token bucket of its own, so that no call crosses the
-// network and a daemon that is cut off cannot spend what others hold.
+// Package quota holds workspaces to their quotas. The daemon that holds a lease
+// keeps a pool for all; the others ask it. A daemon that cannot reach it has a
+// fixed part of each quota, so that what all daemons spend stays within the quota
+// whoever is cut off.
 package quota
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -11,30 +13,31 @@
 )
 
 const (
-	// extraShare is the part of the allowed overshoot that is used. The rest
-	// covers requests that arrive at their upstream in a later window.
-	extraShare = 0.5
-	// startSeconds is what a bucket holds at first, in seconds of its rate: an
-	// earlier process of this daemon may have spent the burst.
-	startSeconds = 1.0
-	// maxAfter bounds the advised delay.
-	maxAfter = 5 * time.Second
+	// ownPartAfter is the time without an answer of the pool after which a daemon
+	// uses its fixed part.
+	ownPartAfter = 1800 * time.Millisecond
+	// moreRequests is how many requests of the same cost a daemon asks for in
+	// addition, so that it asks less often.
+	moreRequests = 2
+	// creditRequests bounds what a daemon keeps of what it was granted.
+	creditRequests = 4
 )
 
-// Bound says by how much all daemons together may exceed a quota: by a share of
-// what it allows per window, and by a fixed cost.
-type Bound struct {
-	Window    time.Duration
-	Overshoot float64
-	Slack     float64
+// Source asks the pool of another daemon.
+type Source interface {
+	// Ask returns what was granted; ok is false without an answer.
+	Ask(ctx context.Context, holder, workspace string, cost, more float64) (granted float64, after time.Duration, ok bool)
 }
 
 // Options configures a Keeper. All fields are required.
 type Options struct {
-	// Part returns this daemon's part of each quota, 0 to 1.
-	Part func() float64
-	// Bound returns by how much a quota may be exceeded; it may change.
+	// Part returns this daemon's fixed part of each quota, 0 to 1.
+	Part  func() float64
 	Bound func() Bound
+	// Pool answers while Held.
+	Pool   *Pool
+	Held   func() (fence int64, ok bool)
+	Source Source
 	// Now is the clock that counts suspensions.
 	Now func() time.Time
 }
@@ -43,67 +46,119 @@
 type Keeper struct {
 	opts Options
 
-	mu      sync.Mutex
-	buckets map[string]*bucket
-}
-
-// bucket is this daemon's part of a workspace's quota.
-type bucket struct {
-	level float64
-	at    time.Time
+	mu sync.Mutex
+	// holder is the daemon with the pool, fence its token and heardAt when it was
+	// asked the last time that it answered.
+	holder  string
+	fence   int64
+	heardAt time.Time
+	credits map[string]float64
+	own     map[string]*bucket
+	// ownSince is when the fixed part came into use; zero while the pool is.
+	ownSince time.Time
 }
 
 // NewKeeper returns a Keeper.
 func NewKeeper(opts Options) *Keeper {
-	return &Keeper{opts: opts, buckets: map[string]*bucket{}}
+	return &Keeper{opts: opts, credits: map[string]float64{}, own: map[string]*bucket{}, ownSince: opts.Now()}
 }
 
-// Take implements gateway.Quota.
-func (k *Keeper) Take(w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration) {
-	if w.Rate <= 0 {
-		return true, 0
+// Heard takes over what another daemon says of its lease; fence is 0 when it has
+// none. askedAt is when the question was sent that it answered.
+func (k *Keeper) Heard(daemon string, fence int64, askedAt time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case fence > k.fence || fence == k.fence && fence > 0 && daemon == k.holder:
+		k.holder, k.fence = daemon, fence
+		if askedAt.After(k.heardAt) {
+			k.heardAt = askedAt
+		}
+	case fence == 0 && daemon == k.holder:
+		k.holder = ""
 	}
+}
+
+// Holder returns the daemon from whose pool this one takes its quotas, or "".
+func (k *Keeper) Holder() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.pooled()
+}
+
+// Holds reports whether a daemon was last known to have the pool.
+func (k *Keeper) Holds(daemon string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	b, rate, capacity := k.refill(w)
-	// A request above the capacity passes when the bucket is full, and is paid
-	// back before the next one.
-	if b.level < min(cost, capacity) {
-		wait := time.Duration((min(cost, capacity) - b.level) / rate * float64(time.Second))
-		return false, min(wait, maxAfter)
+	return k.holder != "" && k.holder == daemon
+}
+
+// pooled returns the daemon with the pool while it answers. The lock is held.
+func (k *Keeper) pooled() string {
+	if k.holder == "" || k.opts.Now().Sub(k.heardAt) >= ownPartAfter {
+		return ""
 	}
-	b.level -= cost
-	return true, 0
+	return k.holder
 }
 
-// Return implements gateway.Quota.
-func (k *Keeper) Return(w *fleetconfig.Workspace, cost float64) {
-	if w.Rate <= 0 {
-		return
+// Take implements gateway.Quota.
+func (k *Keeper) Take(ctx context.Context, w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration) {
+	if w.Rate <= 0 || cost <= 0 {
+		return true, 0
+	}
+	if fence, held := k.opts.Held(); held {
+		k.opts.Pool.Open(fence)
+		granted, after := k.opts.Pool.Grant(w, cost, 0)
+		return granted > 0, after
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	b, _, capacity := k.refill(w)
-	b.level = min(capacity, b.level+cost)
+	if k.credits[w.Name] >= cost {
+		k.credits[w.Name] -= cost
+		k.mu.Unlock()
+		return true, 0
+	}
+	holder := k.pooled()
+	if holder == "" {
+		defer k.mu.Unlock()
+		return k.takeOwn(w, cost)
+	}
+	k.ownSince = time.Time{}
+	k.mu.Unlock()
+	granted, after, answered := k.opts.Source.Ask(ctx, holder, w.Name, cost, moreRequests*cost)
+	if !answered || granted < cost {
+		return false, max(after, minAfter)
+	}
+	k.credit(w, granted-cost, cost)
+	return true, 0
 }
 
-// refill brings the workspace's bucket up to date. The lock is held.
-func (k *Keeper) refill(w *fleetconfig.Workspace) (b *bucket, rate, capacity float64) {
-	part := k.opts.Part()
-	bound := k.opts.Bound()
-	extra := extraShare * (bound.Overshoot*(w.Rate*bound.Window.Seconds()+w.Burst) + bound.Slack)
-	rate = w.Rate * part
-	capacity = (w.Burst + extra) * part
+// takeOwn takes from this daemon's fixed part. The lock is held.
+func (k *Keeper) takeOwn(w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration) {
 	now := k.opts.Now()
-	b = k.buckets[w.Name]
+	if k.ownSince.IsZero() {
+		// The pool may have granted what the part was worth until now.
+		k.ownSince = now
+		clear(k.own)
+	}
+	b := k.own[w.Name]
 	if b == nil {
-		b = &bucket{level: rate * startSeconds, at: now}
-		k.buckets[w.Name] = b
+		b = &bucket{at: k.ownSince}
+		k.own[w.Name] = b
 	}
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.level += rate * elapsed.Seconds()
-		b.at = now
+	rate, capacity := b.refill(w, k.opts.Bound(), k.opts.Part(), now)
+	return b.take(cost, rate, capacity)
+}
+
+// credit keeps what was granted and not spent, within a bound.
+func (k *Keeper) credit(w *fleetconfig.Workspace, amount, cost float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.credits[w.Name] = min(k.credits[w.Name]+amount, creditRequests*max(cost, w.PlainCost))
+}
+
+// Return implements gateway.Quota.
+func (k *Keeper) Return(w *fleetconfig.Workspace, cost float64) {
+	if w.Rate > 0 {
+		k.credit(w, cost, cost)
 	}
-	b.level = min(b.level, capacity)
-	return b, rate, capacity
 }
