Prove the deployment end to end in the tests, and start buckets with a little

The new test of two daemons with the platform's stand-ins failed at first with 429 for the first request (buckets of a new pool were empty) and after the holder of the pool had left (its silence counted as a refusal). A new bucket holds 300 ms of its rate; a daemon whose holder does not answer uses its own part at once.

--- /dev/null
+++ b/internal/autoscale/planner_test.go
@@ -0,0 +1,166 @@
+package autoscale
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"rattantide/internal/fleetconfig"
+)
+
+var bounds = &fleetconfig.Autoscale{
+	MinPerZone: 1, MaxPerZone: 6, BootTime: 4 * time.Second, ReclaimablePrice: 0.22,
+	DomainPrices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1},
+}
+
+// cloud is a simulated cloud: orders take effect after the boot time, reclaimable
+// upstreams of a domain leave together and are then not to be had for a while.
+type cloud struct {
+	planner *Planner
+	now     time.Time
+	live    map[Place]int
+	coming  map[Place]coming
+	dryTill time.Time
+	late    float64
+}
+
+type coming struct {
+	count int
+	at    time.Time
+}
+
+func newCloud(live map[Place]int) *cloud {
+	return &cloud{planner: NewPlanner(), now: time.Unix(1000, 0), live: live, coming: map[Place]coming{}}
+}
+
+func (c *cloud) total() int {
+	n := 0
+	for _, count := range c.live {
+		n += count
+	}
+	return n
+}
+
+// run advances the clock in steps of half a second.
+func (c *cloud) run(d time.Duration) {
+	for until := c.now.Add(d); c.now.Before(until); c.now = c.now.Add(500 * time.Millisecond) {
+		for place, next := range c.coming {
+			if !c.now.Before(next.at) {
+				c.live[place] = next.count
+				delete(c.coming, place)
+			}
+		}
+		live := map[Place]int{}
+		for place, count := range c.live {
+			if count > 0 {
+				live[place] = count
+			}
+		}
+		orders := c.planner.Plan(&Observed{Bounds: bounds, Live: live, Late: c.late, Requests: 100, Now: c.now})
+		for _, o := range orders {
+			switch {
+			case o.Kind == Reclaimable && c.now.Before(c.dryTill):
+				c.planner.Refused(o, c.now)
+			case o.Count < c.live[o.Place]:
+				c.live[o.Place] = o.Count
+			default:
+				c.coming[o.Place] = coming{o.Count, c.now.Add(bounds.BootTime)}
+			}
+		}
+	}
+}
+
+func (c *cloud) reclaim(domain string) {
+	delete(c.live, Place{domain, Reclaimable})
+	delete(c.coming, Place{domain, Reclaimable})
+	c.dryTill = c.now.Add(14 * time.Second)
+}
+
+func threeEach() map[Place]int {
+	return map[Place]int{{"a", OnDemand}: 3, {"b", OnDemand}: 3, {"c", OnDemand}: 3}
+}
+
+// Guards against orders while a deployment starts and its upstreams appear one
+// after the other: the few that were there at first became the target.
+func TestSettlesBeforeItOrders(t *testing.T) {
+	c := newCloud(map[Place]int{{"a", OnDemand}: 1})
+	c.run(2 * time.Second)
+	c.live = threeEach()
+	c.run(4 * time.Second)
+	assert.Equal(t, c.planner.Target(), 9)
+}
+
+// Guards against paying for upstreams on demand all the time, and against a
+// service that depends on reclaimable ones alone.
+func TestMixesKinds(t *testing.T) {
+	c := newCloud(threeEach())
+	c.late = 0.05
+	c.run(30 * time.Second)
+	onDemand, reclaimable := 0, 0
+	for place, count := range c.live {
+		if place.Kind == OnDemand {
+			onDemand += count
+		} else {
+			reclaimable += count
+		}
+	}
+	assert.Assert(t, onDemand >= 4 && onDemand <= 5, "%v", c.live)
+	assert.Assert(t, reclaimable >= 9, "%v", c.live)
+}
+
+// The pattern: all reclaimable upstreams of two failure domains leave within
+// seconds, and none are to be had meanwhile. Guards against a service that stays
+// below what the load needs until they come back.
+func TestReplacesReclaimedDomains(t *testing.T) {
+	c := newCloud(threeEach())
+	c.late = 0.05
+	c.run(30 * time.Second)
+	c.reclaim("a")
+	c.run(time.Second)
+	assert.Assert(t, c.total() >= 9, "after one domain %v", c.live)
+	c.reclaim("b")
+	c.run(6 * time.Second)
+	assert.Assert(t, c.total() >= 9, "after two domains %v", c.live)
+	c.run(30 * time.Second)
+	onDemand := c.live[Place{"a", OnDemand}] + c.live[Place{"b", OnDemand}] + c.live[Place{"c", OnDemand}]
+	assert.Assert(t, onDemand <= 5, "those in place of reclaimable ones stay: %v", c.live)
+}
+
+// Guards against a service that does not grow while callers wait, or shrinks to a
+// tiny one while they do not.
+func TestFollowsLateness(t *testing.T) {
+	c := newCloud(threeEach())
+	c.run(10 * time.Second)
+	before := c.planner.Target()
+	c.late = 0.4
+	c.run(12 * time.Second)
+	assert.Assert(t, c.planner.Target() > before, "%d after %d", c.planner.Target(), before)
+	c.late = 0
+	c.run(5 * time.Minute)
+	assert.Equal(t, c.planner.Target(), 6, "60 in 100 of those found at first")
+}
+
+// Guards against orders outside the platform's bounds.
+func TestOrdersStayWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPlanner()
+		now := time.Unix(1000, 0)
+		for range 60 {
+			o := &Observed{Bounds: bounds, Live: map[Place]int{}, Now: now}
+			for _, domain := range []string{"a", "b", "c"} {
+				o.Live[Place{domain, OnDemand}] = rapid.IntRange(0, 6).Draw(t, "onDemand")
+				o.Live[Place{domain, Reclaimable}] = rapid.IntRange(0, 6).Draw(t, "reclaimable")
+			}
+			o.Late, o.Requests = rapid.Float64Range(0, 1).Draw(t, "late"), rapid.IntRange(0, 100).Draw(t, "requests")
+			for _, order := range p.Plan(o) {
+				assert.Assert(t, order.Count >= 0 && order.Count <= bounds.MaxPerZone, "%v", order)
+				if rapid.Bool().Draw(t, "refused") {
+					p.Refused(order, now)
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(100, 3000).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleetdaemon/daemon_test.go
@@ -0,0 +1,208 @@
+package fleetdaemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/standin/platformcloud"
+	"rattantide/internal/standin/platformstore"
+	"rattantide/internal/standin/runner"
+	"rattantide/internal/telemetry"
+	"rattantide/platform"
+)
+
+// waitLimit bounds the wait for something that must happen; it says nothing about
+// how fast it should.
+const waitLimit = 60 * time.Second
+
+// site is a deployment on loopback addresses: the platform's stand-ins, one runner
+// and some daemons.
+type site struct {
+	t       *testing.T
+	store   *platformstore.Store
+	cloud   *platformcloud.Cloud
+	runner  *runner.Runner
+	daemons []*Daemon
+	stops   []context.CancelFunc
+	done    []chan error
+}
+
+// freePort returns a port that is free for datagrams and streams.
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func startSite(t *testing.T, daemons int) *site {
+	s := &site{t: t, store: platformstore.New(), cloud: platformcloud.New(), runner: &runner.Runner{ID: "i-1"}}
+	serve := func(h http.Handler) string {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	}
+	storeAddress, cloudAddress, runnerAddress := serve(s.store), serve(s.cloud), serve(s.runner)
+	s.configure(1, "key-a", "key-b")
+	s.store.Set("servers", "i-1", map[string]any{
+		"service": "app", "address": runnerAddress, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1,
+	})
+	s.store.Set("servers", "odd", "left by another writer")
+	port := freePort(t)
+	for i := range daemons {
+		ip := "127.0.1." + strconv.Itoa(i+1)
+		text := fmt.Sprintf(`
+nodeId = "front-%d"
+ip = %q
+zone = "zone-a"
+region = "r"
+portRange = [%d,%d]
+[listen]
+front = "%s:0"
+readiness = "%s:0"
+directory = "%s:0"
+[bounds]
+graceS = 8
+usageWindowS = 1
+[platform]
+address = %q
+[cloudApi]
+address = %q
+duties = ["usage_report"]
+`, i, ip, port, port+1, ip, ip, ip, storeAddress, cloudAddress)
+		settings, err := platform.ParseSettings([]byte(text))
+		assert.NilError(t, err)
+		settings.MetricsPort = 0
+		d, err := New(settings, telemetry.Discard())
+		assert.NilError(t, err)
+		// The address that callers get is known once the port is open.
+		d.settings.CallerAddress = d.callers.Addr().String()
+		ctx, stop := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- d.Run(ctx) }()
+		s.daemons, s.stops, s.done = append(s.daemons, d), append(s.stops, stop), append(s.done, done)
+	}
+	t.Cleanup(func() {
+		for i := range s.stops {
+			s.stop(i)
+		}
+	})
+	return s
+}
+
+// stop drains a daemon and waits for its end.
+func (s *site) stop(i int) {
+	if s.done[i] == nil {
+		return
+	}
+	s.stops[i]()
+	err := <-s.done[i]
+	s.done[i] = nil
+	assert.Check(s.t, err == nil, "%v", err)
+}
+
+func (s *site) configure(version int, keys ...string) {
+	s.store.Set("config", "main", map[string]any{
+		"version":  version,
+		"routes":   []any{map[string]any{"name": "r", "host": "h", "pathPrefix": "/x/", "kind": "idempotent", "timeoutMs": 5000, "targetLatencyMs": 1000, "service": "app", "maxAttempts": 2}},
+		"services": []any{map[string]any{"name": "app", "maxConns": 100}},
+		"tenants":  []any{map[string]any{"name": "w", "apiKeys": keys, "ratePerS": 1000, "burst": 1000, "unit": "token_count", "plainTokens": 1}},
+	})
+}
+
+func (s *site) await(what string, done func() bool) {
+	s.t.Helper()
+	for until := time.Now().Add(waitLimit); !done(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(s.t, time.Now().Before(until), "%s did not happen", what)
+	}
+}
+
+func (s *site) status(address, path, key string) int {
+	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+address+path, nil)
+	assert.NilError(s.t, err)
+	request.Host = "h"
+	request.Header.Set("X-Attempt-Id", "a-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode
+}
+
+func (s *site) ready(i int) bool {
+	return s.status(s.daemons[i].readiness.Addr().String(), "/ready", "") == http.StatusOK
+}
+
+// entries returns the addresses that a daemon names.
+func (s *site) entries(i int) []string {
+	response, err := http.Get("http://" + s.daemons[i].directory.Addr().String() + "/resolve?name=h&zone=zone-a&region=r")
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+	}
+	if json.NewDecoder(response.Body).Decode(&answer) != nil {
+		return nil
+	}
+	return answer.Addresses
+}
+
+// Guards against daemons that do not serve on the platform from end to end: that
+// do not find each other, miss a configuration, keep a removed key, report no
+// usage, or stay among the addresses while they leave.
+func TestDeployment(t *testing.T) {
+	s := startSite(t, 2)
+	for i := range s.daemons {
+		s.await("readiness", func() bool { return s.ready(i) })
+		s.await("the other's address", func() bool { return len(s.entries(i)) == 2 })
+		assert.Equal(t, s.status(s.daemons[i].settings.CallerAddress, "/x/1", "key-a"), http.StatusOK)
+	}
+	assert.Equal(t, s.runner.Runs()[0].Header.Get("X-Tenant"), "w")
+
+	s.configure(2, "key-a")
+	for i := range s.daemons {
+		s.await("the end of the key", func() bool {
+			return s.status(s.daemons[i].settings.CallerAddress, "/x/1", "key-b") == http.StatusUnauthorized
+		})
+	}
+	s.await("a usage report", func() bool { return len(s.cloud.Reports()) > 0 })
+	windows := map[int64]bool{}
+	for _, r := range s.cloud.Reports() {
+		assert.Assert(t, !windows[r.Window], "window %d was reported twice", r.Window)
+		windows[r.Window] = true
+		assert.Assert(t, strings.HasPrefix(r.Holder, "front-"))
+	}
+	s.stop(0)
+	s.await("the end of the address", func() bool { return len(s.entries(1)) == 1 })
+	assert.Equal(t, s.status(s.daemons[1].settings.CallerAddress, "/x/1", "key-a"), http.StatusOK)
+}
+
+// Guards against a daemon that turns callers away for good, or tells untrue
+// things, while it cannot reach the store, and does not recover after it.
+func TestStoreOutage(t *testing.T) {
+	s := startSite(t, 1)
+	s.await("readiness", func() bool { return s.ready(0) })
+	address := s.daemons[0].settings.CallerAddress
+	s.store.Fail(platformstore.Faults{Status: http.StatusServiceUnavailable})
+	assert.Equal(t, s.status(address, "/x/1", "key-a"), http.StatusOK)
+	s.await("the end of the keys", func() bool { return s.status(address, "/x/1", "key-a") == http.StatusServiceUnavailable })
+	assert.Equal(t, s.status(address, "/x/1", "unknown"), http.StatusServiceUnavailable)
+	s.store.Fail(platformstore.Faults{})
+	s.await("service", func() bool { return s.status(address, "/x/1", "key-a") == http.StatusOK })
+}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -157,6 +157,9 @@
 			return nil
 		case <-ticker.C:
 		}
+		if fence, held := d.held(); held {
+			d.quotaPool.Open(fence)
+		}
 		known := map[string]bool{}
 		for _, u := range d.knownUpstreams() {
 			known[u.Address] = true
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -10,6 +10,9 @@
 	// extraShare is the part of the allowed overshoot that is used. The rest
 	// covers requests that arrive at their upstream in a later window.
 	extraShare = 0.4
+	// startTime is the time whose rate a new bucket holds. What was spent before is
+	// not known, but the first requests need not wait.
+	startTime = 300 * time.Millisecond
 	// maxAfter bounds the advised delay, and minAfter is its least value.
 	maxAfter = 5 * time.Second
 	minAfter = 50 * time.Millisecond
@@ -35,6 +38,11 @@
 	at    time.Time
 }
 
+// newBucket returns a bucket for a part of a quota that was not used before since.
+func newBucket(w *fleetconfig.Workspace, part float64, since time.Time) *bucket {
+	return &bucket{level: startTime.Seconds() * w.Rate * part, at: since}
+}
+
 // refill brings the bucket up to date for a part of the quota, 0 to 1.
 func (b *bucket) refill(w *fleetconfig.Workspace, bound Bound, part float64, now time.Time) (rate, capacity float64) {
 	rate = w.Rate * part
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -125,13 +125,27 @@
 	k.ownSince = time.Time{}
 	k.mu.Unlock()
 	granted, after, answered := k.opts.Source.Ask(ctx, holder, w.Name, cost, moreRequests*cost)
-	if !answered || granted < cost {
+	if !answered {
+		return k.withoutAnswer(w, cost, holder)
+	}
+	if granted < cost {
 		return false, max(after, minAfter)
 	}
 	k.credit(w, granted-cost, cost)
 	return true, 0
 }
 
+// withoutAnswer takes from the fixed part because the holder did not answer. The
+// pool is asked again once the holder is heard of.
+func (k *Keeper) withoutAnswer(w *fleetconfig.Workspace, cost float64, holder string) (ok bool, after time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.holder == holder {
+		k.heardAt = time.Time{}
+	}
+	return k.takeOwn(w, cost)
+}
+
 // takeOwn takes from this daemon's fixed part. The lock is held.
 func (k *Keeper) takeOwn(w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration) {
 	now := k.opts.Now()
@@ -140,12 +154,13 @@
 		k.ownSince = now
 		clear(k.own)
 	}
+	part := k.opts.Part()
 	b := k.own[w.Name]
 	if b == nil {
-		b = &bucket{at: k.ownSince}
+		b = newBucket(w, part, k.ownSince)
 		k.own[w.Name] = b
 	}
-	rate, capacity := b.refill(w, k.opts.Bound(), k.opts.Part(), now)
+	rate, capacity := b.refill(w, k.opts.Bound(), part, now)
 	return b.take(cost, rate, capacity)
 }
 
--- a/internal/quota/pool.go
+++ b/internal/quota/pool.go
@@ -86,12 +86,13 @@
 		return 0, minAfter
 	}
 	now := p.opts.Now()
+	part := p.part(now)
 	b := p.buckets[w.Name]
 	if b == nil {
-		b = &bucket{at: p.since}
+		b = newBucket(w, part, p.since)
 		p.buckets[w.Name] = b
 	}
-	rate, capacity := b.refill(w, p.opts.Bound(), p.part(now), now)
+	rate, capacity := b.refill(w, p.opts.Bound(), part, now)
 	ok, after := b.take(cost, rate, capacity)
 	if !ok {
 		return 0, after
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -23,6 +23,9 @@
 	pool    *Pool
 	holds   bool
 	cut     map[int]bool
+	// dead says that the holder does not answer, which its daemons learn only by
+	// asking.
+	dead bool
 }
 
 func newFleet(n int) *fleet {
@@ -42,6 +45,9 @@
 // Ask implements Source; a daemon that is cut off is not told apart here, as it
 // asks nobody.
 func (f *fleet) Ask(_ context.Context, _, _ string, cost, more float64) (float64, time.Duration, bool) {
+	if f.dead {
+		return 0, 0, false
+	}
 	granted, after := f.pool.Grant(workspace, cost, more)
 	return granted, after, true
 }
@@ -120,6 +126,18 @@
 	})
 }
 
+// Guards against requests that are refused as above the quota because the daemon
+// with the pool has just gone.
+func TestHolderThatDoesNotAnswer(t *testing.T) {
+	f := newFleet(3)
+	for range 40 {
+		f.step(100 * time.Millisecond)
+	}
+	f.dead = true
+	ok, _ := f.keepers[1].Take(t.Context(), workspace, 200)
+	assert.Assert(t, ok)
+}
+
 // Guards against a daemon that never serves a request above its part's capacity.
 func TestLargeRequestWithoutPool(t *testing.T) {
 	f := newFleet(77)
--- /dev/null
+++ b/internal/truetime/clock_test.go
@@ -0,0 +1,31 @@
+package truetime
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against usage that is counted in the wrong window because the time of
+// day of this instance, or of some others, jumped.
+func TestJumpsDoNotMoveTheEstimate(t *testing.T) {
+	steady := time.Unix(500, 0)
+	truth := func() time.Time { return steady.Add(1e9 * time.Second) }
+	jump := 3 * time.Second
+	c := New(func() time.Time { return steady }, func() time.Time { return truth().Add(jump) })
+	for range 20 {
+		steady = steady.Add(time.Second)
+		for i, name := range []string{"a", "b", "c", "d", "e"} {
+			wall := truth()
+			if i == 0 {
+				wall = wall.Add(-5 * time.Second)
+			}
+			c.Observe(name, wall, steady)
+		}
+	}
+	assert.Equal(t, c.Now(), truth())
+	jump = 0
+	steady = steady.Add(time.Minute)
+	assert.Equal(t, c.Now(), truth(), "the estimate goes on without news")
+}
