--- a/cmd/rattantide-gateway/main.go
+++ b/cmd/rattantide-gateway/main.go
@@ -36,7 +36,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
 	lines := telemetry.NewAsyncWriter(os.Stdout)
-	defer lines.Close()
+	defer func() { _ = lines.Close() }()
 	logger, err := telemetry.NewLogger(lines, "info")
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "rattantide-gateway: %v\n", err)
--- a/internal/autoscale/state.go
+++ b/internal/autoscale/state.go
@@ -47,8 +47,3 @@
 	}
 	return n
 }
-
-// live returns the upstreams of both kinds in a failure domain.
-func (o *Observed) live(domain string) int {
-	return o.Live[Place{domain, OnDemand}] + o.Live[Place{domain, Reclaimable}]
-}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -79,9 +79,11 @@
 	registered atomic.Bool
 	instances  atomic.Pointer[[]membership.Instance]
 	leaving    atomic.Bool
+	// relayNames are the daemons that read the store.
+	relayNames atomic.Pointer[[]string]
 	revision   atomic.Int64
 
-	callers, readiness, directory, control, metricsListener net.Listener
+	callers, readiness, directory, metricsListener net.Listener
 }
 
 // New opens the listeners and builds all parts. Nothing runs until Run.
--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -42,7 +42,7 @@
 func freePort(t *testing.T) int {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).Port
 }
 
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -76,6 +76,7 @@
 		list.Instances = append(list.Instances, *upstreams...)
 	}
 	d.table.ApplyList(list)
+	d.chooseRelays()
 }
 
 // report is what this daemon says of itself to others.
--- a/internal/fleetdaemon/relays.go
+++ b/internal/fleetdaemon/relays.go
@@ -14,24 +14,29 @@
 // them, so that the calls of the store do not grow with the number of daemons.
 const relays = 3
 
-// relayNames returns the daemons that read the store, by the view of this one. Two
-// views may differ for a moment; more daemons than needed then read it.
-func (d *Daemon) relayNames() []string {
+// chooseRelays chooses the daemons that read the store, by the view of this one.
+// Two views may differ for a moment; more daemons than needed then read it.
+func (d *Daemon) chooseRelays() {
 	names := []string{d.settings.Name}
 	for _, other := range d.table.Daemons() {
 		names = append(names, other.Name)
 	}
 	preferred := membership.Preferred("relay", names)
-	return preferred[:min(relays, len(preferred))]
+	chosen := preferred[:min(relays, len(preferred))]
+	d.relayNames.Store(&chosen)
+}
+
+// isRelay reports whether a daemon reads the store on its own.
+func (d *Daemon) isRelay(name string) bool {
+	chosen := d.relayNames.Load()
+	return chosen == nil || slices.Contains(*chosen, name)
 }
 
 // direct reports whether this daemon reads the store on its own.
-func (d *Daemon) direct() bool { return slices.Contains(d.relayNames(), d.settings.Name) }
+func (d *Daemon) direct() bool { return d.isRelay(d.settings.Name) }
 
 // important reports whether requests depend on the answers of a daemon.
-func (d *Daemon) important(name string) bool {
-	return d.quota.Holds(name) || slices.Contains(d.relayNames(), name)
-}
+func (d *Daemon) important(name string) bool { return d.quota.Holds(name) || d.isRelay(name) }
 
 // asked takes over what a daemon that asks says of itself.
 func (d *Daemon) asked(r peering.Report) {
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -58,7 +58,7 @@
 		case <-work.Done():
 		}
 		for _, s := range servers {
-			s.Close()
+			_ = s.Close()
 		}
 		return nil
 	})
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -166,7 +166,7 @@
 		n.ask()
 		select {
 		case <-ctx.Done():
-			n.conn.Close()
+			_ = n.conn.Close()
 			<-done
 			return nil
 		case <-ticker.C:
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -169,7 +169,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	head := head(w.Header(), len(answer))
 	fmt.Fprint(buffered, head, answer, head, answer)
 	_ = buffered.Flush()
--- a/internal/upstreamconn/call.go
+++ b/internal/upstreamconn/call.go
@@ -42,7 +42,7 @@
 		p.drop(address, c)
 		return nil, &Error{Sent: sent, Err: cause(ctx, err)}
 	}
-	answer, err := c.readHead(r.Method)
+	answer, err := c.readHead(r.Method) //nolint:bodyclose // closed by the caller through Response.Body
 	if err != nil {
 		stop()
 		p.drop(address, c)
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -100,7 +100,7 @@
 			return c, nil
 		}
 		host.open--
-		c.Close()
+		_ = c.Close()
 		p.Scope.Counter("upstream_connections_stale").Inc(1)
 	}
 	if limit > 0 && host.open >= limit {
@@ -127,7 +127,7 @@
 		if host != nil {
 			host.open--
 		}
-		c.Close()
+		_ = c.Close()
 		return
 	}
 	c.used = true
@@ -136,7 +136,7 @@
 
 // drop closes a connection that must not be used again.
 func (p *Pools) drop(address string, c *conn) {
-	c.Close()
+	_ = c.Close()
 	p.forget(address)
 }
 
@@ -165,7 +165,7 @@
 				continue
 			}
 			host.open--
-			c.Close()
+			_ = c.Close()
 		}
 		host.idle = kept
 		if host.open <= 0 && !keep(address) {
