--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -14,6 +14,16 @@
 // reconcileEvery is how often the services are looked at.
 const reconcileEvery = 500 * time.Millisecond
 
+// Lateness tells how recent requests were answered.
+type Lateness struct {
+	// Median is the median time to the first answer relative to its target.
+	Median float64
+	// Late is the share of requests that were late or nearly so.
+	Late float64
+	// Requests is the number of requests that were looked at.
+	Requests int
+}
+
 // Sender sends an order under a fencing token.
 type Sender interface {
 	OrderUpstreams(ctx context.Context, fence int64, service, domain string, count int, reclaimable bool) error
@@ -25,9 +35,8 @@
 	Sender Sender
 	// Upstreams returns all known upstreams, leaving ones too.
 	Upstreams func() []membership.Instance
-	// Lateness returns the share of recent requests to a service that were late
-	// or nearly so, and their number.
-	Lateness func(service string) (share float64, requests int)
+	// Lateness returns how recent requests to a service were answered.
+	Lateness func(service string) Lateness
 	// Held returns the fencing token while this daemon has the duty.
 	Held   func() (fence int64, ok bool)
 	Now    func() time.Time
@@ -81,7 +90,8 @@
 			c.planners[name] = planner
 		}
 		observed := observe(service, upstreams, c.opts.Now())
-		observed.Late, observed.Requests = c.opts.Lateness(name)
+		l := c.opts.Lateness(name)
+		observed.Median, observed.Late, observed.Requests = l.Median, l.Late, l.Requests
 		for _, order := range planner.Plan(observed) {
 			c.send(ctx, fence, name, planner, order, observed)
 		}
@@ -113,7 +123,7 @@
 	err := c.opts.Sender.OrderUpstreams(ctx, fence, service, order.Domain, order.Count, reclaimable)
 	fields := []any{
 		"service", service, "domain", order.Domain, "count", order.Count, "reclaimable", reclaimable, "fence", fence,
-		"live", o.Live[order.Place], "target", planner.Target(), "late", o.Late, "requests", o.Requests,
+		"live", o.Live[order.Place], "target", planner.Target(), "median", o.Median, "late", o.Late, "requests", o.Requests,
 	}
 	if err != nil {
 		planner.Refused(order, c.opts.Now())
--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -19,10 +19,14 @@
 	// floorShare is the least part of the upstreams found at first to which a
 	// service shrinks, so that a sudden load does not meet a tiny service.
 	floorShare = 0.6
-	// growLate is the share of late requests above which the service grows, and
-	// shrinkLate the one below which it shrinks.
-	growLate   = 0.1
-	shrinkLate = 0.02
+	// growMedian is the median time to the first answer, relative to the target,
+	// above which the service grows. The median does not follow single upstreams
+	// that are slow, which more of them would not help.
+	growMedian = 0.45
+	// shrinkMedian and shrinkLate are the median and the share of late requests
+	// below which it shrinks.
+	shrinkMedian = 0.3
+	shrinkLate   = 0.02
 	// growStep and shrinkStep are by which share of the service.
 	growStep   = 0.25
 	shrinkStep = 0.1
@@ -90,7 +94,7 @@
 		p.startedAt = o.Now
 	}
 	if o.Now.Sub(p.startedAt) < settleTime {
-		p.target = max(p.target, o.total())
+		p.target = max(p.target, neededBy(o))
 		p.found = p.target
 		p.shrunkAt = o.Now
 		return nil
@@ -113,6 +117,23 @@
 	return orders
 }
 
+// neededBy estimates what the load needs from the upstreams that serve. Where
+// reclaimable ones are among them, an earlier holder ordered them, and more than
+// the load needs.
+func neededBy(o *Observed) int {
+	reclaimable := 0
+	for place, count := range o.Live {
+		if place.Kind == Reclaimable {
+			reclaimable += count
+		}
+	}
+	total := o.total()
+	if reclaimable == 0 {
+		return total
+	}
+	return int(math.Round(float64(total) / (onDemandShare + referenceDomains*perDomainShare)))
+}
+
 // Refused records that an order was not carried out.
 func (p *Planner) Refused(order Order, now time.Time) {
 	p.ordered[order.Place] = ordered{count: -1, at: now}
@@ -149,11 +170,11 @@
 	limit := o.Bounds.MaxPerZone * domains
 	switch {
 	case o.Requests < minRequests:
-	case o.Late > growLate && o.Now.Sub(p.grownAt) > o.Bounds.BootTime+time.Second:
+	case o.Median > growMedian && o.Now.Sub(p.grownAt) > o.Bounds.BootTime+time.Second:
 		// What serves now does not suffice, whatever was wanted before.
 		p.target = max(p.target, min(o.total(), limit)) + max(1, int(growStep*float64(p.target)))
 		p.grownAt, p.shrunkAt = o.Now, o.Now
-	case o.Late < shrinkLate && o.Now.Sub(p.shrunkAt) > shrinkEvery && o.total() >= p.target:
+	case o.Median < shrinkMedian && o.Late < shrinkLate && o.Now.Sub(p.shrunkAt) > shrinkEvery && o.total() >= p.target:
 		p.target -= max(1, int(shrinkStep*float64(p.target)))
 		p.shrunkAt = o.Now
 	}
@@ -169,7 +190,7 @@
 		return wanted
 	}
 	base := p.base(o, domains)
-	share := max(o.Bounds.MinPerZone, int(math.Ceil(perDomainShare*float64(p.target)*referenceDomains/float64(len(domains)))))
+	share := max(o.Bounds.MinPerZone, int(perDomainShare*float64(p.target)*referenceDomains/float64(len(domains))))
 	for _, domain := range domains {
 		wanted[domain] = min(share, o.Bounds.MaxPerZone-base[domain])
 	}
--- a/internal/autoscale/state.go
+++ b/internal/autoscale/state.go
@@ -32,8 +32,10 @@
 	Bounds *fleetconfig.Autoscale
 	// Live are the upstreams that serve, by place.
 	Live map[Place]int
-	// Late is the share of recent requests whose first answer took more than
-	// lateShare of its target; Requests is their number.
+	// Median is the median time of recent requests to their first answer relative
+	// to its target, Late the share of those that were late or nearly so, and
+	// Requests their number.
+	Median   float64
 	Late     float64
 	Requests int
 	Now      time.Time
--- a/internal/fleetdaemon/lateness.go
+++ b/internal/fleetdaemon/lateness.go
@@ -1,9 +1,11 @@
 package fleetdaemon
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"rattantide/internal/autoscale"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 )
@@ -27,8 +29,9 @@
 }
 
 type latenessSample struct {
-	at   time.Time
-	late bool
+	at time.Time
+	// ratio is the time to the first answer relative to the target.
+	ratio float64
 }
 
 func newLateness(holder *fleetconfig.Holder, now func() time.Time) *lateness {
@@ -37,7 +40,7 @@
 
 // Observe implements dispatch.Observer.
 func (l *lateness) Observe(o dispatch.Observation) {
-	if o.Outcome != dispatch.StatusOK && o.Outcome != dispatch.StatusTimeout && o.Outcome != dispatch.StatusBusy {
+	if o.Outcome != dispatch.StatusOK {
 		return
 	}
 	config, _ := l.holder.Current()
@@ -52,11 +55,10 @@
 	if route.Kind == fleetconfig.Stream {
 		took = o.Queued + o.FirstToken
 	}
-	late := o.Outcome != dispatch.StatusOK || float64(took) > lateShare*float64(route.Target)
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.services[o.Pool] = append(l.recent(o.Pool, now), latenessSample{at: now, late: late})
+	l.services[o.Pool] = append(l.recent(o.Pool, now), latenessSample{at: now, ratio: float64(took) / float64(route.Target)})
 }
 
 // recent drops the samples that are too old. The lock is held.
@@ -68,20 +70,25 @@
 	return samples
 }
 
-// Share returns the share of late requests to a service, and their number.
-func (l *lateness) Share(service string) (share float64, requests int) {
+// Of returns how recent requests to a service were answered.
+func (l *lateness) Of(service string) autoscale.Lateness {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	samples := l.recent(service, l.now())
 	l.services[service] = samples
+	if len(samples) == 0 {
+		return autoscale.Lateness{}
+	}
 	late := 0
-	for _, s := range samples {
-		if s.late {
+	ratios := make([]float64, len(samples))
+	for i, s := range samples {
+		ratios[i] = s.ratio
+		if s.ratio > lateShare {
 			late++
 		}
 	}
-	if len(samples) == 0 {
-		return 0, 0
+	slices.Sort(ratios)
+	return autoscale.Lateness{
+		Median: ratios[len(ratios)/2], Late: float64(late) / float64(len(ratios)), Requests: len(ratios),
 	}
-	return float64(late) / float64(len(samples)), len(samples)
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -9,7 +9,7 @@
 const (
 	// extraShare is the part of the allowed overshoot that is used. The rest
 	// covers requests that arrive at their upstream in a later window.
-	extraShare = 0.4
+	extraShare = 0.6
 	// startTime is the time whose rate a new bucket holds. What was spent before is
 	// not known, but the first requests need not wait.
 	startTime = 300 * time.Millisecond
