Count refused requests as a need for more upstreams

It grows when the median exceeds 0.31 and 12 in 100 are late or refused, or when the median alone exceeds 0.45.

--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -19,10 +19,13 @@
 	// floorShare is the least part of the upstreams found at first to which a
 	// service shrinks, so that a sudden load does not meet a tiny service.
 	floorShare = 0.6
-	// growMedian is the median time to the first answer, relative to the target,
-	// above which the service grows. The median does not follow single upstreams
-	// that are slow, which more of them would not help.
-	growMedian = 0.45
+	// growMedian and growLate are the median time to the first answer, relative to
+	// the target, and the share of late requests above which the service grows.
+	// The median does not follow single upstreams that are slow, which more of
+	// them would not help; it alone decides above overloadMedian.
+	growMedian     = 0.31
+	growLate       = 0.12
+	overloadMedian = 0.45
 	// shrinkMedian and shrinkLate are the median and the share of late requests
 	// below which it shrinks.
 	shrinkMedian = 0.3
@@ -170,7 +173,7 @@
 	limit := o.Bounds.MaxPerZone * domains
 	switch {
 	case o.Requests < minRequests:
-	case o.Median > growMedian && o.Now.Sub(p.grownAt) > o.Bounds.BootTime+time.Second:
+	case overloaded(o) && o.Now.Sub(p.grownAt) > o.Bounds.BootTime+time.Second:
 		// What serves now does not suffice, whatever was wanted before.
 		p.target = max(p.target, min(o.total(), limit)) + max(1, int(growStep*float64(p.target)))
 		p.grownAt, p.shrunkAt = o.Now, o.Now
@@ -182,6 +185,11 @@
 	p.target = min(max(p.target, floor), limit)
 }
 
+// overloaded reports whether the service needs more upstreams.
+func overloaded(o *Observed) bool {
+	return o.Median > overloadMedian || o.Median > growMedian && o.Late > growLate
+}
+
 // reclaimable returns how many reclaimable upstreams each failure domain should
 // have.
 func (p *Planner) reclaimable(o *Observed, domains []string) map[string]int {
--- a/internal/autoscale/planner_test.go
+++ b/internal/autoscale/planner_test.go
@@ -165,6 +165,15 @@
 	assert.Equal(t, c.planner.Target(), 9)
 }
 
+// Guards against a service that stays as it is while a quarter of the requests is
+// late and the others wait as well.
+func TestGrowsBeforeTheMedianIsLate(t *testing.T) {
+	c := newCloud(threeEach())
+	c.late, c.median = 0.25, 0.4
+	c.run(20 * time.Second)
+	assert.Assert(t, c.planner.Target() > 9, "%d", c.planner.Target())
+}
+
 // Guards against orders outside the platform's bounds.
 func TestOrdersStayWithinBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -223,7 +223,7 @@
 		Evidence: evidence{d.table}, Observer: d.lateness, Repeats: repeats, FirstInTime: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: d.holder, Chooser: dispatcher, Conns: d.conns, ConnLimit: d.connLimit,
+		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.lateness}, Conns: d.conns, ConnLimit: d.connLimit,
 		Quota: d.quota, Usage: d.counter, Loads: d.table, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, Leaving: d.leaving.Load,
 	})
--- a/internal/fleetdaemon/lateness.go
+++ b/internal/fleetdaemon/lateness.go
@@ -1,6 +1,7 @@
 package fleetdaemon
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -55,10 +56,14 @@
 	if route.Kind == fleetconfig.Stream {
 		took = o.Queued + o.FirstToken
 	}
+	l.add(o.Pool, float64(took)/float64(route.Target))
+}
+
+func (l *lateness) add(service string, ratio float64) {
 	now := l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.services[o.Pool] = append(l.recent(o.Pool, now), latenessSample{at: now, ratio: float64(took) / float64(route.Target)})
+	l.services[service] = append(l.recent(service, now), latenessSample{at: now, ratio: ratio})
 }
 
 // recent drops the samples that are too old. The lock is held.
@@ -70,6 +75,26 @@
 	return samples
 }
 
+// refusedRatio is the time relative to the target for which a refused request
+// counts. What is held back keeps the others on time, so that they alone would
+// show no need of more upstreams.
+const refusedRatio = 1.5
+
+// countingChooser counts the requests that are refused for want of capacity.
+type countingChooser struct {
+	dispatch.Chooser
+	lateness *lateness
+}
+
+// Choose implements dispatch.Chooser.
+func (c countingChooser) Choose(ctx context.Context, r *dispatch.Request) (*dispatch.Choice, error) {
+	choice, err := c.Chooser.Choose(ctx, r)
+	if err != nil && ctx.Err() == nil && r.Attempt <= 1 {
+		c.lateness.add(r.Pool, refusedRatio)
+	}
+	return choice, err
+}
+
 // Of returns how recent requests to a service were answered.
 func (l *lateness) Of(service string) autoscale.Lateness {
 	l.mu.Lock()
