Send less to upstreams that fail requests while their health is good

Cause: an answered error counted as a sign of life only, so grey upstreams got their full share of the traffic.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -49,7 +49,7 @@
 	now := a.d.opts.Now()
 	ok := res.Status == StatusOK
 	a.tracker.Ended(a.sent, routing.Feedback{
-		OK: ok, FirstToken: res.FirstToken, FirstReported: a.firstReported,
+		Now: now, OK: ok, Failed: failed(res.Status), FirstToken: res.FirstToken, FirstReported: a.firstReported,
 		PromptTokens: res.PromptTokens, CachedTokens: res.CachedTokens,
 	})
 	if a.suspect {
@@ -73,6 +73,11 @@
 	}
 }
 
+// failed reports whether the upstream failed the attempt.
+func failed(status Status) bool {
+	return status == StatusError || status == StatusCrash || status == StatusTimeout
+}
+
 // wasLeaving reports whether the upstream was known to leave: its end then says
 // nothing about the request.
 func (a *attempt) wasLeaving() bool {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -22,6 +22,8 @@
 	Slowness float64
 	// CachedTokens is how much of the prompt is believed to be cached.
 	CachedTokens float64
+	// FailureShare is the share of recent attempts that the upstream failed.
+	FailureShare float64
 	// KVShare is the used share of the cache memory as last reported.
 	KVShare float64
 	// ReclaimsPerSecond estimates how likely the upstream is to be reclaimed.
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -24,6 +24,9 @@
 	// begin to evict prefixes and to preempt requests.
 	kvPressureStart   = 0.9
 	kvPressureSeconds = 5.0
+	// failureSeconds is what a failed attempt costs: it is repeated elsewhere at
+	// best, and lost at worst.
+	failureSeconds = 2.0
 )
 
 // Cost is the shipped policy. The score of a candidate is the expected time to
@@ -65,6 +68,7 @@
 	if c.KVShare > kvPressureStart {
 		first += (c.KVShare - kvPressureStart) * kvPressureSeconds
 	}
+	first += c.FailureShare * failureSeconds
 	exposure := first + float64(req.MaxTokens)*secondsPerToken
 	// On average, half of the answer exists when a reclaim comes; prompt and
 	// answer are then computed again elsewhere.
--- /dev/null
+++ b/internal/routing/failure_share_test.go
@@ -0,0 +1,44 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/membership"
+)
+
+// The pattern: one of four upstreams fails half of its requests while its health
+// check is good. Guards against sending it a full share of the traffic, and
+// against never trying it again.
+func TestUpstreamThatFailsHalfGetsLess(t *testing.T) {
+	tracker := NewTracker(0)
+	policy := NewCost()
+	upstreams := []membership.Upstream{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "grey"}}
+	now := time.Unix(1000, 0)
+	source := bitSource(7)
+	run := func(requests int, grey bool) int {
+		sent := 0
+		for range requests {
+			now = now.Add(20 * time.Millisecond)
+			req := &Request{PromptTokens: 500, MaxTokens: 20, Rand: source.next(), Now: now}
+			candidates := tracker.Candidates(req, upstreams, nil)
+			picked := policy.Pick(req, candidates)
+			s := tracker.Sent(req, &candidates[picked])
+			bad := candidates[picked].Name == "grey"
+			if bad {
+				sent++
+			}
+			failed := grey && bad && sent%2 == 0
+			tracker.Ended(s, Feedback{Now: now.Add(10 * time.Millisecond), OK: !failed, Failed: failed, FirstToken: 100 * time.Millisecond})
+		}
+		return sent
+	}
+	assert.Assert(t, run(400, false) > 50)
+	grey := run(400, true)
+	assert.Assert(t, grey < 40, "%d of 400 requests went to an upstream that fails half of them", grey)
+	assert.Assert(t, grey > 0, "it is never tried")
+	run(1000, false)
+	assert.Assert(t, run(400, false) > 50, "it stays avoided")
+}
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -98,6 +98,7 @@
 		c.TokensPerSecond = t.rate
 		c.Slowness = s.slowness
 		c.CachedTokens = cached
+		c.FailureShare = s.failures.now(now)
 		c.KVShare = s.kvShare
 		c.ReclaimsPerSecond = s.domain.hazard(u.Class, now)
 	}
@@ -144,6 +145,9 @@
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	s.running = max(0, s.running-1)
+	if f.OK || f.Failed {
+		s.failures.observe(f.Failed, t.since(f.Now))
+	}
 	if s.inFlight == 0 {
 		s.pending = 0
 	} else if !f.FirstReported {
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -35,6 +35,7 @@
 	// running is the batch size at the last report, plus own changes since.
 	running  float64
 	slowness float64
+	failures failureShare
 	kvShare  float64
 	reported int
 	reportAt time.Time
