--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -18,7 +18,7 @@
 	referenceDomains = 3
 	// floorShare is the least part of the upstreams found at first to which a
 	// service shrinks, so that a sudden load does not meet a tiny service.
-	floorShare = 0.6
+	floorShare = 0.8
 	// growMedian and growLate are the median time to the first answer, relative to
 	// the target, and the share of late requests above which the service grows.
 	// The median does not follow single upstreams that are slow, which more of
@@ -198,7 +198,7 @@
 		return wanted
 	}
 	base := p.base(o, domains)
-	share := max(o.Bounds.MinPerZone, int(perDomainShare*float64(p.target)*referenceDomains/float64(len(domains))))
+	share := max(o.Bounds.MinPerZone, int(math.Round(perDomainShare*float64(p.target)*referenceDomains/float64(len(domains)))))
 	for _, domain := range domains {
 		wanted[domain] = min(share, o.Bounds.MaxPerZone-base[domain])
 	}
