--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
 )
 
 // reconcileEvery is how often the services are looked at.
@@ -29,9 +32,22 @@
 	OrderUpstreams(ctx context.Context, fence int64, service, domain string, count int, reclaimable bool) error
 }
 
+// memoryKind is the kind of the objects that keep what services need, for the
+// next holder of the duty.
+const memoryKind = "capacity"
+
+// memory is what the store keeps of a service.
+type memory struct {
+	// Target is how many upstreams the service should have, Found how many there
+	// were at first.
+	Target int `json:"target"`
+	Found  int `json:"found"`
+}
+
 // Options configures a Controller. All fields are required.
 type Options struct {
 	Config *fleetconfig.Holder
+	Store  objectclient.Store
 	Sender Sender
 	// Upstreams returns all known upstreams, leaving ones too.
 	Upstreams func() []membership.Instance
@@ -49,6 +65,8 @@
 	opts     Options
 	fence    int64
 	planners map[string]*Planner
+	// remembered is what the store holds, by service.
+	remembered map[string]memory
 }
 
 // New returns a Controller.
@@ -77,7 +95,7 @@
 	}
 	if fence != c.fence || c.planners == nil {
 		// What an earlier holder ordered is not known.
-		c.fence, c.planners = fence, map[string]*Planner{}
+		c.fence, c.planners, c.remembered = fence, map[string]*Planner{}, map[string]memory{}
 	}
 	upstreams := c.opts.Upstreams()
 	for name, service := range config.Services {
@@ -86,7 +104,10 @@
 		}
 		planner := c.planners[name]
 		if planner == nil {
-			planner = NewPlanner()
+			var ok bool
+			if planner, ok = c.recall(ctx, name); !ok {
+				continue
+			}
 			c.planners[name] = planner
 		}
 		observed := observe(service, upstreams, c.opts.Now())
@@ -95,7 +116,53 @@
 		for _, order := range planner.Plan(observed) {
 			c.send(ctx, fence, name, planner, order, observed)
 		}
+		c.remember(ctx, name, planner)
+	}
+}
+
+// recall returns a planner that goes on from what an earlier holder left; ok is
+// false while the store cannot tell.
+func (c *Controller) recall(ctx context.Context, service string) (planner *Planner, ok bool) {
+	stored, err := c.opts.Store.Get(ctx, memoryKind, service)
+	if errors.Is(err, objectclient.ErrNotFound) {
+		return NewPlanner(), true
+	}
+	if err != nil {
+		c.opts.Logger.Warn("need of a service could not be read", "service", service, "error", err)
+		return nil, false
+	}
+	var m memory
+	if err := json.Unmarshal(stored.Value, &m); err != nil {
+		c.opts.Logger.Warn("need of a service is not readable; it is estimated", "service", service, "error", err)
+		return NewPlanner(), true
+	}
+	c.remembered[service] = m
+	c.opts.Logger.Info("goes on with the need of a service", "service", service, "target", m.Target, "found", m.Found)
+	return ResumePlanner(m.Target, m.Found, c.opts.Now()), true
+}
+
+// remember keeps the need of a service in the store. A failure is repaired by the
+// next change; two holders at once may overwrite each other, which only makes the
+// next one start from the other's value.
+func (c *Controller) remember(ctx context.Context, service string, planner *Planner) {
+	m := memory{Target: planner.target, Found: planner.found}
+	if m.Found == 0 || m == c.remembered[service] {
+		return
+	}
+	value, err := json.Marshal(m)
+	if err != nil {
+		c.opts.Logger.Error("need of a service could not be written", "service", service, "error", err)
+		return
+	}
+	version := objectclient.AnyVersion
+	if c.remembered[service].Found == 0 {
+		version = objectclient.MustNotExist
+	}
+	if _, err := c.opts.Store.Put(ctx, memoryKind, service, version, value); err != nil && !errors.Is(err, objectclient.ErrConflict) {
+		c.opts.Scope.Counter("capacity_write_failed").Inc(1)
+		c.opts.Logger.Warn("need of a service could not be written", "service", service, "error", err)
 	}
+	c.remembered[service] = m
 }
 
 // observe counts the upstreams of a service that serve.
--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -61,6 +61,8 @@
 	target int
 	// startedAt is when the service was first looked at.
 	startedAt time.Time
+	// resumed says that target and found come from an earlier holder.
+	resumed bool
 	// ordered holds the latest order of each place.
 	ordered map[Place]ordered
 	// grownAt and shrunkAt are when the target last grew and shrank.
@@ -84,6 +86,15 @@
 // NewPlanner returns a Planner without a past.
 func NewPlanner() *Planner { return &Planner{ordered: map[Place]ordered{}} }
 
+// ResumePlanner returns a Planner that goes on from what an earlier one decided: a
+// holder that takes over while upstreams are missing must not take the few that
+// serve for all that are needed.
+func ResumePlanner(target, found int, now time.Time) *Planner {
+	p := NewPlanner()
+	p.target, p.found, p.resumed, p.shrunkAt = target, found, target > 0 && found > 0, now
+	return p
+}
+
 // Target returns how many upstreams the service should have.
 func (p *Planner) Target() int { return p.target }
 
@@ -96,7 +107,7 @@
 	if p.startedAt.IsZero() {
 		p.startedAt = o.Now
 	}
-	if o.Now.Sub(p.startedAt) < settleTime {
+	if !p.resumed && o.Now.Sub(p.startedAt) < settleTime {
 		p.target = max(p.target, neededBy(o))
 		p.found = p.target
 		p.shrunkAt = o.Now
--- a/internal/autoscale/planner_test.go
+++ b/internal/autoscale/planner_test.go
@@ -156,6 +156,21 @@
 	assert.Assert(t, c.planner.Target() <= 10 && c.total() <= 15, "target %d, %v", c.planner.Target(), c.live)
 }
 
+// The pattern: all daemons are killed while the reclaimable upstreams of two
+// domains are gone. Guards against a new holder that takes what is left for the
+// need.
+func TestResumedPlannerKeepsTheNeed(t *testing.T) {
+	c := newCloud(threeEach())
+	c.late = 0.05
+	c.run(30 * time.Second)
+	target, found := c.planner.target, c.planner.found
+	c.reclaim("a")
+	c.reclaim("b")
+	c.planner = ResumePlanner(target, found, c.now)
+	c.run(6 * time.Second)
+	assert.Assert(t, c.total() >= 9, "%v", c.live)
+}
+
 // The pattern: two of nine upstreams are slow, so that a fifth of the requests is
 // late. Guards against ordering more, which does not help.
 func TestSlowUpstreamsDoNotGrowTheService(t *testing.T) {
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -87,7 +87,7 @@
 	}
 	if d.settings.Cloud.OrdersRunners {
 		controller := autoscale.New(autoscale.Options{
-			Config: d.holder, Sender: d.cloud, Upstreams: d.knownUpstreams, Lateness: d.lateness.Of, Held: d.held,
+			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, Lateness: d.lateness.Of, Held: d.held,
 			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 		})
 		parts.Go(func() error { return controller.Run(ctx) })
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -10,6 +10,11 @@
 	// extraShare is the part of the allowed overshoot that is used. The rest
 	// covers requests that arrive at their upstream in a later window.
 	extraShare = 0.6
+	// sustainedShare is the part of the burst and of what may be spent above a
+	// quota that is spread over the window. A quota allows its rate times the
+	// window plus the burst in any window, so a workspace that asks for a little
+	// more than its rate all the time is within it.
+	sustainedShare = 0.65
 	// startTime is the time whose rate a new bucket holds. What was spent before is
 	// not known, but the first requests need not wait.
 	startTime = 300 * time.Millisecond
@@ -45,8 +50,9 @@
 
 // refill brings the bucket up to date for a part of the quota, 0 to 1.
 func (b *bucket) refill(w *fleetconfig.Workspace, bound Bound, part float64, now time.Time) (rate, capacity float64) {
-	rate = w.Rate * part
-	capacity = (w.Burst + bound.extra(w)) * part
+	room := w.Burst + bound.extra(w)
+	rate = (w.Rate + sustainedShare*room/bound.Window.Seconds()) * part
+	capacity = (1 - sustainedShare) * room * part
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.level += rate * elapsed.Seconds()
 		b.at = now
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -126,6 +126,27 @@
 	})
 }
 
+// Guards against a workspace that is refused within its quota because it asks for
+// slightly more than its rate all the time: in any window that is still less than
+// the rate times the window plus the burst.
+func TestSustainedUseAboveTheRate(t *testing.T) {
+	f := newFleet(9)
+	for range 40 {
+		f.step(100 * time.Millisecond)
+	}
+	taken, asked := 0.0, 0.0
+	for range 300 {
+		f.step(100 * time.Millisecond)
+		for range 11 {
+			asked += 100
+			if ok, _ := f.keepers[2].Take(t.Context(), workspace, 100); ok {
+				taken += 100
+			}
+		}
+	}
+	assert.Assert(t, taken >= 0.98*asked, "%g of %g were taken", taken, asked)
+}
+
 // Guards against requests that are refused as above the quota because the daemon
 // with the pool has just gone.
 func TestHolderThatDoesNotAnswer(t *testing.T) {
