Serve at once with make run

make run played the faults of the demo for 35 s before it served. It now applies the configuration and stays up; make demo is as before.

--- a/internal/cli/demo/run.go
+++ b/internal/cli/demo/run.go
@@ -26,7 +26,9 @@
 	show func(context.Context) (string, error)
 }
 
-// Run shows every feature and returns an error when one of them failed.
+// Run shows every feature and returns an error when one of them failed. With
+// Options.Stay it only applies the configuration and keeps everything up until ctx
+// ends.
 func Run(ctx context.Context, options Options) error {
 	dir, err := os.MkdirTemp("", "rattantide-demo-")
 	if err != nil {
@@ -57,6 +59,10 @@
 	}
 	fmt.Fprintf(d.options.Out, "started: object API, instance list, cloud API, weight store, %d engines, %d services, %d daemons\n",
 		len(d.engines), len(d.services), len(d.daemons))
+	if d.options.Stay {
+		_, err := d.showConfiguration(ctx)
+		return 0, err
+	}
 	for _, f := range d.features() {
 		began := time.Now()
 		figures, err := f.show(ctx)
