--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -12,6 +12,7 @@
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
+	"rattantide/internal/periodic"
 )
 
 // reconcileEvery is how often the services are looked at.
@@ -74,16 +75,7 @@
 
 // Run reconciles until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reconcileEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.reconcile(ctx)
-		}
-	}
+	return periodic.Every(ctx, reconcileEvery, c.reconcile)
 }
 
 func (c *Controller) reconcile(ctx context.Context) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,7 +140,7 @@
 	d.engines = engineclient.New(nil)
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Config: d.cache, Table: d.table, Admission: d.admission, Trackers: d.trackers,
-		Moves: d.guard, Evidence: evidence{d.table}, Scope: d.scope,
+		Moves: d.guard, Evidence: dispatch.TableEvidence{Table: d.table}, Scope: d.scope,
 	})
 	d.watcher = upstreamwatch.New(upstreamwatch.Options{
 		Fetch: d.engines, Table: d.table, Trackers: d.trackers, Config: d.cache, Logger: d.logger, Scope: d.scope,
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -220,7 +220,7 @@
 	}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: &viewSource{holder: d.holder}, Table: d.table, Admission: d.admission, Trackers: d.trackers,
-		Evidence: evidence{d.table}, Observer: d.lateness, Repeats: repeats, FirstInTime: true, Scope: d.scope,
+		Evidence: dispatch.TableEvidence{Table: d.table}, Observer: d.lateness, Repeats: repeats, FirstInTime: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.lateness}, Conns: d.conns, ConnLimit: d.connLimit,
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rattantide/internal/bootclock"
-	"rattantide/internal/dispatch"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peering"
@@ -20,21 +19,6 @@
 	addressTTL = time.Second
 )
 
-// evidence passes on what attempts showed of an upstream.
-type evidence struct {
-	table *membership.Table
-}
-
-// Observe implements dispatch.Evidence.
-func (e evidence) Observe(upstream string, seen dispatch.Seen, _ time.Time) {
-	switch {
-	case seen.Lost:
-		e.table.Observe(upstream, membership.EvidenceCrash)
-	case seen.OK:
-		e.table.Observe(upstream, membership.EvidenceOK)
-	}
-}
-
 // decodeInstance returns the decoder of upstream entries. The platform's entries
 // name no region, so upstreams count to that of this daemon.
 func decodeInstance(region string) func(*objectclient.Object) (membership.Instance, error) {
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -13,6 +13,7 @@
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
 	"rattantide/internal/membership"
+	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
 	"rattantide/platform"
 )
@@ -25,8 +26,9 @@
 	headerTimeout = 5 * time.Second
 	// maxHeader bounds a caller's header; the configuration's bound may be lower.
 	maxHeader = 64 << 10
-	// sweepEvery is how often idle connections to upstreams are looked at.
-	sweepEvery = time.Second
+	// keepHouseEvery is how often idle connections to upstreams are looked at, and
+	// the own counts are added to those of the others.
+	keepHouseEvery = time.Second
 	// lingerTTLs is how long a leaving daemon still accepts connections, in
 	// lifetimes of the callers' addresses.
 	lingerTTLs = 1.5
@@ -44,7 +46,7 @@
 	parts.Go(func() error { return d.peers.Run(work) })
 	parts.Go(func() error { return d.leases.Run(work) })
 	parts.Go(func() error { return d.registrar.Run(work) })
-	parts.Go(func() error { return d.housekeeping(work) })
+	parts.Go(func() error { return periodic.Every(work, keepHouseEvery, d.keepHouse) })
 	parts.Go(func() error { return d.followSettings(work) })
 	d.startDuties(work, parts)
 	servers := d.startServers(parts)
@@ -147,26 +149,17 @@
 	}
 }
 
-// housekeeping does what is due about once a second.
-func (d *Daemon) housekeeping(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		if fence, held := d.held(); held {
-			d.quotaPool.Open(fence)
-		}
-		known := map[string]bool{}
-		for _, u := range d.knownUpstreams() {
-			known[u.Address] = true
-		}
-		d.conns.Sweep(func(address string) bool { return known[address] })
-		d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
+// keepHouse does what is due about once a second.
+func (d *Daemon) keepHouse(context.Context) {
+	if fence, held := d.held(); held {
+		d.quotaPool.Open(fence)
+	}
+	known := map[string]bool{}
+	for _, u := range d.knownUpstreams() {
+		known[u.Address] = true
 	}
+	d.conns.Sweep(func(address string) bool { return known[address] })
+	d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
 }
 
 // newTransport is for the calls of the platform.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rattantide/internal/objectclient"
+	"rattantide/internal/periodic"
 )
 
 const (
@@ -63,16 +64,7 @@
 
 // Run reports until ctx ends.
 func (r *Reporter) Run(ctx context.Context) error {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			r.reconcile(ctx)
-		}
-	}
+	return periodic.Every(ctx, reportEvery, r.reconcile)
 }
 
 // reconcile reports the windows that are due.
