--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -32,7 +32,7 @@
 	// shrinkMedian and shrinkLate are the median and the share of late requests
 	// below which it shrinks.
 	shrinkMedian = 0.3
-	shrinkLate   = 0.02
+	shrinkLate   = 0.04
 	// growStep and shrinkStep are by which share of the service.
 	growStep   = 0.25
 	shrinkStep = 0.1
@@ -41,7 +41,7 @@
 	returnStep = 0.25
 	// shrinkEvery is the time between two steps down. It exceeds the time over
 	// which late requests are counted, so that each step's effect is seen.
-	shrinkEvery = 5 * time.Second
+	shrinkEvery = 4500 * time.Millisecond
 	// minRequests is the least number of requests that say something about the
 	// share of late ones.
 	minRequests = 30
