Move services to the version that operators declare

The holder decides by a canary and what all daemons saw; daemons follow the state in the store, also after the holder changed. Ruled out: three steps of 4, 30 and 100 in 100 (not done by the deadline, and a version that is bad later exceeds a tenth of the requests).

--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -50,6 +50,9 @@
 	Config *fleetconfig.Holder
 	Store  objectclient.Store
 	Sender Sender
+	// Paused reports whether nothing may be ordered for a service now: while it
+	// moves to another version, upstreams of both serve, more than are needed.
+	Paused func(service string) bool
 	// Upstreams returns all known upstreams, leaving ones too.
 	Upstreams func() []membership.Instance
 	// Lateness returns how recent requests to a service were answered.
@@ -91,7 +94,7 @@
 	}
 	upstreams := c.opts.Upstreams()
 	for name, service := range config.Services {
-		if service.Autoscale == nil {
+		if service.Autoscale == nil || c.opts.Paused(name) {
 			continue
 		}
 		planner := c.planners[name]
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -27,6 +27,7 @@
 	"rattantide/internal/truetime"
 	"rattantide/internal/upstreamconn"
 	"rattantide/internal/usage"
+	"rattantide/internal/versionmove"
 	"rattantide/platform"
 )
 
@@ -70,10 +71,15 @@
 	ledger    *usage.Ledger
 	leases    *lease.Manager
 	lateness  *lateness
-	gateway   *gateway.Server
-	config    *fleetsync.ConfigSync
-	upstreams *fleetsync.UpstreamSync
-	listed    atomic.Bool
+	// versions holds what this daemon saw of versions, versionLedger that of all.
+	versions      *versionmove.Recorder
+	versionLedger *versionmove.Ledger
+	follower      *versionmove.Follower
+	view          *viewSource
+	gateway       *gateway.Server
+	config        *fleetsync.ConfigSync
+	upstreams     *fleetsync.UpstreamSync
+	listed        atomic.Bool
 	// registered says that the others were looked up, so that this daemon's part
 	// of what all share is known.
 	registered atomic.Bool
@@ -99,6 +105,7 @@
 		return nil, errors.Trace(err)
 	}
 	d.buildDuties()
+	d.buildMoves()
 	d.buildQuota()
 	d.buildRequestPath()
 	return d, nil
@@ -191,6 +198,14 @@
 	d.leases.Want(dutyLease)
 }
 
+// buildMoves builds what moves services to other versions.
+func (d *Daemon) buildMoves() {
+	d.versionLedger = versionmove.NewLedger()
+	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, Logger: d.logger}
+	d.view = &viewSource{holder: d.holder, moves: d.follower.States}
+	d.follower.Changed = d.view.reset
+}
+
 // buildQuota builds what holds workspaces to their quotas.
 func (d *Daemon) buildQuota() {
 	bound := func() quota.Bound {
@@ -218,9 +233,10 @@
 			return b.RetryShare, b.RetrySlack * d.part()
 		},
 	}
+	d.versions = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
-		Config: &viewSource{holder: d.holder}, Table: d.table, Admission: d.admission, Trackers: d.trackers,
-		Evidence: dispatch.TableEvidence{Table: d.table}, Observer: d.lateness, Repeats: repeats, FirstInTime: true, Scope: d.scope,
+		Config: d.view, Table: d.table, Admission: d.admission, Trackers: d.trackers,
+		Evidence: dispatch.TableEvidence{Table: d.table}, Observer: observers{d.lateness, d.versions}, Repeats: repeats, FirstInTime: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.lateness}, Conns: d.conns, ConnLimit: d.connLimit,
--- a/internal/fleetdaemon/lateness.go
+++ b/internal/fleetdaemon/lateness.go
@@ -75,6 +75,16 @@
 	return samples
 }
 
+// observers passes observations on to all of them.
+type observers []dispatch.Observer
+
+// Observe implements dispatch.Observer.
+func (o observers) Observe(seen dispatch.Observation) {
+	for _, each := range o {
+		each.Observe(seen)
+	}
+}
+
 // refusedRatio is the time relative to the target for which a refused request
 // counts. What is held back keeps the others on time, so that they alone would
 // show no need of more upstreams.
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -81,6 +81,9 @@
 	if revision, age, ok := d.upstreams.Position(); ok {
 		r.UpstreamRevision, r.UpstreamAgeMs = revision, age.Milliseconds()
 	}
+	if len(d.follower.States()) > 0 {
+		r.Versions = d.encodeVersions()
+	}
 	if s.Cloud.ReportsUsage {
 		r.Counts = map[int64]map[string]int64{}
 		for window, counts := range d.counter.Windows(usageWindowsSent) {
@@ -97,6 +100,7 @@
 		d.upstreams.Absorb(feed, r.UpstreamRevision, sentAt.Add(-time.Duration(r.UpstreamAgeMs)*time.Millisecond))
 	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
+	d.takeVersions(r)
 	for window, counts := range r.Counts {
 		d.ledger.Set(r.Name+"/"+r.Process, countsOf(window, counts))
 	}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -15,6 +15,7 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
+	"rattantide/internal/versionmove"
 	"rattantide/platform"
 )
 
@@ -76,6 +77,12 @@
 
 // startDuties runs what acts while this daemon holds the lease of the duties.
 func (d *Daemon) startDuties(ctx context.Context, parts *errgroup.Group) {
+	moves := versionmove.NewController(versionmove.ControllerOptions{
+		Declarations: &platform.Rollouts{Store: d.store, Logger: d.logger}, Store: d.store, Ledger: d.versionLedger,
+		Upstreams: d.knownUpstreams, Held: d.held, Now: d.clock.Now, Logger: d.logger,
+	})
+	parts.Go(func() error { return moves.Run(ctx) })
+	parts.Go(func() error { return d.follower.Run(ctx) })
 	if d.settings.Cloud.Address == "" {
 		return
 	}
@@ -89,7 +96,7 @@
 	}
 	if d.settings.Cloud.OrdersRunners {
 		controller := autoscale.New(autoscale.Options{
-			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, Lateness: d.lateness.Of, Held: d.held,
+			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, Lateness: d.lateness.Of, Paused: d.follower.Moving, Held: d.held,
 			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 		})
 		parts.Go(func() error { return controller.Run(ctx) })
@@ -159,6 +166,7 @@
 		known[u.Address] = true
 	}
 	d.conns.Sweep(func(address string) bool { return known[address] })
+	d.versionLedger.Set(d.settings.Name+"/"+d.process, d.versions.Tallies())
 	d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
 }
 
--- a/internal/fleetdaemon/view.go
+++ b/internal/fleetdaemon/view.go
@@ -6,6 +6,7 @@
 	"rattantide/internal/api"
 	"rattantide/internal/configsync"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/versionmove"
 )
 
 // highestPriority is that of the most urgent class.
@@ -15,6 +16,7 @@
 // route, as a route's targets are those of its calls.
 type viewSource struct {
 	holder *fleetconfig.Holder
+	moves  func() map[string]versionmove.State
 	cached atomic.Pointer[cachedView]
 }
 
@@ -23,13 +25,19 @@
 	view   *configsync.View
 }
 
+// reset makes the next view be built anew.
+func (v *viewSource) reset() { v.cached.Store(nil) }
+
 // Snapshot implements dispatch.Config.
 func (v *viewSource) Snapshot() *configsync.View {
 	config, _ := v.holder.Current()
 	if cached := v.cached.Load(); cached != nil && cached.config == config {
 		return cached.view
 	}
-	view := &configsync.View{Classes: map[string]*api.Class{}}
+	view := &configsync.View{Classes: map[string]*api.Class{}, Moves: map[string]*configsync.Move{}}
+	for service, s := range v.moves() {
+		view.Moves[service] = moveOf(s)
+	}
 	if config != nil {
 		view.Revision = config.Version
 		for _, r := range config.Routes {
@@ -40,6 +48,17 @@
 	return view
 }
 
+// moveOf returns a move whose share is enforced. One that ended stays enforced
+// while upstreams of both versions are there: the losing ones still serve for some
+// seconds.
+func moveOf(s versionmove.State) *configsync.Move {
+	return &configsync.Move{
+		Name:   s.Service + "/" + s.To,
+		Spec:   &api.VersionMove{Pool: s.Service, From: s.From, To: s.To},
+		Status: &api.MoveStatus{Phase: api.MoveRunning, Share: s.Share},
+	}
+}
+
 func classOf(r *fleetconfig.Route) *api.Class {
 	priority := highestPriority - min(max(r.Urgency, 0), highestPriority)
 	repeatable := r.Repeatable()
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -30,6 +30,9 @@
 	// milliseconds; -1 when not known.
 	UpstreamRevision int64 `json:"ur"`
 	UpstreamAgeMs    int64 `json:"ua"`
+	// Versions holds what the daemon saw of the versions of services with upstreams
+	// of two, as its owner encodes it.
+	Versions json.RawMessage `json:"vs,omitempty"`
 	// Counts holds requests that began, by window and workspace.
 	Counts map[int64]map[string]int64 `json:"u,omitempty"`
 }
--- /dev/null
+++ b/internal/versionmove/tally.go
@@ -0,0 +1,89 @@
+package versionmove
+
+import (
+	"sync"
+
+	"rattantide/internal/dispatch"
+)
+
+// Tally counts what was seen of a version. Counts only grow while a process runs.
+type Tally struct {
+	// Answers and Failures are ended attempts that say something of the upstream.
+	Answers  int64 `json:"a"`
+	Failures int64 `json:"f"`
+	// FirstMs is the sum of the times to the first answer, in milliseconds.
+	FirstMs int64 `json:"t"`
+}
+
+// add returns the sum of two tallies.
+func (t Tally) add(o Tally) Tally {
+	return Tally{Answers: t.Answers + o.Answers, Failures: t.Failures + o.Failures, FirstMs: t.FirstMs + o.FirstMs}
+}
+
+// since returns what was added after an earlier tally.
+func (t Tally) since(o Tally) Tally {
+	return Tally{Answers: t.Answers - o.Answers, Failures: t.Failures - o.Failures, FirstMs: t.FirstMs - o.FirstMs}
+}
+
+func (t Tally) total() int64 { return t.Answers + t.Failures }
+
+// failureShare returns the share of attempts that failed.
+func (t Tally) failureShare() float64 {
+	if t.total() == 0 {
+		return 0
+	}
+	return float64(t.Failures) / float64(t.total())
+}
+
+// meanFirst returns the mean time to the first answer in milliseconds.
+func (t Tally) meanFirst() float64 {
+	if t.Answers == 0 {
+		return 0
+	}
+	return float64(t.FirstMs) / float64(t.Answers)
+}
+
+// Key names a version of a service.
+func Key(service, version string) string { return service + "/" + version }
+
+// Recorder keeps the tallies of this daemon. It implements dispatch.Observer and
+// is safe for concurrent use.
+type Recorder struct {
+	mu      sync.Mutex
+	tallies map[string]Tally
+}
+
+// Observe implements dispatch.Observer.
+func (r *Recorder) Observe(o dispatch.Observation) {
+	var t Tally
+	switch o.Outcome {
+	case dispatch.StatusOK:
+		first := o.FirstToken
+		if first == 0 {
+			first = o.Total
+		}
+		t = Tally{Answers: 1, FirstMs: first.Milliseconds()}
+	case dispatch.StatusError, dispatch.StatusCrash, dispatch.StatusTimeout:
+		t = Tally{Failures: 1}
+	default:
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tallies == nil {
+		r.tallies = map[string]Tally{}
+	}
+	key := Key(o.Pool, o.Version)
+	r.tallies[key] = r.tallies[key].add(t)
+}
+
+// Tallies returns a copy of all tallies by Key.
+func (r *Recorder) Tallies() map[string]Tally {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]Tally, len(r.tallies))
+	for key, t := range r.tallies {
+		out[key] = t
+	}
+	return out
+}
