Count dropped log lines, log readiness, and leave out a deadline that nobody set

A call without a deadline of the caller and the route was sent on with 1 ms left. Late log lines at the end of a process ended it by a write to a closed channel.

--- a/cmd/rattantide-gateway/main.go
+++ b/cmd/rattantide-gateway/main.go
@@ -44,7 +44,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d, err := fleetdaemon.New(settings, logger)
+	d, err := fleetdaemon.New(settings, logger, lines.Dropped)
 	if err != nil {
 		logger.Error("daemon could not start", "error", err)
 		return exitFailure
--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -187,7 +187,7 @@
 
 // adapt moves the target to what the load needs.
 func (p *Planner) adapt(o *Observed, domains int) {
-	limit := o.Bounds.MaxPerZone * domains
+	limit := o.Bounds.MaxPerDomain * domains
 	switch {
 	case o.Requests < minRequests:
 	case overloaded(o) && o.Now.Sub(p.grownAt) > o.Bounds.BootTime+time.Second:
@@ -202,7 +202,7 @@
 		p.target -= max(1, int(step*float64(p.target)))
 		p.shrunkAt = o.Now
 	}
-	floor := max(o.Bounds.MinPerZone*domains, int(math.Ceil(floorShare*float64(p.found)+floorSpread*math.Sqrt(float64(p.found)))))
+	floor := max(o.Bounds.MinPerDomain*domains, int(math.Ceil(floorShare*float64(p.found)+floorSpread*math.Sqrt(float64(p.found)))))
 	p.target = min(max(p.target, floor), limit)
 }
 
@@ -219,9 +219,9 @@
 		return wanted
 	}
 	base := p.base(o, domains)
-	share := max(o.Bounds.MinPerZone, int(math.Round(perDomainShare*float64(p.target)*referenceDomains/float64(len(domains)))))
+	share := max(o.Bounds.MinPerDomain, int(math.Round(perDomainShare*float64(p.target)*referenceDomains/float64(len(domains)))))
 	for _, domain := range domains {
-		wanted[domain] = min(share, o.Bounds.MaxPerZone-base[domain])
+		wanted[domain] = min(share, o.Bounds.MaxPerDomain-base[domain])
 	}
 	return wanted
 }
@@ -248,7 +248,7 @@
 	counts := p.base(o, domains)
 	lack, extra := p.target, 0
 	for _, domain := range domains {
-		counts[domain] = max(counts[domain], o.Bounds.MinPerZone-wanted[domain])
+		counts[domain] = max(counts[domain], o.Bounds.MinPerDomain-wanted[domain])
 		lack -= counts[domain] + o.Live[Place{domain, Reclaimable}]
 		extra += o.Live[Place{domain, OnDemand}] - counts[domain]
 	}
@@ -267,7 +267,7 @@
 	for given := true; extra > 0 && given; {
 		given = false
 		for _, domain := range domains {
-			if extra > 0 && counts[domain]+o.Live[Place{domain, Reclaimable}] < o.Bounds.MaxPerZone {
+			if extra > 0 && counts[domain]+o.Live[Place{domain, Reclaimable}] < o.Bounds.MaxPerDomain {
 				counts[domain]++
 				extra--
 				given = true
--- a/internal/autoscale/planner_test.go
+++ b/internal/autoscale/planner_test.go
@@ -11,7 +11,7 @@
 )
 
 var bounds = &fleetconfig.Autoscale{
-	MinPerZone: 1, MaxPerZone: 6, BootTime: 4 * time.Second, ReclaimablePrice: 0.22,
+	MinPerDomain: 1, MaxPerDomain: 6, BootTime: 4 * time.Second, ReclaimablePrice: 0.22,
 	DomainPrices: map[string]float64{"a": 0.85, "b": 1.2, "c": 1},
 }
 
@@ -203,7 +203,7 @@
 			o.Late, o.Median = rapid.Float64Range(0, 1).Draw(t, "late"), rapid.Float64Range(0, 3).Draw(t, "median")
 			o.Requests = rapid.IntRange(0, 100).Draw(t, "requests")
 			for _, order := range p.Plan(o) {
-				assert.Assert(t, order.Count >= 0 && order.Count <= bounds.MaxPerZone, "%v", order)
+				assert.Assert(t, order.Count >= 0 && order.Count <= bounds.MaxPerDomain, "%v", order)
 				if rapid.Bool().Draw(t, "refused") {
 					p.Refused(order, now)
 				}
--- a/internal/fleetconfig/service.go
+++ b/internal/fleetconfig/service.go
@@ -27,10 +27,10 @@
 
 // Autoscale bounds the upstreams of a service and gives their prices.
 type Autoscale struct {
-	// MinPerZone and MaxPerZone bound both kinds of upstreams of one failure
+	// MinPerDomain and MaxPerDomain bound both kinds of upstreams of one failure
 	// domain together.
-	MinPerZone int
-	MaxPerZone int
+	MinPerDomain int
+	MaxPerDomain int
 	// BootTime is the time from an order to the first request served.
 	BootTime time.Duration
 	// ReclaimablePrice is the price of a reclaimable upstream relative to
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -54,6 +54,9 @@
 	metrics  http.Handler
 	closer   io.Closer
 	process  string
+	logDrops func() int64
+	// wasReady is the readiness at the last look.
+	wasReady bool
 
 	store     *platform.Store
 	cloud     *platform.Cloud
@@ -92,10 +95,11 @@
 	callers, readiness, directory, metricsListener net.Listener
 }
 
-// New opens the listeners and builds all parts. Nothing runs until Run.
-func New(s *platform.Settings, logger *log.Logger) (*Daemon, error) {
+// New opens the listeners and builds all parts. Nothing runs until Run. logDrops
+// returns the number of log lines that were dropped.
+func New(s *platform.Settings, logger *log.Logger, logDrops func() int64) (*Daemon, error) {
 	scope, metrics, closer := telemetry.NewScope()
-	d := &Daemon{settings: s, logger: logger, scope: scope, metrics: metrics, closer: closer, process: uuid.NewString()[:8]}
+	d := &Daemon{settings: s, logger: logger, scope: scope, metrics: metrics, closer: closer, process: uuid.NewString()[:8], logDrops: logDrops}
 	d.bounds.Store(&s.Bound)
 	if err := d.listen(); err != nil {
 		return nil, errors.Trace(err)
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -20,16 +20,17 @@
 )
 
 const (
-	// callerIdle is how long an idle connection of a caller is kept while the
-	// configuration does not say.
+	// callerIdle is how long an idle connection of a caller is kept. It exceeds the
+	// idle time that configurations allow callers, so that none is closed while a
+	// request is on its way.
 	callerIdle = 60 * time.Second
 	// headerTimeout bounds the time in which a caller must send its header.
 	headerTimeout = 5 * time.Second
 	// maxHeader bounds a caller's header; the configuration's bound may be lower.
 	maxHeader = 64 << 10
-	// keepHouseEvery is how often idle connections to upstreams are looked at, and
+	// maintainEvery is how often idle connections to upstreams are looked at, and
 	// the own counts are added to those of the others.
-	keepHouseEvery = time.Second
+	maintainEvery = time.Second
 	// lingerTTLs is how long a leaving daemon still accepts connections, in
 	// lifetimes of the callers' addresses.
 	lingerTTLs = 1.5
@@ -47,7 +48,7 @@
 	parts.Go(func() error { return d.peers.Run(work) })
 	parts.Go(func() error { return d.leases.Run(work) })
 	parts.Go(func() error { return d.registrar.Run(work) })
-	parts.Go(func() error { return periodic.Every(work, keepHouseEvery, d.keepHouse) })
+	parts.Go(func() error { return periodic.Every(work, maintainEvery, d.maintain) })
 	parts.Go(func() error { return d.followSettings(work) })
 	d.startDuties(work, parts)
 	servers := d.startServers(parts)
@@ -156,8 +157,10 @@
 	}
 }
 
-// keepHouse does what is due about once a second.
-func (d *Daemon) keepHouse(context.Context) {
+// maintain does what is due about once a second.
+func (d *Daemon) maintain(context.Context) {
+	d.logReadiness()
+	d.scope.Gauge("log_lines_dropped").Update(float64(d.logDrops()))
 	if fence, held := d.held(); held {
 		d.quotaPool.Open(fence)
 	}
@@ -170,6 +173,21 @@
 	d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
 }
 
+// logReadiness writes a line when the daemon became ready or ceased to be.
+func (d *Daemon) logReadiness() {
+	ready := d.ready()
+	if ready == d.wasReady {
+		return
+	}
+	d.wasReady = ready
+	config, confirmedAt := d.holder.Current()
+	fields := []any{"ready", ready, "leaving", d.leaving.Load(), "upstreamsListed", d.listed.Load(), "registered", d.registered.Load()}
+	if config != nil {
+		fields = append(fields, "config", config.Version, "configAgeMs", bootclock.Now().Sub(confirmedAt).Milliseconds())
+	}
+	d.logger.Info("readiness changed", fields...)
+}
+
 // newTransport is for the calls of the platform.
 func newTransport() *http.Transport {
 	return &http.Transport{
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,9 +72,9 @@
 
 func (x *exchange) upstreamRequest(choice *dispatch.Choice) *upstreamconn.Request {
 	header := withoutHopHeaders(x.request.Header)
-	a := Attempt{Upstream: choice.Upstream.Name, Remaining: x.route.Timeout, LastEventID: x.lastEvent}
+	a := Attempt{Upstream: choice.Upstream.Name, LastEventID: x.lastEvent}
 	if !x.deadline.IsZero() {
-		a.Remaining = time.Until(x.deadline)
+		a.Remaining, a.HasDeadline = time.Until(x.deadline), true
 	}
 	if x.workspace != nil {
 		a.Workspace = x.workspace.Name
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -35,8 +35,9 @@
 	// Upstream is the identifier that the receiver must have.
 	Upstream  string
 	Workspace string
-	// Remaining is how long the upstream may work.
-	Remaining time.Duration
+	// Remaining is how long the upstream may work, if HasDeadline.
+	Remaining   time.Duration
+	HasDeadline bool
 	// Urgency is 0 (first) to 9, if HasUrgency.
 	Urgency    int
 	HasUrgency bool
--- a/internal/telemetry/async_writer.go
+++ b/internal/telemetry/async_writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
@@ -11,6 +12,9 @@
 // AsyncWriter passes lines on without ever blocking its callers. Lines that do not
 // fit are dropped and counted. It is safe for concurrent use.
 type AsyncWriter struct {
+	// mu keeps Close from running beside a Write.
+	mu      sync.RWMutex
+	closed  bool
 	lines   chan []byte
 	done    chan struct{}
 	dropped atomic.Int64
@@ -32,6 +36,12 @@
 
 // Write implements io.Writer.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.closed {
+		a.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case a.lines <- append([]byte(nil), line...):
 	default:
@@ -43,9 +53,12 @@
 // Dropped returns the number of lines that were dropped.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close writes the lines that wait. Nothing may be written afterwards.
+// Close writes the lines that wait. Later ones are dropped.
 func (a *AsyncWriter) Close() error {
+	a.mu.Lock()
+	a.closed = true
 	close(a.lines)
+	a.mu.Unlock()
 	<-a.done
 	return nil
 }
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -59,10 +59,17 @@
 	return time.Duration(low+i.random.IntN(high-low)) * time.Millisecond
 }
 
-// inject plays one fault.
+// inject plays a fault of a daemon, the store or the configuration, and often one
+// of a runner beside it.
 func (i *injector) inject() {
+	if i.random.IntN(3) > 0 {
+		fault := runnerFaults[i.random.IntN(len(runnerFaults))]
+		r := i.fleet.runners[i.random.IntN(len(i.fleet.runners))]
+		r.Misbehave(fault, 1+i.random.IntN(20))
+		i.log = append(i.log, "runner "+r.ID+": "+string(fault))
+	}
 	name := ""
-	switch i.random.IntN(10) {
+	switch i.random.IntN(9) {
 	case 0, 1:
 		name = i.onNode("kill", func(n *node) {
 			n.kill()
@@ -91,13 +98,9 @@
 		i.fleet.store.Fail(platformstore.Faults{LoseAnswers: 2, LateWrites: 1})
 		i.fleet.store.Forget()
 		i.later(i.between(500, 2000), i.fleet.store.CarryOutLate)
-	case 8:
+	default:
 		name = "configuration"
 		i.fleet.configure()
-	default:
-		fault := runnerFaults[i.random.IntN(len(runnerFaults))]
-		name = "runner: " + string(fault)
-		i.fleet.runners[i.random.IntN(len(i.fleet.runners))].Misbehave(fault, 1+i.random.IntN(20))
 	}
 	i.log = append(i.log, name)
 }
