--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -79,7 +79,7 @@
 		n := &node{name: "front-" + strconv.Itoa(i), ip: "127.0.3." + strconv.Itoa(i+1)}
 		n.settings = filepath.Join(dir, n.name+".toml")
 		n.log = filepath.Join(dir, n.name+".log")
-		text := fmt.Sprintf("nodeId = %q\nip = %q\nzone = \"zone-a\"\nregion = \"r\"\nportRange = [%d,%d]\n[listen]\nfront = \"%s:%d\"\nreadiness = \"%s:%d\"\ndirectory = \"%s:%d\"\n[bounds]\ngraceS = 4\nrevokeMs = 5000\nusageWindowS = 2\n[platform]\naddress = %q\n[cloudApi]\naddress = %q\nduties = [\"usage_report\"]\n",
+		text := fmt.Sprintf("nodeId = %q\nip = %q\nzone = \"zone-a\"\nregion = \"r\"\nportRange = [%d,%d]\n[listen]\nfront = \"%s:%d\"\nreadiness = \"%s:%d\"\ndirectory = \"%s:%d\"\n[bounds]\ngraceS = 4\nrevokeMs = 5000\nusageWindowS = 2\nretryBudgetRatio = 0.2\nretryBudgetSlack = 60\nbudgetWindowS = 10\n[platform]\naddress = %q\n[cloudApi]\naddress = %q\nduties = [\"usage_report\"]\n",
 			n.name, n.ip, f.port+3, f.port+4, n.ip, f.port, n.ip, f.port+1, n.ip, f.port+2, storeAddress, cloudAddress)
 		assert.NilError(t, os.WriteFile(n.settings, []byte(text), 0o600))
 		f.nodes = append(f.nodes, n)
