--- a/Makefile
+++ b/Makefile
@@ -29,11 +29,15 @@
 	intent:FuzzDecodeHead intent:FuzzDecodeSegment burn:FuzzMerge burn:FuzzMergeHistogram \
 	server:FuzzChatRequest server:FuzzRequestID server:FuzzLastEventID server:FuzzContinuation \
 	peer:FuzzHandle peer:FuzzRecord peer:FuzzFeed gateway:FuzzEventSplitter
+PLATFORM_FUZZ := FuzzParseSettings FuzzDecodeConfig FuzzDecodeUpstream FuzzDecodeCall
 
 fuzz:
 	set -e; for target in $(FUZZ); do \
 		$(GO) test -tags fuzz ./internal/$${target%%:*} -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZ_TIME); \
 	done
+	set -e; for target in $(PLATFORM_FUZZ); do \
+		$(GO) test -tags fuzz ./platform -run '^$$' -fuzz "^$$target$$" -fuzztime $(FUZZ_TIME); \
+	done
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -37,7 +37,7 @@
 
 // fleet is a deployment on loopback addresses.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	program string
 	port    int
 	store   *platformstore.Store
@@ -50,7 +50,7 @@
 	keys    []string
 }
 
-func startFleet(t *testing.T, program string, nodes int) *fleet {
+func startFleet(t testing.TB, program string, nodes int) *fleet {
 	f := &fleet{t: t, program: program, store: platformstore.New(), cloud: platformcloud.New(), keys: []string{keptKey, takenKey}}
 	serve := func(h http.Handler) string {
 		s := httptest.NewServer(h)
@@ -95,7 +95,7 @@
 
 // freePorts returns the first of five ports that are free on the first node's
 // address. The others use the same ports on addresses of their own.
-func freePorts(t *testing.T) int {
+func freePorts(t testing.TB) int {
 	for range 50 {
 		l, err := net.Listen("tcp4", "127.0.3.1:0")
 		assert.NilError(t, err)
