Do not take the peers' lock under the quota's

Keeper.Take asked for its part, which takes the lock of the peers, under its own lock, while the peers asked under theirs who holds the pool. Found in the daemon's log: only answers of 401 from 07:02:36 on, which do not reach the quota, and no line of the upstream list. Ruled out: a pause (front-1 went on reading the configuration), a panic (none in the log). The new test fails without the change ('deadlock').

--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -195,6 +195,7 @@
 
 // due returns the daemons to ask now, in turn.
 func (n *Node) due() []string {
+	important := n.important()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Now()
@@ -208,7 +209,7 @@
 		}
 	}
 	for _, ip := range n.order {
-		if p := n.peers[ip]; len(due) < maxPerRound && p.known && now.Sub(p.sentAt) >= askImportant && !slices.Contains(due, ip) && n.opts.Important(p.report.Name) {
+		if p := n.peers[ip]; len(due) < maxPerRound && p.known && now.Sub(p.sentAt) >= askImportant && !slices.Contains(due, ip) && important[p.report.Name] {
 			due = append(due, ip)
 		}
 	}
@@ -225,6 +226,26 @@
 	return due
 }
 
+// important returns the daemons that are asked more often. Important is called
+// without the lock, as it may need locks under which others call this Node.
+func (n *Node) important() map[string]bool {
+	n.mu.Lock()
+	names := make([]string, 0, len(n.peers))
+	for _, p := range n.peers {
+		if p.known {
+			names = append(names, p.report.Name)
+		}
+	}
+	n.mu.Unlock()
+	out := map[string]bool{}
+	for _, name := range names {
+		if n.opts.Important(name) {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // forget drops the daemons that have been gone for long. The lock is held.
 func (n *Node) forget(now time.Time) {
 	kept := n.order[:0]
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -116,6 +116,8 @@
 		k.opts.Pool.Open(fence)
 		return k.opts.Pool.Grant(w, cost)
 	}
+	// Part takes a lock of the peers, which ask this Keeper under theirs.
+	part := k.opts.Part()
 	k.mu.Lock()
 	if k.spendCredit(w.Name, cost) {
 		k.mu.Unlock()
@@ -124,13 +126,13 @@
 	holder := k.pooled()
 	if holder == "" {
 		defer k.mu.Unlock()
-		return k.takeOwn(w, cost)
+		return k.takeOwn(w, cost, part)
 	}
 	k.ownSince = time.Time{}
 	k.mu.Unlock()
 	granted, after, answered := k.opts.Source.Ask(ctx, holder, w.Name, cost)
 	if !answered {
-		return k.withoutAnswer(w, cost, holder)
+		return k.withoutAnswer(w, cost, part, holder)
 	}
 	return granted, max(after, minAfter)
 }
@@ -148,24 +150,23 @@
 
 // withoutAnswer takes from the fixed part because the holder did not answer. The
 // pool is asked again once the holder is heard of.
-func (k *Keeper) withoutAnswer(w *fleetconfig.Workspace, cost float64, holder string) (ok bool, after time.Duration) {
+func (k *Keeper) withoutAnswer(w *fleetconfig.Workspace, cost, part float64, holder string) (ok bool, after time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.holder == holder {
 		k.heardAt = time.Time{}
 	}
-	return k.takeOwn(w, cost)
+	return k.takeOwn(w, cost, part)
 }
 
 // takeOwn takes from this daemon's fixed part. The lock is held.
-func (k *Keeper) takeOwn(w *fleetconfig.Workspace, cost float64) (ok bool, after time.Duration) {
+func (k *Keeper) takeOwn(w *fleetconfig.Workspace, cost, part float64) (ok bool, after time.Duration) {
 	now := k.opts.Now()
 	if k.ownSince.IsZero() {
 		// The pool may have granted what the part was worth until now.
 		k.ownSince = now
 		clear(k.own)
 	}
-	part := k.opts.Part()
 	b := k.own[w.Name]
 	if b == nil {
 		b = newBucket(w, part, k.ownSince)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -177,3 +178,40 @@
 	ok, after := f.keepers[5].Take(t.Context(), workspace, 5000)
 	assert.Assert(t, !ok && after > 0)
 }
+
+// Guards against a daemon that hangs for good: Part takes a lock of the peers, under
+// which they ask who holds the pool.
+func TestPartAndHoldsDoNotDeadlock(t *testing.T) {
+	var peers sync.Mutex
+	k := NewKeeper(Options{
+		Part: func() float64 {
+			peers.Lock()
+			defer peers.Unlock()
+			return 0.5
+		},
+		Bound: func() Bound { return bound }, Held: func() (int64, bool) { return 0, false }, Now: time.Now,
+	})
+	const rounds = 20_000
+	done := make(chan struct{}, 2)
+	go func() {
+		for range rounds {
+			k.Take(context.Background(), workspace, 1)
+		}
+		done <- struct{}{}
+	}()
+	go func() {
+		for range rounds {
+			peers.Lock()
+			k.Holds("d0")
+			peers.Unlock()
+		}
+		done <- struct{}{}
+	}()
+	for range 2 {
+		select {
+		case <-done:
+		case <-time.After(60 * time.Second):
+			t.Fatal("deadlock")
+		}
+	}
+}
