Say once how an attempt ends, and use the project's wait in tests

Read-through of the change; behaviour stays. Three places ended an attempt whose caller had left or whose time was over, and six excluded an upstream; the mapping from urgency to priority stood in the gateway and in the view; the planner tested twice whether reclaimable upstreams are worth ordering. Three tests polled with sleeps of their own beside proc.Eventually; their assertions are the same.

--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -215,7 +215,7 @@
 // have.
 func (p *Planner) reclaimable(o *Observed, domains []string) map[string]int {
 	wanted := map[string]int{}
-	if o.Bounds.ReclaimablePrice <= 0 || o.Bounds.ReclaimablePrice >= 1 {
+	if !worthReclaimable(o) {
 		return wanted
 	}
 	base := p.base(o, domains)
@@ -226,11 +226,16 @@
 	return wanted
 }
 
+// worthReclaimable reports whether reclaimable upstreams are to be had, for less.
+func worthReclaimable(o *Observed) bool {
+	return o.Bounds.ReclaimablePrice > 0 && o.Bounds.ReclaimablePrice < 1
+}
+
 // base returns the upstreams per failure domain that are never reclaimable, in
 // the cheapest domains first.
 func (p *Planner) base(o *Observed, domains []string) map[string]int {
 	counts := map[string]int{}
-	if o.Bounds.ReclaimablePrice <= 0 || o.Bounds.ReclaimablePrice >= 1 {
+	if !worthReclaimable(o) {
 		for i := range p.target {
 			counts[domains[i%len(domains)]]++
 		}
--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -13,8 +13,10 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/proc"
 	"rattantide/internal/standin/platformcloud"
 	"rattantide/internal/standin/platformstore"
 	"rattantide/internal/standin/runner"
@@ -123,9 +125,12 @@
 
 func (s *site) await(what string, done func() bool) {
 	s.t.Helper()
-	for until := time.Now().Add(waitLimit); !done(); time.Sleep(10 * time.Millisecond) {
-		assert.Assert(s.t, time.Now().Before(until), "%s did not happen", what)
-	}
+	assert.NilError(s.t, proc.Eventually(s.t.Context(), waitLimit, nil, func() error {
+		if !done() {
+			return errors.Errorf("%s did not happen", what)
+		}
+		return nil
+	}))
 }
 
 func (s *site) status(address, path, key string) int {
--- a/internal/fleetdaemon/view.go
+++ b/internal/fleetdaemon/view.go
@@ -5,13 +5,11 @@
 
 	"rattantide/internal/api"
 	"rattantide/internal/configsync"
+	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/versionmove"
 )
 
-// highestPriority is that of the most urgent class.
-const highestPriority = 9
-
 // viewSource gives the dispatcher the configuration as a view: a class for each
 // route, as a route's targets are those of its calls.
 type viewSource struct {
@@ -60,7 +58,7 @@
 }
 
 func classOf(r *fleetconfig.Route) *api.Class {
-	priority := highestPriority - min(max(r.Urgency, 0), highestPriority)
+	priority := dispatch.PriorityOf(r.Urgency)
 	repeatable := r.Repeatable()
 	class := &api.Class{Deadline: api.Duration(r.Timeout), Priority: &priority, Idempotent: &repeatable}
 	if r.Kind == fleetconfig.Stream {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,23 +119,36 @@
 		x.mayHaveRun = true
 	}
 	x.reason = err.Error()
+	status := dispatch.StatusRefused
 	switch {
-	case x.request.Context().Err() != nil:
-		x.gone = true
-		a.done(dispatch.StatusCanceled)
-		return attemptEnd{final: true, refused: x.withoutAnswer()}
 	case ctx.Err() != nil:
-		a.done(dispatch.StatusTimeout)
-		return attemptEnd{final: true, refused: x.timedOut()}
+		return a.interrupted()
 	case errors.Is(err, upstreamconn.ErrNoConnection):
-		a.done(dispatch.StatusBusy)
+		status = dispatch.StatusBusy
 	case sent:
-		a.done(dispatch.StatusCrash)
-	default:
-		a.done(dispatch.StatusRefused)
+		status = dispatch.StatusCrash
 	}
+	end := a.elsewhere(status)
+	end.notSent = !sent
+	return end
+}
+
+// interrupted ends an attempt whose time is over or whose caller has left.
+func (a *upstreamAttempt) interrupted() attemptEnd {
+	x := a.exchange
+	if x.request.Context().Err() != nil {
+		return a.callerGone(false)
+	}
+	a.done(dispatch.StatusTimeout)
+	return attemptEnd{final: true, refused: x.timedOut()}
+}
+
+// elsewhere ends an attempt after which only another upstream may get the request.
+func (a *upstreamAttempt) elsewhere(status dispatch.Status) attemptEnd {
+	x := a.exchange
 	x.exclude = append(x.exclude, a.choice.Upstream.Name)
-	return attemptEnd{notSent: !sent, refused: x.withoutAnswer()}
+	a.done(status)
+	return attemptEnd{refused: x.withoutAnswer()}
 }
 
 // withoutAnswer is the refusal of a request that no upstream answered.
@@ -185,15 +198,11 @@
 
 // notRun handles an upstream that did not run the request.
 func (a *upstreamAttempt) notRun(answer *upstreamconn.Response, said Answer) attemptEnd {
-	x := a.exchange
-	x.exclude = append(x.exclude, a.choice.Upstream.Name)
-	x.reason = "upstream refused with " + http.StatusText(answer.Status)
+	a.exchange.reason = "upstream refused with " + http.StatusText(answer.Status)
 	if said.Gone {
-		a.done(dispatch.StatusRefused)
-	} else {
-		a.done(dispatch.StatusBusy)
+		return a.elsewhere(dispatch.StatusRefused)
 	}
-	return attemptEnd{refused: x.withoutAnswer()}
+	return a.elsewhere(dispatch.StatusBusy)
 }
 
 // spoiled handles an answer that cannot be passed on.
@@ -201,12 +210,10 @@
 	x := a.exchange
 	x.mayHaveRun = true
 	x.reason = reason
-	x.exclude = append(x.exclude, a.choice.Upstream.Name)
 	if ctx.Err() != nil {
-		return a.failed(ctx, ctx.Err())
+		return a.interrupted()
 	}
-	a.done(dispatch.StatusError)
-	return attemptEnd{refused: x.withoutAnswer()}
+	return a.elsewhere(dispatch.StatusError)
 }
 
 // upstreamError handles a failure that the upstream answered. It is passed on
@@ -215,14 +222,12 @@
 	x := a.exchange
 	x.reason = "upstream answered " + http.StatusText(answer.Status)
 	if x.started {
-		a.done(dispatch.StatusError)
-		x.exclude = append(x.exclude, a.choice.Upstream.Name)
-		return attemptEnd{refused: x.withoutAnswer()}
+		return a.elsewhere(dispatch.StatusError)
 	}
 	if x.route.Repeatable() && x.sends < x.route.MaxAttempts && x.canRepeat() {
-		x.exclude = append(x.exclude, a.choice.Upstream.Name)
-		a.done(dispatch.StatusError)
-		return attemptEnd{refused: refuse(http.StatusBadGateway, x.reason)}
+		end := a.elsewhere(dispatch.StatusError)
+		end.refused = refuse(http.StatusBadGateway, x.reason)
+		return end
 	}
 	if answer.Status == http.StatusServiceUnavailable {
 		// Passed on, the status would promise that the request did not run.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -53,10 +53,6 @@
 	events int
 }
 
-// highestPriority is the dispatcher's highest priority; urgencies count the other
-// way.
-const highestPriority = 9
-
 // maxTries bounds the choices of an upstream per request, those included that
 // never reached one.
 const maxTries = 4
@@ -124,7 +120,7 @@
 }
 
 func (x *exchange) dispatchRequest() *dispatch.Request {
-	priority := highestPriority - min(max(x.urgency(), 0), highestPriority)
+	priority := dispatch.PriorityOf(x.urgency())
 	r := &dispatch.Request{
 		ID: x.call.AttemptID, Class: x.route.Name, Route: x.route.Name, Pool: x.service.Name,
 		Chat: x.route.Kind == fleetconfig.Stream, Idempotent: x.route.Repeatable(),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
@@ -19,6 +20,7 @@
 	"rattantide/internal/gateway"
 	"rattantide/internal/membership"
 	"rattantide/internal/problem"
+	"rattantide/internal/proc"
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/upstreamconn"
@@ -307,11 +309,12 @@
 	_, err = response.Body.Read(make([]byte, 10))
 	assert.NilError(t, err)
 	cancel()
-	deadline := time.Now().Add(10 * time.Second)
-	for f.runners[0].Canceled() == 0 {
-		assert.Assert(t, time.Now().Before(deadline), "the upstream works on")
-		time.Sleep(time.Millisecond)
-	}
+	assert.NilError(t, proc.Eventually(t.Context(), 10*time.Second, nil, func() error {
+		if f.runners[0].Canceled() == 0 {
+			return errors.New("the upstream works on")
+		}
+		return nil
+	}))
 }
 
 // Guards against keys that are accepted while nobody can tell whether they still
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -73,20 +73,11 @@
 
 // cutOff handles an answer that ended early.
 func (a *upstreamAttempt) cutOff(ctx context.Context, err error) attemptEnd {
-	x := a.exchange
-	x.reason = "answer broke off: " + err.Error()
-	switch {
-	case x.request.Context().Err() != nil:
-		x.gone = true
-		a.done(dispatch.StatusCanceled)
-		return attemptEnd{final: true, refused: x.withoutAnswer()}
-	case ctx.Err() != nil:
-		a.done(dispatch.StatusTimeout)
-		return attemptEnd{final: true, refused: x.timedOut()}
+	a.exchange.reason = "answer broke off: " + err.Error()
+	if ctx.Err() != nil {
+		return a.interrupted()
 	}
-	a.done(dispatch.StatusCrash)
-	x.exclude = append(x.exclude, a.choice.Upstream.Name)
-	return attemptEnd{refused: x.withoutAnswer()}
+	return a.elsewhere(dispatch.StatusCrash)
 }
 
 // callerGone handles a caller that no longer takes its answer.
--- a/internal/peering/node_test.go
+++ b/internal/peering/node_test.go
@@ -9,9 +9,11 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/proc"
 	"rattantide/internal/telemetry"
 )
 
@@ -69,9 +71,12 @@
 
 func await(t *testing.T, what string, done func() bool) {
 	t.Helper()
-	for until := time.Now().Add(60 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
-		assert.Assert(t, time.Now().Before(until), "%s did not happen", what)
-	}
+	assert.NilError(t, proc.Eventually(t.Context(), time.Minute, nil, func() error {
+		if !done() {
+			return errors.Errorf("%s did not happen", what)
+		}
+		return nil
+	}))
 }
 
 // alive returns how many other daemons a node takes for alive and ready.
