--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -22,7 +22,6 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/peering"
 	"rattantide/internal/quota"
-	"rattantide/internal/routing"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/truetime"
 	"rattantide/internal/upstreamconn"
@@ -66,8 +65,6 @@
 	registrar *peering.Registrar
 	clock     *truetime.Clock
 	conns     *upstreamconn.Pools
-	admission *admission.Controller
-	trackers  *routing.Trackers
 	quota     *quota.Keeper
 	quotaPool *quota.Pool
 	counter   *usage.Counter
@@ -226,9 +223,8 @@
 
 // buildRequestPath builds what a caller's request passes through.
 func (d *Daemon) buildRequestPath() {
-	d.trackers = &routing.Trackers{}
 	d.lateness = newLateness(d.holder, time.Now)
-	d.admission = admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	repeats := &admission.RepeatBudget{
 		Window: d.settings.Bound.RetryWindow, Now: time.Now,
@@ -239,7 +235,7 @@
 	}
 	d.versions = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
-		Config: d.view, Table: d.table, Admission: d.admission, Trackers: d.trackers,
+		Config: d.view, Table: d.table, Admission: admitter,
 		Evidence: dispatch.TableEvidence{Table: d.table}, Observer: observers{d.lateness, d.versions}, Repeats: repeats, FirstInTime: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -24,11 +24,8 @@
 func decodeInstance(region string) func(*objectclient.Object) (membership.Instance, error) {
 	return func(o *objectclient.Object) (membership.Instance, error) {
 		u, err := platform.DecodeUpstream(o.Name, o.Value)
-		if err != nil {
-			return membership.Instance{}, err
-		}
 		u.Region = region
-		return u.Instance, nil
+		return u, err
 	}
 }
 
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -6,8 +6,6 @@
 type Answer struct {
 	// AttemptID is the attempt that the answer belongs to.
 	AttemptID string
-	// Upstream is the identifier of the sender; empty when it names none.
-	Upstream string
 	// Sealed says that the answer carries the upstream's signature.
 	Sealed bool
 	// NotRun says that the upstream did not run the request and never will.
