--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -61,6 +61,7 @@
 	return []subcommands.Command{
 		&statusCommand{common: shared},
 		&explainCommand{common: shared},
+		&logsCommand{common: shared},
 		&burnCommand{common: shared},
 		&drainCommand{common: shared},
 		&demoCommand{env: env},
--- /dev/null
+++ b/internal/requestlog/summary.go
@@ -0,0 +1,65 @@
+package requestlog
+
+import (
+	"net/http"
+	"sort"
+)
+
+// Cause is a reason for which requests were not served.
+type Cause struct {
+	Status int    `json:"status"`
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+	// Example is a request that ended so.
+	Example string `json:"example"`
+}
+
+// Summary counts requests by how they ended. The zero value is ready to use.
+type Summary struct {
+	requests int
+	causes   map[causeKey]*Cause
+}
+
+type causeKey struct {
+	status int
+	reason string
+}
+
+// Add counts an entry if it ends a request.
+func (s *Summary) Add(e Entry) {
+	if e.Request == "" || e.Status == 0 {
+		return
+	}
+	s.requests++
+	if e.Status < http.StatusBadRequest {
+		return
+	}
+	if s.causes == nil {
+		s.causes = map[causeKey]*Cause{}
+	}
+	key := causeKey{e.Status, e.Reason}
+	c := s.causes[key]
+	if c == nil {
+		c = &Cause{Status: e.Status, Reason: e.Reason, Example: e.Request}
+		s.causes[key] = c
+	}
+	c.Count++
+}
+
+// Requests returns the number of requests that ended.
+func (s *Summary) Requests() int { return s.requests }
+
+// Causes returns the causes, the most frequent first.
+func (s *Summary) Causes() []Cause {
+	out := make([]Cause, 0, len(s.causes))
+	for _, c := range s.causes {
+		out = append(out, *c)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Count != out[j].Count {
+			return out[i].Count > out[j].Count
+		}
+		return out[i].Reason < out[j].Reason
+	})
+	return out
+}
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -10,9 +10,7 @@
 	// of about equal backlog.
 	DefaultSecondsPerRunning = 0.002
 	// DefaultPriceSeconds is how much longer a caller may wait for its first
-	// token to save one currency unit per instance hour. In the comparison, 0.04
-	// lowers the cost at a light load by a tenth to a quarter against 0.02 and
-	// leaves the highest load within target unchanged.
+	// token to save one currency unit per instance hour.
 	DefaultPriceSeconds = 0.04
 	// DefaultSlackSeconds and DefaultSlackShare bound the set of best
 	// candidates. Differences below them are within the error of load reports
