Pass over upstreams that cannot be connected to

Cause: at the end of a version move the platform takes the old half of a service away at once. A dial that was not answered took 0.7 s.

Ruled out: the list of upstreams being late. The entries change some 0.4 s after the upstreams are gone; no daemon can know earlier.

Change: a try without a connection counts apart and up to 12 of them are allowed; a dial waits 0.25 s.

Test: TestPassesUpstreamsThatAreGone failed before with 503.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -127,6 +127,8 @@
 		status = dispatch.StatusBusy
 	case sent:
 		status = dispatch.StatusCrash
+	default:
+		x.unreached++
 	}
 	end := a.elsewhere(status)
 	end.notSent = !sent
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -30,9 +30,11 @@
 	// cost is what the request holds of its workspace's quota.
 	cost float64
 
-	// attempts counts the choices of an upstream, sends those that reached one.
-	attempts int
-	sends    int
+	// attempts counts the choices of an upstream, sends those that reached one, and
+	// unreached those without a connection to it.
+	attempts  int
+	sends     int
+	unreached int
 	// mayHaveRun says that an upstream may have begun to run the request.
 	mayHaveRun bool
 	counted    bool
@@ -53,9 +55,13 @@
 	events int
 }
 
-// maxTries bounds the choices of an upstream per request, those included that
-// never reached one.
-const maxTries = 4
+const (
+	// maxTries bounds the upstreams per request that were reached or had no place.
+	maxTries = 4
+	// maxUnreached bounds those that could not be connected to. Such a try costs
+	// little, and while half of a service is being taken away the first few fail.
+	maxUnreached = 12
+)
 
 // serve sends the request to upstreams until one answers for good.
 func (x *exchange) serve() *refusal {
@@ -66,7 +72,7 @@
 		defer cancel()
 	}
 	var last *refusal
-	for x.attempts < maxTries {
+	for x.attempts-x.unreached < maxTries && x.unreached < maxUnreached {
 		x.attempts++
 		choice, err := x.server.opts.Chooser.Choose(ctx, x.dispatchRequest())
 		if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -254,6 +255,27 @@
 	}
 }
 
+// The pattern: the old half of a service is taken away at once at the end of a
+// version move, before the daemons hear of it. Guards against requests that are
+// refused although upstreams that serve were not tried.
+func TestPassesUpstreamsThatAreGone(t *testing.T) {
+	f := newFixture(t)
+	serving := f.chooser.upstreams
+	f.chooser.upstreams = nil
+	for i := range 8 {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		f.chooser.upstreams = append(f.chooser.upstreams, membership.Upstream{Name: "gone-" + strconv.Itoa(i), Address: l.Addr().String()})
+		assert.NilError(t, l.Close())
+	}
+	f.chooser.upstreams = append(f.chooser.upstreams, serving...)
+	for _, path := range []string{"/order/1", "/lookup/1", "/stream/1"} {
+		status, _, _, err := f.call(path, "body")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK, path)
+	}
+}
+
 // Guards against bytes after an answer that reach the next request on the
 // connection.
 func TestSurplusAnswerReachesNobody(t *testing.T) {
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -13,9 +13,10 @@
 )
 
 const (
-	// dialTimeout bounds the time to a new connection. Upstreams are within a
-	// few milliseconds, so a longer silence means that the instance is gone.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the time to a new connection. Upstreams are within a few
+	// milliseconds, so a longer silence means that the instance is gone or that a
+	// packet was lost, which is sent again only after a second.
+	dialTimeout = 250 * time.Millisecond
 	// ackTimeout ends a connection whose sent bytes are not acknowledged.
 	ackTimeout = 2 * time.Second
 	// Keep-alive probes end a connection on which an answer is awaited from an
