Daemons that the store turns away hear from the others, and hand duties over

On both grown sites one daemon of 77 or 86 judged the lateness of a service by the 30 requests that it saw itself.

Ruled out: true use above the quotas (all workspaces were refused alike, at about half of their rate), and load on the holder for the long gaps.

Change: - Daemons pass the configuration and the states of version moves on; relays are chosen among those that the store answers; a daemon keeps its position in the list of upstreams while others feed it. - A holder whose renewals fail while others reach the store yields its lease; the next in line takes it over and tells all. - Lateness of all daemons is added up as histograms. - Counts go only to the holder and the next two in line. - Changes between the pool and the fixed part of quotas are logged.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -36,8 +36,16 @@
 	// dutyTTL is the lifetime of that lease; a holder that is gone delays usage
 	// reports by about this time, and renewals are calls of the store.
 	dutyTTL = 6 * time.Second
+	// announceDutiesFor is how long a daemon repeats that it took the duties.
+	announceDutiesFor = 4 * time.Second
+	// othersReachStore is the age of a configuration up to which the store counts as
+	// answering the daemons that confirmed it.
+	othersReachStore = 2 * time.Second
 	// minRetryAfter is the least delay that refused callers are advised.
 	minRetryAfter = 150 * time.Millisecond
+	// maxConfigBytes bounds a configuration that another daemon passes on. The
+	// platform's values are smaller.
+	maxConfigBytes = 8 << 20
 	// keyMargin is subtracted from the time for which keys hold without a
 	// confirmation, for the way of a request.
 	keyMargin = 500 * time.Millisecond
@@ -86,11 +94,14 @@
 	registered atomic.Bool
 	instances  atomic.Pointer[[]membership.Instance]
 	leaving    atomic.Bool
+	// tookDutiesAt is when this daemon took the duties the last time, in nanoseconds
+	// on the boot clock.
+	tookDutiesAt atomic.Int64
 	// relayNames are the daemons that read the store.
 	relayNames atomic.Pointer[[]string]
 	revision   atomic.Int64
 
-	callers, readiness, directory, metricsListener net.Listener
+	callers, readiness, directory, metricsListener, peerListener net.Listener
 }
 
 // Options holds what a Daemon is built from.
@@ -146,6 +157,9 @@
 	if d.metricsListener, err = net.Listen("tcp4", joinPort(s.IP, s.MetricsPort)); err != nil {
 		return errors.Annotate(err, "listen for metrics")
 	}
+	if d.peerListener, err = net.Listen("tcp4", joinPort(s.IP, s.PeerPort)); err != nil {
+		return errors.Annotate(err, "listen for daemons")
+	}
 	return nil
 }
 
@@ -161,9 +175,13 @@
 	d.clock = truetime.New(bootclock.Now, d.wall)
 	self := membership.Daemon{Name: s.Name, Address: s.CallerAddress, Domain: s.Domain, Region: s.Region}
 	d.table = membership.NewTable(self, membership.Options{Grace: -1, Scope: d.scope})
+	fetcher := &fleetsync.ConfigClient{
+		HTTP:     &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		MaxBytes: maxConfigBytes, BootNow: bootclock.Now,
+	}
 	d.config = fleetsync.NewConfigSync(fleetsync.ConfigOptions{
 		Store: d.store, Kind: platform.ConfigKind, Name: platform.ConfigName, Decode: platform.DecodeConfig,
-		Holder: d.holder, Direct: d.direct, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		Holder: d.holder, Direct: d.direct, Fetch: fetcher.Fetch, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
 	d.upstreams = fleetsync.NewUpstreamSync(fleetsync.UpstreamOptions{
 		Store: d.store, Kind: platform.UpstreamKind, Decode: decodeInstance(s.Region), Direct: d.direct, Apply: d.applyUpstreams,
@@ -176,7 +194,7 @@
 func (d *Daemon) buildPeers() error {
 	s := d.settings
 	peers, err := peering.New(peering.Options{
-		IP: s.IP, Port: s.PeerPort, Name: s.Name, Self: d.report, Received: d.received, Asked: d.asked,
+		IP: s.IP, Port: s.PeerPort, Name: s.Name, Self: d.report, Full: d.mayHoldDuties, Received: d.received, Asked: d.asked,
 		Feed: d.upstreams.Feed, Called: d.called, Important: d.important, Changed: d.applyMembers,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
@@ -208,6 +226,7 @@
 func (d *Daemon) buildDuties() {
 	d.leases = lease.NewManager(lease.Options{
 		Store: d.store, Holder: d.settings.Name, Table: d.table, TTL: dutyTTL, Observed: true, ResumeOwn: true, Now: bootclock.Now,
+		Yields: d.turnedAway, Acquired: d.tookDuties,
 		Logger: d.logger, Scope: d.scope,
 	})
 	d.leases.Want(dutyLease)
@@ -216,7 +235,7 @@
 // buildMoves builds what moves services to other versions.
 func (d *Daemon) buildMoves() {
 	d.versionLedger = versionmove.NewLedger()
-	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, Logger: d.logger}
+	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, Direct: d.direct, Now: bootclock.Now, Logger: d.logger}
 	d.view = &viewSource{holder: d.holder, moves: d.follower.States}
 	d.follower.Changed = d.view.reset
 }
@@ -232,6 +251,7 @@
 	})
 	d.quota = quota.NewKeeper(quota.Options{
 		Part: d.part, Bound: bound, Pool: d.quotaPool, Held: d.held, Source: quotaSource{d.peers}, Now: bootclock.Now,
+		Logger: d.logger, Scope: d.scope,
 	})
 }
 
@@ -259,6 +279,27 @@
 	})
 }
 
+// turnedAway reports whether the store answers others but not this daemon.
+func (d *Daemon) turnedAway() bool {
+	config, confirmedAt := d.holder.Current()
+	return d.config.Failing() && config != nil && bootclock.Now().Sub(confirmedAt) < othersReachStore
+}
+
+// tookDuties tells the other daemons at once that this one has the duties, so that
+// they take their quotas from its pool.
+func (d *Daemon) tookDuties(string, int64) {
+	d.tookDutiesAt.Store(bootclock.Now().UnixNano())
+	d.peers.Announce()
+}
+
+// announceDuties repeats for a while that this daemon has the duties, as some of the
+// others became known to it only then.
+func (d *Daemon) announceDuties() {
+	if _, held := d.held(); held && bootclock.Now().Sub(time.Unix(0, d.tookDutiesAt.Load())) < announceDutiesFor {
+		d.peers.Announce()
+	}
+}
+
 // part returns this daemon's part of what all daemons share.
 func (d *Daemon) part() float64 { return 1 / float64(1+d.peers.Known()) }
 
--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 	daemons []*Daemon
 	stops   []context.CancelFunc
 	done    []chan error
+	// away holds, for each daemon, whether the store turns it away.
+	away []atomic.Bool
 }
 
 // freePort returns a port that is free for datagrams and streams.
@@ -55,7 +58,8 @@
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
-	storeAddress, cloudAddress, runnerAddress := serve(s.store), serve(s.cloud), serve(s.runner)
+	cloudAddress, runnerAddress := serve(s.cloud), serve(s.runner)
+	s.away = make([]atomic.Bool, daemons)
 	s.configure(1, "key-a", "key-b")
 	s.store.Set("servers", "i-1", map[string]any{
 		"service": "app", "address": runnerAddress, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1,
@@ -64,6 +68,13 @@
 	port := freePort(t)
 	for i := range daemons {
 		ip := "127.0.1." + strconv.Itoa(i+1)
+		storeAddress := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.away[i].Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			s.store.ServeHTTP(w, r)
+		}))
 		text := fmt.Sprintf(`
 nodeId = "front-%d"
 ip = %q
@@ -198,6 +209,49 @@
 	assert.Equal(t, s.status(s.daemons[1].settings.CallerAddress, "/x/1", "key-a"), http.StatusOK)
 }
 
+// Guards against daemons that cannot follow the configuration and the upstreams, or
+// lose their duties for long, while the store turns them away and answers the
+// others: they hear from those.
+func TestDaemonsThatTheStoreTurnsAway(t *testing.T) {
+	const daemons = 4
+	s := startSite(t, daemons)
+	for i := range daemons {
+		s.await("readiness", func() bool { return s.ready(i) && len(s.entries(i)) == daemons })
+	}
+	holder := -1
+	s.await("a holder of the duties", func() bool {
+		for i, d := range s.daemons {
+			if _, held := d.held(); held {
+				holder = i
+			}
+		}
+		return holder >= 0
+	})
+	for i := range daemons {
+		// The holder and one more; two go on reading the store.
+		s.away[i].Store(i == holder || i == (holder+1)%daemons)
+	}
+	s.configure(2, "key-a")
+	s.await("another holder of the duties", func() bool {
+		for i, d := range s.daemons {
+			if _, held := d.held(); held && i != holder {
+				return true
+			}
+		}
+		return false
+	})
+	for i := range daemons {
+		address := s.daemons[i].settings.CallerAddress
+		s.await("the end of the key", func() bool { return s.status(address, "/x/1", "key-b") == http.StatusUnauthorized })
+	}
+	// Without news, keys would not be accepted after this time.
+	for until := time.Now().Add(6 * time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		for i := range daemons {
+			assert.Equal(t, s.status(s.daemons[i].settings.CallerAddress, "/x/1", "key-a"), http.StatusOK)
+		}
+	}
+}
+
 // Guards against a daemon that turns callers away for good, or tells untrue
 // things, while it cannot reach the store, and does not recover after it.
 func TestStoreOutage(t *testing.T) {
--- a/internal/fleetdaemon/lateness.go
+++ b/internal/fleetdaemon/lateness.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +26,9 @@
 
 	mu       sync.Mutex
 	services map[string][]latenessSample
+	// others holds what other daemons told last: one daemon of many sees too few
+	// requests to judge a service by.
+	others map[string]othersCounts
 }
 
 type latenessSample struct {
@@ -36,7 +38,7 @@
 }
 
 func newLateness(holder *fleetconfig.Holder, now func() time.Time) *lateness {
-	return &lateness{holder: holder, now: now, services: map[string][]latenessSample{}}
+	return &lateness{holder: holder, now: now, services: map[string][]latenessSample{}, others: map[string]othersCounts{}}
 }
 
 // Observe implements dispatch.Observer.
@@ -105,25 +107,59 @@
 	return choice, err
 }
 
-// Of returns how recent requests to a service were answered.
-func (l *lateness) Of(service string) autoscale.Lateness {
+// own returns the counts of this daemon's recent requests, by service.
+func (l *lateness) own() map[string]*autoscale.Histogram {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	samples := l.recent(service, l.now())
-	l.services[service] = samples
-	if len(samples) == 0 {
-		return autoscale.Lateness{}
+	now := l.now()
+	out := map[string]*autoscale.Histogram{}
+	for service := range l.services {
+		samples := l.recent(service, now)
+		l.services[service] = samples
+		if len(samples) == 0 {
+			continue
+		}
+		h := &autoscale.Histogram{}
+		for _, s := range samples {
+			h.Add(s.ratio)
+		}
+		out[service] = h
 	}
-	late := 0
-	ratios := make([]float64, len(samples))
-	for i, s := range samples {
-		ratios[i] = s.ratio
-		if s.ratio > lateShare {
-			late++
+	return out
+}
+
+// othersCounts are the counts of another daemon.
+type othersCounts struct {
+	at       time.Time
+	services map[string]*autoscale.Histogram
+}
+
+// heard takes over the counts of another daemon.
+func (l *lateness) heard(daemon string, services map[string]*autoscale.Histogram) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for name, counts := range l.others {
+		if now.Sub(counts.at) > latenessWindow {
+			delete(l.others, name)
 		}
 	}
-	slices.Sort(ratios)
-	return autoscale.Lateness{
-		Median: ratios[len(ratios)/2], Late: float64(late) / float64(len(ratios)), Requests: len(ratios),
+	l.others[daemon] = othersCounts{at: now, services: services}
+}
+
+// Of returns how recent requests to a service were answered by all daemons.
+func (l *lateness) Of(service string) autoscale.Lateness {
+	total := autoscale.Histogram{}
+	if h := l.own()[service]; h != nil {
+		total.Merge(h)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for _, counts := range l.others {
+		if h := counts.services[service]; h != nil && now.Sub(counts.at) <= latenessWindow {
+			total.Merge(h)
+		}
 	}
+	return total.Lateness(lateShare)
 }
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -14,6 +14,9 @@
 const (
 	// usageWindowsSent is how many windows of counts a report carries.
 	usageWindowsSent = 3
+	// dutySuccessors is how many daemons beside the holder of the duties keep the
+	// counts of all.
+	dutySuccessors = 2
 	// addressTTL is how long callers may use an answer with addresses. A daemon
 	// that is gone costs a caller up to a second for each new connection.
 	addressTTL = time.Second
@@ -60,8 +63,8 @@
 	d.chooseRelays()
 }
 
-// report is what this daemon says of itself to others.
-func (d *Daemon) report() peering.Report {
+// report is what this daemon says of itself to others; full adds its counts.
+func (d *Daemon) report(full bool) peering.Report {
 	s := d.settings
 	r := peering.Report{
 		Name: s.Name, Process: d.process, IP: s.IP, Domain: s.Domain, CallerAddress: s.CallerAddress,
@@ -73,31 +76,64 @@
 	if fence, held := d.held(); held {
 		r.Fence = fence
 	}
+	r.Yielded = d.leases.Yielded(dutyLease)
+	r.StoreAway = d.config.Failing()
 	r.QuotaFrom = d.quota.Holder()
 	r.UpstreamAgeMs = -1
 	if revision, age, ok := d.upstreams.Position(); ok {
 		r.UpstreamRevision, r.UpstreamAgeMs = revision, age.Milliseconds()
 	}
+	if moves := d.follower.Tell(); len(moves) > 0 && d.direct() && !r.StoreAway {
+		r.Moves = d.encoded("moves", moves)
+	}
+	if full {
+		d.addCounts(&r)
+	}
+	return r
+}
+
+// addCounts adds what the holder of the duties needs of each daemon.
+func (d *Daemon) addCounts(r *peering.Report) {
 	if len(d.follower.States()) > 0 {
-		r.Versions = d.encodeVersions()
+		r.Versions = d.encoded("versions", d.versions.Tallies())
+	}
+	if d.settings.Cloud.OrdersRunners {
+		r.Lateness = d.encoded("lateness", d.lateness.own())
 	}
-	if s.Cloud.ReportsUsage {
+	if d.settings.Cloud.ReportsUsage {
 		r.Counts = map[int64]map[string]int64{}
 		for window, counts := range d.counter.Windows(usageWindowsSent) {
 			r.Counts[window] = counts
 		}
 	}
-	return r
+}
+
+// mayHoldDuties reports whether this daemon holds the duties or is among those that
+// take them over next, and so needs the counts of the others.
+func (d *Daemon) mayHoldDuties() bool {
+	if _, held := d.held(); held {
+		return true
+	}
+	rank := d.leases.Rank(dutyLease)
+	return rank >= 0 && rank <= dutySuccessors
 }
 
 // received takes over another daemon's report.
 func (d *Daemon) received(r peering.Report, feed peering.Feed, sentAt, receivedAt time.Time) {
 	d.quota.Heard(r.Name, r.Fence, sentAt)
+	if r.Yielded != 0 {
+		d.leases.Offer(dutyLease, r.Yielded)
+	}
 	if r.UpstreamAgeMs >= 0 {
 		d.upstreams.Absorb(feed, r.UpstreamRevision, sentAt.Add(-time.Duration(r.UpstreamAgeMs)*time.Millisecond))
 	}
+	if r.StoreAway && d.isRelay(r.Name) {
+		d.chooseRelays()
+	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
+	d.takeMoves(r)
 	d.takeVersions(r)
+	d.takeLateness(r)
 	for window, counts := range r.Counts {
 		d.ledger.Set(r.Name+"/"+r.Process, countsOf(window, counts))
 	}
@@ -109,7 +145,7 @@
 	confirmedAt := sentAt.Add(-time.Duration(r.ConfigAgeMs) * time.Millisecond)
 	d.holder.Confirm(r.ConfigVersion, confirmedAt)
 	if config, _ := d.holder.Current(); config == nil || r.ConfigVersion > config.Version {
-		d.config.Kick()
+		d.config.Heard(joinPort(r.IP, d.settings.PeerPort))
 	}
 }
 
--- a/internal/fleetdaemon/relays.go
+++ b/internal/fleetdaemon/relays.go
@@ -14,12 +14,22 @@
 // them, so that the calls of the store do not grow with the number of daemons.
 const relays = 3
 
-// chooseRelays chooses the daemons that read the store, by the view of this one.
-// Two views may differ for a moment; more daemons than needed then read it.
+// chooseRelays chooses the daemons that read the store, by the view of this one,
+// among those that it answers. Two views may differ for a moment; more daemons than
+// needed then read it.
 func (d *Daemon) chooseRelays() {
-	names := []string{d.settings.Name}
-	for _, other := range d.table.Daemons() {
-		names = append(names, other.Name)
+	var names []string
+	if !d.config.Failing() {
+		names = append(names, d.settings.Name)
+	}
+	for _, p := range d.peers.Peers() {
+		if p.Alive && !p.Leaving && !p.StoreAway {
+			names = append(names, p.Name)
+		}
+	}
+	if len(names) == 0 {
+		// The store answers nobody; those that read it go on trying.
+		return
 	}
 	preferred := membership.Preferred("relay", names)
 	chosen := preferred[:min(relays, len(preferred))]
@@ -38,11 +48,14 @@
 // important reports whether requests depend on the answers of a daemon.
 func (d *Daemon) important(name string) bool { return d.quota.Holds(name) || d.isRelay(name) }
 
-// asked takes over what a daemon that asks says of itself.
-func (d *Daemon) asked(r peering.Report) {
+// asked takes over what a daemon that asks says of itself. One that has newly taken
+// over the duties is asked at once, as it may have sent that before a suspension and
+// no longer hold them.
+func (d *Daemon) asked(r peering.Report) bool {
 	if r.QuotaFrom == d.settings.Name {
 		d.quotaPool.Heard(r.Name)
 	}
+	return r.Fence > d.quota.Fence()
 }
 
 // quotaCall asks the holder of the pool for a part of a quota.
@@ -60,7 +73,7 @@
 }
 
 // called answers a call of another daemon.
-func (d *Daemon) called(_ peering.Report, body json.RawMessage) json.RawMessage {
+func (d *Daemon) called(from peering.Report, body json.RawMessage) json.RawMessage {
 	var call quotaCall
 	var reply quotaReply
 	if err := json.Unmarshal(body, &call); err != nil {
@@ -68,6 +81,7 @@
 	} else if fence, held := d.held(); held {
 		reply.Held = true
 		d.quotaPool.Open(fence)
+		d.quotaPool.Heard(from.Name)
 		if config, _ := d.holder.Current(); config != nil {
 			if w := config.Workspace(call.Workspace); w != nil {
 				granted, after := d.quotaPool.Grant(w, call.Cost)
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -12,6 +12,7 @@
 
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
+	"rattantide/internal/fleetsync"
 	"rattantide/internal/membership"
 	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
@@ -134,6 +135,9 @@
 	serve(d.readiness, platform.ReadinessHandler(d.ready))
 	serve(d.directory, platform.EntriesHandler(d.entries))
 	serve(d.metricsListener, d.metrics)
+	shared := http.NewServeMux()
+	shared.Handle("GET "+fleetsync.ConfigPath, &fleetsync.ConfigHandler{Source: d.config.Snapshot, BootNow: bootclock.Now})
+	serve(d.peerListener, shared)
 	return servers
 }
 
@@ -160,6 +164,8 @@
 // maintain does what is due about once a second.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
+	d.chooseRelays()
+	d.announceDuties()
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.logDrops()))
 	if fence, held := d.held(); held {
 		d.quotaPool.Open(fence)
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -71,6 +71,9 @@
 	listed   bool
 	// heardAt is when the list was last known to be complete.
 	heardAt time.Time
+	// fedAt is when it was so by the word of other daemons or by a list; it
+	// outdates unless others tell of changes.
+	fedAt time.Time
 	// log holds the latest changes, and logFrom the revision after which it is
 	// complete.
 	log     []peering.Change
@@ -122,8 +125,10 @@
 		u.opts.Scope.Counter("upstream_relists").Inc(1)
 		return 0
 	}
-	// A watch that broke off may have missed changes.
-	u.forgetPosition()
+	if !u.fed() {
+		// Entries may lapse until the store is back, which only a list shows.
+		u.forgetPosition()
+	}
 	u.opts.Scope.Counter("upstream_list_failed").Inc(1)
 	if !u.failing && ctx.Err() == nil {
 		u.opts.Logger.Warn("list of upstreams could not be read", "error", err)
@@ -136,7 +141,7 @@
 func (u *UpstreamSync) fed() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.listed && u.opts.Now().Sub(u.heardAt) < feedSilence
+	return u.listed && u.opts.Now().Sub(u.fedAt) < feedSilence
 }
 
 func (u *UpstreamSync) forgetPosition() {
@@ -188,8 +193,14 @@
 // revision that this daemon named, up to revision. confirmedAt is when they were
 // known to be all, on the boot clock.
 func (u *UpstreamSync) Absorb(feed peering.Feed, revision int64, confirmedAt time.Time) {
-	if feed.Complete {
-		u.takeChanges(feed.Since, feed.Changes, revision, confirmedAt)
+	if !feed.Complete {
+		return
+	}
+	u.takeChanges(feed.Since, feed.Changes, revision, confirmedAt)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.listed && feed.Since <= u.revision && confirmedAt.After(u.fedAt) {
+		u.fedAt = confirmedAt
 	}
 }
 
@@ -245,7 +256,7 @@
 			found[name] = before
 		}
 	}
-	u.entries, u.revision, u.listed, u.heardAt = found, list.Revision, true, sentAt
+	u.entries, u.revision, u.listed, u.heardAt, u.fedAt = found, list.Revision, true, sentAt, sentAt
 	u.log, u.logFrom = nil, list.Revision
 	u.publish()
 }
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -12,8 +12,16 @@
 	"rattantide/internal/objectclient"
 )
 
-// objectKind is the kind of leases in the object API.
-const objectKind = "lease"
+const (
+	// objectKind is the kind of leases in the object API.
+	objectKind = "lease"
+	// yieldAfter is how long renewals fail before a holder gives its lease up, so
+	// that one lost answer does not move a duty.
+	yieldAfter = 800 * time.Millisecond
+	// offerStep is what a daemon leaves each more preferred one to take over a lease
+	// that was given up.
+	offerStep = 250 * time.Millisecond
+)
 
 // duty is one lease as this daemon sees it.
 type duty struct {
@@ -26,6 +34,13 @@
 	fence int64
 	// until is when the holder must stop, on the clock of Options.Now.
 	until time.Time
+	// yielded is the token of the lease that this daemon gave up among the daemons.
+	yielded int64
+	// offered is the token of a lease that its holder gave up, and offeredAt when
+	// this daemon heard of it.
+	offered   int64
+	offeredAt time.Time
+	kick      chan struct{}
 
 	// The fields below belong to the duty's goroutine.
 
@@ -35,6 +50,8 @@
 	// sentAt is when the acquisition with nonce was sent.
 	sentAt    time.Time
 	freeSince time.Time
+	// failingSince is when renewals began to fail; zero while they do not.
+	failingSince time.Time
 	// seenVersion is the version of the object at the last look, and seenAt when
 	// it was first seen.
 	seenVersion int64
@@ -64,6 +81,36 @@
 	d.fence = 0
 }
 
+// yieldedFence returns the token of the lease that this daemon gave up.
+func (d *duty) yieldedFence() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.yielded
+}
+
+// offer records that the holder with a token gave its lease up.
+func (d *duty) offer(fence int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if fence <= d.offered {
+		return
+	}
+	d.offered, d.offeredAt = fence, d.now()
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// currentOffer returns the token of the lease that was given up last, and the time
+// that this daemon still leaves to more preferred ones.
+func (d *duty) currentOffer() (fence int64, wait time.Duration) {
+	rank := d.manager.Rank(d.name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.offered, time.Duration(rank)*offerStep - d.now().Sub(d.offeredAt)
+}
+
 // run keeps or seeks the lease until ctx ends, and then releases it.
 func (d *duty) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -81,9 +128,10 @@
 		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 		case <-timer.C:
+		case <-d.kick:
 		}
+		timer.Stop()
 	}
 	releaseCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.manager.options.TTL/3)
 	defer cancel()
@@ -94,6 +142,10 @@
 // and returns the time until the next step.
 func (d *duty) seek(ctx context.Context) time.Duration {
 	options := d.manager.options
+	offered, wait := d.currentOffer()
+	if offered != 0 && wait > 0 {
+		return wait
+	}
 	current, err := options.Store.Get(ctx, objectKind, d.name)
 	if err != nil && !errors.Is(err, objectclient.ErrNotFound) {
 		options.Scope.Counter("lease_errors").Inc(1)
@@ -108,6 +160,9 @@
 		// The acquisition took effect although its answer was lost.
 		return d.acquired(version)
 	}
+	if offered != 0 && stored.ExpiresMs > 0 && stored.token(version) == offered {
+		return d.acquire(ctx, version)
+	}
 	expiresIn, known := d.expiresIn(stored, version)
 	if !known {
 		return options.TTL / 4
@@ -122,7 +177,7 @@
 		options.Logger.Info("resumes the lease of its earlier process", "duty", d.name, "version", version)
 		return d.acquire(ctx, version)
 	}
-	o := observation{rank: d.manager.rank(d.name), ttl: options.TTL, freeSince: d.freeSince, expiresIn: expiresIn}
+	o := observation{rank: d.manager.Rank(d.name), ttl: options.TTL, freeSince: d.freeSince, expiresIn: expiresIn}
 	acquire, wait := o.plan(d.now(), options.MaxInterval)
 	if !acquire {
 		if options.Observed && o.rank <= 1 {
@@ -180,6 +235,7 @@
 func (d *duty) acquired(version int64) time.Duration {
 	d.version, d.freeSince = version, time.Time{}
 	d.hold(version, d.sentAt)
+	d.failingSince = time.Time{}
 	if _, held := d.held(d.now()); !held {
 		// The answer came too late; the lease expires and is sought again.
 		d.drop()
@@ -188,6 +244,9 @@
 	}
 	d.manager.options.Logger.Info("acquired lease", "duty", d.name, "fence", version)
 	d.manager.options.Scope.Counter("lease_acquired").Inc(1)
+	if d.manager.options.Acquired != nil {
+		d.manager.options.Acquired(d.name, version)
+	}
 	return d.renewIn()
 }
 
@@ -211,7 +270,7 @@
 	})
 	switch {
 	case err == nil:
-		d.version = stored.Version
+		d.version, d.failingSince = stored.Version, time.Time{}
 		d.hold(fence, sentAt)
 		return d.renewIn()
 	case errors.Is(err, objectclient.ErrConflict):
@@ -225,10 +284,34 @@
 		options.Scope.Counter("lease_lost").Inc(1)
 		d.drop()
 		d.nonce = ""
+	case d.mustYield(sentAt):
+		options.Logger.Warn("gives its lease up, as the store answers others only", "duty", d.name, "fence", fence, "error", err)
+		options.Scope.Counter("lease_yielded").Inc(1)
+		d.yield(fence)
 	}
 	return options.TTL / 15
 }
 
+// mustYield reports, after a renewal that failed, whether the lease is to be given
+// up.
+func (d *duty) mustYield(sentAt time.Time) bool {
+	if d.failingSince.IsZero() {
+		d.failingSince = sentAt
+	}
+	yields := d.manager.options.Yields
+	return yields != nil && d.now().Sub(d.failingSince) >= yieldAfter && yields()
+}
+
+// yield ends the daemon's acting under a token for good. A renewal that takes effect
+// later prolongs a lease whose holder is known to have given it up.
+func (d *duty) yield(fence int64) {
+	d.drop()
+	d.nonce, d.failingSince = "", time.Time{}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.yielded = fence
+}
+
 // release gives the lease up so that another daemon can take it at once.
 func (d *duty) release(ctx context.Context) {
 	fence, held := d.held(d.now())
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -8,6 +8,10 @@
 	"rattantide/internal/membership"
 )
 
+// maxOfferRank bounds the daemons that look at a lease that was given up, by their
+// rank of preference.
+const maxOfferRank = 4
+
 // Manager seeks and keeps the leases of the duties that this daemon wants. It
 // is safe for concurrent use.
 type Manager struct {
@@ -50,7 +54,7 @@
 	if m.duties[name] != nil {
 		return
 	}
-	d := &duty{manager: m, name: name}
+	d := &duty{manager: m, name: name, kick: make(chan struct{}, 1)}
 	m.duties[name] = d
 	if m.ctx != nil {
 		m.launch(d)
@@ -84,6 +88,28 @@
 	return d.held(m.options.Now())
 }
 
+// Yielded returns the fencing token of a lease that this daemon has given up while
+// it could not write that to the store, or 0. The daemon no longer acts under it.
+func (m *Manager) Yielded(name string) int64 {
+	m.mu.Lock()
+	d := m.duties[name]
+	m.mu.Unlock()
+	if d == nil {
+		return 0
+	}
+	return d.yieldedFence()
+}
+
+// Offer tells that the holder with a fencing token has given its lease up.
+func (m *Manager) Offer(name string, fence int64) {
+	m.mu.Lock()
+	d := m.duties[name]
+	m.mu.Unlock()
+	if d != nil && m.Rank(name) <= maxOfferRank {
+		d.offer(fence)
+	}
+}
+
 // launch starts the goroutine of a duty. The lock is held.
 func (m *Manager) launch(d *duty) {
 	if m.ctx.Err() != nil {
@@ -98,8 +124,9 @@
 	return m.options.Table != nil && m.options.Table.Self().Leaving
 }
 
-// rank returns the number of live daemons that are preferred for the duty.
-func (m *Manager) rank(name string) int {
+// Rank returns the number of live daemons that are preferred to this one for a
+// duty.
+func (m *Manager) Rank(name string) int {
 	if m.options.Table == nil {
 		return 0
 	}
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -56,7 +56,7 @@
 		time.Sleep(20 * time.Second)
 		first, firstFence := holders(managers, "move")
 		assert.Equal(t, len(first), 1)
-		assert.Equal(t, managers[first[0]].rank("move"), 0)
+		assert.Equal(t, managers[first[0]].Rank("move"), 0)
 		before, puts := store.Calls().Total(), store.Calls().Puts
 		time.Sleep(10 * time.Minute)
 		t.Logf("calls in 10 min with 9 daemons: %d, of which renewals: %d", store.Calls().Total()-before, store.Calls().Puts-puts)
--- a/internal/lease/value.go
+++ b/internal/lease/value.go
@@ -21,6 +21,14 @@
 	Renewals int64 `json:"renewals,omitempty"`
 }
 
+// token returns the fencing token of a lease whose object has a version.
+func (v value) token(version int64) int64 {
+	if v.Fence == 0 {
+		return version
+	}
+	return v.Fence
+}
+
 // decode returns the lease of an object. One that cannot be read counts as
 // expired, as nobody could renew it.
 func decode(o *objectclient.Object) value {
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -50,14 +50,19 @@
 	Port int
 	// Name is the name of this daemon.
 	Name string
-	// Self returns this daemon's report.
-	Self func() Report
+	// Self returns this daemon's report; a full one also has the counts that only a
+	// holder of duties needs, which are its larger part.
+	Self func(full bool) Report
+	// Full reports whether this daemon needs the full reports of the others. Nil
+	// means that it does.
+	Full func() bool
 	// Received is called with each report of another daemon. sentAt is when the
 	// question that it answers was sent, on the boot clock, so that what the
 	// report calls fresh was so then or later.
 	Received func(r Report, feed Feed, sentAt, receivedAt time.Time)
-	// Asked is called with the report of a daemon that asks.
-	Asked func(r Report)
+	// Asked is called with the report of a daemon that asks. It returns true when
+	// what the report says is to be confirmed by a question of its own at once.
+	Asked func(r Report) bool
 	// Feed returns the changes of the list of upstreams after a revision.
 	Feed func(since int64) Feed
 	// Important reports whether a daemon is asked more often than others.
@@ -94,6 +99,9 @@
 	if opts.Important == nil {
 		opts.Important = func(string) bool { return false }
 	}
+	if opts.Full == nil {
+		opts.Full = func() bool { return true }
+	}
 	if opts.Port == 0 {
 		opts.Port = conn.LocalAddr().(*net.UDPAddr).Port
 	}
@@ -202,14 +210,14 @@
 	n.forget(now)
 	var due []string
 	for _, ip := range n.order {
-		// One that did not answer is asked again at once: callers are sent to it
-		// until it counts as gone.
-		if p := n.peers[ip]; len(due) < maxPerRound && p.known && p.unanswered > 0 && p.unanswered < maxUnanswered {
+		if p := n.peers[ip]; len(due) < maxPerRound && p.known && now.Sub(p.sentAt) >= askImportant && important[p.report.Name] {
 			due = append(due, ip)
 		}
 	}
 	for _, ip := range n.order {
-		if p := n.peers[ip]; len(due) < maxPerRound && p.known && now.Sub(p.sentAt) >= askImportant && !slices.Contains(due, ip) && important[p.report.Name] {
+		// One that did not answer is asked again at once: callers are sent to it
+		// until it counts as gone.
+		if p := n.peers[ip]; len(due) < maxPerRound && p.known && p.unanswered > 0 && p.unanswered < maxUnanswered && !slices.Contains(due, ip) {
 			due = append(due, ip)
 		}
 	}
@@ -279,7 +287,7 @@
 	p.unanswered++
 	m := message{Number: p.number, Known: len(n.peers)}
 	n.mu.Unlock()
-	m.Report = n.opts.Self()
+	m.Report, m.Full = n.opts.Self(false), n.opts.Full()
 	m.Feed.Since = m.Report.UpstreamRevision
 	n.send(ip, m)
 }
--- a/internal/peering/node_test.go
+++ b/internal/peering/node_test.go
@@ -26,7 +26,7 @@
 	report Report
 }
 
-func (n *testNode) self() Report {
+func (n *testNode) self(bool) Report {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.report
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -23,6 +23,11 @@
 	WallMs int64 `json:"w"`
 	// Fence is the fencing token of the duties while the daemon holds them, else 0.
 	Fence int64 `json:"f,omitempty"`
+	// StoreAway says that the store does not answer the daemon.
+	StoreAway bool `json:"sa,omitempty"`
+	// Yielded is the fencing token of duties that the daemon has given up while it
+	// could not write that to the store, else 0.
+	Yielded int64 `json:"fy,omitempty"`
 	// QuotaFrom names the daemon from whose pool this one takes its quotas.
 	QuotaFrom string `json:"qf,omitempty"`
 	// UpstreamRevision is the store's revision up to which the list of upstreams
@@ -30,9 +35,15 @@
 	// milliseconds; -1 when not known.
 	UpstreamRevision int64 `json:"ur"`
 	UpstreamAgeMs    int64 `json:"ua"`
+	// Moves holds the states of version moves, when the daemon reads the store, as
+	// its owner encodes them.
+	Moves json.RawMessage `json:"mv,omitempty"`
 	// Versions holds what the daemon saw of the versions of services with upstreams
 	// of two, as its owner encodes it.
 	Versions json.RawMessage `json:"vs,omitempty"`
+	// Lateness holds how requests were answered lately, by service, as its owner
+	// encodes it.
+	Lateness json.RawMessage `json:"la,omitempty"`
 	// Counts holds requests that began, by window and workspace.
 	Counts map[int64]map[string]int64 `json:"u,omitempty"`
 }
@@ -60,6 +71,8 @@
 	// Number pairs an answer with its question.
 	Number uint64 `json:"q"`
 	Answer bool   `json:"y,omitempty"`
+	// Full asks for a full report.
+	Full   bool   `json:"fu,omitempty"`
 	Report Report `json:"s"`
 	// Feed holds, in a question, the revision that the sender has, and in an
 	// answer the changes since.
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
 	"rattantide/internal/fleetconfig"
 )
 
@@ -39,7 +42,9 @@
 	Held   func() (fence int64, ok bool)
 	Source Source
 	// Now is the clock that counts suspensions.
-	Now func() time.Time
+	Now    func() time.Time
+	Logger *log.Logger
+	Scope  tally.Scope
 }
 
 // Keeper implements gateway.Quota. It is safe for concurrent use.
@@ -56,6 +61,8 @@
 	own     map[string]*bucket
 	// ownSince is when the fixed part came into use; zero while the pool is.
 	ownSince time.Time
+	// logged is the holder whose pool the latest log line named.
+	logged string
 }
 
 // credit is the cost of requests that were granted and did not run.
@@ -85,6 +92,13 @@
 	}
 }
 
+// Fence returns the highest fencing token that was heard of.
+func (k *Keeper) Fence() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.fence
+}
+
 // Holder returns the daemon from whose pool this one takes its quotas, or "".
 func (k *Keeper) Holder() string {
 	k.mu.Lock()
@@ -126,9 +140,13 @@
 	holder := k.pooled()
 	if holder == "" {
 		defer k.mu.Unlock()
-		return k.takeOwn(w, cost, part)
+		return k.takeOwn(w, cost, part, "no pool is heard of")
 	}
 	k.ownSince = time.Time{}
+	if k.logged != holder {
+		k.logged = holder
+		k.opts.Logger.Info("takes quotas from the pool", "holder", holder, "fence", k.fence)
+	}
 	k.mu.Unlock()
 	granted, after, answered := k.opts.Source.Ask(ctx, holder, w.Name, cost)
 	if !answered {
@@ -153,15 +171,22 @@
 func (k *Keeper) withoutAnswer(w *fleetconfig.Workspace, cost, part float64, holder string) (ok bool, after time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	ok, after = k.takeOwn(w, cost, part, "the pool did not answer")
 	if k.holder == holder {
 		k.heardAt = time.Time{}
 	}
-	return k.takeOwn(w, cost, part)
+	return ok, after
 }
 
 // takeOwn takes from this daemon's fixed part. The lock is held.
-func (k *Keeper) takeOwn(w *fleetconfig.Workspace, cost, part float64) (ok bool, after time.Duration) {
+func (k *Keeper) takeOwn(w *fleetconfig.Workspace, cost, part float64, reason string) (ok bool, after time.Duration) {
 	now := k.opts.Now()
+	k.opts.Scope.Counter("quota_own_part").Inc(1)
+	if k.logged != "" {
+		k.opts.Logger.Warn("takes the fixed part of quotas", "reason", reason, "holder", k.holder, "fence", k.fence,
+			"heardMs", now.Sub(k.heardAt).Milliseconds(), "part", part)
+		k.logged = ""
+	}
 	if k.ownSince.IsZero() {
 		// The pool may have granted what the part was worth until now.
 		k.ownSince = now
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/telemetry"
 )
 
 var workspace = &fleetconfig.Workspace{Name: "w", Rate: 10_000, Burst: 10_000, PlainCost: 200}
@@ -37,6 +39,7 @@
 		f.keepers = append(f.keepers, NewKeeper(Options{
 			Part: func() float64 { return 1 / float64(n) }, Bound: func() Bound { return bound }, Pool: f.pool,
 			Held: func() (int64, bool) { return 1, i == 0 && f.holds }, Source: f, Now: now,
+			Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		}))
 	}
 	f.pool.Open(1)
@@ -190,6 +193,7 @@
 			return 0.5
 		},
 		Bound: func() Bound { return bound }, Held: func() (int64, bool) { return 0, false }, Now: time.Now,
+		Logger: telemetry.Discard(), Scope: tally.NoopScope,
 	})
 	const rounds = 20_000
 	done := make(chan struct{}, 2)
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -48,7 +48,7 @@
 				Held: func() (int64, bool) { return 1, true }, Logger: telemetry.Discard(),
 			})
 		}
-		follower := &Follower{Store: store, Upstreams: upstreams, Logger: telemetry.Discard()}
+		follower := &Follower{Store: store, Upstreams: upstreams, Direct: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
 		first := holder()
 		first.reconcile(t.Context())
 		first.reconcile(t.Context())
--- /dev/null
+++ b/internal/versionmove/follower_test.go
@@ -0,0 +1,79 @@
+package versionmove
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
+	"rattantide/internal/objecttest"
+	"rattantide/internal/telemetry"
+)
+
+// follower is a Follower with a simulated clock before a service with upstreams of
+// two versions.
+type follower struct {
+	*Follower
+	store  *objecttest.Store
+	now    time.Time
+	direct bool
+}
+
+func newFollower(t *testing.T) *follower {
+	f := &follower{store: objecttest.New(), now: time.Unix(1000, 0)}
+	f.Follower = &Follower{
+		Store: f.store, Logger: telemetry.Discard(), Direct: func() bool { return f.direct }, Now: func() time.Time { return f.now },
+		Upstreams: func() []membership.Instance {
+			return []membership.Instance{{Name: "a", Pool: "llm", Version: "v1"}, {Name: "b", Pool: "llm", Version: "v2"}}
+		},
+	}
+	return f
+}
+
+func (f *follower) write(t *testing.T, s State) int64 {
+	value, err := json.Marshal(s)
+	assert.NilError(t, err)
+	stored, err := f.store.Put(t.Context(), stateKind, "llm", objectclient.AnyVersion, value)
+	assert.NilError(t, err)
+	return stored.Version
+}
+
+// Guards against store calls that grow with the number of daemons during a version
+// move, and against a daemon that the store turns away and that goes on sending to a
+// version that was taken back.
+func TestFollowsWhatOthersTell(t *testing.T) {
+	f := newFollower(t)
+	running := State{Service: "llm", From: "v1", To: "v2", Phase: Running, Share: 0.1}
+	revision := f.write(t, running)
+	f.Heard(map[string]Told{"llm": {State: running, Revision: revision}})
+	before := f.store.Calls().Total()
+	f.reconcile(t.Context())
+	assert.Equal(t, f.store.Calls().Total(), before)
+	assert.Assert(t, f.Moving("llm"))
+
+	f.store.SetOutage(true)
+	back := running
+	back.Phase, back.Share = Undone, 0
+	f.Heard(map[string]Told{"llm": {State: back, Revision: revision + 1}})
+	assert.Assert(t, !f.Moving("llm"))
+	f.Heard(map[string]Told{"llm": {State: running, Revision: revision}})
+	assert.Assert(t, !f.Moving("llm"), "an older state was taken over")
+}
+
+// Guards against a daemon that follows nobody once those that read the store are
+// gone.
+func TestReadsTheStoreWithoutNews(t *testing.T) {
+	f := newFollower(t)
+	running := State{Service: "llm", From: "v1", To: "v2", Phase: Running, Share: 0.1}
+	revision := f.write(t, running)
+	f.Heard(map[string]Told{"llm": {State: running, Revision: revision}})
+	next := running
+	next.Share = 0.5
+	f.write(t, next)
+	f.now = f.now.Add(toldLife)
+	f.reconcile(t.Context())
+	assert.Equal(t, f.States()["llm"].Share, 0.5)
+}
