Say once what the daemons' parts said twice, and split three large files

The look-up of a duty, of a daemon by its name, the condition for a daemon that serves, the number of daemons, the name of a process, and the fixtures of two tests each stood several times. Report.Fence was written and read by nobody since quotas need no lease, and quotaReply.Held no longer meant that anything is held.

Change: each of these once; peering.Node's options and questions, the feed of upstreams and the gateway tests' fixture in files of their own. No behaviour, bound or assertion changes; a question no longer carries the field 'f'.

Ruled out: waiting by proc.Eventually in the soak, whose limit is one for all daemons together; one channel in place of ConfigSync's address and signal, which would keep the older of two addresses.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -221,8 +221,7 @@
 func (d *Daemon) buildDuties() {
 	d.leases = lease.NewManager(lease.Options{
 		Store: d.store, Holder: d.settings.Name, Table: d.table, TTL: dutyTTL, Observed: true, ResumeOwn: true, Now: bootclock.Now,
-		Yields: d.othersReachedStore,
-		Logger: d.logger, Scope: d.scope,
+		Yields: d.othersReachedStore, Logger: d.logger, Scope: d.scope,
 	})
 	d.leases.Want(dutyLease)
 }
@@ -242,7 +241,7 @@
 		return quota.Bound{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
 	}
 	d.quotaPool = quota.NewPool(quota.PoolOptions{
-		Daemons: func() int { return 1 + d.peers.Known() }, Bound: bound, Now: bootclock.Now,
+		Daemons: d.daemons, Bound: bound, Now: bootclock.Now,
 	})
 	d.quota = quota.NewKeeper(quota.Options{
 		Self: d.settings.Name, Holders: d.poolHolders, Pool: d.quotaPool, Source: quotaSource{d.peers},
@@ -281,8 +280,11 @@
 	return config != nil && confirmedAt.After(since) && (d.config.Failing() || !d.direct())
 }
 
+// daemons returns the number of all daemons, this one included.
+func (d *Daemon) daemons() int { return 1 + d.peers.Known() }
+
 // part returns this daemon's part of what all daemons share.
-func (d *Daemon) part() float64 { return 1 / float64(1+d.peers.Known()) }
+func (d *Daemon) part() float64 { return 1 / float64(d.daemons()) }
 
 // keysValidFor returns how long keys hold without a confirmation.
 func (d *Daemon) keysValidFor() time.Duration { return d.bounds.Load().RevokeWithin - keyMargin }
--- a/internal/fleetdaemon/lateness.go
+++ b/internal/fleetdaemon/lateness.go
@@ -114,20 +114,28 @@
 	now := l.now()
 	out := map[string]*autoscale.Histogram{}
 	for service := range l.services {
-		samples := l.recent(service, now)
-		l.services[service] = samples
-		if len(samples) == 0 {
-			continue
+		if h := l.count(service, now); h != nil {
+			out[service] = h
 		}
-		h := &autoscale.Histogram{}
-		for _, s := range samples {
-			h.Add(s.ratio)
-		}
-		out[service] = h
 	}
 	return out
 }
 
+// count returns the counts of this daemon's recent requests to a service; nil without
+// any. The lock is held.
+func (l *lateness) count(service string, now time.Time) *autoscale.Histogram {
+	samples := l.recent(service, now)
+	l.services[service] = samples
+	if len(samples) == 0 {
+		return nil
+	}
+	h := &autoscale.Histogram{}
+	for _, s := range samples {
+		h.Add(s.ratio)
+	}
+	return h
+}
+
 // othersCounts are the counts of another daemon.
 type othersCounts struct {
 	at       time.Time
@@ -149,13 +157,13 @@
 
 // Of returns how recent requests to a service were answered by all daemons.
 func (l *lateness) Of(service string) autoscale.Lateness {
-	total := autoscale.Histogram{}
-	if h := l.own()[service]; h != nil {
-		total.Merge(h)
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	total := autoscale.Histogram{}
+	if h := l.count(service, now); h != nil {
+		total.Merge(h)
+	}
 	for _, counts := range l.others {
 		if h := counts.services[service]; h != nil && now.Sub(counts.at) <= latenessWindow {
 			total.Merge(h)
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -47,8 +47,9 @@
 		Name: d.settings.Name, Address: d.settings.CallerAddress, Domain: d.settings.Domain, Region: d.settings.Region,
 		Role: membership.RoleDaemon, State: membership.StateLive,
 	})
-	for _, p := range d.peers.Peers() {
-		if !p.Alive || p.Leaving {
+	peers := d.peers.Peers()
+	for _, p := range peers {
+		if !p.Stays() {
 			continue
 		}
 		list.Instances = append(list.Instances, membership.Instance{
@@ -60,8 +61,8 @@
 		list.Instances = append(list.Instances, *upstreams...)
 	}
 	d.table.ApplyList(list)
-	d.chooseRelays()
-	d.choosePools()
+	d.chooseRelays(peers)
+	d.choosePools(peers)
 }
 
 // report is what this daemon says of itself to others; full adds its counts.
@@ -74,9 +75,6 @@
 	if config, confirmedAt := d.holder.Current(); config != nil {
 		r.ConfigVersion, r.ConfigAgeMs = config.Version, bootclock.Now().Sub(confirmedAt).Milliseconds()
 	}
-	if fence, held := d.held(); held {
-		r.Fence = fence
-	}
 	r.Yielded = d.leases.Yielded(dutyLease)
 	r.StoreAway = d.config.Failing()
 	r.QuotaFrom = d.quota.Holder()
@@ -128,15 +126,13 @@
 		d.upstreams.Absorb(feed, r.UpstreamRevision, sentAt.Add(-time.Duration(r.UpstreamAgeMs)*time.Millisecond))
 	}
 	if r.StoreAway && d.isRelay(r.Name) {
-		d.chooseRelays()
+		d.chooseRelays(d.peers.Peers())
 	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
 	d.takeMoves(r)
 	d.takeVersions(r)
 	d.takeLateness(r)
-	for window, counts := range r.Counts {
-		d.ledger.Set(r.Name+"/"+r.Process, countsOf(window, counts))
-	}
+	d.ledger.Set(r.ProcessName(), windowsOf(r.Counts))
 	if r.ConfigAgeMs < 0 {
 		return
 	}
@@ -160,7 +156,7 @@
 		found = append(found, candidate{d.settings.CallerAddress, caller.Domain == d.settings.Domain})
 	}
 	for _, p := range d.peers.Peers() {
-		if p.Alive && p.Ready && !p.Leaving {
+		if p.Serves() {
 			found = append(found, candidate{p.CallerAddress, p.Domain == caller.Domain})
 		}
 	}
--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -17,7 +17,7 @@
 // choosePools chooses the daemons whose pools of quotas this one takes from: of those
 // that are ready the ones with the most processor time, as each request of all daemons
 // asks there, and among equal ones by rendezvous hashing, so that all choose the same.
-func (d *Daemon) choosePools() {
+func (d *Daemon) choosePools(peers []peering.Peer) {
 	cores := map[string]float64{}
 	var names []string
 	add := func(name string, n float64) {
@@ -27,8 +27,8 @@
 	if d.ready() {
 		add(d.settings.Name, d.settings.Cores)
 	}
-	for _, p := range d.peers.Peers() {
-		if p.Alive && p.Ready && !p.Leaving {
+	for _, p := range peers {
+		if p.Serves() {
 			add(p.Name, p.Cores)
 		}
 	}
@@ -61,9 +61,9 @@
 	Cost      float64 `json:"c"`
 }
 
-// quotaReply is the answer. A daemon without a configuration answers with Held false.
+// quotaReply is the answer. A daemon without a configuration answers with Known false.
 type quotaReply struct {
-	Held    bool  `json:"h"`
+	Known   bool  `json:"h"`
 	Granted bool  `json:"g"`
 	AfterMs int64 `json:"a,omitempty"`
 }
@@ -75,7 +75,7 @@
 	if err := json.Unmarshal(body, &call); err != nil {
 		d.scope.Counter("peer_bad_calls").Inc(1)
 	} else if config, _ := d.holder.Current(); config != nil {
-		reply.Held = true
+		reply.Known = true
 		d.quotaPool.Heard(from.Name)
 		if w := config.Workspace(call.Workspace); w != nil {
 			granted, after := d.quotaPool.Grant(w, call.Cost)
@@ -105,7 +105,7 @@
 		return false, 0, false
 	}
 	var reply quotaReply
-	if err := json.Unmarshal(answer, &reply); err != nil || !reply.Held {
+	if err := json.Unmarshal(answer, &reply); err != nil || !reply.Known {
 		return false, 0, false
 	}
 	return reply.Granted, time.Duration(reply.AfterMs) * time.Millisecond, true
--- a/internal/fleetdaemon/relays.go
+++ b/internal/fleetdaemon/relays.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"rattantide/internal/membership"
+	"rattantide/internal/peering"
 )
 
 // relays is how many daemons read the store on their own. The others hear from
@@ -13,13 +14,13 @@
 // chooseRelays chooses the daemons that read the store, by the view of this one,
 // among those that it answers. Two views may differ for a moment; more daemons than
 // needed then read it.
-func (d *Daemon) chooseRelays() {
+func (d *Daemon) chooseRelays(peers []peering.Peer) {
 	var names []string
 	if !d.config.Failing() {
 		names = append(names, d.settings.Name)
 	}
-	for _, p := range d.peers.Peers() {
-		if p.Alive && !p.Leaving && !p.StoreAway {
+	for _, p := range peers {
+		if p.Stays() && !p.StoreAway {
 			names = append(names, p.Name)
 		}
 	}
--- a/internal/fleetdaemon/report_parts.go
+++ b/internal/fleetdaemon/report_parts.go
@@ -44,7 +44,7 @@
 func (d *Daemon) takeVersions(r peering.Report) {
 	var tallies map[string]versionmove.Tally
 	if d.decoded(r, "versions", r.Versions, &tallies) {
-		d.versionLedger.Set(r.Name+"/"+r.Process, tallies)
+		d.versionLedger.Set(r.ProcessName(), tallies)
 	}
 }
 
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -14,6 +14,7 @@
 	"rattantide/internal/bootclock"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/membership"
+	"rattantide/internal/peering"
 	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
@@ -164,8 +165,9 @@
 // maintain does what is due about once a second.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
-	d.chooseRelays()
-	d.choosePools()
+	peers := d.peers.Peers()
+	d.chooseRelays(peers)
+	d.choosePools(peers)
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.logDrops()))
 	d.quotaPool.Tick()
 	known := map[string]bool{}
@@ -173,8 +175,9 @@
 		known[u.Address] = true
 	}
 	d.conns.Sweep(func(address string) bool { return known[address] })
-	d.versionLedger.Set(d.settings.Name+"/"+d.process, d.versions.Tallies())
-	d.ledger.Set(d.settings.Name+"/"+d.process, d.counter.Windows(usageWindowsSent))
+	own := peering.Report{Name: d.settings.Name, Process: d.process}
+	d.versionLedger.Set(own.ProcessName(), d.versions.Tallies())
+	d.ledger.Set(own.ProcessName(), d.counter.Windows(usageWindowsSent))
 }
 
 // logReadiness writes a line when the daemon became ready or ceased to be.
@@ -202,6 +205,11 @@
 
 func joinPort(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 
-func countsOf(window int64, counts map[string]int64) map[int64]usage.Counts {
-	return map[int64]usage.Counts{window: counts}
+// windowsOf returns the counts of a report by window.
+func windowsOf(counts map[int64]map[string]int64) map[int64]usage.Counts {
+	out := make(map[int64]usage.Counts, len(counts))
+	for window, byWorkspace := range counts {
+		out[window] = byWorkspace
+	}
+	return out
 }
--- /dev/null
+++ b/internal/gateway/fixture_test.go
@@ -0,0 +1,185 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/dispatch"
+	"rattantide/internal/fleetconfig"
+	"rattantide/internal/gateway"
+	"rattantide/internal/membership"
+	"rattantide/internal/problem"
+	"rattantide/internal/standin/runner"
+	"rattantide/internal/telemetry"
+	"rattantide/internal/upstreamconn"
+	"rattantide/platform"
+)
+
+// chooser hands out its upstreams in turn, without those that are excluded.
+type chooser struct {
+	mu        sync.Mutex
+	upstreams []membership.Upstream
+	results   []dispatch.Result
+}
+
+// Choose implements dispatch.Chooser.
+func (c *chooser) Choose(_ context.Context, r *dispatch.Request) (*dispatch.Choice, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, u := range c.upstreams {
+		excluded := false
+		for _, name := range r.Exclude {
+			excluded = excluded || name == u.Name
+		}
+		if !excluded {
+			return &dispatch.Choice{Upstream: u, Done: func(res dispatch.Result) {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				c.results = append(c.results, res)
+			}}, nil
+		}
+	}
+	return nil, problem.NotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "none").WithRetryAfter(time.Second)
+}
+
+// openQuota has room for everything and counts what it holds.
+type openQuota struct {
+	mu   sync.Mutex
+	held float64
+}
+
+// Take implements gateway.Quota.
+func (q *openQuota) Take(_ context.Context, _ *fleetconfig.Workspace, cost float64) (bool, time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.held += cost
+	return true, 0
+}
+
+// Return implements gateway.Quota.
+func (q *openQuota) Return(_ *fleetconfig.Workspace, cost float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.held -= cost
+}
+
+type usageCount struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+// Began implements gateway.Usage.
+func (u *usageCount) Began(workspace string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.n == nil {
+		u.n = map[string]int{}
+	}
+	u.n[workspace]++
+}
+
+// fixture is a gateway before two upstreams.
+type fixture struct {
+	t       *testing.T
+	address string
+	runners []*runner.Runner
+	chooser *chooser
+	quota   *openQuota
+	usage   *usageCount
+	holder  *fleetconfig.Holder
+	now     time.Time
+	nowMu   sync.Mutex
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, chooser: &chooser{}, quota: &openQuota{}, usage: &usageCount{}, holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
+	for i := range 2 {
+		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
+		s := httptest.NewServer(r)
+		t.Cleanup(s.Close)
+		f.runners = append(f.runners, r)
+		f.chooser.upstreams = append(f.chooser.upstreams, membership.Upstream{Name: r.ID, Address: s.Listener.Addr().String()})
+	}
+	config := &fleetconfig.Config{
+		Version:    7,
+		Services:   map[string]*fleetconfig.Service{"svc": {Name: "svc"}},
+		Workspaces: []*fleetconfig.Workspace{{Name: "ws", Keys: []string{"key"}, PlainCost: 200}},
+		Routes: []*fleetconfig.Route{
+			route("order", "/order/", fleetconfig.NonIdempotent, 1),
+			route("lookup", "/lookup/", fleetconfig.Idempotent, 2),
+			route("stream", "/stream/", fleetconfig.Stream, 1),
+			route("resume", "/resume/", fleetconfig.Stream, 2),
+			route("lookup-deep", "/lookup/deep/", fleetconfig.NonIdempotent, 1),
+		},
+	}
+	config.Routes[3].Resumable = true
+	config.Index()
+	f.holder.Apply(config, f.now)
+	pools := &upstreamconn.Pools{}
+	t.Cleanup(pools.Close)
+	s := httptest.NewServer(gateway.New(gateway.Options{
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage,
+		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
+		BootNow: f.bootNow, Leaving: func() bool { return false },
+	}))
+	t.Cleanup(s.Close)
+	f.address = s.Listener.Addr().String()
+	return f
+}
+
+func route(name, prefix string, kind fleetconfig.CallKind, attempts int) *fleetconfig.Route {
+	return &fleetconfig.Route{
+		Name: name, Host: "host.example", PathPrefix: prefix, Kind: kind, MaxAttempts: attempts,
+		Timeout: 2 * time.Second, Target: 300 * time.Millisecond,
+		Services: []fleetconfig.WeightedService{{Service: "svc", Weight: 1}},
+	}
+}
+
+func (f *fixture) bootNow() time.Time {
+	f.nowMu.Lock()
+	defer f.nowMu.Unlock()
+	return f.now
+}
+
+func (f *fixture) advance(d time.Duration) {
+	f.nowMu.Lock()
+	defer f.nowMu.Unlock()
+	f.now = f.now.Add(d)
+}
+
+// call sends a request; header holds pairs of names and values.
+func (f *fixture) call(path, body string, header ...string) (status int, answer string, h http.Header, err error) {
+	method := http.MethodGet
+	var reader io.Reader
+	if body != "" {
+		method, reader = http.MethodPost, strings.NewReader(body)
+	}
+	request, err := http.NewRequestWithContext(f.t.Context(), method, "http://"+f.address+path, reader)
+	assert.NilError(f.t, err)
+	request.Host = "host.example"
+	request.Header.Set("X-Attempt-Id", "a1")
+	request.Header.Set("Authorization", "Bearer key")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(text), response.Header, err
+}
+
+func (f *fixture) runs() int { return len(f.runners[0].Runs()) + len(f.runners[1].Runs()) }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -79,9 +79,7 @@
 // its holder. The answer holds for the moment only, so it is to be asked before
 // each action; a holder that was paused sees false on waking.
 func (m *Manager) Held(name string) (fence int64, ok bool) {
-	m.mu.Lock()
-	d := m.duties[name]
-	m.mu.Unlock()
+	d := m.duty(name)
 	if d == nil {
 		return 0, false
 	}
@@ -91,9 +89,7 @@
 // Yielded returns the fencing token of a lease that this daemon has given up while
 // it could not write that to the store, or 0. The daemon no longer acts under it.
 func (m *Manager) Yielded(name string) int64 {
-	m.mu.Lock()
-	d := m.duties[name]
-	m.mu.Unlock()
+	d := m.duty(name)
 	if d == nil {
 		return 0
 	}
@@ -102,14 +98,18 @@
 
 // Offer tells that the holder with a fencing token has given its lease up.
 func (m *Manager) Offer(name string, fence int64) {
-	m.mu.Lock()
-	d := m.duties[name]
-	m.mu.Unlock()
-	if d != nil && m.Rank(name) <= maxOfferRank {
+	if d := m.duty(name); d != nil && m.Rank(name) <= maxOfferRank {
 		d.offer(fence)
 	}
 }
 
+// duty returns a duty that this daemon wants, or nil.
+func (m *Manager) duty(name string) *duty {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.duties[name]
+}
+
 // launch starts the goroutine of a duty. The lock is held.
 func (m *Manager) launch(d *duty) {
 	if m.ctx.Err() != nil {
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -18,9 +18,13 @@
 
 // Preferred returns the names ordered by falling weight for the key.
 func Preferred(key string, names []string) []string {
+	weights := make(map[string]uint64, len(names))
+	for _, name := range names {
+		weights[name] = Weight(key, name)
+	}
 	out := append([]string(nil), names...)
 	sort.Slice(out, func(i, j int) bool {
-		a, b := Weight(key, out[i]), Weight(key, out[j])
+		a, b := weights[out[i]], weights[out[j]]
 		if a != b {
 			return a > b
 		}
--- a/internal/peering/call.go
+++ b/internal/peering/call.go
@@ -10,12 +10,7 @@
 // none comes within callWait.
 func (n *Node) Call(ctx context.Context, name string, body json.RawMessage) (json.RawMessage, bool) {
 	n.mu.Lock()
-	ip := ""
-	for _, p := range n.peers {
-		if p.known && p.report.Name == name {
-			ip = p.ip
-		}
-	}
+	ips := n.addresses(name)
 	n.number++
 	number := n.number
 	answered := make(chan json.RawMessage, 1)
@@ -26,9 +21,10 @@
 		delete(n.calls, number)
 		n.mu.Unlock()
 	}()
-	if ip == "" {
+	if len(ips) == 0 {
 		return nil, false
 	}
+	ip := ips[0]
 	m := message{Number: number, Report: Report{Name: n.opts.Name}, Call: body}
 	n.send(ip, m)
 	again := time.NewTimer(callAgain)
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -4,14 +4,11 @@
 	"context"
 	"encoding/json"
 	"net"
-	"slices"
 	"sort"
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
-	"github.com/uber-go/tally/v4"
 )
 
 const (
@@ -46,38 +43,6 @@
 	maxOthers   = 512
 )
 
-// Options configures a Node. Self, Port, Now and Logger are required.
-type Options struct {
-	// IP is the address to listen on, Port the port of all daemons.
-	IP   string
-	Port int
-	// Name is the name of this daemon.
-	Name string
-	// Self returns this daemon's report; a full one also has the counts that only a
-	// holder of duties needs, which are its larger part.
-	Self func(full bool) Report
-	// Full reports whether this daemon needs the full reports of the others. Nil
-	// means that it does.
-	Full func() bool
-	// Received is called with each report of another daemon. sentAt is when the
-	// question that it answers was sent, on the boot clock, so that what the
-	// report calls fresh was so then or later.
-	Received func(r Report, feed Feed, sentAt, receivedAt time.Time)
-	// Asked is called with the report of a daemon that asks.
-	Asked func(r Report)
-	// Feed returns the changes of the list of upstreams after a revision.
-	Feed func(since int64) Feed
-	// Important reports whether a daemon is asked more often than others.
-	Important func(name string) bool
-	// Called answers a call of another daemon.
-	Called func(from Report, body json.RawMessage) json.RawMessage
-	// Changed is called when a daemon appears, changes its state or is gone.
-	Changed func()
-	Now     func() time.Time
-	Logger  *log.Logger
-	Scope   tally.Scope
-}
-
 // Node asks the other daemons and answers them. It is safe for concurrent use.
 type Node struct {
 	opts Options
@@ -200,156 +165,6 @@
 	}
 }
 
-// Announce tells all daemons the present state at once, without waiting for their
-// next question.
-func (n *Node) Announce() {
-	n.mu.Lock()
-	ips := append([]string(nil), n.order...)
-	n.mu.Unlock()
-	for _, ip := range ips {
-		n.question(ip)
-	}
-}
-
-// Tell asks the daemons of some names at once, which thereby learn the present state
-// of this one.
-func (n *Node) Tell(names ...string) {
-	n.mu.Lock()
-	var ips []string
-	for ip, p := range n.peers {
-		if p.known && slices.Contains(names, p.report.Name) {
-			ips = append(ips, ip)
-		}
-	}
-	n.mu.Unlock()
-	for _, ip := range ips {
-		n.question(ip)
-	}
-}
-
-// askFound asks the daemons that became known by Add.
-func (n *Node) askFound() {
-	n.mu.Lock()
-	ips := n.unasked
-	n.unasked = nil
-	n.mu.Unlock()
-	for _, ip := range ips {
-		n.question(ip)
-	}
-}
-
-// ask sends the questions of a round.
-func (n *Node) ask() {
-	for _, ip := range n.due() {
-		n.question(ip)
-	}
-	n.notice()
-}
-
-// due returns the daemons to ask now, in turn.
-func (n *Node) due() []string {
-	important := n.important()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	now := n.opts.Now()
-	n.forget(now)
-	var due []string
-	for _, ip := range n.order {
-		if p := n.peers[ip]; len(due) < maxPerRound && p.known && now.Sub(p.sentAt) >= askImportant && important[p.report.Name] {
-			due = append(due, ip)
-		}
-	}
-	for _, ip := range n.order {
-		// One that did not answer is asked again at once: callers are sent to it
-		// until it counts as gone.
-		if p := n.peers[ip]; len(due) < maxPerRound && p.known && p.unanswered > 0 && p.unanswered < maxUnanswered && !slices.Contains(due, ip) {
-			due = append(due, ip)
-		}
-	}
-	for range n.order {
-		if len(due) >= maxPerRound {
-			break
-		}
-		n.next = (n.next + 1) % len(n.order)
-		p := n.peers[n.order[n.next]]
-		if now.Sub(p.sentAt) >= askEvery && !slices.Contains(due, p.ip) {
-			due = append(due, p.ip)
-		}
-	}
-	return due
-}
-
-// important returns the daemons that are asked more often. Important is called
-// without the lock, as it may need locks under which others call this Node.
-func (n *Node) important() map[string]bool {
-	n.mu.Lock()
-	names := make([]string, 0, len(n.peers))
-	for _, p := range n.peers {
-		if p.known {
-			names = append(names, p.report.Name)
-		}
-	}
-	n.mu.Unlock()
-	out := map[string]bool{}
-	for _, name := range names {
-		if n.opts.Important(name) {
-			out[name] = true
-		}
-	}
-	return out
-}
-
-// forget drops the daemons that have been gone for long. The lock is held.
-func (n *Node) forget(now time.Time) {
-	kept := n.order[:0]
-	for _, ip := range n.order {
-		p := n.peers[ip]
-		last := p.answeredAt
-		if last.IsZero() {
-			last = p.firstAt
-		}
-		if now.Sub(last) > forgetAfter {
-			delete(n.peers, ip)
-			continue
-		}
-		kept = append(kept, ip)
-	}
-	n.order = kept
-	if n.next >= len(n.order) {
-		n.next = 0
-	}
-}
-
-func (n *Node) question(ip string) {
-	n.mu.Lock()
-	p := n.peers[ip]
-	if p == nil {
-		n.mu.Unlock()
-		return
-	}
-	n.number++
-	p.number, p.sentAt = n.number, n.opts.Now()
-	p.unanswered++
-	m := message{Number: p.number, Known: len(n.peers)}
-	n.mu.Unlock()
-	m.Report, m.Full = n.opts.Self(false), n.opts.Full()
-	m.Feed.Since = m.Report.UpstreamRevision
-	n.send(ip, m)
-}
-
-func (n *Node) send(ip string, m message) {
-	text, err := json.Marshal(m)
-	if err != nil || len(text) > maxMessage {
-		n.opts.Logger.Error("message to a daemon could not be written", "peer", ip, "bytes", len(text), "error", err)
-		return
-	}
-	_, err = n.conn.WriteToUDP(text, &net.UDPAddr{IP: net.ParseIP(ip), Port: n.opts.Port})
-	if err != nil {
-		// The daemon is asked again in the next round.
-		n.opts.Scope.Counter("peer_send_errors").Inc(1)
-	}
-}
-
 // notice calls Changed when the set of daemons that are alive and ready changed.
 func (n *Node) notice() {
 	n.mu.Lock()
--- a/internal/peering/peer.go
+++ b/internal/peering/peer.go
@@ -9,6 +9,12 @@
 	Alive bool
 }
 
+// Stays reports whether the daemon is there and not about to stop.
+func (p *Peer) Stays() bool { return p.Alive && !p.Leaving }
+
+// Serves reports whether the daemon serves callers.
+func (p *Peer) Serves() bool { return p.Stays() && p.Ready }
+
 // peer is the state of one daemon.
 type peer struct {
 	ip     string
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -23,8 +23,6 @@
 	ConfigAgeMs   int64 `json:"a"`
 	// WallMs is the daemon's time of day.
 	WallMs int64 `json:"w"`
-	// Fence is the fencing token of the duties while the daemon holds them, else 0.
-	Fence int64 `json:"f,omitempty"`
 	// StoreAway says that the store does not answer the daemon.
 	StoreAway bool `json:"sa,omitempty"`
 	// Yielded is the fencing token of duties that the daemon has given up while it
@@ -50,6 +48,9 @@
 	Counts map[int64]map[string]int64 `json:"u,omitempty"`
 }
 
+// ProcessName names the process among those of all daemons.
+func (r *Report) ProcessName() string { return r.Name + "/" + r.Process }
+
 // Change is a change of the list of upstreams.
 type Change struct {
 	// Revision is the store's revision of the change.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// lendAll lets each daemon take something, and so lend its part to a pool.
+func (f *fleet) lendAll() {
+	for _, d := range f.daemons {
+		d.keeper.Take(context.Background(), workspace, 1)
+	}
+	f.run(2 * time.Second)
+}
+
 // spend lets a daemon ask for a cost some times in each tenth of a second, and
 // returns what was granted.
 func (f *fleet) spend(d *daemon, duration time.Duration, times int, cost float64) float64 {
@@ -151,11 +159,7 @@
 // reach few of many daemons.
 func TestOneBusyDaemonGetsTheWholeQuota(t *testing.T) {
 	f := newFleet(77)
-	// All others take something too now and then, and so lend their parts.
-	for _, d := range f.daemons {
-		d.keeper.Take(t.Context(), workspace, 1)
-	}
-	f.run(2 * time.Second)
+	f.lendAll()
 	taken := f.spend(f.daemons[5], 10*time.Second, 9, 100)
 	assert.Assert(t, taken >= 89_000, "%g of 90000 within the quota were taken", taken)
 }
@@ -237,10 +241,7 @@
 // the rate times the window plus the burst.
 func TestSustainedUseAboveTheRate(t *testing.T) {
 	f := newFleet(9)
-	for _, d := range f.daemons {
-		d.keeper.Take(t.Context(), workspace, 1)
-	}
-	f.run(2 * time.Second)
+	f.lendAll()
 	taken := f.spend(f.daemons[2], 30*time.Second, 11, 100)
 	assert.Assert(t, taken >= 0.98*33_000*10, "%g were taken", taken)
 }
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -36,20 +36,22 @@
 	}
 }
 
+// newHolder returns the Controller of a daemon that has the duty.
+func newHolder(store *objecttest.Store, ledger *Ledger, b *board) *Controller {
+	return NewController(ControllerOptions{
+		Declarations: b, Store: store, Ledger: ledger, Upstreams: upstreams, Now: time.Now,
+		Held: func() (int64, bool) { return 1, true }, Logger: telemetry.Discard(),
+	})
+}
+
 // Guards against a move that a new holder begins again, gives another deadline, or
 // leaves undecided, and against daemons that do not follow it.
 func TestMoveGoesOnWithTheNextHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, ledger := objecttest.New(), NewLedger()
 		b := &board{moves: []Declared{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
-		holder := func() *Controller {
-			return NewController(ControllerOptions{
-				Declarations: b, Store: store, Ledger: ledger, Upstreams: upstreams, Now: time.Now,
-				Held: func() (int64, bool) { return 1, true }, Logger: telemetry.Discard(),
-			})
-		}
 		follower := &Follower{Store: store, Upstreams: upstreams, Direct: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
-		first := holder()
+		first := newHolder(store, ledger, b)
 		first.reconcile(t.Context())
 		first.reconcile(t.Context())
 		follower.reconcile(t.Context())
@@ -57,7 +59,7 @@
 		assert.Assert(t, follower.Moving("s"))
 		time.Sleep(10 * time.Second)
 		ledger.Set("d/p", map[string]Tally{Key("s", "v2"): {Answers: 40, FirstMs: 2000}, Key("s", "v1"): {Answers: 400, FirstMs: 20_000}})
-		second := holder()
+		second := newHolder(store, ledger, b)
 		second.reconcile(t.Context())
 		time.Sleep(3 * time.Second)
 		second.reconcile(t.Context())
@@ -75,18 +77,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, ledger := objecttest.New(), NewLedger()
 		b := &board{moves: []Declared{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
-		holder := func() *Controller {
-			return NewController(ControllerOptions{
-				Declarations: b, Store: store, Ledger: ledger, Upstreams: upstreams, Now: time.Now,
-				Held: func() (int64, bool) { return 1, true }, Logger: telemetry.Discard(),
-			})
-		}
-		first := holder()
+		first := newHolder(store, ledger, b)
 		first.reconcile(t.Context())
 		first.reconcile(t.Context())
 		time.Sleep(7 * time.Second)
 		ledger.Set("d/p", map[string]Tally{Key("s", "v2"): {Answers: manyAnswers, FirstMs: 5000}, Key("s", "v1"): {Answers: 400, FirstMs: 20_000}})
-		second := holder()
+		second := newHolder(store, ledger, b)
 		second.reconcile(t.Context())
 		assert.Equal(t, b.told[len(b.told)-1], Done)
 	})
