--- a/internal/cli/delete.go
+++ b/internal/cli/delete.go
@@ -52,14 +52,7 @@
 }
 
 func (c *deleteCommand) run(ctx context.Context, f *flag.FlagSet) error {
-	args, err := positionals(f)
-	if err != nil {
-		return err
-	}
-	if len(args) != 2 {
-		return usagef("needs KIND and NAME")
-	}
-	kind, err := kindOf(args[0])
+	kind, name, err := kindAndName(f)
 	if err != nil {
 		return err
 	}
@@ -67,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	path := objectPath(kind, args[1])
+	path := objectPath(kind, name)
 	if c.version == 0 {
 		object := &api.Object{}
 		if _, err := client.Do(ctx, http.MethodGet, path, nil, object); err != nil {
@@ -78,6 +71,6 @@
 	if _, err := client.Do(ctx, http.MethodDelete, fmt.Sprintf("%s?version=%d", path, c.version), nil, nil); err != nil {
 		return err
 	}
-	c.env.printf("%s/%s deleted (version %d)\n", kind, args[1], c.version)
+	c.env.printf("%s/%s deleted (version %d)\n", kind, name, c.version)
 	return nil
 }
--- a/internal/cli/demo/chat.go
+++ b/internal/cli/demo/chat.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // chat is a chat completion that the demo asks for. Its seed makes the answer
@@ -33,6 +35,19 @@
 	cachedTokens int
 }
 
+// resumesOf returns how often the answers were resumed. None at all is an error, as
+// then nothing was shown.
+func resumesOf(answers []*answer) (int, error) {
+	resumes := 0
+	for _, a := range answers {
+		resumes += a.resumes
+	}
+	if resumes == 0 {
+		return 0, errors.New("no stream was resumed, so nothing was shown")
+	}
+	return resumes, nil
+}
+
 // usage is the part of an OpenAI completion that the demo reads.
 type usage struct {
 	PromptTokens int `json:"prompt_tokens"`
--- a/internal/cli/demo/show_domain.go
+++ b/internal/cli/demo/show_domain.go
@@ -46,12 +46,9 @@
 	if err != nil {
 		return "", err
 	}
-	resumes := 0
-	for _, a := range answers {
-		resumes += a.resumes
-	}
-	if resumes == 0 {
-		return "", errors.New("no stream was resumed, so nothing was shown")
+	resumes, err := resumesOf(answers)
+	if err != nil {
+		return "", err
 	}
 	return fmt.Sprintf("domain %s with %d instances left at %s notice: %d streams complete byte for byte, resumed %d times",
 		domain, len(victims), reclaimNotice, len(answers), resumes), nil
--- a/internal/cli/demo/show_reclaim.go
+++ b/internal/cli/demo/show_reclaim.go
@@ -209,12 +209,9 @@
 	if err != nil {
 		return "", err
 	}
-	resumes := 0
-	for _, a := range answers {
-		resumes += a.resumes
-	}
-	if resumes == 0 {
-		return "", errors.New("no stream was resumed, so nothing was shown")
+	resumes, err := resumesOf(answers)
+	if err != nil {
+		return "", err
 	}
 	return fmt.Sprintf("%s left at %s notice: %d streams resumed %d times at other daemons, complete byte for byte",
 		victim.Name, reclaimNotice, len(answers), resumes), nil
--- a/internal/cli/describe.go
+++ b/internal/cli/describe.go
@@ -56,17 +56,10 @@
 }
 
 func (c *describeCommand) run(ctx context.Context, f *flag.FlagSet) error {
-	args, err := positionals(f)
-	if err != nil {
-		return err
-	}
-	if len(args) != 2 {
-		return usagef("needs KIND and NAME")
-	}
 	if err := c.checkOutput("table", "json"); err != nil {
 		return err
 	}
-	kind, err := kindOf(args[0])
+	kind, name, err := kindAndName(f)
 	if err != nil {
 		return err
 	}
@@ -75,12 +68,12 @@
 		return err
 	}
 	d := &description{Object: &api.Object{}, Users: []*api.Object{}}
-	header, err := client.Do(ctx, http.MethodGet, objectPath(kind, args[1]), nil, d.Object)
+	header, err := client.Do(ctx, http.MethodGet, objectPath(kind, name), nil, d.Object)
 	if err != nil {
 		return err
 	}
 	c.warnLocal(header.Get(admin.SourceHeader))
-	if d.Users, err = usersOf(ctx, client, kind, args[1]); err != nil {
+	if d.Users, err = usersOf(ctx, client, kind, name); err != nil {
 		return err
 	}
 	if c.output == "json" {
--- a/internal/cli/kinds.go
+++ b/internal/cli/kinds.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"flag"
 	"strings"
 
 	"rattantide/internal/api"
@@ -22,3 +23,16 @@
 func objectPath(kind api.Kind, name string) string {
 	return "/objects/" + string(kind) + "/" + name
 }
+
+// kindAndName returns the two arguments that name an object.
+func kindAndName(f *flag.FlagSet) (kind api.Kind, name string, err error) {
+	args, err := positionals(f)
+	if err != nil {
+		return "", "", err
+	}
+	if len(args) != 2 {
+		return "", "", usagef("needs KIND and NAME")
+	}
+	kind, err = kindOf(args[0])
+	return kind, args[1], err
+}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -54,6 +54,7 @@
 	closer   io.Closer
 	process  string
 	logDrops func() int64
+	wall     func() time.Time
 	// wasReady is the readiness at the last look.
 	wasReady bool
 
@@ -92,11 +93,24 @@
 	callers, readiness, directory, metricsListener net.Listener
 }
 
-// New opens the listeners and builds all parts. Nothing runs until Run. logDrops
-// returns the number of log lines that were dropped.
-func New(s *platform.Settings, logger *log.Logger, logDrops func() int64) (*Daemon, error) {
+// Options holds what a Daemon is built from.
+type Options struct {
+	Settings *platform.Settings
+	Logger   *log.Logger
+	// LogDrops returns the number of log lines that were dropped.
+	LogDrops func() int64
+	// Wall returns the instance's time of day, which may jump.
+	Wall func() time.Time
+}
+
+// New opens the listeners and builds all parts. Nothing runs until Run.
+func New(o Options) (*Daemon, error) {
 	scope, metrics, closer := telemetry.NewScope()
-	d := &Daemon{settings: s, logger: logger, scope: scope, metrics: metrics, closer: closer, process: uuid.NewString()[:8], logDrops: logDrops}
+	s := o.Settings
+	d := &Daemon{
+		settings: s, logger: o.Logger, logDrops: o.LogDrops, wall: o.Wall,
+		scope: scope, metrics: metrics, closer: closer, process: uuid.NewString()[:8],
+	}
 	d.bounds.Store(&s.Bound)
 	if err := d.listen(); err != nil {
 		return nil, errors.Trace(err)
@@ -144,7 +158,7 @@
 	})
 	d.cloud = &platform.Cloud{Address: s.Cloud.Address, Holder: s.Name, HTTP: calls}
 	d.holder = fleetconfig.NewHolder()
-	d.clock = truetime.New(bootclock.Now, time.Now)
+	d.clock = truetime.New(bootclock.Now, d.wall)
 	self := membership.Daemon{Name: s.Name, Address: s.CallerAddress, Domain: s.Domain, Region: s.Region}
 	d.table = membership.NewTable(self, membership.Options{Grace: -1, Scope: d.scope})
 	d.config = fleetsync.NewConfigSync(fleetsync.ConfigOptions{
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -65,7 +65,7 @@
 	s := d.settings
 	r := peering.Report{
 		Name: s.Name, Process: d.process, IP: s.IP, Domain: s.Domain, CallerAddress: s.CallerAddress,
-		Ready: d.ready(), Leaving: d.leaving.Load(), ConfigAgeMs: -1, WallMs: time.Now().UnixMilli(),
+		Ready: d.ready(), Leaving: d.leaving.Load(), ConfigAgeMs: -1, WallMs: d.wall().UnixMilli(),
 	}
 	if config, confirmedAt := d.holder.Current(); config != nil {
 		r.ConfigVersion, r.ConfigAgeMs = config.Version, bootclock.Now().Sub(confirmedAt).Milliseconds()
--- a/internal/proc/process.go
+++ b/internal/proc/process.go
@@ -31,19 +31,14 @@
 	ended   chan struct{}
 }
 
-// Start runs a program and waits until it has written the address that it
-// listens on.
-func Start(ctx context.Context, spec Spec) (*Process, error) {
-	addressFile := filepath.Join(spec.Dir, spec.Name+".address")
-	if err := os.Remove(addressFile); err != nil && !os.IsNotExist(err) {
-		return nil, errors.Trace(err)
-	}
+// Launch runs a program and does not wait for anything.
+func Launch(spec Spec) (*Process, error) {
 	p := &Process{Name: spec.Name, LogPath: filepath.Join(spec.Dir, spec.Name+".log"), ended: make(chan struct{})}
 	output, err := os.OpenFile(p.LogPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	p.command = exec.Command(spec.Program, append(spec.Args[:len(spec.Args):len(spec.Args)], "-address-file", addressFile)...)
+	p.command = exec.Command(spec.Program, spec.Args...)
 	p.command.Stdout, p.command.Stderr = output, output
 	p.command.Env = append(os.Environ(), spec.Env...)
 	if err := p.command.Start(); err != nil {
@@ -55,6 +50,21 @@
 		_ = output.Close()
 		close(p.ended)
 	}()
+	return p, nil
+}
+
+// Start runs a program and waits until it has written the address that it
+// listens on. The program must take -address-file.
+func Start(ctx context.Context, spec Spec) (*Process, error) {
+	addressFile := filepath.Join(spec.Dir, spec.Name+".address")
+	if err := os.Remove(addressFile); err != nil && !os.IsNotExist(err) {
+		return nil, errors.Trace(err)
+	}
+	spec.Args = append(spec.Args[:len(spec.Args):len(spec.Args)], "-address-file", addressFile)
+	p, err := Launch(spec)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	err = Eventually(ctx, startTimeout, p.ended, func() error {
 		content, err := os.ReadFile(addressFile)
 		p.Address = strings.TrimSpace(string(content))
--- a/internal/proc/spec.go
+++ b/internal/proc/spec.go
@@ -1,6 +1,6 @@
 package proc
 
-// Spec tells what to start. The program must take -listen and -address-file.
+// Spec tells what to start.
 type Spec struct {
 	// Name names the process in logs and files.
 	Name string
--- a/test/soak/checks_test.go
+++ b/test/soak/checks_test.go
@@ -68,6 +68,19 @@
 	return out
 }
 
+// wrongWindows returns the reports of usage for windows that lie outside of the
+// time in which requests were sent.
+func wrongWindows(f *fleet, begun, ended time.Time) []string {
+	var out []string
+	first, last := begun.Unix()/usageWindowSeconds-1, ended.Unix()/usageWindowSeconds+1
+	for _, r := range f.cloud.Reports() {
+		if r.Window < first || r.Window > last {
+			out = append(out, fmt.Sprintf("%s reported usage of window %d, outside of %d to %d", r.Holder, r.Window, first, last))
+		}
+	}
+	return out
+}
+
 // wrongAnswer checks a success that looks complete.
 func wrongAnswer(c *call, ranAt []string) []string {
 	want := "answer of the runner"
