--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -28,7 +28,8 @@
 	callerIdleTimeout = 60 * time.Second
 	// headerTimeout bounds the time in which a caller must send the request header.
 	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds a request header. The configuration's bound may be lower,
+	// maxHeaderBytes bounds the header of a caller's request, and of a response of the
+	// platform or of another daemon. The configuration's bound for callers may be lower,
 	// but is not enforced at present.
 	maxHeaderBytes = 64 << 10
 	// maintenanceInterval is the time between calls of maintain.
@@ -207,6 +208,7 @@
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -38,6 +38,9 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
+			if response.EndsWithConn && len(splitter.remainder()) > 0 {
+				return a.handleTruncated(ctx, errors.New("connection closed within an event"))
+			}
 			return a.finishStream(response, splitter)
 		default:
 			return a.handleTruncated(ctx, err)
--- /dev/null
+++ b/internal/gateway/stream_end_test.go
@@ -0,0 +1,70 @@
+package gateway_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/membership"
+)
+
+// serveRaw answers every request with the same bytes and closes the connection.
+func serveRaw(t *testing.T, head, body string) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, head+"X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nX-Response-Seal: s\r\n\r\n"+body)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a stream that breaks off within an event and looks complete to the
+// caller, and against one that is complete and is treated as broken off.
+func TestEndOfStreams(t *testing.T) {
+	const (
+		framed     = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n"
+		untilClose = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+		whole      = "id: 1\ndata: piece\n\n"
+	)
+	for name, c := range map[string]struct {
+		head, body string
+		complete   bool
+	}{
+		"closed after an event":            {untilClose, whole, true},
+		"closed within an event":           {untilClose, whole + "id: 2\nda", false},
+		"closed before the first event":    {untilClose, "id: 1\n", false},
+		"length reached":                   {framed, whole + "\n", true},
+		"length reached, no final newline": {framed, whole + ":", true},
+		"length not reached":               {framed, whole, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.chooser.upstreams = []membership.Upstream{{Name: "raw", Address: serveRaw(t, c.head, c.body)}}
+			status, body, _, err := f.call("/stream/1", "b")
+			if c.complete {
+				assert.NilError(t, err)
+				assert.Equal(t, body, c.body)
+				return
+			}
+			assert.Assert(t, err != nil || status == http.StatusBadGateway, "status %d, body %q", status, body)
+		})
+	}
+}
--- a/internal/upstreamconn/call.go
+++ b/internal/upstreamconn/call.go
@@ -13,6 +13,9 @@
 const (
 	// maxInterimResponses is the number of 1xx responses after which a request fails.
 	maxInterimResponses = 5
+	// maxHeadBytes bounds the status lines and headers of a response, including those of
+	// interim ones.
+	maxHeadBytes = 64 << 10
 	// maxSingleWriteBytes is the body size up to which head and body are sent in one
 	// write.
 	maxSingleWriteBytes = 16 << 10
@@ -24,6 +27,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
+	// EndsWithConn reports whether the body ends where the upstream closes the
+	// connection, so that its end does not show whether it is complete.
+	EndsWithConn bool
 	// Body must be closed. Closing it before io.EOF closes the connection, which
 	// makes most upstreams cancel the request.
 	Body io.ReadCloser
@@ -50,7 +56,10 @@
 		return nil, &Error{Sent: true, Err: contextCause(ctx, err)}
 	}
 	b := &body{ReadCloser: response.Body, pools: p, address: address, conn: c, stop: stop, ctx: ctx, response: response}
-	return &Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: b}, nil
+	return &Response{
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		EndsWithConn: response.ContentLength < 0 && len(response.TransferEncoding) == 0, Body: b,
+	}, nil
 }
 
 // contextCause returns the cause of ctx if ctx has ended, and err otherwise.
@@ -73,7 +82,10 @@
 	return n > 0, err
 }
 
+// readHead reads the head of the final response. It reads at most maxHeadBytes.
 func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limit.set(maxHeadBytes)
+	defer c.limit.clear()
 	for range maxInterimResponses {
 		response, err := readResponse(c.reader, method)
 		if err != nil {
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -29,13 +29,15 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds what reader reads from the connection while a head is read.
+	limit *readLimit
 	// reusableUntil is the time from which the idle connection must not be reused.
 	reusableUntil time.Time
-	used          bool
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}
+	limit := &readLimit{Reader: c}
+	return &conn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // interrupt makes pending and later reads and writes fail.
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -135,7 +135,6 @@
 		_ = c.Close()
 		return
 	}
-	c.used = true
 	host.idle = append(host.idle, c)
 }
 
