--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -7,10 +7,11 @@
 )
 
 const (
-	// usableOvershootShare is the share of the allowed overshoot that is used.
-	// The remainder covers requests that reach their upstream in a later
-	// window, and daemons that change from one pool to another.
-	usableOvershootShare = 0.5
+	// usableOvershootShare is the share of the allowed overshoot that is used. The
+	// remainder covers requests that reach their upstream in a later window, and the
+	// second (userTimeout) in which a holder that the other daemons no longer reach
+	// still grants from their shares.
+	usableOvershootShare = 0.35
 	// sustainedShare is the share of the burst and of the overshoot that is
 	// spread over the window as an additional rate. A quota allows its rate
 	// times the window plus the burst in any window, so a workspace that
