--- a/internal/server/authenticate.go
+++ b/internal/server/authenticate.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
@@ -11,8 +12,13 @@
 	"rattantide/internal/problem"
 )
 
-// maxIDBytes bounds request identifiers, which appear in logs and URLs.
-const maxIDBytes = 128
+const (
+	// maxIDBytes bounds request identifiers, which appear in logs and URLs.
+	maxIDBytes = 128
+	// startupRetryAfter is about the time that a starting daemon needs to load its
+	// configuration.
+	startupRetryAfter = 300 * time.Millisecond
+)
 
 // authenticate returns the name of the workspace that the caller's bearer token
 // belongs to.
@@ -29,7 +35,13 @@
 	if !ok || token == "" || len(header) > s.options.MaxHeaderValueBytes {
 		return "", nil, problem.NewNotRun(http.StatusUnauthorized, problem.CodeUnauthorized, "a bearer token of a workspace is required")
 	}
-	name, workspace := s.options.Config.Snapshot().WorkspaceForToken(token)
+	view := s.options.Config.Snapshot()
+	name, workspace := view.WorkspaceForToken(token)
+	if workspace == nil && view.Revision == 0 {
+		// A daemon that has just started knows no workspaces yet.
+		return "", nil, problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeObjectAPIUnavailable, "no configuration is in effect yet").
+			WithRetryAfter(startupRetryAfter)
+	}
 	if workspace == nil {
 		return "", nil, problem.NewNotRun(http.StatusUnauthorized, problem.CodeUnauthorized, "the token belongs to no workspace")
 	}
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/configsync"
 	"rattantide/internal/intent"
 	"rattantide/internal/problem"
 )
@@ -108,3 +109,13 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(body), "POST /jobs/7 body")
 }
+
+// Guards against a daemon that rejects valid credentials because it has not received a
+// configuration yet: callers do not repeat a request after 401.
+func TestRefusesTemporarilyWithoutConfiguration(t *testing.T) {
+	h := newHarness(t, &fakePool{}, func(o *Options) { o.Config = configsync.NewCache() })
+	response := h.do(t, "GET", "/jobs/1", "")
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, response.Header.Get("Retry-After") != "")
+	assert.Equal(t, problemOf(t, response).Execution, problem.ExecutionNotRun)
+}
