--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -89,9 +89,9 @@
 	upstreams       *fleetsync.UpstreamSync
 	// upstreamsListed reports whether the list of upstreams was read.
 	upstreamsListed atomic.Bool
-	// registered reports whether the entries of the other daemons were read, so that
-	// the number of daemons, and with it fleetShare, is known.
-	registered atomic.Bool
+	// registeredAt is when the entries of the other daemons were first read, so that the
+	// number of daemons, and with it fleetShare, is known; nil before.
+	registeredAt atomic.Pointer[time.Time]
 	// instances are the upstreams of the latest list.
 	instances atomic.Pointer[[]membership.Instance]
 	draining  atomic.Bool
@@ -184,10 +184,10 @@
 	}
 	d.config = fleetsync.NewConfigSync(fleetsync.ConfigOptions{
 		Store: d.store, Kind: platform.ConfigKind, Name: platform.ConfigName, Decode: platform.DecodeConfig,
-		Holder: d.holder, ReadsStore: d.readsStore, Fetch: fetcher.Fetch, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		Holder: d.holder, ReaderRank: d.readerRank, Fetch: fetcher.Fetch, BootNow: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
 	d.upstreams = fleetsync.NewUpstreamSync(fleetsync.UpstreamOptions{
-		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReadsStore: d.readsStore, Apply: d.applyUpstreams,
+		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReaderRank: d.readerRank, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
 	d.counter = usage.NewCounter(s.Bounds.UsageWindow, d.clock.Now)
@@ -208,11 +208,17 @@
 	d.addSeeds(s.Seeds)
 	d.registrar = &peering.Registrar{
 		Store: d.store, Name: s.Name, IP: s.IP, Add: peers.Add, Logger: d.logger,
-		OnRegistered: func() { d.registered.Store(true) },
+		ReadsStore: d.readsStore, OnRegistered: d.recordRegistration,
 	}
 	return nil
 }
 
+// recordRegistration records the time of the first registration.
+func (d *Daemon) recordRegistration() {
+	now := bootclock.Now()
+	d.registeredAt.CompareAndSwap(nil, &now)
+}
+
 // addSeeds adds the daemons at the seed addresses as peers. The ports are ignored, as
 // all daemons use the same peer port.
 func (d *Daemon) addSeeds(seeds []string) {
@@ -229,7 +235,7 @@
 // buildDuties builds the lease manager and requests the lease of the duties.
 func (d *Daemon) buildDuties() {
 	d.leases = lease.NewManager(lease.Options{
-		Store: d.store, Holder: d.settings.Name, Table: d.table, TTL: dutyLeaseTTL, ExpiresByObservation: true, ResumesLease: true, Now: bootclock.Now,
+		Store: d.store, Holder: d.settings.Name, Table: d.table, TTL: dutyLeaseTTL, ExpiresByObservation: true, ResumesLease: true, Now: bootclock.Now, IsSettled: d.isSettled,
 		PeersReachStore: d.peersReachedStore, Logger: d.logger, Scope: d.scope,
 	})
 	d.leases.Want(dutyLease)
@@ -238,7 +244,7 @@
 // buildVersionMoves builds the components that follow version moves of services.
 func (d *Daemon) buildVersionMoves() {
 	d.versionLedger = versionmove.NewLedger()
-	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, ReadsStore: d.readsStore, Now: bootclock.Now, Logger: d.logger}
+	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, ReadsStore: func() bool { return d.readerRank() == 0 }, Now: bootclock.Now, Logger: d.logger}
 	d.view = &viewSource{holder: d.holder, moves: d.follower.States}
 	d.follower.OnChange = d.view.invalidate
 }
@@ -284,10 +290,10 @@
 
 // peersReachedStore reports whether another daemon, but not this one, reached the
 // store after since: the configuration was confirmed after since while this daemon
-// failed to read the store or did not read it itself.
+// failed to read the store or did not read it regularly.
 func (d *Daemon) peersReachedStore(since time.Time) bool {
 	config, confirmedAt := d.holder.Current()
-	return config != nil && confirmedAt.After(since) && (d.config.IsStoreFailing() || !d.readsStore())
+	return config != nil && confirmedAt.After(since) && (d.config.IsStoreFailing() || d.readerRank() != 0)
 }
 
 // daemonCount returns the number of known daemons, including this one.
@@ -314,7 +320,7 @@
 
 // ready reports whether the daemon can serve callers.
 func (d *Daemon) ready() bool {
-	if d.draining.Load() || !d.upstreamsListed.Load() || !d.registered.Load() {
+	if d.draining.Load() || !d.upstreamsListed.Load() || d.registeredAt.Load() == nil {
 		return false
 	}
 	config, confirmedAt := d.holder.Current()
--- a/internal/fleetdaemon/relays.go
+++ b/internal/fleetdaemon/relays.go
@@ -2,7 +2,10 @@
 
 import (
 	"slices"
+	"time"
 
+	"rattantide/internal/bootclock"
+	"rattantide/internal/fleetsync"
 	"rattantide/internal/membership"
 	"rattantide/internal/peering"
 )
@@ -12,6 +15,10 @@
 // does not grow with the number of daemons.
 const relayCount = 3
 
+// settleTime is the time after the registration of a daemon in which it learns of the
+// other daemons. Until then it would consider itself preferred to all of them.
+const settleTime = time.Second
+
 // chooseRelays chooses the relays among the daemons that can reach the store, as far
 // as this daemon knows. The choices of two daemons may differ for a moment; more
 // daemons than relayCount then read the store.
@@ -29,20 +36,40 @@
 		// No daemon reaches the store; the current relays continue to retry.
 		return
 	}
+	if len(peers) == 0 && d.peers.PeerCount() > 0 && !d.isSettled() {
+		return
+	}
 	preferred := membership.RankByWeight("relay", names)
 	chosen := preferred[:min(relayCount, len(preferred))]
 	d.relayNames.Store(&chosen)
 }
 
-// isRelay reports whether a daemon reads the store directly. Every daemon does until
-// relays are chosen.
-func (d *Daemon) isRelay(name string) bool {
+// isSettled reports whether this daemon has had time to learn of the other daemons since
+// it started.
+func (d *Daemon) isSettled() bool {
+	registeredAt := d.registeredAt.Load()
+	return registeredAt != nil && bootclock.Now().Sub(*registeredAt) >= settleTime
+}
+
+// relayRank returns the position of a daemon among the relays, or fleetsync.NotReader. No
+// daemon is a relay until relays are chosen.
+func (d *Daemon) relayRank(name string) int {
 	chosen := d.relayNames.Load()
-	return chosen == nil || slices.Contains(*chosen, name)
+	if chosen == nil {
+		return fleetsync.NotReader
+	}
+	// The index of a name that is absent equals NotReader.
+	return slices.Index(*chosen, name)
 }
 
+// isRelay reports whether a daemon reads the store directly.
+func (d *Daemon) isRelay(name string) bool { return d.relayRank(name) != fleetsync.NotReader }
+
+// readerRank returns this daemon's position among the relays.
+func (d *Daemon) readerRank() int { return d.relayRank(d.settings.Name) }
+
 // readsStore reports whether this daemon reads the store directly.
-func (d *Daemon) readsStore() bool { return d.isRelay(d.settings.Name) }
+func (d *Daemon) readsStore() bool { return d.readerRank() != fleetsync.NotReader }
 
 // isCriticalPeer reports whether serving requests depends on a daemon: it is a relay
 // or holds a quota pool.
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -196,7 +196,7 @@
 	}
 	d.wasReady = ready
 	config, confirmedAt := d.holder.Current()
-	fields := []any{"ready", ready, "leaving", d.draining.Load(), "upstreamsListed", d.upstreamsListed.Load(), "registered", d.registered.Load()}
+	fields := []any{"ready", ready, "leaving", d.draining.Load(), "upstreamsListed", d.upstreamsListed.Load(), "registered", d.registeredAt.Load() != nil}
 	if config != nil {
 		fields = append(fields, "config", config.Version, "configAgeMs", bootclock.Now().Sub(confirmedAt).Milliseconds())
 	}
--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -20,8 +20,12 @@
 	// readInterval is the time between reads of the configuration. It allows
 	// several reads within the time in which a change must be in effect.
 	readInterval = 700 * time.Millisecond
-	// maxConfirmationAge is the age of the latest confirmation from which a daemon
-	// that otherwise relies on other daemons reads the store itself.
+	// standbyAge is the age of the latest confirmation from which the second reader reads
+	// the store, and standbyStep the difference to the age of the next one. The age
+	// exceeds that at which the first reader's confirmations usually arrive.
+	standbyAge  = 1350 * time.Millisecond
+	standbyStep = 300 * time.Millisecond
+	// maxConfirmationAge is the same age for a daemon that is not a reader.
 	maxConfirmationAge = 1900 * time.Millisecond
 	// ageCheckInterval is how often such a daemon checks that age.
 	ageCheckInterval = 200 * time.Millisecond
@@ -44,9 +48,10 @@
 	// Decode decodes the stored configuration.
 	Decode func(json.RawMessage) (*fleetconfig.Config, error)
 	Holder *fleetconfig.Holder
-	// ReadsStore reports whether this daemon reads the store regularly. Other daemons
-	// rely on the reports of those that do to confirm their configuration.
-	ReadsStore func() bool
+	// ReaderRank returns this daemon's position among the readers, or NotReader. The
+	// first reader reads the store regularly, and the other daemons rely on its reports.
+	// The next readers take over in turn when no confirmations arrive.
+	ReaderRank func() int
 	// Fetch returns the configuration of the daemon at an address.
 	Fetch func(ctx context.Context, address string) (Snapshot, error)
 	// BootNow is the boot clock, which also advances while the machine is
@@ -133,7 +138,7 @@
 	if address != "" && c.fetchFromPeer(ctx, address) == nil {
 		return ageCheckInterval
 	}
-	if address == "" && !c.opts.ReadsStore() && c.isFresh() && !c.isProbeDue() {
+	if address == "" && c.isFresh() && !c.isProbeDue() {
 		return ageCheckInterval
 	}
 	c.probedAt = c.opts.BootNow()
@@ -157,11 +162,23 @@
 	return c.storeFailing.Load() && c.opts.BootNow().Sub(c.probedAt) >= probeInterval
 }
 
-// isFresh reports whether the configuration was confirmed within
-// maxConfirmationAge.
+// isFresh reports whether the configuration was confirmed so recently that this daemon
+// need not read the store.
 func (c *ConfigSync) isFresh() bool {
 	config, confirmedAt := c.opts.Holder.Current()
-	return config != nil && c.opts.BootNow().Sub(confirmedAt) < maxConfirmationAge
+	return config != nil && c.opts.BootNow().Sub(confirmedAt) < readAge(c.opts.ReaderRank())
+}
+
+// readAge returns the age of the latest confirmation from which a daemon with a
+// position among the readers reads the store.
+func readAge(rank int) time.Duration {
+	switch rank {
+	case NotReader:
+		return maxConfirmationAge
+	case 0:
+		return 0
+	}
+	return min(standbyAge+time.Duration(rank-1)*standbyStep, maxConfirmationAge)
 }
 
 // fetchFromPeer fetches and applies the configuration of another daemon.
--- a/internal/fleetsync/config_sync_test.go
+++ b/internal/fleetsync/config_sync_test.go
@@ -22,7 +22,7 @@
 	store      *objecttest.Store
 	holder     *fleetconfig.Holder
 	now        time.Time
-	readsStore bool
+	readerRank int
 }
 
 func decodeVersion(value json.RawMessage) (*fleetconfig.Config, error) {
@@ -32,12 +32,12 @@
 }
 
 func newTestConfigSync() *testConfigSync {
-	c := &testConfigSync{store: objecttest.New(), holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
+	c := &testConfigSync{store: objecttest.New(), holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0), readerRank: NotReader}
 	clock := func() time.Time { return c.now }
 	client := &ConfigClient{HTTP: http.DefaultClient, MaxBytes: 1 << 10, BootNow: clock}
 	c.ConfigSync = NewConfigSync(ConfigOptions{
 		Store: c.store, Kind: "config", Name: "main", Decode: decodeVersion, Holder: c.holder,
-		ReadsStore: func() bool { return c.readsStore }, Fetch: client.Fetch, BootNow: clock,
+		ReaderRank: func() int { return c.readerRank }, Fetch: client.Fetch, BootNow: clock,
 		Logger: telemetry.Discard(), Scope: tally.NoopScope,
 	})
 	return c
@@ -68,7 +68,7 @@
 // the daemon from which the configuration was fetched.
 func TestConfigurationIsFetchedFromAnotherDaemon(t *testing.T) {
 	source, target := newTestConfigSync(), newTestConfigSync()
-	source.readsStore = true
+	source.readerRank = 0
 	source.put(t, "7")
 	source.step(t.Context())
 	source.now = source.now.Add(1300 * time.Millisecond)
@@ -92,7 +92,7 @@
 // that is not up to date or from a stale read of the store.
 func TestOlderConfigurationIsRefused(t *testing.T) {
 	old, target := newTestConfigSync(), newTestConfigSync()
-	old.readsStore, target.readsStore = true, true
+	old.readerRank, target.readerRank = 0, 0
 	old.put(t, "1")
 	old.step(t.Context())
 	target.put(t, "1")
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -17,13 +17,16 @@
 const (
 	// watchDuration is how long one watch lasts. It bounds the time until a change
 	// that a watch missed, or a connection that stopped responding, is detected.
-	watchDuration = time.Second
+	watchDuration = 2 * time.Second
+	// watcherCount is the number of readers that watch the store all the time. If one
+	// of them loses the connection, the other still receives each change at once.
+	watcherCount = 2
 	// absentRetention is how long entries that disappeared during an outage of the
 	// store are retained after it: live upstreams have registered again by then.
 	absentRetention = 2200 * time.Millisecond
 	// feedTimeout is the time without a complete feed from another daemon after
 	// which a daemon reads the store itself.
-	feedTimeout = 1500 * time.Millisecond
+	feedTimeout = watchDuration + 700*time.Millisecond
 	// feedCheckInterval is how often a daemon checks whether that time has passed.
 	feedCheckInterval = 200 * time.Millisecond
 	// maxLogChanges bounds the changes that are retained for other daemons, and
@@ -33,7 +36,7 @@
 	// outageThreshold is the time without a confirmation of the list after which
 	// entries may have disappeared from the store although their upstreams are
 	// live.
-	outageThreshold = 2500 * time.Millisecond
+	outageThreshold = watchDuration + time.Second
 )
 
 // WatchStore is the subset of the store's methods that UpstreamSync uses.
@@ -52,10 +55,11 @@
 	// Decode decodes an entry. It returns an error if the entry is not a valid
 	// upstream.
 	Decode func(*objectclient.Object) (membership.Instance, error)
-	// ReadsStore reports whether this daemon reads the store regularly. Other daemons
-	// receive changes from those that do, and read the store only if they receive
-	// no complete feed for feedTimeout.
-	ReadsStore func() bool
+	// ReaderRank returns this daemon's position among the readers, or NotReader. The
+	// first watcherCount readers watch the store. The other daemons receive the changes
+	// from them, and read the store only if they receive no complete feed for
+	// feedTimeout.
+	ReaderRank func() int
 	// Apply is called with the complete list, in no particular order, after each
 	// change. It must not call methods of the UpstreamSync, whose lock is held.
 	Apply func([]membership.Instance)
@@ -117,7 +121,7 @@
 
 // step reads the store if necessary and returns the time until the next step.
 func (u *UpstreamSync) step(ctx context.Context) time.Duration {
-	if !u.opts.ReadsStore() && u.isFeedFresh() {
+	if !u.isWatcher() && u.isFeedFresh() {
 		return feedCheckInterval
 	}
 	err := u.readStore(ctx)
@@ -146,6 +150,12 @@
 	return retryInterval
 }
 
+// isWatcher reports whether this daemon watches the store all the time.
+func (u *UpstreamSync) isWatcher() bool {
+	rank := u.opts.ReaderRank()
+	return rank != NotReader && rank < watcherCount
+}
+
 // isFeedFresh reports whether a feed or a list confirmed within feedTimeout that the
 // entries are complete.
 func (u *UpstreamSync) isFeedFresh() bool {
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -20,18 +20,52 @@
 	return d.peerYielded, time.Duration(rank)*takeoverStep - d.now().Sub(d.peerYieldedAt)
 }
 
+// settleInterval is the time between checks of Options.IsSettled.
+const settleInterval = 200 * time.Millisecond
+
+// observation is what a read of a lease that this daemon does not hold shows.
+type observation struct {
+	// version is the version of the object, or MustNotExist.
+	version int64
+	// acquired is set if an earlier acquisition took effect although its answer was
+	// lost, and mayAcquire if the lease may be acquired now.
+	acquired, mayAcquire bool
+	// wait is the time until the next read if neither is set.
+	wait time.Duration
+}
+
 // tryAcquire reads the lease and acquires it if it is free and this daemon's rank
 // allows it. It returns the time until the next step.
 func (d *duty) tryAcquire(ctx context.Context) time.Duration {
-	options := d.manager.options
+	if isSettled := d.manager.options.IsSettled; isSettled != nil && !isSettled() {
+		return settleInterval
+	}
 	yieldedFence, wait := d.takeoverDelay()
 	if yieldedFence != 0 && wait > 0 {
 		return wait
 	}
+	// Most reads only find that the lease is held, which an old state shows as well.
+	seen := d.observe(objectclient.AllowStale(ctx), yieldedFence)
+	if seen.acquired || seen.mayAcquire {
+		seen = d.observe(ctx, yieldedFence)
+	}
+	switch {
+	case seen.acquired:
+		return d.confirmAcquired(seen.version)
+	case seen.mayAcquire:
+		return d.acquire(ctx, seen.version)
+	}
+	return seen.wait
+}
+
+// observe reads the lease. yieldedFence is the fencing token of the last lease that
+// another holder yielded, or 0.
+func (d *duty) observe(ctx context.Context, yieldedFence int64) observation {
+	options := d.manager.options
 	current, err := options.Store.Get(ctx, objectKind, d.name)
 	if err != nil && !errors.Is(err, objectclient.ErrNotFound) {
 		options.Scope.Counter("lease_errors").Inc(1)
-		return options.TTL / 4
+		return observation{wait: options.TTL / 4}
 	}
 	version := objectclient.MustNotExist
 	if current != nil {
@@ -39,15 +73,14 @@
 	}
 	stored := decode(current)
 	if d.nonce != "" && stored.Nonce == d.nonce && stored.Fence == 0 && stored.ExpiresMs > 0 {
-		// The acquisition took effect although its answer was lost.
-		return d.confirmAcquired(version)
+		return observation{version: version, acquired: true}
 	}
 	if yieldedFence != 0 && stored.ExpiresMs > 0 && stored.token(version) == yieldedFence {
-		return d.acquire(ctx, version)
+		return observation{version: version, mayAcquire: true}
 	}
 	expiresIn, known := d.expiresIn(stored, version)
 	if !known {
-		return options.TTL / 4
+		return observation{wait: options.TTL / 4}
 	}
 	switch {
 	case expiresIn > 0:
@@ -57,19 +90,16 @@
 	}
 	if options.ResumesLease && stored.Holder == options.Holder && expiresIn > 0 {
 		options.Logger.Info("resuming the lease of the previous process of this daemon", "duty", d.name, "version", version)
-		return d.acquire(ctx, version)
+		return observation{version: version, mayAcquire: true}
 	}
 	lease := unheldLease{rank: d.manager.Rank(d.name), ttl: options.TTL, freeSince: d.freeSince, expiresIn: expiresIn}
 	acquire, wait := lease.plan(d.now(), options.MaxInterval)
-	if !acquire {
-		if options.ExpiresByObservation && lease.rank <= 1 {
-			// A change of the lease is detected only by reading it, so the first
-			// two in rank read it more often than its lifetime.
-			wait = min(wait, options.TTL/2)
-		}
-		return wait
+	if !acquire && options.ExpiresByObservation && lease.rank <= 1 {
+		// A change of the lease is detected only by reading it, so the first two in rank
+		// read it more often than its lifetime.
+		wait = min(wait, options.TTL/2)
 	}
-	return d.acquire(ctx, version)
+	return observation{version: version, mayAcquire: acquire, wait: wait}
 }
 
 // expiresIn returns the time until a lease expires, at most 0 for one that is
@@ -83,7 +113,8 @@
 	if stored.ExpiresMs == 0 {
 		return 0, true
 	}
-	if version != d.observedVersion {
+	if version > d.observedVersion {
+		// An older version comes from a read that may be stale.
 		d.observedVersion, d.observedAt = version, d.now()
 	}
 	return options.TTL - d.now().Sub(d.observedAt), true
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -40,6 +40,10 @@
 	// instead of holding it to the end; other daemons receive its token through
 	// YieldedFence and RecordYield. If it is nil, leases are never yielded.
 	PeersReachStore func(since time.Time) bool
+	// IsSettled reports whether this daemon has had time to learn of the other daemons
+	// since it started. Until then it reads no leases, as it would not know that others
+	// are preferred. If it is nil, leases are read at once.
+	IsSettled func() bool
 	// Now is the clock of this daemon. It must include the time during which the
 	// process was suspended, if that can happen. Default: time.Now.
 	Now func() time.Time
--- a/internal/peering/registrar.go
+++ b/internal/peering/registrar.go
@@ -33,6 +33,9 @@
 	IP    string
 	// Add adds daemons by the IP addresses of their instances.
 	Add func(ips ...string)
+	// ReadsStore reports whether this daemon reads the entries regularly. The others
+	// learn from it of daemons that they do not know.
+	ReadsStore func() bool
 	// OnRegistered is called after each successful read of the entries.
 	OnRegistered func()
 	Logger       *log.Logger
@@ -41,13 +44,16 @@
 // Run maintains the entry and reads the others periodically until ctx ends. It
 // returns nil.
 func (r *Registrar) Run(ctx context.Context) error {
-	written := false
+	isRegistered := false
 	for ctx.Err() == nil {
 		wait := registerInterval
-		err := r.register(ctx, &written)
-		if err != nil && ctx.Err() == nil {
-			wait = registerRetryDelay
-			r.Logger.Warn("daemon registration failed; retrying", "error", err)
+		if !isRegistered || r.ReadsStore() {
+			err := r.register(ctx)
+			isRegistered = isRegistered || err == nil
+			if err != nil && ctx.Err() == nil {
+				wait = registerRetryDelay
+				r.Logger.Warn("daemon registration failed; retrying", "error", err)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -57,21 +63,35 @@
 	return nil
 }
 
-// register writes this daemon's entry if necessary, and then lists all entries.
-// Because of this order, of two daemons that start at the same time at least one
-// reads the entry of the other. written reports whether the entry is in the store.
-func (r *Registrar) register(ctx context.Context, written *bool) error {
-	if !*written {
+// register reads the entries and writes this daemon's if it is missing. An old list
+// that contains this daemon's entry suffices: a daemon whose entry is newer has read
+// that entry and sends a request.
+func (r *Registrar) register(ctx context.Context) error {
+	isListed, err := r.addListed(objectclient.AllowStale(ctx))
+	if err != nil {
+		return err
+	}
+	if !isListed {
 		if err := r.writeEntry(ctx); err != nil {
 			return err
 		}
-		*written = true
+		// Of two daemons that start at the same time, at least one reads the entry of the
+		// other, as both write before they read.
+		if _, err := r.addListed(ctx); err != nil {
+			return err
+		}
 	}
+	r.OnRegistered()
+	return nil
+}
+
+// addListed adds the daemons that have an entry and reports whether this daemon has
+// one.
+func (r *Registrar) addListed(ctx context.Context) (isListed bool, err error) {
 	list, err := r.Store.List(ctx, daemonKind)
 	if err != nil {
-		return errors.Trace(err)
+		return false, errors.Trace(err)
 	}
-	isListed := false
 	for _, o := range list.Items {
 		var e entry
 		if err := json.Unmarshal(o.Value, &e); err != nil {
@@ -84,9 +104,7 @@
 		}
 		r.Add(e.IP)
 	}
-	*written = isListed
-	r.OnRegistered()
-	return nil
+	return isListed, nil
 }
 
 func (r *Registrar) writeEntry(ctx context.Context) error {
--- a/internal/peering/registrar_test.go
+++ b/internal/peering/registrar_test.go
@@ -25,7 +25,7 @@
 		for i := range 9 {
 			ip := fmt.Sprintf("10.0.0.%d", i+1)
 			r := &Registrar{
-				Store: store, Name: fmt.Sprintf("d%d", i), IP: ip, Logger: telemetry.Discard(), OnRegistered: func() {},
+				Store: store, Name: fmt.Sprintf("d%d", i), IP: ip, Logger: telemetry.Discard(), OnRegistered: func() {}, ReadsStore: func() bool { return true },
 				Add: func(ips ...string) {
 					mu.Lock()
 					defer mu.Unlock()
