--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -29,10 +29,14 @@
 // requirement.
 const waitLimit = 60 * time.Second
 
+// addressesPerNetwork is the number of loopback addresses used with the same first three
+// bytes.
+const addressesPerNetwork = 200
+
 // deployment is a deployment on loopback addresses: stand-ins of the platform, one
 // runner and some daemons.
 type deployment struct {
-	t       *testing.T
+	t       testing.TB
 	store   *platformstore.Store
 	cloud   *platformcloud.Cloud
 	runner  *runner.Runner
@@ -45,14 +49,14 @@
 
 // freePort returns a TCP port that was free a moment ago. The daemons use its number
 // for TCP and for UDP.
-func freePort(t *testing.T) int {
+func freePort(t testing.TB) int {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().(*net.TCPAddr).Port
 }
 
-func startDeployment(t *testing.T, daemons int) *deployment {
+func startDeployment(t testing.TB, daemons int) *deployment {
 	s := &deployment{t: t, store: platformstore.New(), cloud: platformcloud.New(), runner: &runner.Runner{ID: "i-1"}}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
@@ -68,7 +72,7 @@
 	s.store.Set("servers", "odd", "left by another writer")
 	port := freePort(t)
 	for i := range daemons {
-		ip := "127.0.1." + strconv.Itoa(i+1)
+		ip := fmt.Sprintf("127.0.%d.%d", 1+i/addressesPerNetwork, 1+i%addressesPerNetwork)
 		storeAddress := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if s.storeBlocked[i].Load() {
 				w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -1,13 +1,10 @@
 package fleetdaemon
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
-	"rattantide/internal/membership"
 	"rattantide/internal/peering"
 )
 
@@ -15,26 +12,18 @@
 const maxQuotaPools = 3
 
 // chooseQuotaPools chooses the daemons whose quota pools this daemon takes from: the
-// ready daemons with the most cores, as every request of the fleet is checked
-// there. Ties are broken by rendezvous hashing, so that all daemons choose the same.
+// ready daemons with the most cores, as every request of the fleet is checked there.
 func (d *Daemon) chooseQuotaPools(peers []peering.Peer) {
 	cores := map[string]float64{}
-	var names []string
-	add := func(name string, n float64) {
-		cores[name] = n
-		names = append(names, name)
-	}
 	if d.ready() {
-		add(d.settings.Name, d.settings.Cores)
+		cores[d.settings.Name] = d.settings.Cores
 	}
 	for _, p := range peers {
 		if p.Serves() {
-			add(p.Name, p.Cores)
+			cores[p.Name] = p.Cores
 		}
 	}
-	preferred := membership.RankByWeight("quota", names)
-	slices.SortStableFunc(preferred, func(a, b string) int { return cmp.Compare(cores[b], cores[a]) })
-	chosen := preferred[:min(maxQuotaPools, len(preferred))]
+	chosen := preferredByCores("quota", cores, maxQuotaPools)
 	d.quotaPoolNames.Store(&chosen)
 }
 
--- a/internal/fleetdaemon/relays.go
+++ b/internal/fleetdaemon/relays.go
@@ -1,6 +1,7 @@
 package fleetdaemon
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -23,27 +24,44 @@
 // as this daemon knows. The choices of two daemons may differ for a moment; more
 // daemons than relayCount then read the store.
 func (d *Daemon) chooseRelays(peers []peering.Peer) {
-	var names []string
+	cores := map[string]float64{}
 	if !d.config.IsStoreFailing() {
-		names = append(names, d.settings.Name)
+		cores[d.settings.Name] = d.settings.Cores
 	}
 	for _, p := range peers {
 		if p.IsAvailable() && !p.StoreUnavailable {
-			names = append(names, p.Name)
+			cores[p.Name] = p.Cores
 		}
 	}
-	if len(names) == 0 {
+	if len(cores) == 0 {
 		// No daemon reaches the store; the current relays continue to retry.
 		return
 	}
 	if len(peers) == 0 && d.peers.PeerCount() > 0 && !d.isSettled() {
 		return
 	}
-	preferred := membership.RankByWeight("relay", names)
-	chosen := preferred[:min(relayCount, len(preferred))]
+	chosen := preferredByCores("relay", cores, relayCount)
 	d.relayNames.Store(&chosen)
 }
 
+// preferredByCores returns the names of at most count daemons, those with the most cores
+// first, as the others send many requests to them. Ties are broken by rendezvous hashing,
+// so that all daemons choose the same.
+func preferredByCores(key string, cores map[string]float64, count int) []string {
+	largest := map[float64][]string{}
+	for name, n := range cores {
+		largest[n] = append(largest[n], name)
+	}
+	var preferred []string
+	for _, n := range slices.Backward(slices.Sorted(maps.Keys(largest))) {
+		if len(preferred) >= count {
+			break
+		}
+		preferred = append(preferred, membership.TopByWeight(key, largest[n], count-len(preferred))...)
+	}
+	return preferred
+}
+
 // isSettled reports whether this daemon has had time to learn of the other daemons since
 // it started.
 func (d *Daemon) isSettled() bool {
@@ -71,8 +89,9 @@
 // readsStore reports whether this daemon reads the store directly.
 func (d *Daemon) readsStore() bool { return d.readerRank() != fleetsync.NotReader }
 
-// isCriticalPeer reports whether serving requests depends on a daemon: it is a relay
-// or holds a quota pool.
+// isCriticalPeer reports whether serving requests depends on a daemon: it is a relay that
+// usually reads the store, or holds a quota pool.
 func (d *Daemon) isCriticalPeer(name string) bool {
-	return d.isRelay(name) || slices.Contains(d.quotaPoolHolders(), name)
+	rank := d.relayRank(name)
+	return rank == 0 || rank == 1 || slices.Contains(d.quotaPoolHolders(), name)
 }
--- a/internal/lease/manager.go
+++ b/internal/lease/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"rattantide/internal/membership"
@@ -135,9 +134,9 @@
 	if m.options.Table == nil {
 		return 0
 	}
-	names := []string{m.options.Holder}
+	var names []string
 	for _, d := range m.options.Table.Daemons() {
 		names = append(names, d.Name)
 	}
-	return slices.Index(membership.RankByWeight(objectKind+"/"+name, names), m.options.Holder)
+	return membership.RankOf(objectKind+"/"+name, m.options.Holder, names)
 }
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,3 +33,34 @@
 	})
 	return out
 }
+
+// TopByWeight returns the first count names of RankByWeight.
+func TopByWeight(key string, names []string, count int) []string {
+	var top []string
+	var weights []uint64
+	for _, name := range names {
+		weight := Weight(key, name)
+		at := len(top)
+		for at > 0 && (weights[at-1] < weight || weights[at-1] == weight && top[at-1] > name) {
+			at--
+		}
+		if at >= count {
+			continue
+		}
+		top, weights = slices.Insert(top, at, name), slices.Insert(weights, at, weight)
+		top, weights = top[:min(len(top), count)], weights[:min(len(weights), count)]
+	}
+	return top
+}
+
+// RankOf returns the number of other names that precede name in RankByWeight.
+func RankOf(key, name string, others []string) int {
+	own, rank := Weight(key, name), 0
+	for _, other := range others {
+		weight := Weight(key, other)
+		if other != name && (weight > own || weight == own && other < name) {
+			rank++
+		}
+	}
+	return rank
+}
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"sort"
 	"sync"
 	"time"
@@ -26,20 +27,26 @@
 	callRetryDelay = 40 * time.Millisecond
 	// maxRequestsPerRound bounds the requests of a round, so that a daemon's
 	// traffic does not grow with the number of daemons.
-	maxRequestsPerRound = 8
+	maxRequestsPerRound = 4
 	// maxInitialRequests bounds the daemons that are contacted immediately after
 	// they are read from the store: a starting daemon does not serve callers well
-	// until it has the other daemons' reports.
+	// until it has the other daemons' reports. The others, and daemons that are learned
+	// from responses, are contacted in the next rounds, at most maxNewPerRound in each.
 	maxInitialRequests = 100
+	maxNewPerRound     = 16
+	// maxProbesPerRound bounds the requests out of turn, so that others remain.
+	maxProbesPerRound = maxRequestsPerRound / 2
 	// maxUnanswered is the number of consecutive unanswered requests after which a
 	// daemon no longer counts as alive; it exceeds 1 as datagrams may be lost.
 	maxUnanswered = 3
-	// minAliveTimeout is the minimum time without a response after which a daemon
-	// no longer counts as alive.
-	minAliveTimeout = 2500 * time.Millisecond
-	// aliveTimeoutCycles is the same time in cycles. A cycle is the time in which
-	// every daemon is sent a request.
-	aliveTimeoutCycles = 4
+	// aliveTimeout is the time without evidence after which a daemon no longer counts as
+	// alive, and probeAge the time after which it is sent a request out of turn. Evidence
+	// of each daemon usually arrives several times a second.
+	aliveTimeout = 3 * time.Second
+	probeAge     = 2 * time.Second
+	// changeInterval is the minimum time between two calls of OnChange: at a start of
+	// the whole fleet, the other daemons respond one after the other.
+	changeInterval = 300 * time.Millisecond
 	// peerRetention is the time without a response after which a daemon is removed
 	// and receives no more requests.
 	peerRetention = 45 * time.Second
@@ -56,13 +63,15 @@
 	opts Options
 	conn *net.UDPConn
 
-	// peersAdded wakes Run after Add added daemons.
+	// peersAdded wakes Run after Add added daemons, and changed after the availability of
+	// a daemon changed.
 	peersAdded chan struct{}
+	changed    chan struct{}
 
 	mu sync.Mutex
 	// peers holds the other daemons by IP address.
 	peers map[string]*peer
-	// newPeers holds the addresses added by Add to which no request was sent yet.
+	// newPeers holds the addresses of peers to which no request was sent yet.
 	newPeers []string
 	// requestOrder holds the addresses of peers in the order in which regular requests
 	// are sent to them; orderIndex is the position of the last one considered.
@@ -70,9 +79,6 @@
 	orderIndex   int
 	// lastNumber is the number of the latest request or call.
 	lastNumber uint64
-	// readyByPeer is the readiness of the daemons that were alive and not leaving
-	// when notifyIfChanged was last called, by name and address.
-	readyByPeer map[string]bool
 	// pendingCalls holds the channels for the replies to calls, by number.
 	pendingCalls map[uint64]chan json.RawMessage
 }
@@ -93,7 +99,7 @@
 	if opts.Port == 0 {
 		opts.Port = conn.LocalAddr().(*net.UDPAddr).Port
 	}
-	return &Node{opts: opts, conn: conn, peersAdded: make(chan struct{}, 1), peers: map[string]*peer{}, readyByPeer: map[string]bool{}, pendingCalls: map[uint64]chan json.RawMessage{}}, nil
+	return &Node{opts: opts, conn: conn, peersAdded: make(chan struct{}, 1), changed: make(chan struct{}, 1), peers: map[string]*peer{}, pendingCalls: map[uint64]chan json.RawMessage{}}, nil
 }
 
 // Add adds daemons by the IP addresses of their instances. Addresses that are
@@ -102,15 +108,15 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, ip := range ips {
-		if _, known := n.peers[ip]; known || n.addPeer(ip) == nil {
-			continue
-		}
-		if len(n.newPeers) < maxInitialRequests {
-			n.newPeers = append(n.newPeers, ip)
-		}
+		n.addPeer(ip)
 	}
+	wake(n.peersAdded)
+}
+
+// wake sends to a channel with a buffer of 1 unless it is full.
+func wake(c chan struct{}) {
 	select {
-	case n.peersAdded <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -119,15 +125,17 @@
 // necessary. It returns nil for an invalid address and for this daemon's. n.mu must
 // be held.
 func (n *Node) addPeer(ip string) *peer {
-	if ip == "" || ip == n.opts.IP || net.ParseIP(ip) == nil {
-		return nil
+	if p := n.peers[ip]; p != nil {
+		return p
 	}
-	p := n.peers[ip]
-	if p == nil {
-		p = &peer{ip: ip, addedAt: n.opts.Now()}
-		n.peers[ip] = p
-		n.requestOrder = append(n.requestOrder, ip)
+	addr, err := netip.ParseAddr(ip)
+	if err != nil || ip == n.opts.IP {
+		return nil
 	}
+	p := &peer{ip: ip, addr: addr, addedAt: n.opts.Now()}
+	n.peers[ip] = p
+	n.requestOrder = append(n.requestOrder, ip)
+	n.newPeers = append(n.newPeers, ip)
 	return p
 }
 
@@ -136,11 +144,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Now()
-	timeout := n.aliveTimeout()
 	out := make([]Peer, 0, len(n.peers))
 	for _, p := range n.peers {
 		if p.hasReport {
-			out = append(out, Peer{Report: p.report, Alive: p.alive(now, timeout)})
+			out = append(out, Peer{Report: p.report, Alive: p.alive(now)})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
@@ -155,13 +162,6 @@
 	return len(n.peers)
 }
 
-// aliveTimeout returns the time without a response after which a daemon no longer
-// counts as alive. It grows with the number of daemons. n.mu must be held.
-func (n *Node) aliveTimeout() time.Duration {
-	roundsPerCycle := (len(n.peers) + maxRequestsPerRound - 1) / maxRequestsPerRound
-	return max(minAliveTimeout, time.Duration(roundsPerCycle)*roundInterval*aliveTimeoutCycles)
-}
-
 // Run sends requests and responds to those of other daemons until ctx ends. It
 // then closes the port and returns nil. It must be called once.
 func (n *Node) Run(ctx context.Context) error {
@@ -172,6 +172,10 @@
 	}()
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	// changes is the channel of changes, or nil for changeInterval after one was handled.
+	changes := n.changed
+	resume := time.NewTimer(changeInterval)
+	defer resume.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -179,36 +183,40 @@
 			<-done
 			return nil
 		case <-n.peersAdded:
-			n.requestNewPeers()
+			n.requestNewPeers(maxInitialRequests)
 		case <-ticker.C:
 			n.runRound()
+		case <-changes:
+			n.notify()
+			changes = nil
+			resume.Reset(changeInterval)
+		case <-resume.C:
+			changes = n.changed
 		}
 	}
 }
 
-// notifyIfChanged calls OnChange if the set of daemons that are alive and not
-// leaving, or the readiness of one of them, has changed since the previous call.
-func (n *Node) notifyIfChanged() {
+// notify logs a change of the available daemons and calls OnChange.
+func (n *Node) notify() {
 	n.mu.Lock()
-	now := n.opts.Now()
-	timeout := n.aliveTimeout()
-	readyByPeer := map[string]bool{}
+	available := 0
 	for _, p := range n.peers {
-		if p.alive(now, timeout) && !p.report.Leaving {
-			readyByPeer[p.report.Name+" "+p.report.CallerAddress] = p.report.Ready
+		if p.published != (availability{}) {
+			available++
 		}
 	}
-	unchanged := len(readyByPeer) == len(n.readyByPeer)
-	for name, ready := range readyByPeer {
-		before, known := n.readyByPeer[name]
-		unchanged = unchanged && known && before == ready
-	}
-	n.readyByPeer = readyByPeer
 	n.mu.Unlock()
-	if !unchanged {
-		n.opts.Logger.Info("live daemons or their readiness changed", "alive", len(readyByPeer))
-		if n.opts.OnChange != nil {
-			n.opts.OnChange()
-		}
+	n.opts.Logger.Info("live daemons or their readiness changed", "alive", available)
+	if n.opts.OnChange != nil {
+		n.opts.OnChange()
+	}
+}
+
+// updateAvailability wakes Run if the availability of a daemon has changed. n.mu must be
+// held.
+func (n *Node) updateAvailability(p *peer, now time.Time) {
+	if current := p.availability(now); current != p.published {
+		p.published = current
+		wake(n.changed)
 	}
 }
--- a/internal/peering/receive.go
+++ b/internal/peering/receive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 )
 
 // receive reads and handles messages until ctx ends.
@@ -47,28 +48,32 @@
 		return
 	}
 	sentAt := p.requestSentAt
-	p.report, p.hasReport, p.confirmedAt, p.unanswered = m.Report, true, sentAt, 0
+	p.setReport(m.Report, now)
+	p.unanswered, p.isProbed, p.answeredNumber = 0, false, m.Number
+	if sentAt.After(p.confirmedAt) {
+		p.confirmedAt = sentAt
+	}
+	n.updateAvailability(p, now)
 	for _, address := range m.Addresses {
 		n.addPeer(address)
 	}
+	n.applyEvidence(m.Evidence, sentAt, now)
 	n.mu.Unlock()
 	if n.opts.OnReport != nil {
 		n.opts.OnReport(m.Report, m.Feed, sentAt, now)
 	}
-	n.notifyIfChanged()
 }
 
 // respond sends the response to a request. If the sender knows fewer daemons than
 // this one, the response contains the addresses of the known daemons.
 func (n *Node) respond(ip string, m *message) {
 	n.mu.Lock()
+	now := n.opts.Now()
 	p := n.addPeer(ip)
-	if p != nil && (!p.hasReport || p.report.Process != m.Report.Process || m.Report.Leaving || !m.Report.Ready) {
-		// A report that stops traffic to the daemon is stored immediately. One that
-		// starts traffic must come from a response, which proves that it is recent.
-		p.report, p.hasReport = m.Report, true
+	if p != nil {
+		n.applyRequest(p, m, now)
 	}
-	response := message{Number: m.Number, IsResponse: true, PeerCount: len(n.peers)}
+	response := message{Number: m.Number, IsResponse: true, PeerCount: len(n.peers), Evidence: n.encodeEvidence(now)}
 	if m.PeerCount < len(n.peers) {
 		response.Addresses = n.requestOrder[:min(len(n.requestOrder), maxAddresses)]
 		response.Addresses = append([]string(nil), response.Addresses...)
@@ -82,5 +87,19 @@
 		response.Feed = n.opts.Feed(m.Feed.Since)
 	}
 	n.send(ip, response)
-	n.notifyIfChanged()
+}
+
+// applyRequest stores the report that a request contains. One that starts traffic to the
+// daemon must be known to be recent: from a response, or from a request after one. n.mu
+// must be held.
+func (n *Node) applyRequest(p *peer, m *message, now time.Time) {
+	isRecent := m.Answered != 0 && m.Answered == p.respondedNumber
+	if isRecent && p.respondedAt.After(p.confirmedAt) {
+		p.confirmedAt = p.respondedAt
+	}
+	if isRecent || !p.hasReport || p.report.Process != m.Report.Process || m.Report.Leaving || !m.Report.Ready {
+		p.setReport(m.Report, now)
+	}
+	p.respondedNumber, p.respondedAt = m.Number, now
+	n.updateAvailability(p, now)
 }
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -77,6 +77,9 @@
 	// Number pairs a response with its request and a reply with its call.
 	Number     uint64 `json:"q"`
 	IsResponse bool   `json:"y,omitempty"`
+	// Answered is, in a request, the number of the sender's latest request to the receiver
+	// that was answered, or 0. It proves that the sender was alive after that answer.
+	Answered uint64 `json:"an,omitempty"`
 	// Full requests a full report.
 	Full   bool   `json:"fu,omitempty"`
 	Report Report `json:"s"`
@@ -89,6 +92,8 @@
 	// Addresses holds, in a response, the IP addresses of the daemons that the
 	// sender knows. They are sent to a daemon that knows fewer.
 	Addresses []string `json:"o,omitempty"`
+	// Evidence holds, in a response, encoded evidence of other daemons.
+	Evidence []byte `json:"ev,omitempty"`
 	// PeerCount is the number of other daemons that the sender knows.
 	PeerCount int `json:"k,omitempty"`
 }
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -36,19 +36,26 @@
 	return ips
 }
 
-// requestNewPeers sends a request to the daemons added by Add.
-func (n *Node) requestNewPeers() {
+// requestNewPeers sends a request to at most limit daemons that were sent none yet.
+func (n *Node) requestNewPeers(limit int) {
 	n.mu.Lock()
-	ips := n.newPeers
-	n.newPeers = nil
+	count := min(limit, len(n.newPeers))
+	ips := slices.Clone(n.newPeers[:count])
+	n.newPeers = slices.Delete(n.newPeers, 0, count)
 	n.mu.Unlock()
 	n.sendRequests(ips)
 }
 
 // runRound sends the requests of a round.
 func (n *Node) runRound() {
+	n.requestNewPeers(maxNewPerRound)
 	n.sendRequests(n.duePeers())
-	n.notifyIfChanged()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.opts.Now()
+	for _, p := range n.peers {
+		n.updateAvailability(p, now)
+	}
 }
 
 // duePeers returns the addresses of the daemons to send a request to in this
@@ -66,10 +73,11 @@
 			due = append(due, ip)
 		}
 	}
-	for _, ip := range n.requestOrder {
-		// A request to a daemon that did not respond is repeated in the next round:
-		// callers are sent to that daemon for as long as it counts as alive.
-		if p := n.peers[ip]; len(due) < maxRequestsPerRound && p.hasReport && p.unanswered > 0 && p.unanswered < maxUnanswered && !slices.Contains(due, ip) {
+	// The order is rotated, so that many daemons without evidence are probed in turn.
+	maxDue := min(len(due)+maxProbesPerRound, maxRequestsPerRound)
+	for i := range n.requestOrder {
+		ip := n.requestOrder[(n.orderIndex+i)%len(n.requestOrder)]
+		if p := n.peers[ip]; len(due) < maxDue && p.needsProbe(now) && !slices.Contains(due, ip) {
 			due = append(due, ip)
 		}
 	}
@@ -118,6 +126,9 @@
 			since = p.addedAt
 		}
 		if now.Sub(since) > peerRetention {
+			if p.published != (availability{}) {
+				wake(n.changed)
+			}
 			delete(n.peers, ip)
 			continue
 		}
@@ -155,8 +166,11 @@
 	}
 	n.lastNumber++
 	p.requestNumber, p.requestSentAt = n.lastNumber, n.opts.Now()
+	if p.unanswered == 0 {
+		p.unansweredSince = p.requestSentAt
+	}
 	p.unanswered++
-	m.Number, m.PeerCount = p.requestNumber, len(n.peers)
+	m.Number, m.Answered, m.PeerCount = p.requestNumber, p.answeredNumber, len(n.peers)
 	return true
 }
 
