--- a/internal/peering/evidence.go
+++ b/internal/peering/evidence.go
@@ -106,7 +106,7 @@
 		}
 		if !p.hasReport || p.process != e.process {
 			// Only a response of the process itself shows how callers reach it.
-			p.isProbed = true
+			n.queueContact(p, now)
 			return
 		}
 		p.confirmedAt = confirmedAt
--- a/internal/peering/evidence_test.go
+++ b/internal/peering/evidence_test.go
@@ -98,7 +98,7 @@
 	// A restarted daemon is asked how callers reach it.
 	f.hear(evidence{process: processHash("q"), ready: true})
 	assert.Assert(t, !f.other().Alive)
-	assert.Assert(t, f.peers["127.0.6.2"].isProbed)
+	assert.Assert(t, f.peers["127.0.6.2"].isQueued)
 }
 
 // Guards against old evidence that returns callers to a daemon that is leaving or that
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -32,8 +32,8 @@
 	// they are read from the store: a starting daemon does not serve callers well
 	// until it has the other daemons' reports. The others, and daemons that are learned
 	// from responses, are contacted in the next rounds, at most maxNewPerRound in each.
-	maxInitialRequests = 100
-	maxNewPerRound     = 16
+	maxInitialRequests = 48
+	maxNewPerRound     = 24
 	// maxProbesPerRound bounds the requests out of turn, so that others remain.
 	maxProbesPerRound = maxRequestsPerRound / 2
 	// maxUnanswered is the number of consecutive unanswered requests after which a
@@ -71,8 +71,8 @@
 	mu sync.Mutex
 	// peers holds the other daemons by IP address.
 	peers map[string]*peer
-	// newPeers holds the addresses of peers to which no request was sent yet.
-	newPeers []string
+	// contactQueue holds the addresses of peers without a report of their present process.
+	contactQueue []string
 	// requestOrder holds the addresses of peers in the order in which regular requests
 	// are sent to them; orderIndex is the position of the last one considered.
 	requestOrder []string
@@ -135,10 +135,20 @@
 	p := &peer{ip: ip, addr: addr, addedAt: n.opts.Now()}
 	n.peers[ip] = p
 	n.requestOrder = append(n.requestOrder, ip)
-	n.newPeers = append(n.newPeers, ip)
+	n.queueContact(p, p.addedAt)
 	return p
 }
 
+// queueContact makes one of the next rounds send a request to a daemon whose present
+// process has sent no report, unless one was sent just now. n.mu must be held.
+func (n *Node) queueContact(p *peer, now time.Time) {
+	if p.isQueued || now.Sub(p.requestSentAt) < requestInterval {
+		return
+	}
+	p.isQueued = true
+	n.contactQueue = append(n.contactQueue, p.ip)
+}
+
 // Peers returns the other daemons whose report is known, ordered by name.
 func (n *Node) Peers() []Peer {
 	n.mu.Lock()
--- a/internal/peering/peer.go
+++ b/internal/peering/peer.go
@@ -45,8 +45,8 @@
 	// unansweredSince when the first of them was sent.
 	unanswered      int
 	unansweredSince time.Time
-	// isProbed is set if a request is due regardless of the regular order.
-	isProbed bool
+	// isQueued is set while the daemon is in Node.contactQueue.
+	isQueued bool
 	// addedAt is when the daemon became known.
 	addedAt time.Time
 	// published is the availability of which OnChange was last notified.
@@ -85,13 +85,7 @@
 // needsProbe reports whether a request is due regardless of the regular order: callers
 // are sent to a daemon for as long as it counts as alive.
 func (p *peer) needsProbe(now time.Time) bool {
-	if p.isProbed {
-		return now.Sub(p.requestSentAt) >= requestInterval
-	}
-	if !p.alive(now) {
-		return false
-	}
-	return p.isUnresponsive() || now.Sub(p.confirmedAt) > probeAge
+	return p.alive(now) && (p.isUnresponsive() || now.Sub(p.confirmedAt) > probeAge)
 }
 
 // availability returns the daemon's present availability.
--- a/internal/peering/receive.go
+++ b/internal/peering/receive.go
@@ -49,7 +49,7 @@
 	}
 	sentAt := p.requestSentAt
 	p.setReport(m.Report, now)
-	p.unanswered, p.isProbed, p.answeredNumber = 0, false, m.Number
+	p.unanswered, p.answeredNumber = 0, m.Number
 	if sentAt.After(p.confirmedAt) {
 		p.confirmedAt = sentAt
 	}
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -36,12 +36,17 @@
 	return ips
 }
 
-// requestNewPeers sends a request to at most limit daemons that were sent none yet.
+// requestNewPeers sends a request to at most limit daemons of contactQueue.
 func (n *Node) requestNewPeers(limit int) {
 	n.mu.Lock()
-	count := min(limit, len(n.newPeers))
-	ips := slices.Clone(n.newPeers[:count])
-	n.newPeers = slices.Delete(n.newPeers, 0, count)
+	count := min(limit, len(n.contactQueue))
+	ips := slices.Clone(n.contactQueue[:count])
+	n.contactQueue = slices.Delete(n.contactQueue, 0, count)
+	for _, ip := range ips {
+		if p := n.peers[ip]; p != nil {
+			p.isQueued = false
+		}
+	}
 	n.mu.Unlock()
 	n.sendRequests(ips)
 }
