--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -60,6 +61,9 @@
 	IsPaused func(service string) bool
 	// Upstreams returns all known upstreams, including those that are leaving.
 	Upstreams func() []membership.Instance
+	// IsEvacuated reports whether nothing is sent to the upstreams of a failure domain.
+	// None are ordered there, and others take the place of those.
+	IsEvacuated func(domain string) bool
 	// LatencySummary summarizes the recent requests to a service.
 	LatencySummary func(service string) LatencySummary
 	// Held returns the fencing token; ok is true while this daemon holds the
@@ -101,7 +105,7 @@
 		// The orders of an earlier holder are not known.
 		c.fence, c.planners, c.stored = fence, map[string]*Planner{}, map[string]storedCapacity{}
 	}
-	upstreams := c.opts.Upstreams()
+	upstreams := slices.DeleteFunc(slices.Clone(c.opts.Upstreams()), func(u membership.Instance) bool { return c.opts.IsEvacuated(u.Domain) })
 	for name, service := range config.Services {
 		if service.Autoscale == nil || c.opts.IsPaused(name) {
 			continue
@@ -115,6 +119,7 @@
 			c.planners[name] = planner
 		}
 		observation := observe(service, upstreams, c.opts.Now())
+		observation.Bounds = service.Autoscale.Without(c.opts.IsEvacuated)
 		summary := c.opts.LatencySummary(name)
 		observation.Median, observation.LateShare, observation.Requests = summary.Median, summary.LateShare, summary.Requests
 		for _, order := range planner.Plan(observation) {
--- a/internal/fleetconfig/service.go
+++ b/internal/fleetconfig/service.go
@@ -1,6 +1,9 @@
 package fleetconfig
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Service is a set of upstreams that handle the same calls.
 type Service struct {
@@ -42,3 +45,11 @@
 	// DomainPrices is the price of an upstream per second, by failure domain.
 	DomainPrices map[string]float64
 }
+
+// Without returns the bounds without the failure domains for which isExcluded is true.
+func (a *Autoscale) Without(isExcluded func(domain string) bool) *Autoscale {
+	remaining := *a
+	remaining.DomainPrices = maps.Clone(a.DomainPrices)
+	maps.DeleteFunc(remaining.DomainPrices, func(domain string, _ float64) bool { return isExcluded(domain) })
+	return &remaining
+}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -87,6 +87,8 @@
 	gateway         *gateway.Server
 	config          *fleetsync.ConfigSync
 	upstreams       *fleetsync.UpstreamSync
+	// evacuations is nil if the deployment has none.
+	evacuations *fleetsync.EvacuationSync
 	// upstreamsListed reports whether the list of upstreams was read.
 	upstreamsListed atomic.Bool
 	// registeredAt is when the entries of the other daemons were first read, so that the
@@ -190,6 +192,12 @@
 		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReaderRank: d.readerRank, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
+	if s.Bounds.EvacuateWithin > 0 {
+		d.evacuations = fleetsync.NewEvacuationSync(fleetsync.EvacuationOptions{
+			Store: d.store, Kind: platform.EvacuationKind, ReaderRank: d.readerRank, OnChange: d.applyMembers,
+			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		})
+	}
 	d.counter = usage.NewCounter(s.Bounds.UsageWindow, d.clock.Now)
 	d.ledger = usage.NewLedger()
 }
@@ -323,6 +331,9 @@
 	if d.draining.Load() || !d.upstreamsListed.Load() || d.registeredAt.Load() == nil {
 		return false
 	}
+	if d.evacuations != nil && d.evacuations.Report() == nil {
+		return false
+	}
 	config, confirmedAt := d.holder.Current()
 	return config != nil && bootclock.Now().Sub(confirmedAt) < d.bounds.Load().RevokeWithin
 }
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -58,14 +58,23 @@
 			Role: membership.RoleDaemon, State: membership.StateLive,
 		})
 	}
-	if upstreams := d.instances.Load(); upstreams != nil {
-		list.Instances = append(list.Instances, *upstreams...)
+	for _, u := range d.knownUpstreams() {
+		if d.isEvacuated(u.Domain) {
+			// Requests in progress end by themselves.
+			u.State = membership.StateLeaving
+		}
+		list.Instances = append(list.Instances, u)
 	}
 	d.table.ApplyList(list)
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
 }
 
+// isEvacuated reports whether nothing may be sent to the upstreams of a failure domain.
+func (d *Daemon) isEvacuated(domain string) bool {
+	return d.evacuations != nil && d.evacuations.Includes(domain)
+}
+
 // report returns the report that this daemon sends to its peers; full adds the
 // counts for the holder of the duties.
 func (d *Daemon) report(full bool) peering.Report {
@@ -84,6 +93,9 @@
 	if revision, age, ok := d.upstreams.Position(); ok {
 		r.UpstreamRevision, r.UpstreamAgeMs = revision, age.Milliseconds()
 	}
+	if d.evacuations != nil {
+		r.Evacuation = d.evacuations.Report()
+	}
 	if moves := d.follower.Snapshot(); len(moves) > 0 && d.readsStore() && !r.StoreUnavailable {
 		r.MoveStates = d.encodePart("moves", moves)
 	}
@@ -128,6 +140,9 @@
 	if r.UpstreamAgeMs >= 0 {
 		d.upstreams.ApplyFeed(feed, r.UpstreamRevision, sentAt.Add(-time.Duration(r.UpstreamAgeMs)*time.Millisecond))
 	}
+	if d.evacuations != nil {
+		d.evacuations.ApplyReport(r.Evacuation, sentAt)
+	}
 	if r.StoreUnavailable && d.isRelay(r.Name) {
 		d.chooseRelays(d.peers.Peers())
 	}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -50,6 +50,9 @@
 	group, workCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return d.config.Run(workCtx) })
 	group.Go(func() error { return d.upstreams.Run(workCtx) })
+	if d.evacuations != nil {
+		group.Go(func() error { return d.evacuations.Run(workCtx) })
+	}
 	group.Go(func() error { return d.peers.Run(workCtx) })
 	group.Go(func() error { return d.leases.Run(workCtx) })
 	group.Go(func() error { return d.registrar.Run(workCtx) })
@@ -103,7 +106,7 @@
 	}
 	if d.settings.Cloud.OrdersRunners {
 		controller := autoscale.New(autoscale.Options{
-			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, LatencySummary: d.latencies.ForService, IsPaused: d.follower.IsMoving, Held: d.fencingToken,
+			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: d.follower.IsMoving, Held: d.fencingToken,
 			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 		})
 		group.Go(func() error { return controller.Run(ctx) })
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -37,6 +37,8 @@
 	// confirmed, in milliseconds; -1 if unknown.
 	UpstreamRevision int64 `json:"ur"`
 	UpstreamAgeMs    int64 `json:"ua"`
+	// Evacuation holds the evacuated failure domains, or nil if they are not known.
+	Evacuation *Evacuation `json:"ec,omitempty"`
 	// MoveStates holds the encoded states of version moves if the daemon reads the
 	// store.
 	MoveStates json.RawMessage `json:"mv,omitempty"`
