--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -72,8 +72,10 @@
 	newerSource atomic.Value
 	// storeFailing is set if the latest read of the store failed.
 	storeFailing atomic.Bool
-	// probedAt is when the store was last read. It belongs to the goroutine of Run.
+	// probedAt is when the store was last read, and absentAt when it last had no
+	// configuration. Both belong to the goroutine of Run.
 	probedAt time.Time
+	absentAt time.Time
 
 	mu sync.Mutex
 	// revision is the store revision of value, and version the version of the
@@ -143,11 +145,21 @@
 	}
 	c.probedAt = c.opts.BootNow()
 	err := c.readStore(ctx)
-	if err == nil {
+	isAbsent := errors.Is(err, objectclient.ErrNotFound)
+	if err == nil || isAbsent {
 		if c.storeFailing.Swap(false) {
 			c.opts.Logger.Info("reads of the configuration from the store succeed again")
 		}
+	}
+	switch {
+	case err == nil:
 		return readInterval
+	case isAbsent:
+		if c.absentAt.IsZero() {
+			c.opts.Logger.Info("the store has no configuration yet")
+		}
+		c.absentAt = c.probedAt
+		return retryInterval
 	}
 	c.opts.Scope.Counter("config_read_failed").Inc(1)
 	if ctx.Err() == nil && !c.storeFailing.Swap(true) {
@@ -162,11 +174,14 @@
 	return c.storeFailing.Load() && c.opts.BootNow().Sub(c.probedAt) >= probeInterval
 }
 
-// isFresh reports whether the configuration was confirmed so recently that this daemon
-// need not read the store.
+// isFresh reports whether the configuration, or that there is none, was confirmed so
+// recently that this daemon need not read the store.
 func (c *ConfigSync) isFresh() bool {
 	config, confirmedAt := c.opts.Holder.Current()
-	return config != nil && c.opts.BootNow().Sub(confirmedAt) < readAge(c.opts.ReaderRank())
+	if config == nil {
+		confirmedAt = c.absentAt
+	}
+	return !confirmedAt.IsZero() && c.opts.BootNow().Sub(confirmedAt) < readAge(c.opts.ReaderRank())
 }
 
 // readAge returns the age of the latest confirmation from which a daemon with a
--- a/internal/fleetsync/config_sync_test.go
+++ b/internal/fleetsync/config_sync_test.go
@@ -147,3 +147,22 @@
 	c.step(t.Context())
 	assert.Assert(t, !c.IsStoreFailing())
 }
+
+// Guards against a fleet that reads the store at short intervals on all daemons until an
+// operator has written the first configuration.
+func TestAbsentConfigurationIsReadByTheFirstReaderOnly(t *testing.T) {
+	for rank, want := range map[int]int{0: 10, 1: 3, NotReader: 2} {
+		c := newTestConfigSync()
+		c.readerRank = rank
+		reads := 0
+		for until := c.now.Add(3 * time.Second); c.now.Before(until); {
+			before := c.probedAt
+			c.now = c.now.Add(c.step(t.Context()))
+			if c.probedAt != before {
+				reads++
+			}
+		}
+		assert.Assert(t, !c.IsStoreFailing(), "the store answers")
+		assert.Equal(t, reads, want, "rank %d", rank)
+	}
+}
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -18,6 +18,9 @@
 	// watchDuration is how long one watch lasts. It bounds the time until a change
 	// that a watch missed, or a connection that stopped responding, is detected.
 	watchDuration = 2 * time.Second
+	// watchPause is the time between a watch that returned changes and the next one, so
+	// that changes in quick succession are read together.
+	watchPause = 100 * time.Millisecond
 	// watcherCount is the number of readers that watch the store all the time. If one
 	// of them loses the connection, the other still receives each change at once.
 	watcherCount = 2
@@ -124,6 +127,7 @@
 	if !u.isWatcher() && u.isFeedFresh() {
 		return feedCheckInterval
 	}
+	revision, _, _ := u.Position()
 	err := u.readStore(ctx)
 	switch {
 	case err == nil:
@@ -131,6 +135,9 @@
 			u.storeFailing = false
 			u.opts.Logger.Info("reads of the list of upstreams from the store succeed again")
 		}
+		if next, _, _ := u.Position(); next != revision {
+			return watchPause
+		}
 		return 0
 	case errors.Is(err, objectclient.ErrCompacted):
 		u.requireList()
