--- a/internal/fleetsync/config_sync_test.go
+++ b/internal/fleetsync/config_sync_test.go
@@ -151,11 +151,11 @@
 // Guards against a fleet that reads the store at short intervals on all daemons until an
 // operator has written the first configuration.
 func TestAbsentConfigurationIsReadByTheFirstReaderOnly(t *testing.T) {
-	for rank, want := range map[int]int{0: 10, 1: 3, NotReader: 2} {
+	for rank, want := range map[int]int{0: 20, 1: 4, NotReader: 3} {
 		c := newTestConfigSync()
 		c.readerRank = rank
 		reads := 0
-		for until := c.now.Add(3 * time.Second); c.now.Before(until); {
+		for until := c.now.Add(6 * time.Second); c.now.Before(until); {
 			before := c.probedAt
 			c.now = c.now.Add(c.step(t.Context()))
 			if c.probedAt != before {
