--- a/internal/fleetsync/evacuation_sync.go
+++ b/internal/fleetsync/evacuation_sync.go
@@ -56,19 +56,7 @@
 }
 
 // Run keeps the set up to date until ctx ends. It returns nil.
-func (e *EvacuationSync) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		wait := e.step(ctx)
-		if wait <= 0 {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-	return nil
-}
+func (e *EvacuationSync) Run(ctx context.Context) error { return runSteps(ctx, e.step) }
 
 // Includes reports whether a failure domain is evacuated.
 func (e *EvacuationSync) Includes(domain string) bool {
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -108,18 +108,11 @@
 
 // Run keeps the list up to date until ctx ends. It returns nil.
 func (u *UpstreamSync) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
+	return runSteps(ctx, func(ctx context.Context) time.Duration {
 		wait := u.step(ctx)
 		u.removeExpired()
-		if wait <= 0 {
-			continue
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-	return nil
+		return wait
+	})
 }
 
 // step reads the store if necessary and returns the time until the next step.
