--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"rattantide/internal/bootclock"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/objecttest"
@@ -27,7 +28,7 @@
 	for _, instance := range instances {
 		table := membership.NewTable(membership.Daemon{Name: instance.Name, Address: instance.Address}, membership.Options{})
 		table.ApplyList(membership.InstanceList{Revision: 1, Instances: instances})
-		managers = append(managers, NewManager(Options{Store: store, Holder: instance.Name, Table: table}))
+		managers = append(managers, NewManager(Options{Store: store, Now: time.Now, Holder: instance.Name, Table: table}))
 	}
 	return managers
 }
@@ -87,7 +88,7 @@
 func TestHolderStopsBeforeExpiry(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objecttest.New()
-		m := NewManager(Options{Store: store, Holder: "a", TTL: 15 * time.Second})
+		m := NewManager(Options{Store: store, Now: time.Now, Holder: "a", TTL: 15 * time.Second})
 		ctx, cancel := context.WithCancel(t.Context())
 		m.Want("move")
 		go func() { _ = m.Run(ctx) }()
@@ -198,7 +199,7 @@
 func newObservedGroup(store objectclient.Store, names ...string) []*Manager {
 	var managers []*Manager
 	for _, name := range names {
-		managers = append(managers, NewManager(Options{Store: store, Holder: name, TTL: 6 * time.Second, ExpiresByObservation: true, ResumesLease: true}))
+		managers = append(managers, NewManager(Options{Store: store, Now: time.Now, Holder: name, TTL: 6 * time.Second, ExpiresByObservation: true, ResumesLease: true}))
 	}
 	return managers
 }
@@ -261,3 +262,11 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a holder that acts on its lease after its instance was suspended for
+// longer than the lifetime: the clock of the Go runtime stands still meanwhile.
+func TestLeasesExpireDuringSuspensions(t *testing.T) {
+	m := NewManager(Options{Store: objecttest.New(), Holder: "a"})
+	sinceBoot := m.options.Now().Sub(bootclock.Now())
+	assert.Assert(t, sinceBoot <= 0 && sinceBoot > -time.Minute, "differs from the boot clock by %v", sinceBoot)
+}
--- a/internal/lease/options.go
+++ b/internal/lease/options.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"rattantide/internal/bootclock"
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 )
@@ -45,7 +46,7 @@
 	// are preferred. If it is nil, leases are read at once.
 	IsSettled func() bool
 	// Now is the clock of this daemon. It must include the time during which the
-	// process was suspended, if that can happen. Default: time.Now.
+	// instance was suspended. Default: bootclock.Now.
 	Now func() time.Time
 	// Logger logs acquisitions and losses. Default: none.
 	Logger *log.Logger
@@ -61,7 +62,7 @@
 		o.MaxInterval = 10 * time.Minute
 	}
 	if o.Now == nil {
-		o.Now = time.Now
+		o.Now = bootclock.Now
 	}
 	if o.Logger == nil {
 		o.Logger = log.New(io.Discard)
--- a/internal/lease/yield_test.go
+++ b/internal/lease/yield_test.go
@@ -104,7 +104,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := objecttest.New()
-				m := NewManager(Options{Store: store, Holder: "a", TTL: 15 * time.Second, PeersReachStore: func(time.Time) bool { return c.peersReachStore }})
+				m := NewManager(Options{Store: store, Now: time.Now, Holder: "a", TTL: 15 * time.Second, PeersReachStore: func(time.Time) bool { return c.peersReachStore }})
 				ctx, cancel := context.WithCancel(t.Context())
 				m.Want("move")
 				go func() { _ = m.Run(ctx) }()
