--- a/internal/fleetconfig/service.go
+++ b/internal/fleetconfig/service.go
@@ -14,6 +14,11 @@
 	// MaxConns is the maximum number of connections from all daemons together to
 	// one upstream; 0 means no limit.
 	MaxConns int
+	// StartingPerSecond is the number of requests per second that an upstream which has
+	// just started tolerates from all daemons together; 0 means no limit.
+	StartingPerSecond float64
+	// StartDuration is how long it does so.
+	StartDuration time.Duration
 	// Engine is nil for services without model engines.
 	Engine *Engine
 	// Autoscale is nil if this system does not control the number of upstreams.
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -27,6 +27,7 @@
 	"rattantide/internal/upstreamconn"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
+	"rattantide/internal/warmup"
 	"rattantide/platform"
 )
 
@@ -89,6 +90,8 @@
 	upstreams       *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
 	evacuations *fleetsync.EvacuationSync
+	// warmup limits the requests to upstreams that have just started.
+	warmup *warmup.Limiter
 	// upstreamsListed reports whether the list of upstreams was read.
 	upstreamsListed atomic.Bool
 	// registeredAt is when the entries of the other daemons were first read, so that the
@@ -192,6 +195,7 @@
 		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReaderRank: d.readerRank, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
+	d.warmup = warmup.NewLimiter(s.Name, bootclock.Now)
 	if s.Bounds.EvacuateWithin > 0 {
 		d.evacuations = fleetsync.NewEvacuationSync(fleetsync.EvacuationOptions{
 			Store: d.store, Kind: platform.EvacuationKind, ReaderRank: d.readerRank, OnChange: d.applyMembers,
@@ -291,7 +295,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, KeysValidFor: d.keysValidFor,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, WarmUp: d.warmup, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, IsDraining: d.draining.Load,
 	})
 }
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -8,6 +8,7 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peering"
+	"rattantide/internal/warmup"
 	"rattantide/platform"
 )
 
@@ -58,8 +59,9 @@
 			Role: membership.RoleDaemon, State: membership.StateLive,
 		})
 	}
+	d.limitStarting(list.Instances)
 	for _, u := range d.knownUpstreams() {
-		if d.isEvacuated(u.Domain) {
+		if d.isEvacuated(u.Domain) || !d.warmup.IsAssigned(u.Name) {
 			// Requests in progress end by themselves.
 			u.State = membership.StateLeaving
 		}
@@ -70,6 +72,25 @@
 	d.chooseQuotaPools(peers)
 }
 
+// limitStarting updates the limit for upstreams that have just started.
+func (d *Daemon) limitStarting(daemons []membership.Instance) {
+	config, _ := d.holder.Current()
+	if config == nil {
+		return
+	}
+	var starting []warmup.Upstream
+	for _, u := range d.knownUpstreams() {
+		if service := config.Services[u.Pool]; u.IsStarting && service != nil && service.StartingPerSecond > 0 {
+			starting = append(starting, warmup.Upstream{Name: u.Name, RequestsPerSecond: service.StartingPerSecond, Duration: service.StartDuration})
+		}
+	}
+	names := make([]string, len(daemons))
+	for i := range daemons {
+		names[i] = daemons[i].Name
+	}
+	d.warmup.Update(starting, names)
+}
+
 // isEvacuated reports whether nothing may be sent to the upstreams of a failure domain.
 func (d *Daemon) isEvacuated(domain string) bool {
 	return d.evacuations != nil && d.evacuations.Includes(domain)
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -179,6 +179,9 @@
 	peers := d.peers.Peers()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
+	if d.warmup.EndStarts() {
+		d.applyMembers()
+	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
 	d.quotaPool.Tick()
 	known := map[string]bool{}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,6 +35,12 @@
 	defer cancel()
 	a := &upstreamAttempt{exchange: x, choice: choice, sentAt: time.Now()}
 	x.upstreamName = choice.Upstream.Name
+	if w := x.server.opts.WarmUp; w != nil && !w.Allow(choice.Upstream.Name) {
+		x.reason = "upstream has just started"
+		outcome := a.endExcluded(dispatch.StatusBusy)
+		outcome.notSent = true
+		return outcome
+	}
 	response, err := x.server.opts.Conns.Do(ctx, choice.Upstream.Address, x.upstreamConnLimit(), x.upstreamRequest(choice))
 	if err != nil {
 		return a.handleError(ctx, err)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -88,21 +88,28 @@
 	u.counts[workspace]++
 }
 
+// startingUpstreams holds the names of upstreams that may receive no requests at present.
+type startingUpstreams map[string]bool
+
+// Allow implements gateway.WarmUp.
+func (s startingUpstreams) Allow(upstream string) bool { return !s[upstream] }
+
 // fixture is a gateway with two upstreams.
 type fixture struct {
-	t       *testing.T
-	address string
-	runners []*runner.Runner
-	chooser *chooser
-	quota   *unlimitedQuota
-	usage   *usageRecorder
-	holder  *fleetconfig.Holder
-	now     time.Time
-	nowMu   sync.Mutex
+	t        *testing.T
+	address  string
+	runners  []*runner.Runner
+	chooser  *chooser
+	quota    *unlimitedQuota
+	usage    *usageRecorder
+	starting startingUpstreams
+	holder   *fleetconfig.Holder
+	now      time.Time
+	nowMu    sync.Mutex
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, chooser: &chooser{}, quota: &unlimitedQuota{}, usage: &usageRecorder{}, holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
+	f := &fixture{t: t, chooser: &chooser{}, quota: &unlimitedQuota{}, usage: &usageRecorder{}, starting: startingUpstreams{}, holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
 	for i := range 2 {
 		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
 		s := httptest.NewServer(r)
@@ -128,7 +135,7 @@
 	pools := &upstreamconn.Pools{}
 	t.Cleanup(pools.Close)
 	s := httptest.NewServer(gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage,
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, WarmUp: f.starting,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow, IsDraining: func() bool { return false },
 	}))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// Guards against a request to an upstream that tolerates none at present, and against a
+// refusal although another upstream could serve the request.
+func TestStartingUpstreamsAreSkipped(t *testing.T) {
+	f := newFixture(t)
+	f.starting["i-0"] = true
+	status, _, h, err := f.call("/order/1", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, h.Get("X-Response-Seal"), "seal-i-1-a1")
+	assert.Equal(t, len(f.runners[0].Executions()), 0)
+	f.starting["i-1"] = true
+	status, _, h, err = f.call("/order/1", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, h.Get("Retry-After") != "")
+}
+
 // Guards against bytes after the end of a response that are taken for the response
 // to the next request on the connection.
 func TestDiscardsSurplusResponseBytes(t *testing.T) {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -36,7 +36,14 @@
 	SetLoad(upstream string, load membership.Load)
 }
 
-// Options configures a Server. All fields except ConnLimit, Usage and Loads are
+// WarmUp limits the requests to upstreams that have just started. Implementations are
+// safe for concurrent use.
+type WarmUp interface {
+	// Allow reports whether a request may be sent to an upstream now, and counts it.
+	Allow(upstream string) bool
+}
+
+// Options configures a Server. All fields except ConnLimit, Usage, Loads and WarmUp are
 // required.
 type Options struct {
 	Codec   Codec
@@ -49,6 +56,7 @@
 	Quota     Quota
 	Usage     Usage
 	Loads     LoadRecorder
+	WarmUp    WarmUp
 	// KeysValidFor returns how long keys may be accepted after the configuration
 	// was last confirmed to be the newest one.
 	KeysValidFor func() time.Duration
--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -18,6 +18,8 @@
 	Version      string        `json:"version,omitempty"`
 	Class        InstanceClass `json:"class,omitempty"`
 	PricePerHour float64       `json:"pricePerHour,omitempty"`
+	// IsStarting is set while an upstream has just started and tolerates few requests.
+	IsStarting bool `json:"starting,omitempty"`
 	// State is StateLive or StateLeaving, as last reported by the list.
 	State string `json:"state,omitempty"`
 }
