--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -58,11 +58,15 @@
 	starting := []Upstream{{Name: "u", RequestsPerSecond: 4, Duration: 3 * time.Second}}
 	l.Update(starting, []string{"d"})
 	assert.Assert(t, l.Allow("u") && !l.Allow("u"))
-	assert.Assert(t, l.Allow("v") && l.Allow("v"))
+	for range 2 {
+		assert.Assert(t, l.Allow("v"))
+	}
 	now = now.Add(interval)
 	assert.Assert(t, l.Allow("u"))
 	l.Update(nil, []string{"d"})
-	assert.Assert(t, l.Allow("u") && l.Allow("u"))
+	for range 2 {
+		assert.Assert(t, l.Allow("u"))
+	}
 
 	// The end of the start is not told.
 	l.Update(starting, []string{"other"})
