--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -81,7 +81,7 @@
 	var starting []warmup.Upstream
 	for _, u := range d.knownUpstreams() {
 		if service := config.Services[u.Pool]; u.IsStarting && service != nil && service.StartingPerSecond > 0 {
-			starting = append(starting, warmup.Upstream{Name: u.Name, RequestsPerSecond: service.StartingPerSecond, Duration: service.StartDuration})
+			starting = append(starting, warmup.Upstream{Name: u.Name, RequestsPerSecond: service.StartingPerSecond * d.bounds.Load().StartOvershoot, Duration: service.StartDuration})
 		}
 	}
 	names := make([]string, len(daemons))
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -91,6 +91,9 @@
 // startingUpstreams holds the names of upstreams that may receive no requests at present.
 type startingUpstreams map[string]bool
 
+// Blocked implements gateway.WarmUp. It returns none, like one that changes afterwards.
+func (s startingUpstreams) Blocked() []string { return nil }
+
 // Allow implements gateway.WarmUp.
 func (s startingUpstreams) Allow(upstream string) bool { return !s[upstream] }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -39,6 +39,8 @@
 // WarmUp limits the requests to upstreams that have just started. Implementations are
 // safe for concurrent use.
 type WarmUp interface {
+	// Blocked returns the upstreams to which no request may be sent now.
+	Blocked() []string
 	// Allow reports whether a request may be sent to an upstream now, and counts it.
 	Allow(upstream string) bool
 }
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -13,10 +13,9 @@
 	// exceeds a second, so that requests that are delayed differently do not arrive in
 	// the same second.
 	interval = 1100 * time.Millisecond
-	// assignedShare is the number of daemons that an upstream is assigned to, as a share
-	// of the requests per second that it tolerates. Daemons with different views of the
-	// fleet may assign it to twice as many.
-	assignedShare = 0.5
+	// maxViews is the number of different views of the fleet that daemons may have, as on
+	// two sides of a split. Each of them assigns an upstream to other daemons.
+	maxViews = 2
 	// expiryMargin is added to the duration of a start, as others tell of it with a delay.
 	expiryMargin = time.Second
 )
@@ -24,7 +23,7 @@
 // Upstream is an upstream that has just started.
 type Upstream struct {
 	Name string
-	// RequestsPerSecond is what it tolerates from all daemons together.
+	// RequestsPerSecond is the most that all daemons together may send it.
 	RequestsPerSecond float64
 	// Duration is how long it does so after its start.
 	Duration time.Duration
@@ -69,7 +68,7 @@
 		if s == nil {
 			s = &start{endsAt: l.now().Add(u.Duration + expiryMargin)}
 		}
-		count := max(1, int(assignedShare*u.RequestsPerSecond))
+		count := max(1, int(u.RequestsPerSecond/maxViews))
 		s.isAssigned = slices.Contains(membership.TopByWeight("warmup/"+u.Name, daemons, count), l.self)
 		l.starting[u.Name] = s
 	}
@@ -98,6 +97,26 @@
 	return s == nil || s.hasEnded || s.isAssigned
 }
 
+// Blocked returns the upstreams to which no request may be sent now. The result is nil if
+// there are none.
+func (l *Limiter) Blocked() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var blocked []string
+	now := l.now()
+	for name, s := range l.starting {
+		if !s.hasEnded && !s.mayReceive(now) {
+			blocked = append(blocked, name)
+		}
+	}
+	return blocked
+}
+
+// mayReceive reports whether this daemon may send a request at the time now.
+func (s *start) mayReceive(now time.Time) bool {
+	return s.isAssigned && (s.sentAt.IsZero() || now.Sub(s.sentAt) >= interval)
+}
+
 // Allow reports whether a request may be sent to an upstream now, and counts it as sent.
 func (l *Limiter) Allow(upstream string) bool {
 	l.mu.Lock()
@@ -107,7 +126,7 @@
 		return true
 	}
 	now := l.now()
-	if !s.isAssigned || !s.sentAt.IsZero() && now.Sub(s.sentAt) < interval {
+	if !s.mayReceive(now) {
 		return false
 	}
 	s.sentAt = now
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -57,7 +57,9 @@
 	l := NewLimiter("d", func() time.Time { return now })
 	starting := []Upstream{{Name: "u", RequestsPerSecond: 4, Duration: 3 * time.Second}}
 	l.Update(starting, []string{"d"})
+	assert.Assert(t, l.Blocked() == nil)
 	assert.Assert(t, l.Allow("u") && !l.Allow("u"))
+	assert.DeepEqual(t, l.Blocked(), []string{"u"})
 	for range 2 {
 		assert.Assert(t, l.Allow("v"))
 	}
