--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -77,6 +77,10 @@
 	// are sent to them; orderIndex is the position of the last one considered.
 	requestOrder []string
 	orderIndex   int
+	// collectQueue holds the addresses of the daemons that the present collection still
+	// sends a request to, and collectStartedAt is when it began.
+	collectQueue     []string
+	collectStartedAt time.Time
 	// lastNumber is the number of the latest request or call.
 	lastNumber uint64
 	// pendingCalls holds the channels for the replies to calls, by number.
@@ -182,6 +186,8 @@
 	}()
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	collect := time.NewTicker(collectInterval)
+	defer collect.Stop()
 	// changes is the channel of changes, or nil for changeInterval after one was handled.
 	changes := n.changed
 	resume := time.NewTimer(changeInterval)
@@ -196,6 +202,8 @@
 			n.requestNewPeers(maxInitialRequests)
 		case <-ticker.C:
 			n.runRound()
+		case <-collect.C:
+			n.requestCollected()
 		case <-changes:
 			n.notify()
 			changes = nil
--- a/internal/peering/peer.go
+++ b/internal/peering/peer.go
@@ -41,6 +41,10 @@
 	// it was responded to.
 	respondedNumber uint64
 	respondedAt     time.Time
+	// isFullRequested reports whether the latest request was for a full report, and
+	// collectedAt is when the latest such request that was answered was sent.
+	isFullRequested bool
+	collectedAt     time.Time
 	// unanswered is the number of requests since the latest response, and
 	// unansweredSince when the first of them was sent.
 	unanswered      int
--- a/internal/peering/receive.go
+++ b/internal/peering/receive.go
@@ -50,6 +50,9 @@
 	sentAt := p.requestSentAt
 	p.setReport(m.Report, now)
 	p.unanswered, p.answeredNumber = 0, m.Number
+	if p.isFullRequested {
+		p.collectedAt = sentAt
+	}
 	if sentAt.After(p.confirmedAt) {
 		p.confirmedAt = sentAt
 	}
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -175,6 +175,7 @@
 		p.unansweredSince = p.requestSentAt
 	}
 	p.unanswered++
+	p.isFullRequested = m.Full
 	m.Number, m.Answered, m.PeerCount = p.requestNumber, p.answeredNumber, len(n.peers)
 	return true
 }
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -22,10 +22,10 @@
 	// daemons' counts; settleDelay is the time from the end of a window until all
 	// counts have arrived.
 	collectDelay = 150 * time.Millisecond
-	settleDelay  = 1500 * time.Millisecond
-	// collectAttempts is the number of collections per window, as messages may be
-	// lost.
-	collectAttempts = 2
+	settleDelay  = 2500 * time.Millisecond
+	// collectAttempts is the number of times that counts are requested per window, as
+	// messages may be lost.
+	collectAttempts = 4
 	// reconcileInterval is the interval at which the reporter checks for due windows.
 	reconcileInterval = 500 * time.Millisecond
 	// maxBacklog bounds the number of past windows that a new holder reports.
@@ -52,8 +52,9 @@
 	Now    func() time.Time
 	Logger *log.Logger
 	Scope  tally.Scope
-	// Collect requests the counts of all daemons.
-	Collect func()
+	// Collect requests the counts of all daemons if first is set, and otherwise of those
+	// that have not sent them since.
+	Collect func(first bool)
 	// StaleFence reports whether an error means that a holder with a newer fencing
 	// token has made a call.
 	StaleFence func(error) bool
@@ -114,7 +115,7 @@
 	}
 	if r.collectCount < collectAttempts {
 		r.collectCount++
-		r.opts.Collect()
+		r.opts.Collect(r.collectCount == 1)
 	}
 }
 
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -53,7 +53,7 @@
 		Store: store, Sender: h.sender, Counter: h.counter, Ledger: h.ledger, Now: time.Now,
 		Held:   func() (int64, bool) { return h.fence, h.fence > 0 },
 		Logger: telemetry.Discard(), Scope: tally.NoopScope,
-		Collect: func() {
+		Collect: func(bool) {
 			if h.collect != nil {
 				h.collect()
 			}
