--- a/internal/fleetsync/evacuation_sync.go
+++ b/internal/fleetsync/evacuation_sync.go
@@ -14,6 +14,10 @@
 	"rattantide/internal/peering"
 )
 
+// evacuationTimeout is the time without a confirmation from another daemon after which a
+// daemon reads the evacuations itself.
+const evacuationTimeout = 2500 * time.Millisecond
+
 // EvacuationOptions configures an EvacuationSync. All fields are required.
 type EvacuationOptions struct {
 	Store WatchStore
@@ -21,7 +25,7 @@
 	Kind string
 	// ReaderRank returns this daemon's position among the readers, or NotReader. The
 	// first reader watches the store, and the other daemons rely on its reports. They
-	// read the store only if none confirms the set for feedTimeout.
+	// read the store only if none confirms the set for evacuationTimeout.
 	ReaderRank func() int
 	// OnChange is called after a change of the set.
 	OnChange func()
@@ -102,11 +106,11 @@
 	}
 }
 
-// isFresh reports whether the set was confirmed within feedTimeout.
+// isFresh reports whether the set was confirmed within evacuationTimeout.
 func (e *EvacuationSync) isFresh() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.confirmedAt.IsZero() && e.opts.Now().Sub(e.confirmedAt) < feedTimeout
+	return !e.confirmedAt.IsZero() && e.opts.Now().Sub(e.confirmedAt) < evacuationTimeout
 }
 
 // step reads the store if necessary and returns the time until the next step.
--- a/internal/fleetsync/evacuation_sync_test.go
+++ b/internal/fleetsync/evacuation_sync_test.go
@@ -24,10 +24,17 @@
 	if err != nil {
 		return 0, err
 	}
-	if list.Revision > since {
-		return list.Revision, fn(objectclient.Event{Object: &objectclient.Object{Kind: kind}})
+	for i := range list.Items {
+		if o := &list.Items[i]; o.Version > since {
+			if err := fn(objectclient.Event{Type: objectclient.EventPut, Object: o}); err != nil {
+				return 0, err
+			}
+		}
 	}
-	return since, nil
+	if len(list.Items) == 0 && list.Revision > since {
+		return list.Revision, fn(objectclient.Event{Type: objectclient.EventDelete, Object: &objectclient.Object{Kind: kind}})
+	}
+	return max(list.Revision, since), nil
 }
 
 type testEvacuationSync struct {
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -17,7 +17,7 @@
 const (
 	// watchDuration is how long one watch lasts. It bounds the time until a change
 	// that a watch missed, or a connection that stopped responding, is detected.
-	watchDuration = 2 * time.Second
+	watchDuration = time.Second
 	// watchPause is the time between a watch that returned changes and the next one, so
 	// that changes in quick succession are read together.
 	watchPause = 100 * time.Millisecond
@@ -29,7 +29,7 @@
 	absentRetention = 2200 * time.Millisecond
 	// feedTimeout is the time without a complete feed from another daemon after
 	// which a daemon reads the store itself.
-	feedTimeout = watchDuration + 700*time.Millisecond
+	feedTimeout = 1500 * time.Millisecond
 	// feedCheckInterval is how often a daemon checks whether that time has passed.
 	feedCheckInterval = 200 * time.Millisecond
 	// maxLogChanges bounds the changes that are retained for other daemons, and
@@ -39,7 +39,7 @@
 	// outageThreshold is the time without a confirmation of the list after which
 	// entries may have disappeared from the store although their upstreams are
 	// live.
-	outageThreshold = watchDuration + time.Second
+	outageThreshold = 2500 * time.Millisecond
 )
 
 // WatchStore is the subset of the store's methods that UpstreamSync uses.
