--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -70,8 +70,7 @@
 	wake chan struct{}
 	// newerSource is the address of a daemon with a newer configuration, or "".
 	newerSource atomic.Value
-	// storeFailing is set if the latest read of the store failed.
-	storeFailing atomic.Bool
+	status      readStatus
 	// probedAt is when the store was last read, and absentAt when it last had no
 	// configuration. Both belong to the goroutine of Run.
 	probedAt time.Time
@@ -87,7 +86,7 @@
 
 // NewConfigSync returns a ConfigSync that does nothing until Run.
 func NewConfigSync(opts ConfigOptions) *ConfigSync {
-	c := &ConfigSync{opts: opts, wake: make(chan struct{}, 1)}
+	c := &ConfigSync{opts: opts, wake: make(chan struct{}, 1), status: readStatus{part: "the configuration", logger: opts.Logger}}
 	c.newerSource.Store("")
 	return c
 }
@@ -103,7 +102,7 @@
 }
 
 // IsStoreFailing reports whether this daemon's latest read of the store failed.
-func (c *ConfigSync) IsStoreFailing() bool { return c.storeFailing.Load() }
+func (c *ConfigSync) IsStoreFailing() bool { return c.status.failing.Load() }
 
 // Snapshot returns the configuration in effect, or false if there is none yet or if the
 // stored form of the one in effect is not known.
@@ -146,32 +145,26 @@
 	c.probedAt = c.opts.BootNow()
 	err := c.readStore(ctx)
 	isAbsent := errors.Is(err, objectclient.ErrNotFound)
-	if err == nil || isAbsent {
-		if c.storeFailing.Swap(false) {
-			c.opts.Logger.Info("reads of the configuration from the store succeed again")
-		}
+	if err != nil && !isAbsent {
+		c.opts.Scope.Counter("config_read_failed").Inc(1)
+		c.status.recordFailure(ctx, err)
+		return retryInterval
 	}
-	switch {
-	case err == nil:
+	c.status.recordSuccess()
+	if !isAbsent {
 		return readInterval
-	case isAbsent:
-		if c.absentAt.IsZero() {
-			c.opts.Logger.Info("the store has no configuration yet")
-		}
-		c.absentAt = c.probedAt
-		return retryInterval
 	}
-	c.opts.Scope.Counter("config_read_failed").Inc(1)
-	if ctx.Err() == nil && !c.storeFailing.Swap(true) {
-		c.opts.Logger.Warn("reading the configuration from the store failed", "error", err)
+	if c.absentAt.IsZero() {
+		c.opts.Logger.Info("the store has no configuration yet")
 	}
+	c.absentAt = c.probedAt
 	return retryInterval
 }
 
 // isProbeDue reports whether the store must be read to find out whether it is
 // available again.
 func (c *ConfigSync) isProbeDue() bool {
-	return c.storeFailing.Load() && c.opts.BootNow().Sub(c.probedAt) >= probeInterval
+	return c.IsStoreFailing() && c.opts.BootNow().Sub(c.probedAt) >= probeInterval
 }
 
 // isFresh reports whether the configuration, or that there is none, was confirmed so
--- a/internal/fleetsync/evacuation_sync.go
+++ b/internal/fleetsync/evacuation_sync.go
@@ -48,15 +48,15 @@
 	revision    int64
 	confirmedAt time.Time
 
-	// mustList is set if the next read of the store must list the evacuations. It and
-	// failing, which is set while reads fail, belong to the goroutine of Run.
+	// mustList is set if the next read of the store must list the evacuations. It belongs
+	// to the goroutine of Run.
 	mustList bool
-	failing  bool
+	status   readStatus
 }
 
 // NewEvacuationSync returns an EvacuationSync that does nothing until Run.
 func NewEvacuationSync(opts EvacuationOptions) *EvacuationSync {
-	return &EvacuationSync{opts: opts, mustList: true}
+	return &EvacuationSync{opts: opts, mustList: true, status: readStatus{part: "the evacuations", logger: opts.Logger}}
 }
 
 // Run keeps the set up to date until ctx ends. It returns nil.
@@ -120,7 +120,7 @@
 	}
 	err := e.readStore(ctx)
 	if err == nil {
-		e.failing = false
+		e.status.recordSuccess()
 		return 0
 	}
 	e.mustList = true
@@ -128,10 +128,7 @@
 		return 0
 	}
 	e.opts.Scope.Counter("evacuation_read_failed").Inc(1)
-	if !e.failing && ctx.Err() == nil {
-		e.opts.Logger.Warn("reading the evacuations from the store failed; using their last known state", "error", err)
-	}
-	e.failing = true
+	e.status.recordFailure(ctx, err)
 	return retryInterval
 }
 
--- a/internal/fleetsync/evacuation_sync_test.go
+++ b/internal/fleetsync/evacuation_sync_test.go
@@ -1,7 +1,6 @@
 package fleetsync
 
 import (
-	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -15,28 +14,6 @@
 	"rattantide/internal/telemetry"
 )
 
-// evacuationStore is an in-memory store whose watches return at once.
-type evacuationStore struct{ *objecttest.Store }
-
-// WatchOnce implements WatchStore.
-func (s evacuationStore) WatchOnce(ctx context.Context, kind string, since int64, _ time.Duration, fn func(objectclient.Event) error) (int64, error) {
-	list, err := s.List(ctx, kind)
-	if err != nil {
-		return 0, err
-	}
-	for i := range list.Items {
-		if o := &list.Items[i]; o.Version > since {
-			if err := fn(objectclient.Event{Type: objectclient.EventPut, Object: o}); err != nil {
-				return 0, err
-			}
-		}
-	}
-	if len(list.Items) == 0 && list.Revision > since {
-		return list.Revision, fn(objectclient.Event{Type: objectclient.EventDelete, Object: &objectclient.Object{Kind: kind}})
-	}
-	return max(list.Revision, since), nil
-}
-
 type testEvacuationSync struct {
 	*EvacuationSync
 	store   *objecttest.Store
@@ -48,7 +25,7 @@
 func newTestEvacuationSync(rank int) *testEvacuationSync {
 	e := &testEvacuationSync{store: objecttest.New(), now: time.Unix(1000, 0), rank: rank}
 	e.EvacuationSync = NewEvacuationSync(EvacuationOptions{
-		Store: evacuationStore{e.store}, Kind: "evacuations", ReaderRank: func() int { return e.rank }, OnChange: func() { e.changes++ },
+		Store: watchStore{e.store}, Kind: "evacuations", ReaderRank: func() int { return e.rank }, OnChange: func() { e.changes++ },
 		Now: func() time.Time { return e.now }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 	})
 	return e
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -96,14 +96,15 @@
 	// during an outage of the store are retained.
 	retainedUntil map[string]time.Time
 
-	// storeFailing is set if the latest read of the store failed. It belongs to the
-	// goroutine of Run.
-	storeFailing bool
+	status readStatus
 }
 
 // NewUpstreamSync returns an UpstreamSync that does nothing until Run.
 func NewUpstreamSync(opts UpstreamOptions) *UpstreamSync {
-	return &UpstreamSync{opts: opts, entries: map[string]membership.Instance{}, retainedUntil: map[string]time.Time{}}
+	return &UpstreamSync{
+		opts: opts, entries: map[string]membership.Instance{}, retainedUntil: map[string]time.Time{},
+		status: readStatus{part: "the list of upstreams", logger: opts.Logger},
+	}
 }
 
 // Run keeps the list up to date until ctx ends. It returns nil.
@@ -124,10 +125,7 @@
 	err := u.readStore(ctx)
 	switch {
 	case err == nil:
-		if u.storeFailing {
-			u.storeFailing = false
-			u.opts.Logger.Info("reads of the list of upstreams from the store succeed again")
-		}
+		u.status.recordSuccess()
 		if next, _, _ := u.Position(); next != revision {
 			return watchPause
 		}
@@ -143,10 +141,7 @@
 		u.requireList()
 	}
 	u.opts.Scope.Counter("upstream_list_failed").Inc(1)
-	if !u.storeFailing && ctx.Err() == nil {
-		u.opts.Logger.Warn("reading the list of upstreams from the store failed", "error", err)
-	}
-	u.storeFailing = true
+	u.status.recordFailure(ctx, err)
 	return retryInterval
 }
 
--- a/internal/fleetsync/upstream_sync_test.go
+++ b/internal/fleetsync/upstream_sync_test.go
@@ -30,7 +30,7 @@
 	}
 	var applied []membership.Instance
 	u := NewUpstreamSync(UpstreamOptions{
-		Store: evacuationStore{store}, Kind: "servers", ReaderRank: func() int { return NotReader },
+		Store: watchStore{store}, Kind: "servers", ReaderRank: func() int { return NotReader },
 		Decode: func(o *objectclient.Object) (membership.Instance, error) {
 			return membership.Instance{Name: o.Name, State: string(o.Value)}, nil
 		},
