--- a/internal/peering/collect.go
+++ b/internal/peering/collect.go
@@ -1,9 +1,6 @@
 package peering
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// collectInterval is the time between two batches of requests of a collection, and
@@ -33,14 +30,16 @@
 			n.collectQueue = append(n.collectQueue, ip)
 		}
 	}
+	wake(n.collecting)
 }
 
-// requestCollected sends the next batch of requests of a collection.
-func (n *Node) requestCollected() {
+// requestCollected sends the next batch of requests of a collection and reports whether
+// more remain.
+func (n *Node) requestCollected() bool {
 	n.mu.Lock()
-	count := min(collectBatch, len(n.collectQueue))
-	ips := slices.Clone(n.collectQueue[:count])
-	n.collectQueue = n.collectQueue[count:]
+	ips := takeBatch(&n.collectQueue, collectBatch)
+	remaining := len(n.collectQueue) > 0
 	n.mu.Unlock()
 	n.sendRequests(ips)
+	return remaining
 }
--- a/internal/peering/evidence.go
+++ b/internal/peering/evidence.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/binary"
-	"hash/fnv"
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -40,11 +41,7 @@
 // processHash shortens the identifier of a process. Two processes of one daemon may have
 // the same hash; the readiness of the new one is then taken for that of the old one until
 // its first own response.
-func processHash(process string) uint16 {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(process))
-	return uint16(h.Sum32())
-}
+func processHash(process string) uint16 { return uint16(xxhash.Sum64String(process)) }
 
 // appendEvidence appends the encoded form of e to buf.
 func appendEvidence(buf []byte, e evidence) []byte {
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -31,9 +31,9 @@
 	// maxInitialRequests bounds the daemons that are contacted immediately after
 	// they are read from the store: a starting daemon does not serve callers well
 	// until it has the other daemons' reports. The others, and daemons that are learned
-	// from responses, are contacted in the next rounds, at most maxNewPerRound in each.
+	// from responses, are contacted in the next rounds, at most maxQueuedPerRound in each.
 	maxInitialRequests = 48
-	maxNewPerRound     = 24
+	maxQueuedPerRound  = 24
 	// maxProbesPerRound bounds the requests out of turn, so that others remain.
 	maxProbesPerRound = maxRequestsPerRound / 2
 	// maxUnanswered is the number of consecutive unanswered requests after which a
@@ -63,10 +63,11 @@
 	opts Options
 	conn *net.UDPConn
 
-	// peersAdded wakes Run after Add added daemons, and changed after the availability of
-	// a daemon changed.
+	// peersAdded wakes Run after Add added daemons, changed after the availability of a
+	// daemon changed, and collecting after Collect.
 	peersAdded chan struct{}
 	changed    chan struct{}
+	collecting chan struct{}
 
 	mu sync.Mutex
 	// peers holds the other daemons by IP address.
@@ -103,7 +104,7 @@
 	if opts.Port == 0 {
 		opts.Port = conn.LocalAddr().(*net.UDPAddr).Port
 	}
-	return &Node{opts: opts, conn: conn, peersAdded: make(chan struct{}, 1), changed: make(chan struct{}, 1), peers: map[string]*peer{}, pendingCalls: map[uint64]chan json.RawMessage{}}, nil
+	return &Node{opts: opts, conn: conn, peersAdded: make(chan struct{}, 1), changed: make(chan struct{}, 1), collecting: make(chan struct{}, 1), peers: map[string]*peer{}, pendingCalls: map[uint64]chan json.RawMessage{}}, nil
 }
 
 // Add adds daemons by the IP addresses of their instances. Addresses that are
@@ -186,7 +187,9 @@
 	}()
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	// collect ticks only while a collection is in progress.
 	collect := time.NewTicker(collectInterval)
+	collect.Stop()
 	defer collect.Stop()
 	// changes is the channel of changes, or nil for changeInterval after one was handled.
 	changes := n.changed
@@ -199,11 +202,15 @@
 			<-done
 			return nil
 		case <-n.peersAdded:
-			n.requestNewPeers(maxInitialRequests)
+			n.requestQueued(maxInitialRequests)
 		case <-ticker.C:
 			n.runRound()
+		case <-n.collecting:
+			collect.Reset(collectInterval)
 		case <-collect.C:
-			n.requestCollected()
+			if !n.requestCollected() {
+				collect.Stop()
+			}
 		case <-changes:
 			n.notify()
 			changes = nil
--- a/internal/peering/node_test.go
+++ b/internal/peering/node_test.go
@@ -145,7 +145,7 @@
 		ips, nodes = append(ips, ip), append(nodes, n)
 	}
 	nodes[0].Add(ips...)
-	nodes[0].requestNewPeers(maxInitialRequests)
+	nodes[0].requestQueued(maxInitialRequests)
 	buf := make([]byte, maxMessageBytes)
 	for _, n := range nodes[1:] {
 		assert.NilError(t, n.conn.SetReadDeadline(time.Now().Add(30*time.Second)))
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -36,12 +36,18 @@
 	return ips
 }
 
-// requestNewPeers sends a request to at most limit daemons of contactQueue.
-func (n *Node) requestNewPeers(limit int) {
+// takeBatch removes at most limit addresses from the start of a queue and returns them.
+func takeBatch(queue *[]string, limit int) []string {
+	count := min(limit, len(*queue))
+	batch := (*queue)[:count:count]
+	*queue = (*queue)[count:]
+	return batch
+}
+
+// requestQueued sends a request to at most limit daemons of contactQueue.
+func (n *Node) requestQueued(limit int) {
 	n.mu.Lock()
-	count := min(limit, len(n.contactQueue))
-	ips := slices.Clone(n.contactQueue[:count])
-	n.contactQueue = slices.Delete(n.contactQueue, 0, count)
+	ips := takeBatch(&n.contactQueue, limit)
 	for _, ip := range ips {
 		if p := n.peers[ip]; p != nil {
 			p.isQueued = false
@@ -53,7 +59,7 @@
 
 // runRound sends the requests of a round.
 func (n *Node) runRound() {
-	n.requestNewPeers(maxNewPerRound)
+	n.requestQueued(maxQueuedPerRound)
 	n.sendRequests(n.duePeers())
 	n.mu.Lock()
 	defer n.mu.Unlock()
