--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -105,7 +104,7 @@
 		// The orders of an earlier holder are not known.
 		c.fence, c.planners, c.stored = fence, map[string]*Planner{}, map[string]storedCapacity{}
 	}
-	upstreams := slices.DeleteFunc(slices.Clone(c.opts.Upstreams()), func(u membership.Instance) bool { return c.opts.IsEvacuated(u.Domain) })
+	upstreams := c.opts.Upstreams()
 	for name, service := range config.Services {
 		if service.Autoscale == nil || c.opts.IsPaused(name) {
 			continue
@@ -118,8 +117,7 @@
 			}
 			c.planners[name] = planner
 		}
-		observation := observe(service, upstreams, c.opts.Now())
-		observation.Bounds = service.Autoscale.Without(c.opts.IsEvacuated)
+		observation := observe(service, upstreams, c.opts.IsEvacuated, c.opts.Now())
 		summary := c.opts.LatencySummary(name)
 		observation.Median, observation.LateShare, observation.Requests = summary.Median, summary.LateShare, summary.Requests
 		for _, order := range planner.Plan(observation) {
@@ -175,11 +173,12 @@
 	c.stored[service] = capacity
 }
 
-// observe counts the live upstreams of a service by place.
-func observe(service *fleetconfig.Service, upstreams []membership.Instance, now time.Time) *Observation {
-	o := &Observation{Bounds: service.Autoscale, Live: map[Place]int{}, Now: now}
+// observe counts the live upstreams of a service by place, without those of evacuated
+// failure domains.
+func observe(service *fleetconfig.Service, upstreams []membership.Instance, isEvacuated func(domain string) bool, now time.Time) *Observation {
+	o := &Observation{Bounds: service.Autoscale.Without(isEvacuated), Live: map[Place]int{}, Now: now}
 	for _, u := range upstreams {
-		if u.Pool != service.Name || u.State != membership.StateLive {
+		if u.Pool != service.Name || u.State != membership.StateLive || isEvacuated(u.Domain) {
 			continue
 		}
 		kind := OnDemand
--- a/internal/membership/rendezvous.go
+++ b/internal/membership/rendezvous.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -17,24 +16,8 @@
 	return d.Sum64()
 }
 
-// RankByWeight returns the names in descending order of their weight for the key.
-func RankByWeight(key string, names []string) []string {
-	weights := make(map[string]uint64, len(names))
-	for _, name := range names {
-		weights[name] = Weight(key, name)
-	}
-	out := append([]string(nil), names...)
-	sort.Slice(out, func(i, j int) bool {
-		a, b := weights[out[i]], weights[out[j]]
-		if a != b {
-			return a > b
-		}
-		return out[i] < out[j]
-	})
-	return out
-}
-
-// TopByWeight returns the first count names of RankByWeight.
+// TopByWeight returns the first count names in descending order of their weight for the
+// key. Names of equal weight are in ascending order.
 func TopByWeight(key string, names []string, count int) []string {
 	var top []string
 	var weights []uint64
@@ -53,7 +36,7 @@
 	return top
 }
 
-// RankOf returns the number of other names that precede name in RankByWeight.
+// RankOf returns the number of other names that precede name in the order of TopByWeight.
 func RankOf(key, name string, others []string) int {
 	own, rank := Weight(key, name), 0
 	for _, other := range others {
