Log what requests have in common that are lost with their upstream

The log of the incident cannot tell whether the requests on the upstreams that were lost shared a part of their prompts: a lost attempt that was repeated leaves no line at all, and no line names parts.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,7 +139,7 @@
 	case errors.Is(err, upstreamconn.ErrConnLimit):
 		status = dispatch.StatusBusy
 	case sent:
-		status = dispatch.StatusCrash
+		return a.endLost()
 	default:
 		x.connectFailures++
 	}
@@ -159,6 +159,17 @@
 	return attemptOutcome{isFinal: true, refusal: x.timeoutRefusal()}
 }
 
+// endLost ends an attempt whose upstream closed the connection before the response was
+// complete, and logs what the request had in common with others that may be lost with it.
+func (a *upstreamAttempt) endLost() attemptOutcome {
+	x := a.exchange
+	x.server.lostAttempts.Inc(1)
+	x.server.opts.Logger.Warn("upstream lost during a request", "request", x.call.AttemptID, "attempt", x.attempts,
+		"upstream", a.choice.Upstream.Name, "version", a.choice.Version, "events", a.events,
+		"sharedParts", formatPartIDs(sharedParts(x.call.Parts)), "reason", x.reason)
+	return a.endExcluded(dispatch.StatusCrash)
+}
+
 // endExcluded ends an attempt and excludes its upstream from further attempts.
 func (a *upstreamAttempt) endExcluded(status dispatch.Status) attemptOutcome {
 	x := a.exchange
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -77,7 +77,7 @@
 	if ctx.Err() != nil {
 		return a.endInterrupted()
 	}
-	return a.endExcluded(dispatch.StatusCrash)
+	return a.endLost()
 }
 
 // endDisconnected ends an attempt whose caller no longer reads the response.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -27,9 +27,10 @@
 	opts         Options
 	openRequests atomic.Int64
 
-	scope      tally.Scope
-	duration   tally.Histogram
-	firstEvent tally.Histogram
+	scope        tally.Scope
+	duration     tally.Histogram
+	firstEvent   tally.Histogram
+	lostAttempts tally.Counter
 }
 
 // New returns a Server.
@@ -38,8 +39,9 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &Server{
 		opts: opts, scope: scope,
-		duration:   scope.Histogram("request_duration", buckets),
-		firstEvent: scope.Histogram("first_event", buckets),
+		duration:     scope.Histogram("request_duration", buckets),
+		firstEvent:   scope.Histogram("first_event", buckets),
+		lostAttempts: scope.Counter("lost_attempts"),
 	}
 }
 
