--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -53,6 +53,8 @@
 	Target string
 	Body   string
 	Header http.Header
+	// StartedAt is when the execution started.
+	StartedAt time.Time
 }
 
 // Runner simulates a runner or a plain service. It is an http.Handler and safe for
@@ -65,6 +67,11 @@
 	Events int
 	// EventInterval is the delay before each event of a stream.
 	EventInterval time.Duration
+	// CrashPart is the identifier of a prompt part, in the notation of callers. OnCrash is
+	// called instead of writing the first event to a request that contains it, and the
+	// request is then held until its connection is closed. Empty means that there is none.
+	CrashPart string
+	OnCrash   func()
 
 	mu              sync.Mutex
 	fault           Fault
@@ -131,7 +138,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.executions = append(r.executions, Execution{AttemptID: id, Target: request.RequestURI, Body: string(body), Header: request.Header.Clone()})
+	r.executions = append(r.executions, Execution{AttemptID: id, Target: request.RequestURI, Body: string(body), Header: request.Header.Clone(), StartedAt: time.Now()})
 	r.mu.Unlock()
 	w.Header().Set("X-Response-Seal", "seal-"+r.ID+"-"+id)
 	switch fault {
@@ -151,6 +158,13 @@
 	case FaultUnsigned:
 		w.Header().Del("X-Response-Seal")
 	}
+	if r.CrashPart != "" && HasPart(request.Header, r.CrashPart) {
+		time.Sleep(r.EventInterval)
+		_ = http.NewResponseController(w).Flush()
+		r.OnCrash()
+		<-request.Context().Done()
+		return
+	}
 	if r.Events > 0 {
 		r.serveStream(w, request, fault)
 		return
@@ -230,3 +244,14 @@
 		_ = control.Flush()
 	}
 }
+
+// HasPart reports whether the prompt of a request contains a part other than as its last.
+func HasPart(header http.Header, part string) bool {
+	parts := strings.Split(header.Get("X-Prompt-Prefix"), ",")
+	for _, entry := range parts[:len(parts)-1] {
+		if id, _, _ := strings.Cut(entry, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
