Keep prompts away from upstreams if one of their parts crashes them

Cause: nothing related a crash to the content of the requests. The quarantine of internal/admission compares whole requests (no two of these are alike), the gateway gave it no fingerprint, and each daemon would have decided by the ninth of the crashes and answers that it sees. Class of fault: a fact of the fleet, judged by each daemon and each request by itself.

Design: internal/quarantine counts, per shared part, the upstreams lost before an answer on it had begun; an answer that has begun clears the part. Daemons exchange this evidence with their reports, and at once with eight others if it is new. Four losses at different moments suspend a part (single trials), five confirm it: such requests are refused at once and open ones canceled. The verdict holds while such requests come, and ten minutes longer; then one daemon tries the part once. Losses that another part explains count against no one. Memory is bounded; each of many parts of one caller has a chance to be kept.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -21,6 +21,7 @@
 	"rattantide/internal/lease"
 	"rattantide/internal/membership"
 	"rattantide/internal/peering"
+	"rattantide/internal/quarantine"
 	"rattantide/internal/quota"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/truetime"
@@ -91,7 +92,10 @@
 	// evacuations is nil if the deployment has none.
 	evacuations *fleetsync.EvacuationSync
 	// warmup limits the requests to upstreams that have just started.
-	warmup *warmup.Limiter
+	warmup     *warmup.Limiter
+	quarantine *quarantine.Tracker
+	// evidenceNews wakes spreadEvidence.
+	evidenceNews chan struct{}
 	// upstreamsListed reports whether the list of upstreams was read.
 	upstreamsListed atomic.Bool
 	// registeredAt is when the entries of the other daemons were first read, so that the
@@ -134,6 +138,7 @@
 		return nil, errors.Trace(err)
 	}
 	d.buildState()
+	d.buildQuarantine()
 	if err := d.buildPeers(); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -295,7 +300,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, WarmUp: d.warmup, KeysValidFor: d.keysValidFor,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, WarmUp: d.warmup, Quarantine: d.quarantine, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, IsDraining: d.draining.Load,
 	})
 }
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -117,6 +117,7 @@
 	if d.evacuations != nil {
 		r.Evacuation = d.evacuations.Report()
 	}
+	r.Quarantine = d.encodeEvidence()
 	if moves := d.follower.Snapshot(); len(moves) > 0 && d.readsStore() && !r.StoreUnavailable {
 		r.MoveStates = d.encodePart("moves", moves)
 	}
@@ -169,6 +170,7 @@
 	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
 	d.applyMoves(r)
+	d.applyEvidence(r, receivedAt)
 	d.applyVersionTallies(r)
 	d.applyLatencies(r)
 	d.ledger.Merge(r.ProcessName(), usageWindows(r.RequestCounts))
--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"rattantide/internal/bootclock"
 	"rattantide/internal/peering"
 )
 
@@ -35,9 +36,11 @@
 	return nil
 }
 
-// handlePeerRequest processes the report that a request from another daemon contains:
-// it tracks whether that daemon takes its quotas from this daemon's pool.
+// handlePeerRequest processes the report that a request from another daemon contains: its
+// evidence of parts that crash upstreams, and whether that daemon takes its quotas from
+// this daemon's pool.
 func (d *Daemon) handlePeerRequest(r peering.Report) {
+	d.applyEvidence(r, bootclock.Now())
 	if r.QuotaSource == d.settings.Name {
 		d.quotaPool.RecordUse(r.Name)
 		return
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -56,6 +56,7 @@
 	group.Go(func() error { return d.peers.Run(workCtx) })
 	group.Go(func() error { return d.leases.Run(workCtx) })
 	group.Go(func() error { return d.registrar.Run(workCtx) })
+	group.Go(func() error { return d.spreadEvidence(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
 	d.startDuties(workCtx, group)
@@ -184,6 +185,7 @@
 	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
 	d.quotaPool.Tick()
+	d.quarantine.Tick()
 	known := map[string]bool{}
 	for _, u := range d.knownUpstreams() {
 		known[u.Address] = true
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -19,6 +19,7 @@
 	if err != nil {
 		return newRefusal(http.StatusBadRequest, err.Error())
 	}
+	x.sharedParts = sharedParts(x.call.Parts)
 	config, confirmedAt := s.opts.Config.Current()
 	if config == nil {
 		return newRefusalWithRetry(http.StatusServiceUnavailable, "no configuration yet", startupRetryAfter)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/quarantine"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -31,8 +32,8 @@
 func (x *exchange) attempt(ctx context.Context, choice *dispatch.Choice) attemptOutcome {
 	// Canceling the context closes the connection, which makes the upstream stop
 	// processing the request.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	a := &upstreamAttempt{exchange: x, choice: choice, sentAt: time.Now()}
 	x.upstreamName = choice.Upstream.Name
 	if w := x.server.opts.WarmUp; w != nil && !w.Allow(choice.Upstream.Name) {
@@ -41,6 +42,8 @@
 		outcome.notSent = true
 		return outcome
 	}
+	a.suspicion = x.server.opts.Quarantine.Start(choice.Upstream.Name, x.sharedParts, func() { cancel(errQuarantined) })
+	defer a.suspicion.End()
 	response, err := x.server.opts.Conns.Do(ctx, choice.Upstream.Address, x.upstreamConnLimit(), x.upstreamRequest(choice))
 	if err != nil {
 		return a.handleError(ctx, err)
@@ -111,6 +114,8 @@
 	// maxGap is the longest time between two arrivals of events.
 	maxGap time.Duration
 	events int
+	// suspicion records whether the upstream is lost before the answer has begun.
+	suspicion *quarantine.Attempt
 }
 
 // report passes the result of the attempt to the dispatcher.
@@ -135,7 +140,7 @@
 	status := dispatch.StatusRefused
 	switch {
 	case ctx.Err() != nil:
-		return a.endInterrupted()
+		return a.endInterrupted(ctx)
 	case errors.Is(err, upstreamconn.ErrConnLimit):
 		status = dispatch.StatusBusy
 	case sent:
@@ -148,13 +153,17 @@
 	return outcome
 }
 
-// endInterrupted ends an attempt whose deadline has passed or whose caller has
-// disconnected.
-func (a *upstreamAttempt) endInterrupted() attemptOutcome {
+// endInterrupted ends an attempt whose deadline has passed, whose caller has disconnected,
+// or whose request is kept from upstreams.
+func (a *upstreamAttempt) endInterrupted(ctx context.Context) attemptOutcome {
 	x := a.exchange
 	if x.request.Context().Err() != nil {
 		return a.endDisconnected(false)
 	}
+	if errors.Is(context.Cause(ctx), errQuarantined) {
+		a.report(dispatch.StatusCanceled)
+		return attemptOutcome{isFinal: true, refusal: newRefusal(http.StatusBadGateway, quarantineReason)}
+	}
 	a.report(dispatch.StatusTimeout)
 	return attemptOutcome{isFinal: true, refusal: x.timeoutRefusal()}
 }
@@ -163,10 +172,13 @@
 // complete, and logs what the request had in common with others that may be lost with it.
 func (a *upstreamAttempt) endLost() attemptOutcome {
 	x := a.exchange
+	if a.events < begunEvents {
+		a.suspicion.RecordLost()
+	}
 	x.server.lostAttempts.Inc(1)
 	x.server.opts.Logger.Warn("upstream lost during a request", "request", x.call.AttemptID, "attempt", x.attempts,
 		"upstream", a.choice.Upstream.Name, "version", a.choice.Version, "events", a.events,
-		"sharedParts", formatPartIDs(sharedParts(x.call.Parts)), "reason", x.reason)
+		"sharedParts", formatPartIDs(x.sharedParts), "reason", x.reason)
 	return a.endExcluded(dispatch.StatusCrash)
 }
 
@@ -239,7 +251,7 @@
 	x.mayHaveRun = true
 	x.reason = reason
 	if ctx.Err() != nil {
-		return a.endInterrupted()
+		return a.endInterrupted(ctx)
 	}
 	return a.endExcluded(dispatch.StatusError)
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -26,6 +26,8 @@
 	deadline time.Time
 	body     []byte
 	hasBody  bool
+	// sharedParts are the parts of the prompt that other prompts may contain too.
+	sharedParts []uint64
 	// quotaCost is the cost that is charged to the workspace's quota.
 	quotaCost float64
 
@@ -81,6 +83,9 @@
 	}
 	var lastRefusal *refusal
 	for x.attempts-x.connectFailures < maxTries && x.connectFailures < maxConnectFailures {
+		if refusal := x.quarantineRefusal(); refusal != nil {
+			return refusal
+		}
 		x.attempts++
 		choice, err := x.server.opts.Chooser.Choose(ctx, x.dispatchRequest())
 		if err != nil {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"rattantide/internal/gateway"
 	"rattantide/internal/membership"
 	"rattantide/internal/problem"
+	"rattantide/internal/quarantine"
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/upstreamconn"
@@ -106,9 +107,11 @@
 	quota    *unlimitedQuota
 	usage    *usageRecorder
 	starting startingUpstreams
-	holder   *fleetconfig.Holder
-	now      time.Time
-	nowMu    sync.Mutex
+	// quarantine is shared by the requests; its clock is that of the fixture.
+	quarantine *quarantine.Tracker
+	holder     *fleetconfig.Holder
+	now        time.Time
+	nowMu      sync.Mutex
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -135,10 +138,14 @@
 	config.Routes[3].Resumable = true
 	config.Index()
 	f.holder.Apply(config, f.now)
+	f.quarantine = quarantine.New(quarantine.Options{
+		IsLeaving: func(string) bool { return false }, IsProber: func(uint64) bool { return false }, OnNews: func() {},
+		Now: f.bootNow, Logger: telemetry.Discard(), Scope: tally.NoopScope,
+	})
 	pools := &upstreamconn.Pools{}
 	t.Cleanup(pools.Close)
 	s := httptest.NewServer(gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, WarmUp: f.starting,
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, WarmUp: f.starting, Quarantine: f.quarantine,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow, IsDraining: func() bool { return false },
 	}))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -10,6 +10,7 @@
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/membership"
+	"rattantide/internal/quarantine"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -45,8 +46,8 @@
 	Allow(upstream string) bool
 }
 
-// Options configures a Server. All fields except ConnLimit, Usage, Loads and WarmUp are
-// required.
+// Options configures a Server. All fields except ConnLimit, Usage, Loads, WarmUp and
+// Quarantine are required.
 type Options struct {
 	Codec   Codec
 	Config  *fleetconfig.Holder
@@ -59,6 +60,8 @@
 	Usage     Usage
 	Loads     LoadRecorder
 	WarmUp    WarmUp
+	// Quarantine keeps requests that crash upstreams from them; nil means that it does not.
+	Quarantine *quarantine.Tracker
 	// KeysValidFor returns how long keys may be accepted after the configuration
 	// was last confirmed to be the newest one.
 	KeysValidFor func() time.Duration
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -68,6 +68,7 @@
 		a.report(dispatch.StatusError)
 		return
 	}
+	a.suspicion.RecordBegun()
 	a.report(dispatch.StatusOK)
 }
 
@@ -75,7 +76,7 @@
 func (a *upstreamAttempt) handleTruncated(ctx context.Context, err error) attemptOutcome {
 	a.exchange.reason = "response truncated: " + err.Error()
 	if ctx.Err() != nil {
-		return a.endInterrupted()
+		return a.endInterrupted(ctx)
 	}
 	return a.endLost()
 }
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -85,6 +85,9 @@
 	}
 	a.lastEventAt = now
 	a.events += count
+	if a.events >= begunEvents {
+		a.suspicion.RecordBegun()
+	}
 }
 
 // finishStream relays the bytes after the last event and ends the response.
@@ -93,6 +96,7 @@
 	if a.events == 0 {
 		x.recordUsage()
 	}
+	a.suspicion.RecordBegun()
 	a.report(dispatch.StatusOK)
 	if !x.headSent {
 		x.writeHead(response, false, 0)
--- a/internal/gateway/shared_parts.go
+++ b/internal/gateway/shared_parts.go
@@ -5,9 +5,8 @@
 	"strings"
 )
 
-// maxSharedParts bounds the shared parts of a prompt that are considered, so that a
-// caller can neither fill the memory nor the log with them.
-const maxSharedParts = 64
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 64
 
 // sharedParts returns the identifiers of the parts that other prompts may contain too:
 // all but the last one, which belongs to the request or its session.
@@ -15,21 +14,18 @@
 	if len(parts) < 2 {
 		return nil
 	}
-	ids := make([]uint64, 0, min(len(parts)-1, maxSharedParts))
-	for _, part := range parts[:len(parts)-1] {
-		if len(ids) == maxSharedParts {
-			break
-		}
-		ids = append(ids, part.ID)
+	ids := make([]uint64, len(parts)-1)
+	for i := range ids {
+		ids[i] = parts[i].ID
 	}
 	return ids
 }
 
-// formatPartIDs returns the identifiers in the notation of callers.
+// formatPartIDs returns identifiers in the notation of callers, at most maxLoggedParts.
 func formatPartIDs(ids []uint64) string {
-	texts := make([]string, len(ids))
-	for i, id := range ids {
-		texts[i] = strconv.FormatUint(id, 16)
+	var texts []string
+	for _, id := range ids[:min(len(ids), maxLoggedParts)] {
+		texts = append(texts, strconv.FormatUint(id, 16))
 	}
 	return strings.Join(texts, ",")
 }
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -39,6 +39,8 @@
 	UpstreamAgeMs    int64 `json:"ua"`
 	// Evacuation holds the evacuated failure domains, or nil if they are not known.
 	Evacuation *Evacuation `json:"ec,omitempty"`
+	// Quarantine holds the encoded evidence of parts of prompts that crash upstreams.
+	Quarantine json.RawMessage `json:"qt,omitempty"`
 	// MoveStates holds the encoded states of version moves if the daemon reads the
 	// store.
 	MoveStates json.RawMessage `json:"mv,omitempty"`
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -25,6 +26,22 @@
 	n.sendRequests(ips)
 }
 
+// Spread immediately sends at most limit live daemons, chosen at random, a request, which
+// contains this daemon's report. If each of them does the same with what is new to it, all
+// daemons have it after a few steps.
+func (n *Node) Spread(limit int) {
+	n.mu.Lock()
+	now := n.opts.Now()
+	var ips []string
+	for _, i := range rand.Perm(len(n.requestOrder)) {
+		if p := n.peers[n.requestOrder[i]]; len(ips) < limit && p.alive(now) {
+			ips = append(ips, p.ip)
+		}
+	}
+	n.mu.Unlock()
+	n.sendRequests(ips)
+}
+
 // addressesOf returns the IP addresses of the named daemons. n.mu must be held.
 func (n *Node) addressesOf(names ...string) []string {
 	var ips []string
--- /dev/null
+++ b/internal/quarantine/verdict.go
@@ -0,0 +1,107 @@
+package quarantine
+
+import (
+	"strconv"
+	"time"
+)
+
+const (
+	// suspendLosses is the number of lost upstreams after which requests with a part are
+	// refused except for single trials, and confirmLosses the number after which all are.
+	suspendLosses = 4
+	confirmLosses = 5
+	// holdTime is how long a verdict outlives the last request with the part. The part is
+	// then tried by a single request; if it crashes its upstream, the verdict holds again.
+	holdTime = 10 * time.Minute
+	// forgetTime is the time without requests after which a confirmed verdict is removed.
+	forgetTime = 24 * time.Hour
+	// probeInterval is the minimum time between two trials of a suspended part.
+	probeInterval = time.Second
+	// maxVerdicts bounds the verdicts that are remembered.
+	maxVerdicts = 256
+)
+
+// verdict is the finding that a part of prompts crashes upstreams.
+type verdict struct {
+	part uint64
+	// losses is the number of upstreams lost under the part, as far as any daemon knows, and
+	// explained the number of those that this daemon knows itself.
+	losses    int
+	explained int
+	// term increases each time the verdict was lifted for a trial.
+	term int
+	// lastLossAt and lastRequestAt are the times of the latest loss and request with the
+	// part in the fleet.
+	lastLossAt    time.Time
+	lastRequestAt time.Time
+	// probedAt is when this daemon last tried the part; zero if never.
+	probedAt time.Time
+}
+
+func (v *verdict) isConfirmed() bool { return v.losses >= confirmLosses }
+
+// mayProbe reports whether the part may be tried at the time now, and records the trial.
+func (v *verdict) mayProbe(now time.Time) bool {
+	if !v.probedAt.IsZero() && now.Sub(v.probedAt) < probeInterval {
+		return false
+	}
+	v.probedAt = now
+	return true
+}
+
+// age lifts a verdict for a trial after holdTime without requests. It returns false if the
+// verdict is to be removed.
+func (v *verdict) age(now time.Time) bool {
+	quiet := now.Sub(v.lastRequestAt)
+	switch {
+	case quiet <= holdTime:
+		return true
+	case v.isConfirmed():
+		v.term++
+		v.losses, v.explained = confirmLosses-1, confirmLosses-1
+		return true
+	case v.term > 0:
+		return quiet <= forgetTime
+	}
+	return false
+}
+
+// addVerdict adds a verdict and explains the losses under the part. t.mu must be held.
+func (t *Tracker) addVerdict(part uint64, losses []*loss, now time.Time) {
+	if len(t.verdicts) >= maxVerdicts {
+		t.removeStalestVerdict()
+	}
+	v := &verdict{part: part, lastRequestAt: now}
+	t.verdicts[part] = v
+	v.explain(losses)
+	t.log("prompt part is quarantined", v)
+}
+
+// explain attributes losses to the part.
+func (v *verdict) explain(losses []*loss) {
+	for _, l := range losses {
+		l.isExplained, l.explainedBy = true, v.part
+		v.explained++
+		if l.at.After(v.lastLossAt) {
+			v.lastLossAt = l.at
+		}
+	}
+	v.losses = max(v.losses, v.explained)
+}
+
+// removeStalestVerdict removes the verdict whose last request is the oldest. t.mu must be
+// held.
+func (t *Tracker) removeStalestVerdict() {
+	var stalest *verdict
+	for _, v := range t.verdicts {
+		if stalest == nil || v.lastRequestAt.Before(stalest.lastRequestAt) {
+			stalest = v
+		}
+	}
+	delete(t.verdicts, stalest.part)
+}
+
+// log logs a change of a verdict. t.mu must be held.
+func (t *Tracker) log(message string, v *verdict) {
+	t.opts.Logger.Warn(message, "part", strconv.FormatUint(v.part, 16), "lostUpstreams", v.losses, "confirmed", v.isConfirmed(), "term", v.term)
+}
