Count every loss against parts on which no answer has begun

Cause: to spare sound parts when many upstreams end at once, losses within 20 ms counted as one for every part. In the test all daemons send at the same moments, so whole waves counted once and the verdict came seconds late. The same would happen with dense requests.

Change: parts on which no answer began within a minute are judged by all losses, and before any other; only the others need five moments.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -77,36 +77,42 @@
 
 // mostIncriminated returns the parts with the most losses against them up to a time, and
 // these losses, if they suffice for a verdict. Parts with the same losses cannot be told
-// apart, except that one on which an answer began a short time ago is less likely the
-// cause; it needs as many losses as confirm a verdict. t.mu must be held.
+// apart. A part on which an answer began a short time ago comes after all others and needs
+// losses at as many moments as confirm a verdict, as all requests to upstreams that end
+// together contain some such part. t.mu must be held.
 func (t *Tracker) mostIncriminated(until time.Time) (parts []uint64, losses []*loss) {
-	against := map[uint64][]*loss{}
+	rare, popular := map[uint64][]*loss{}, map[uint64][]*loss{}
 	for _, l := range t.losses {
 		if l.isExplained || l.at.After(until) {
 			continue
 		}
 		for part := range l.suspects {
-			against[part] = append(against[part], l)
+			if t.begun[part].IsZero() {
+				rare[part] = append(rare[part], l)
+			} else {
+				popular[part] = append(popular[part], l)
+			}
 		}
 	}
-	moments := 0
+	maps.DeleteFunc(rare, func(_ uint64, against []*loss) bool { return len(against) < suspendLosses })
+	if len(rare) > 0 {
+		return partsWithMost(rare)
+	}
+	maps.DeleteFunc(popular, func(_ uint64, against []*loss) bool { return countMoments(against) < confirmLosses })
+	return partsWithMost(popular)
+}
+
+// partsWithMost returns the parts with the most losses, and these losses.
+func partsWithMost(against map[uint64][]*loss) (parts []uint64, losses []*loss) {
 	for _, part := range slices.Sorted(maps.Keys(against)) {
-		count := countMoments(against[part])
 		switch {
-		case count > moments:
-			parts, losses, moments = []uint64{part}, against[part], count
+		case len(against[part]) > len(losses):
+			parts, losses = []uint64{part}, against[part]
 		case slices.Equal(against[part], losses):
 			parts = append(parts, part)
 		}
 	}
-	neverBegun := slices.DeleteFunc(slices.Clone(parts), t.hasBegun)
-	switch {
-	case len(neverBegun) > 0 && moments >= suspendLosses:
-		return neverBegun, losses
-	case moments >= confirmLosses:
-		return parts, losses
-	}
-	return nil, nil
+	return parts, losses
 }
 
 // countMoments returns the number of losses that are at least sameMomentWithin apart.
@@ -126,7 +132,3 @@
 	}
 	return count
 }
-
-// hasBegun reports whether any answer is remembered to have begun on a part. t.mu must be
-// held.
-func (t *Tracker) hasBegun(part uint64) bool { return !t.begun[part].IsZero() }
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -33,6 +33,8 @@
 	// waveSize how many of them end together.
 	killsPerSecond float64
 	waveSize       int
+	// wasSound is set if requests with the crashing part are sound before from.
+	wasSound bool
 	// extraParts is the number of further parts that each crashing request has.
 	extraParts int
 	// from and length are when crashing requests and kills begin, and the end.
@@ -201,6 +203,9 @@
 	if f.documents > 0 {
 		r.parts = append(r.parts, firstDocument+uint64(float64(f.documents)*f.random.Float64()*f.random.Float64()*f.random.Float64()))
 	}
+	if f.wasSound && !isCrashing && f.now.Sub(f.start) < f.from && f.random.IntN(3) == 0 {
+		r.parts = append(r.parts, crashingPart)
+	}
 	if isCrashing {
 		r.parts = append(r.parts, crashingPart)
 		for range f.extraParts {
@@ -323,6 +328,7 @@
 		"small fleet, few requests":       {daemons: 9, upstreams: 13, soundPerSecond: 40, crashingPerSecond: 0.7, documents: 60},
 		"small fleet, few crash at all":   {daemons: 9, upstreams: 13, soundPerSecond: 20, crashingPerSecond: 0.2, documents: 400},
 		"small fleet, flood of parts":     {daemons: 9, upstreams: 13, soundPerSecond: 150, crashingPerSecond: 15, documents: 60, extraParts: 60},
+		"small fleet, dense":              {daemons: 9, upstreams: 9, soundPerSecond: 150, crashingPerSecond: 150, documents: 60},
 		"small fleet, with kills":         {daemons: 9, upstreams: 13, soundPerSecond: 150, crashingPerSecond: 5, documents: 200, killsPerSecond: 0.5},
 		"large fleet":                     {daemons: 295, upstreams: 128, soundPerSecond: 1500, crashingPerSecond: 40, documents: 600},
 		"large fleet, few crash requests": {daemons: 295, upstreams: 128, soundPerSecond: 500, crashingPerSecond: 1, documents: 600},
@@ -344,6 +350,17 @@
 	}
 }
 
+// Guards against a part of prompts that crashes upstreams after it was sound until a moment
+// before, as with a new version of them.
+func TestFleetFindsPartThatWasSound(t *testing.T) {
+	load := fleetLoad{daemons: 9, upstreams: 13, soundPerSecond: 150, crashingPerSecond: 8, documents: 60, wasSound: true}
+	load.from, load.length = 3*time.Second, lengthFor(load.daemons)
+	for seed := range uint64(20) {
+		r := simulate(t, load, seed)
+		assert.Check(t, r.late <= 3, "seed %d: %d late requests: %+v", seed, r.late, r)
+	}
+}
+
 // Guards against sound requests that are refused because upstreams end for other reasons,
 // one after the other or many at a time, while requests run on them.
 func TestKillsBlameNoPart(t *testing.T) {
