Log the request limit that an upstream names in its responses

The logs cannot tell which daemon an upstream told of its limit, and when: the header is not read. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -43,6 +43,9 @@
 	excluded []string
 	// upstreamName is the upstream of the last attempt.
 	upstreamName string
+	// upstreamLimit is the request limit that the upstream of the last response named, or
+	// nil.
+	upstreamLimit *float64
 	// status is the status of the response to the caller.
 	status int
 	// reason is the last failure, for the log; it is empty if there was none.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -54,6 +54,9 @@
 	if x.workspace != nil {
 		fields = append(fields, "workspace", x.workspace.Name)
 	}
+	if x.upstreamLimit != nil {
+		fields = append(fields, "upstreamLimit", *x.upstreamLimit)
+	}
 	if x.firstEvent > 0 {
 		fields = append(fields, "firstMs", x.firstEvent.Milliseconds(), "lastEvent", x.lastEventID)
 	}
--- a/internal/gateway/response_info.go
+++ b/internal/gateway/response_info.go
@@ -15,4 +15,7 @@
 	Misdirected bool
 	// Load is the upstream's load, or nil if the response does not report it.
 	Load *membership.Load
+	// RequestLimit is the number of requests per second that the upstream takes from all
+	// daemons together, or nil if it names none.
+	RequestLimit *float64
 }
