--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -76,6 +76,7 @@
 	mu              sync.Mutex
 	fault           Fault
 	faultsRemaining int
+	limit           float64
 	executions      []Execution
 	canceledCount   int
 }
@@ -88,6 +89,22 @@
 	r.fault, r.faultsRemaining = f, times
 }
 
+// SetLimit makes the responses name a limit of requests per second; 0 means none.
+func (r *Runner) SetLimit(limit float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = limit
+}
+
+// addLimit adds the limit to the header of a response, if there is one.
+func (r *Runner) addLimit(h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
+	}
+}
+
 // Executions returns the requests whose execution the runner has started, in order.
 func (r *Runner) Executions() []Execution {
 	r.mu.Lock()
@@ -127,6 +144,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	r.addLimit(w.Header())
 	fault := r.takeFault()
 	if fault == FaultQueueFull {
 		w.Header().Set("X-Not-Executed", "1")
