Keep the fleet within the limit that an upstream names

No caller was failed for it.

Cause: the header was not read; and no daemon could have kept a limit for all by itself.

Design: the limiter for upstreams that have just started did the related work and now does both (internal/warmup is renamed to internal/upstreamlimit). A daemon that sees a limit tells the others by the same path as crash evidence; the newest response wins, also one without a limit, so an older record cannot bring it back. The upstream is assigned to 1 + limit daemons by rendezvous hashing, each sends one request per interval, and for the others the upstream does not exist, so nothing is refused or repeated for it. A daemon that becomes assigned begins at a random point of its interval.

Ruled out: a limit of 1/N for each daemon (0.18 requests a second each at 9 daemons: their first requests alone exceed the bound at 295); a pool with a call per request, as for quotas (a call to another daemon before each attempt, for a handful of requests a second).

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -26,9 +26,9 @@
 	"rattantide/internal/telemetry"
 	"rattantide/internal/truetime"
 	"rattantide/internal/upstreamconn"
+	"rattantide/internal/upstreamlimit"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
-	"rattantide/internal/warmup"
 	"rattantide/platform"
 )
 
@@ -91,11 +91,14 @@
 	upstreams       *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
 	evacuations *fleetsync.EvacuationSync
-	// warmup limits the requests to upstreams that have just started.
-	warmup     *warmup.Limiter
-	quarantine *quarantine.Tracker
-	// evidenceNews wakes spreadEvidence.
-	evidenceNews chan struct{}
+	// upstreamLimit limits the requests to upstreams that have just started, and to those
+	// with a limit in namedLimits.
+	upstreamLimit *upstreamlimit.Limiter
+	namedLimits   *upstreamlimit.Named
+	quarantine    *quarantine.Tracker
+	// news wakes spreadNews, and haveLimitsChanged makes it apply the limits of upstreams.
+	news              chan struct{}
+	haveLimitsChanged atomic.Bool
 	// upstreamsListed reports whether the list of upstreams was read.
 	upstreamsListed atomic.Bool
 	// registeredAt is when the entries of the other daemons were first read, so that the
@@ -137,6 +140,7 @@
 	if err := d.listen(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	d.news = make(chan struct{}, 1)
 	d.buildState()
 	d.buildQuarantine()
 	if err := d.buildPeers(); err != nil {
@@ -200,7 +204,8 @@
 		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReaderRank: d.readerRank, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
-	d.warmup = warmup.NewLimiter(s.Name, bootclock.Now)
+	d.upstreamLimit = upstreamlimit.NewLimiter(s.Name, bootclock.Now)
+	d.namedLimits = upstreamlimit.NewNamed(upstreamlimit.NamedOptions{OnChange: d.announceLimits, Now: bootclock.Now, Logger: d.logger})
 	if s.Bounds.EvacuateWithin > 0 {
 		d.evacuations = fleetsync.NewEvacuationSync(fleetsync.EvacuationOptions{
 			Store: d.store, Kind: platform.EvacuationKind, ReaderRank: d.readerRank, OnChange: d.applyMembers,
@@ -300,7 +305,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, WarmUp: d.warmup, Quarantine: d.quarantine, KeysValidFor: d.keysValidFor,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, Quarantine: d.quarantine, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, IsDraining: d.draining.Load,
 	})
 }
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -8,7 +8,7 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peering"
-	"rattantide/internal/warmup"
+	"rattantide/internal/upstreamlimit"
 	"rattantide/platform"
 )
 
@@ -59,9 +59,9 @@
 			Role: membership.RoleDaemon, State: membership.StateLive,
 		})
 	}
-	d.limitStarting(list.Instances)
+	d.limitUpstreams(list.Instances)
 	for _, u := range d.knownUpstreams() {
-		if d.isEvacuated(u.Domain) || !d.warmup.IsAssigned(u.Name) {
+		if d.isEvacuated(u.Domain) || !d.upstreamLimit.IsAssigned(u.Name) {
 			// Requests in progress end by themselves.
 			u.State = membership.StateLeaving
 		}
@@ -72,23 +72,33 @@
 	d.chooseQuotaPools(peers)
 }
 
-// limitStarting updates the limit for upstreams that have just started.
-func (d *Daemon) limitStarting(daemons []membership.Instance) {
+// limitUpstreams updates the limits of the upstreams: of those that have just started, and
+// of those that name one.
+func (d *Daemon) limitUpstreams(daemons []membership.Instance) {
 	config, _ := d.holder.Current()
 	if config == nil {
 		return
 	}
-	var starting []warmup.Upstream
+	var limits []upstreamlimit.Limit
 	for _, u := range d.knownUpstreams() {
-		if service := config.Services[u.Pool]; u.IsStarting && service != nil && service.StartingPerSecond > 0 {
-			starting = append(starting, warmup.Upstream{Name: u.Name, RequestsPerSecond: service.StartingPerSecond * d.bounds.Load().StartOvershoot, Duration: service.StartDuration})
+		named, isNamed := d.namedLimits.Limit(u.Name)
+		service := config.Services[u.Pool]
+		switch {
+		case u.IsStarting && service != nil && service.StartingPerSecond > 0:
+			tolerated := service.StartingPerSecond * d.bounds.Load().StartOvershoot
+			if isNamed {
+				tolerated = min(tolerated, named)
+			}
+			limits = append(limits, upstreamlimit.Limit{Upstream: u.Name, RequestsPerSecond: tolerated, IsStarting: true, Duration: service.StartDuration})
+		case isNamed:
+			limits = append(limits, upstreamlimit.Limit{Upstream: u.Name, RequestsPerSecond: named})
 		}
 	}
 	names := make([]string, len(daemons))
 	for i := range daemons {
 		names[i] = daemons[i].Name
 	}
-	d.warmup.Update(starting, names)
+	d.upstreamLimit.Update(limits, names)
 }
 
 // isEvacuated reports whether nothing may be sent to the upstreams of a failure domain.
@@ -118,6 +128,9 @@
 		r.Evacuation = d.evacuations.Report()
 	}
 	r.Quarantine = d.encodeEvidence()
+	if limits := d.namedLimits.Records(); len(limits) > 0 {
+		r.UpstreamLimits = d.encodePart("limits", limits)
+	}
 	if moves := d.follower.Snapshot(); len(moves) > 0 && d.readsStore() && !r.StoreUnavailable {
 		r.MoveStates = d.encodePart("moves", moves)
 	}
@@ -170,7 +183,7 @@
 	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
 	d.applyMoves(r)
-	d.applyEvidence(r, receivedAt)
+	d.applyNews(r, receivedAt)
 	d.applyVersionTallies(r)
 	d.applyLatencies(r)
 	d.ledger.Merge(r.ProcessName(), usageWindows(r.RequestCounts))
--- /dev/null
+++ b/internal/fleetdaemon/news.go
@@ -0,0 +1,65 @@
+package fleetdaemon
+
+import (
+	"context"
+	"time"
+
+	"rattantide/internal/peering"
+	"rattantide/internal/quarantine"
+	"rattantide/internal/upstreamlimit"
+)
+
+const (
+	// spreadFanout is the number of daemons that news is sent to at once; each of them
+	// passes on what is new to it.
+	spreadFanout = 8
+	// spreadInterval is the minimum time between two sendings of news.
+	spreadInterval = 100 * time.Millisecond
+)
+
+// announceNews makes spreadNews send this daemon's report soon.
+func (d *Daemon) announceNews() {
+	select {
+	case d.news <- struct{}{}:
+	default:
+	}
+}
+
+// announceLimits is announceNews for limits that upstreams name.
+func (d *Daemon) announceLimits() {
+	d.haveLimitsChanged.Store(true)
+	d.announceNews()
+}
+
+// spreadNews applies and sends news until ctx ends, and returns nil.
+func (d *Daemon) spreadNews(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.news:
+		}
+		if d.haveLimitsChanged.Swap(false) {
+			d.applyMembers()
+		}
+		d.peers.Spread(spreadFanout)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(spreadInterval):
+		}
+	}
+}
+
+// applyNews adds what the report of another daemon, which was created at about the time
+// at, tells of parts that crash upstreams and of limits that upstreams name.
+func (d *Daemon) applyNews(r peering.Report, at time.Time) {
+	var evidence quarantine.Evidence
+	if d.decodePart(r, "quarantine", r.Quarantine, &evidence) {
+		d.quarantine.Merge(&evidence, at)
+	}
+	var limits []upstreamlimit.Record
+	if d.decodePart(r, "limits", r.UpstreamLimits, &limits) {
+		d.namedLimits.Merge(limits, at)
+	}
+}
--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -37,10 +37,10 @@
 }
 
 // handlePeerRequest processes the report that a request from another daemon contains: its
-// evidence of parts that crash upstreams, and whether that daemon takes its quotas from
+// news, and whether that daemon takes its quotas from
 // this daemon's pool.
 func (d *Daemon) handlePeerRequest(r peering.Report) {
-	d.applyEvidence(r, bootclock.Now())
+	d.applyNews(r, bootclock.Now())
 	if r.QuotaSource == d.settings.Name {
 		d.quotaPool.RecordUse(r.Name)
 		return
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -56,7 +56,7 @@
 	group.Go(func() error { return d.peers.Run(workCtx) })
 	group.Go(func() error { return d.leases.Run(workCtx) })
 	group.Go(func() error { return d.registrar.Run(workCtx) })
-	group.Go(func() error { return d.spreadEvidence(workCtx) })
+	group.Go(func() error { return d.spreadNews(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
 	d.startDuties(workCtx, group)
@@ -180,17 +180,18 @@
 	peers := d.peers.Peers()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
-	if d.warmup.EndStarts() {
+	if d.upstreamLimit.EndStarts() {
 		d.applyMembers()
 	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
 	d.quotaPool.Tick()
 	d.quarantine.Tick()
-	known := map[string]bool{}
+	addresses, names := map[string]bool{}, map[string]bool{}
 	for _, u := range d.knownUpstreams() {
-		known[u.Address] = true
+		addresses[u.Address], names[u.Name] = true, true
 	}
-	d.conns.Sweep(func(address string) bool { return known[address] })
+	d.conns.Sweep(func(address string) bool { return addresses[address] })
+	d.namedLimits.Tick(func(upstream string) bool { return names[upstream] })
 	self := peering.Report{Name: d.settings.Name, Process: d.process}
 	d.versionLedger.Set(self.ProcessName(), d.versionRecorder.Tallies())
 	d.ledger.Merge(self.ProcessName(), d.counter.Windows(usageWindowsSent))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,8 +36,8 @@
 	defer cancel(nil)
 	a := &upstreamAttempt{exchange: x, choice: choice, sentAt: time.Now()}
 	x.upstreamName = choice.Upstream.Name
-	if w := x.server.opts.WarmUp; w != nil && !w.Allow(choice.Upstream.Name) {
-		x.reason = "upstream has just started"
+	if l := x.server.opts.UpstreamLimit; l != nil && !l.Allow(choice.Upstream.Name) {
+		x.reason = "upstream has reached its limit"
 		outcome := a.endExcluded(dispatch.StatusBusy)
 		outcome.notSent = true
 		return outcome
@@ -211,7 +211,7 @@
 func (a *upstreamAttempt) handleResponse(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
 	x := a.exchange
 	info := x.server.opts.Codec.DecodeResponse(response.Status, response.Header)
-	x.upstreamLimit = info.RequestLimit
+	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
 	if info.Load != nil && x.server.opts.Loads != nil {
 		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
 	}
@@ -237,6 +237,15 @@
 	return a.relayResponse(ctx, response)
 }
 
+// recordUpstreamLimit records the limit that a response names, unless the response is that
+// of another upstream or to another request.
+func (x *exchange) recordUpstreamLimit(upstream string, info ResponseInfo) {
+	x.upstreamLimit = info.RequestLimit
+	if x.server.opts.LimitRecorder != nil && !info.Misdirected && info.AttemptID == x.call.AttemptID {
+		x.server.opts.LimitRecorder.Observe(upstream, info.RequestLimit)
+	}
+}
+
 // handleNotRun handles a response that states that the request did not run.
 func (a *upstreamAttempt) handleNotRun(response *upstreamconn.Response, info ResponseInfo) attemptOutcome {
 	a.exchange.reason = "upstream refused the request: " + http.StatusText(response.Status)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -151,8 +151,8 @@
 		AcceptedAt: x.receivedAt, Deadline: x.deadline, Attempt: x.attempts, ReachedAttempts: x.sends, Exclude: x.excluded,
 		ResumedTokens: x.eventsSent, Priority: &priority,
 	}
-	if w := x.server.opts.WarmUp; w != nil {
-		r.Exclude = append(w.Blocked(), x.excluded...)
+	if l := x.server.opts.UpstreamLimit; l != nil {
+		r.Exclude = append(l.Blocked(), x.excluded...)
 	}
 	if x.call.ExpectedTokens > 0 {
 		r.MaxTokens = min(r.MaxTokens, x.call.ExpectedTokens)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -92,10 +92,10 @@
 // startingUpstreams holds the names of upstreams that may receive no requests at present.
 type startingUpstreams map[string]bool
 
-// Blocked implements gateway.WarmUp. It returns none, like one that changes afterwards.
+// Blocked implements gateway.UpstreamLimit. It returns none, like one that changes afterwards.
 func (s startingUpstreams) Blocked() []string { return nil }
 
-// Allow implements gateway.WarmUp.
+// Allow implements gateway.UpstreamLimit.
 func (s startingUpstreams) Allow(upstream string) bool { return !s[upstream] }
 
 // fixture is a gateway with two upstreams.
@@ -145,7 +145,7 @@
 	pools := &upstreamconn.Pools{}
 	t.Cleanup(pools.Close)
 	s := httptest.NewServer(gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, WarmUp: f.starting, Quarantine: f.quarantine,
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamLimit: f.starting, Quarantine: f.quarantine,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow, IsDraining: func() bool { return false },
 	}))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -37,17 +37,24 @@
 	SetLoad(upstream string, load membership.Load)
 }
 
-// WarmUp limits the requests to upstreams that have just started. Implementations are
-// safe for concurrent use.
-type WarmUp interface {
+// UpstreamLimit limits the requests to upstreams that take few of them from all daemons
+// together. Implementations are safe for concurrent use.
+type UpstreamLimit interface {
 	// Blocked returns the upstreams to which no request may be sent now.
 	Blocked() []string
 	// Allow reports whether a request may be sent to an upstream now, and counts it.
 	Allow(upstream string) bool
 }
 
-// Options configures a Server. All fields except ConnLimit, Usage, Loads, WarmUp and
-// Quarantine are required.
+// LimitRecorder stores the limits that upstreams name in their responses. Implementations
+// are safe for concurrent use.
+type LimitRecorder interface {
+	// Observe records what a response of an upstream names; nil stands for no limit.
+	Observe(upstream string, requestsPerSecond *float64)
+}
+
+// Options configures a Server. All fields except ConnLimit, Usage, Loads,
+// UpstreamLimit, LimitRecorder and Quarantine are required.
 type Options struct {
 	Codec   Codec
 	Config  *fleetconfig.Holder
@@ -59,7 +66,9 @@
 	Quota     Quota
 	Usage     Usage
 	Loads     LoadRecorder
-	WarmUp    WarmUp
+	// UpstreamLimit is asked before each attempt, and LimitRecorder told of each response.
+	UpstreamLimit UpstreamLimit
+	LimitRecorder LimitRecorder
 	// Quarantine keeps requests that crash upstreams from them; nil means that it does not.
 	Quarantine *quarantine.Tracker
 	// KeysValidFor returns how long keys may be accepted after the configuration
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -41,6 +41,8 @@
 	Evacuation *Evacuation `json:"ec,omitempty"`
 	// Quarantine holds the encoded evidence of parts of prompts that crash upstreams.
 	Quarantine json.RawMessage `json:"qt,omitempty"`
+	// UpstreamLimits holds the encoded limits that upstreams name.
+	UpstreamLimits json.RawMessage `json:"ul,omitempty"`
 	// MoveStates holds the encoded states of version moves if the daemon reads the
 	// store.
 	MoveStates json.RawMessage `json:"mv,omitempty"`
--- a/internal/warmup/limiter_test.go
+++ b/internal/upstreamlimit/limiter_test.go
@@ -1,4 +1,4 @@
-package warmup
+package upstreamlimit
 
 import (
 	"fmt"
@@ -16,7 +16,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(1000, 0)
 		clock := func() time.Time { return now }
-		upstream := Upstream{Name: "u", RequestsPerSecond: float64(rapid.IntRange(2, 40).Draw(t, "tolerated")), Duration: time.Minute}
+		upstream := Limit{Upstream: "u", RequestsPerSecond: float64(rapid.IntRange(2, 40).Draw(t, "tolerated")), IsStarting: true, Duration: time.Minute}
 		names := make([]string, rapid.IntRange(1, 300).Draw(t, "daemons"))
 		for i := range names {
 			names[i] = fmt.Sprintf("d%d", i)
@@ -29,7 +29,7 @@
 				view = names[split:]
 			}
 			limiters[i] = NewLimiter(name, clock)
-			limiters[i].Update([]Upstream{upstream}, view)
+			limiters[i].Update([]Limit{upstream}, view)
 		}
 		var sent []time.Time
 		for range 40 {
@@ -55,7 +55,7 @@
 func TestOnlyStartingUpstreamsAreLimited(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := NewLimiter("d", func() time.Time { return now })
-	starting := []Upstream{{Name: "u", RequestsPerSecond: 4, Duration: 3 * time.Second}}
+	starting := []Limit{{Upstream: "u", RequestsPerSecond: 4, IsStarting: true, Duration: 3 * time.Second}}
 	l.Update(starting, []string{"d"})
 	assert.Assert(t, l.Blocked() == nil)
 	assert.Assert(t, l.Allow("u") && !l.Allow("u"))
@@ -63,7 +63,7 @@
 	for range 2 {
 		assert.Assert(t, l.Allow("v"))
 	}
-	now = now.Add(interval)
+	now = now.Add(startingInterval)
 	assert.Assert(t, l.Allow("u"))
 	l.Update(nil, []string{"d"})
 	for range 2 {
