--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -61,11 +62,13 @@
 	Logger *log.Logger
 }
 
-// Controller decides the moves while this daemon holds the duty. It is not safe
-// for concurrent use.
+// Controller decides the moves while this daemon holds the duty. Except for IsRunning, it
+// is not safe for concurrent use.
 type Controller struct {
 	opts  ControllerOptions
 	moves map[string]*trackedMove
+	// running holds the set of services with a declared move that has not ended.
+	running atomic.Pointer[map[string]bool]
 }
 
 // trackedMove is the holder's record of a move.
@@ -95,6 +98,7 @@
 func (c *Controller) reconcile(ctx context.Context) {
 	if _, ok := c.opts.Held(); !ok {
 		clear(c.moves)
+		c.running.Store(nil)
 		return
 	}
 	declared, err := c.opts.Declarations.Moves(ctx)
@@ -102,6 +106,7 @@
 		c.opts.Logger.Warn("cannot read the declared moves; trying again at the next pass", "error", err)
 		return
 	}
+	c.recordRunning(declared)
 	for _, d := range declared {
 		if d.Ended {
 			continue
@@ -112,6 +117,25 @@
 	}
 }
 
+// recordRunning records the services whose moves have not ended.
+func (c *Controller) recordRunning(declared []Declaration) {
+	running := map[string]bool{}
+	for _, d := range declared {
+		if !d.Ended {
+			running[d.Service] = true
+		}
+	}
+	c.running.Store(&running)
+}
+
+// IsRunning reports whether a service has a declared move that has not ended, as far as
+// this daemon holds the duty. Unlike the rest of the Controller it is safe for concurrent
+// use. It is true before any upstream of the new version is known.
+func (c *Controller) IsRunning(service string) bool {
+	running := c.running.Load()
+	return running != nil && (*running)[service]
+}
+
 // advance decides the next state of a move, and writes and reports it if it has
 // changed.
 func (c *Controller) advance(ctx context.Context, d Declaration) error {
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -87,3 +87,25 @@
 		assert.Equal(t, declarations.reported[len(declarations.reported)-1], PhaseDone)
 	})
 }
+
+// Guards against orders of upstreams in the first moments of a move: they can remove the
+// upstreams of the new version before these are listed, so that the move cannot succeed.
+func TestDeclaredMoveIsRunningBeforeItsUpstreams(t *testing.T) {
+	declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v3", Within: 14 * time.Second}}}
+	isHeld := true
+	c := NewController(ControllerOptions{
+		Declarations: declarations, Store: objecttest.New(), Ledger: NewLedger(), Upstreams: upstreams, Now: time.Now,
+		Held: func() (int64, bool) { return 1, isHeld }, Logger: telemetry.Discard(),
+	})
+	assert.Assert(t, !c.IsRunning("s"))
+	c.reconcile(t.Context())
+	assert.Assert(t, c.IsRunning("s") && !c.IsRunning("other"))
+	declarations.moves[0].Ended = true
+	c.reconcile(t.Context())
+	assert.Assert(t, !c.IsRunning("s"))
+	declarations.moves[0].Ended = false
+	c.reconcile(t.Context())
+	isHeld = false
+	c.reconcile(t.Context())
+	assert.Assert(t, !c.IsRunning("s"))
+}
