Judge a new version by the times between events too

Change: a version is also too slow if the geometric mean of the times between events is 2.5 times that of the old one, from 15 answers on; few slow upstreams change it little. The log line of a change has both means.

Test: TestVersionWithSlowEvents; before the change: running != undone, several times slower.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -159,7 +159,8 @@
 		}
 		c.opts.Logger.Info("version move changed state", "service", d.Service, "from", next.From, "to", next.To, "phase", next.Phase,
 			"share", next.Share, "reason", next.Reason, "oldAnswers", oldTotal.Answers, "oldFailures", oldTotal.Failures,
-			"newAnswers", newTotal.Answers, "newFailures", newTotal.Failures)
+			"newAnswers", newTotal.Answers, "newFailures", newTotal.Failures,
+			"oldFirstMs", oldTotal.meanFirstMs(), "newFirstMs", newTotal.meanFirstMs(), "oldGapMs", oldTotal.typicalGapMs(), "newGapMs", newTotal.typicalGapMs())
 		m.oldBaseline, m.newBaseline = oldTotal, newTotal
 	}
 	if m.reportedPhase != m.state.Phase {
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -20,12 +20,16 @@
 	// version.
 	minFailures = 6
 	// The new version is too slow if its mean time to the first answer exceeds
-	// both minSlowMs milliseconds and slowFactor times that of the old version.
+	// both minSlowMs milliseconds and slowFactor times that of the old version, or its
+	// typical time between two events exceeds slowFactor times that of the old version.
 	slowFactor = 2.5
 	minSlowMs  = 60.0
 	// minAnswers is the minimum number of answers of a version for its latency
 	// to be judged, and of the new version for it to be accepted at the deadline.
 	minAnswers = 30
+	// minGapAnswers is the same for the times between events. They hardly depend on the
+	// prompt, so that fewer answers tell.
+	minGapAnswers = 15
 	// canaryShare is the share of the traffic that the new version gets until
 	// the move is decided. Operators allow a bad version a tenth of all requests
 	// of the move, so a larger share cannot be risked before.
@@ -112,6 +116,9 @@
 	if e.New.Failures >= minFailures && e.New.failureShare() > e.Old.failureShare()+maxFailureExcess {
 		return true
 	}
+	if e.New.Gaps >= minGapAnswers && e.Old.Gaps >= minAnswers && e.New.typicalGapMs() > slowFactor*e.Old.typicalGapMs() {
+		return true
+	}
 	newMean := e.New.meanFirstMs()
 	return e.New.Answers >= minAnswers && e.Old.Answers >= minAnswers && newMean > minSlowMs && newMean > slowFactor*e.Old.meanFirstMs()
 }
--- a/internal/versionmove/decide_test.go
+++ b/internal/versionmove/decide_test.go
@@ -1,10 +1,13 @@
 package versionmove
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rattantide/internal/dispatch"
 )
 
 // evidence returns Evidence in which 6.5% of the old version's attempts failed and its
@@ -60,3 +63,40 @@
 	e.Old = Tally{Answers: 500, Failures: 100, FirstMs: 40_000}
 	assert.Equal(t, Decide(running, e).Phase, PhaseRunning)
 }
+
+// gapTally returns the tally of answers with these times between two events and 90 ms to
+// the first one.
+func gapTally(gapsMs ...float64) Tally {
+	r := &Recorder{}
+	for _, gap := range gapsMs {
+		r.Observe(dispatch.Observation{
+			Pool: "s", Version: "v", Outcome: dispatch.StatusOK, FirstToken: 90 * time.Millisecond,
+			BetweenTokens: time.Duration(gap * float64(time.Millisecond)),
+		})
+	}
+	return r.Tallies()[Key("s", "v")]
+}
+
+// Guards against a version whose events are several times slower and that is found late,
+// as the time to the first event is mostly that of the prompt and of the network, and
+// against a sound version that is taken back for one slow upstream or a busy moment.
+func TestVersionWithSlowEvents(t *testing.T) {
+	repeat := func(count int, gapMs float64) []float64 { return slices.Repeat([]float64{gapMs}, count) }
+	running := State{Phase: PhaseRunning, Share: canaryShare}
+	for name, c := range map[string]struct {
+		gaps []float64
+		want Phase
+	}{
+		"several times slower":      {repeat(16, 72), PhaseUndone},
+		"too few answers":           {repeat(10, 72), PhaseRunning},
+		"half as fast":              {repeat(40, 40), PhaseRunning},
+		"as fast":                   {repeat(40, 20), PhaseRunning},
+		"one upstream stands still": {append(repeat(37, 22), repeat(3, 2000)...), PhaseRunning},
+		"events arrive together":    {append(repeat(30, 20), repeat(10, 0.01)...), PhaseRunning},
+	} {
+		e := evidence(gapTally(c.gaps...))
+		e.Elapsed = 3 * time.Second
+		e.Old = gapTally(append(repeat(90, 20), repeat(10, 60)...)...)
+		assert.Equal(t, Decide(running, e).Phase, c.want, name)
+	}
+}
--- a/internal/versionmove/tally.go
+++ b/internal/versionmove/tally.go
@@ -1,11 +1,16 @@
 package versionmove
 
 import (
+	"math"
 	"sync"
+	"time"
 
 	"rattantide/internal/dispatch"
 )
 
+// minGapMs bounds the logarithm of the time between two events from below.
+const minGapMs = 1.0
+
 // Tally counts the results of a version's attempts. Counts never decrease while a
 // process runs.
 type Tally struct {
@@ -15,16 +20,26 @@
 	Failures int64 `json:"f"`
 	// FirstMs is the sum of the times to the first answer, in milliseconds.
 	FirstMs int64 `json:"t"`
+	// Gaps counts the answers of several events, and GapLogSum is the sum of the natural
+	// logarithms of their mean times between two events, in milliseconds.
+	Gaps      int64   `json:"g,omitempty"`
+	GapLogSum float64 `json:"l,omitempty"`
 }
 
 // add returns the sum of two tallies.
 func (t Tally) add(o Tally) Tally {
-	return Tally{Answers: t.Answers + o.Answers, Failures: t.Failures + o.Failures, FirstMs: t.FirstMs + o.FirstMs}
+	return Tally{
+		Answers: t.Answers + o.Answers, Failures: t.Failures + o.Failures, FirstMs: t.FirstMs + o.FirstMs,
+		Gaps: t.Gaps + o.Gaps, GapLogSum: t.GapLogSum + o.GapLogSum,
+	}
 }
 
 // since returns the difference from an earlier tally.
 func (t Tally) since(o Tally) Tally {
-	return Tally{Answers: t.Answers - o.Answers, Failures: t.Failures - o.Failures, FirstMs: t.FirstMs - o.FirstMs}
+	return Tally{
+		Answers: t.Answers - o.Answers, Failures: t.Failures - o.Failures, FirstMs: t.FirstMs - o.FirstMs,
+		Gaps: t.Gaps - o.Gaps, GapLogSum: t.GapLogSum - o.GapLogSum,
+	}
 }
 
 // attempts returns the number of answers and failures.
@@ -47,6 +62,15 @@
 	return float64(t.FirstMs) / float64(t.Answers)
 }
 
+// typicalGapMs returns the geometric mean of the times between two events in milliseconds,
+// 0 without answers of several events. A few slow upstreams change it little.
+func (t Tally) typicalGapMs() float64 {
+	if t.Gaps == 0 {
+		return 0
+	}
+	return math.Exp(t.GapLogSum / float64(t.Gaps))
+}
+
 // Key returns the map key of a version of a service.
 func Key(service, version string) string { return service + "/" + version }
 
@@ -67,6 +91,9 @@
 			first = o.Total
 		}
 		t = Tally{Answers: 1, FirstMs: first.Milliseconds()}
+		if o.BetweenTokens > 0 {
+			t.Gaps, t.GapLogSum = 1, math.Log(max(minGapMs, float64(o.BetweenTokens)/float64(time.Millisecond)))
+		}
 	case dispatch.StatusError, dispatch.StatusCrash, dispatch.StatusTimeout:
 		t = Tally{Failures: 1}
 	default:
