Judge moves four times a second and tell their states at once

Cause: between the evidence and the last request to a version that was taken back stood up to four steps, each at its own pace: the holder judged once a second, its own table of moves was read again from the store up to a second later, the relays read it once a second, and the other daemons asked those every half second.

Change: the holder judges each 250 ms without reading the store, applies what it writes at once, and it goes out by the path of the other news; every daemon passes states on, only those of relays count as current. States of services with one version are ignored.

Tests: TestVerdictTakesEffectSoon (0.3 s), TestForgottenMoveStaysForgotten, TestPassedOnStateIsNotCurrent.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -268,7 +268,7 @@
 	d.versionLedger = versionmove.NewLedger()
 	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, ReadsStore: func() bool { return d.readerRank() == 0 }, Now: bootclock.Now, Logger: d.logger}
 	d.view = &viewSource{holder: d.holder, moves: d.follower.States}
-	d.follower.OnChange = d.view.invalidate
+	d.follower.OnChange = d.applyMoveChange
 }
 
 // buildQuota builds the components that enforce the quotas of workspaces.
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -131,7 +131,7 @@
 	if limits := d.namedLimits.Records(); len(limits) > 0 {
 		r.UpstreamLimits = d.encodePart("limits", limits)
 	}
-	if moves := d.follower.Snapshot(); len(moves) > 0 && d.readsStore() && !r.StoreUnavailable {
+	if moves := d.follower.Snapshot(); len(moves) > 0 {
 		r.MoveStates = d.encodePart("moves", moves)
 	}
 	if full {
@@ -182,7 +182,6 @@
 		d.chooseRelays(d.peers.Peers())
 	}
 	d.clock.Observe(r.Name, time.UnixMilli(r.WallMs), sentAt.Add(receivedAt.Sub(sentAt)/2))
-	d.applyMoves(r)
 	d.applyNews(r, receivedAt)
 	d.applyVersionTallies(r)
 	d.applyLatencies(r)
--- /dev/null
+++ b/internal/fleetdaemon/moves.go
@@ -0,0 +1,26 @@
+package fleetdaemon
+
+import "rattantide/internal/versionmove"
+
+// regularlyKnownDaemons is the number of other daemons up to which regular requests reach
+// each of them about once a second.
+const regularlyKnownDaemons = 16
+
+// applyMoveChange applies a change of a version move, and makes this daemon tell of it.
+func (d *Daemon) applyMoveChange() {
+	d.view.invalidate()
+	d.announceNews()
+}
+
+// applyWrittenMove applies a state that this daemon has written to the store as the holder
+// of the duties.
+func (d *Daemon) applyWrittenMove(service string, s versionmove.RevisionedState) {
+	d.follower.Merge(map[string]versionmove.RevisionedState{service: s}, true)
+}
+
+// collectTallies requests the tallies of all daemons if regular requests would take long.
+func (d *Daemon) collectTallies() {
+	if d.peers.PeerCount() > regularlyKnownDaemons {
+		d.peers.Collect(true)
+	}
+}
--- a/internal/fleetdaemon/report_parts.go
+++ b/internal/fleetdaemon/report_parts.go
@@ -33,11 +33,11 @@
 	return true
 }
 
-// applyMoves applies the version moves that another daemon read from the store.
+// applyMoves applies the version moves that another daemon knows.
 func (d *Daemon) applyMoves(r peering.Report) {
 	var moves map[string]versionmove.RevisionedState
 	if d.decodePart(r, "moves", r.MoveStates, &moves) {
-		d.follower.Merge(moves)
+		d.follower.Merge(moves, d.isRelay(r.Name) && !r.StoreUnavailable)
 	}
 }
 
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -17,9 +17,11 @@
 const (
 	// stateKind is the kind of the objects that store the states of moves.
 	stateKind = "moves"
-	// reconcileInterval is the time between two passes of the holder over the
-	// declared moves.
-	reconcileInterval = time.Second
+	// judgeInterval is the time between two passes of the holder over the running moves, and
+	// reconcilePasses the number of passes after which it reads the declared ones again,
+	// which costs a call of the store. Without a running move, each pass awaits one.
+	judgeInterval   = 250 * time.Millisecond
+	reconcilePasses = 4
 	// endMargin is how long before the deadline a move is decided, so that the
 	// outcome can be written in time.
 	endMargin = 1500 * time.Millisecond
@@ -47,13 +49,19 @@
 	ReportPhase(ctx context.Context, d Declaration, phase Phase) error
 }
 
-// ControllerOptions configures a Controller. All fields are required.
+// ControllerOptions configures a Controller. All fields except OnChange and Collect are
+// required.
 type ControllerOptions struct {
 	Declarations Declarations
 	Store        objectclient.Store
 	Ledger       *Ledger
 	// Upstreams returns all known upstreams.
 	Upstreams func() []membership.Instance
+	// OnChange is called with each state that is written. It may be nil.
+	OnChange func(service string, s RevisionedState)
+	// Collect requests the tallies of all daemons. It is called about once a second while a
+	// move is running, and may be nil.
+	Collect func()
 	// Held returns the fencing token; ok is true while this daemon holds the duty.
 	Held func() (fence int64, ok bool)
 	// Now returns the true time, as estimated by package truetime, so that a
@@ -67,6 +75,8 @@
 type Controller struct {
 	opts  ControllerOptions
 	moves map[string]*trackedMove
+	// passes counts the calls of pass.
+	passes int
 	// running holds the set of services with a declared move that has not ended.
 	running atomic.Pointer[map[string]bool]
 }
@@ -78,6 +88,8 @@
 	version int64
 	// reportedPhase is the phase that was last reported to the operator.
 	reportedPhase Phase
+	// declaration is what was read last.
+	declaration Declaration
 	// oldBaseline and newBaseline are the tallies of both versions when this
 	// holder last wrote a change of state.
 	oldBaseline, newBaseline Tally
@@ -90,7 +102,33 @@
 
 // Run reconciles until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	return periodic.Every(ctx, reconcileInterval, c.reconcile)
+	return periodic.Every(ctx, judgeInterval, c.pass)
+}
+
+// pass advances the running moves. It reads the declared ones from time to time, and
+// always if none is running.
+func (c *Controller) pass(ctx context.Context) {
+	c.passes++
+	_, held := c.opts.Held()
+	isJudged := false
+	if held && c.passes%reconcilePasses != 0 {
+		for _, m := range c.moves {
+			if m.state.Phase == PhaseRunning {
+				isJudged = true
+				c.tryAdvance(ctx, m.declaration)
+			}
+		}
+	}
+	if !isJudged {
+		c.reconcile(ctx)
+	}
+}
+
+// tryAdvance advances a move and logs a failure.
+func (c *Controller) tryAdvance(ctx context.Context, d Declaration) {
+	if err := c.advance(ctx, d); err != nil {
+		c.opts.Logger.Warn("cannot advance the version move; trying again at the next pass", "service", d.Service, "to", d.To, "error", err)
+	}
 }
 
 // reconcile advances all declared moves once. Without the duty it discards their
@@ -107,14 +145,16 @@
 		return
 	}
 	c.recordRunning(declared)
+	isRunning := false
 	for _, d := range declared {
-		if d.Ended {
-			continue
-		}
-		if err := c.advance(ctx, d); err != nil {
-			c.opts.Logger.Warn("cannot advance the version move; trying again at the next pass", "service", d.Service, "to", d.To, "error", err)
+		if !d.Ended {
+			isRunning = true
+			c.tryAdvance(ctx, d)
 		}
 	}
+	if isRunning && c.opts.Collect != nil {
+		c.opts.Collect()
+	}
 }
 
 // recordRunning records the services whose moves have not ended.
@@ -143,6 +183,7 @@
 	if err != nil || m == nil {
 		return err
 	}
+	m.declaration = d
 	now := c.opts.Now()
 	oldTotal, newTotal := c.opts.Ledger.Total(d.Service, m.state.From), c.opts.Ledger.Total(d.Service, d.To)
 	_, ready := sourceVersion(c.opts.Upstreams(), d.Service, d.To)
@@ -224,6 +265,9 @@
 		return errors.Trace(err)
 	}
 	m.state, m.version = next, stored.Version
+	if c.opts.OnChange != nil {
+		c.opts.OnChange(next.Service, RevisionedState{State: next, Revision: stored.Version})
+	}
 	return nil
 }
 
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -109,3 +109,27 @@
 	c.reconcile(t.Context())
 	assert.Assert(t, !c.IsRunning("s"))
 }
+
+// Guards against a bad version that gets requests long after the evidence against it has
+// reached the holder of the duties: the bound of operators starts with its bad answers.
+func TestVerdictTakesEffectSoon(t *testing.T) {
+	const limit = 300 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		store, ledger := objecttest.New(), NewLedger()
+		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
+		follower := &Follower{Store: store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+		c := newHolderController(store, ledger, declarations)
+		c.opts.OnChange = func(service string, s RevisionedState) {
+			follower.Merge(map[string]RevisionedState{service: s}, true)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = c.Run(ctx) }()
+		go func() { _ = follower.Run(ctx) }()
+		time.Sleep(3*time.Second + 10*time.Millisecond)
+		assert.Equal(t, follower.States()["s"].Share, canaryShare)
+		ledger.Set("d/p", map[string]Tally{Key("s", "v2"): {Failures: 20}, Key("s", "v1"): {Answers: 400, FirstMs: 20_000}})
+		time.Sleep(limit)
+		assert.Equal(t, follower.States()["s"].Phase, PhaseUndone)
+	})
+}
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -88,11 +88,21 @@
 	return out
 }
 
-// Merge applies the states that a daemon which reads the store has sent.
-func (f *Follower) Merge(moves map[string]RevisionedState) {
+// Merge applies the states that a daemon has sent. isCurrent reports whether it reads the
+// store, so that there is no newer state. A state of a service without upstreams of two
+// versions is ignored: daemons forget it at different times, and would otherwise bring it
+// back to each other.
+func (f *Follower) Merge(moves map[string]RevisionedState, isCurrent bool) {
+	var receivedAt time.Time
+	if isCurrent {
+		receivedAt = f.Now()
+	}
+	counts := f.versionCounts()
 	changed := false
 	for service, state := range moves {
-		changed = f.set(service, state, f.Now()) || changed
+		if len(counts[service]) >= 2 {
+			changed = f.set(service, state, receivedAt) || changed
+		}
 	}
 	if changed && f.OnChange != nil {
 		f.OnChange()
@@ -109,15 +119,8 @@
 // reconcile drops the moves of services with a single version and refreshes the
 // others from the store where no other daemon has sent a recent state.
 func (f *Follower) reconcile(ctx context.Context) {
-	live := map[string]map[string]int{}
-	for _, u := range f.Upstreams() {
-		if live[u.Pool] == nil {
-			live[u.Pool] = map[string]int{}
-		}
-		live[u.Pool][u.Version]++
-	}
 	changed, failed := false, false
-	for service, counts := range live {
+	for service, counts := range f.versionCounts() {
 		if len(counts) < 2 {
 			changed = f.forget(service) || changed
 			continue
@@ -145,6 +148,18 @@
 	}
 }
 
+// versionCounts returns the number of known upstreams by service and version.
+func (f *Follower) versionCounts() map[string]map[string]int {
+	counts := map[string]map[string]int{}
+	for _, u := range f.Upstreams() {
+		if counts[u.Pool] == nil {
+			counts[u.Pool] = map[string]int{}
+		}
+		counts[u.Pool][u.Version]++
+	}
+	return counts
+}
+
 // forget drops the move of a service and reports whether there was one.
 func (f *Follower) forget(service string) bool {
 	f.mu.Lock()
--- a/internal/versionmove/follower_test.go
+++ b/internal/versionmove/follower_test.go
@@ -49,7 +49,7 @@
 	f := newFollower(t)
 	running := State{Service: "llm", From: "v1", To: "v2", Phase: PhaseRunning, Share: 0.1}
 	revision := f.write(t, running)
-	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}})
+	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}}, true)
 	before := f.store.Calls().Total()
 	f.reconcile(t.Context())
 	assert.Equal(t, f.store.Calls().Total(), before)
@@ -58,9 +58,9 @@
 	f.store.SetOutage(true)
 	undone := running
 	undone.Phase, undone.Share = PhaseUndone, 0
-	f.Merge(map[string]RevisionedState{"llm": {State: undone, Revision: revision + 1}})
+	f.Merge(map[string]RevisionedState{"llm": {State: undone, Revision: revision + 1}}, true)
 	assert.Assert(t, !f.IsMoving("llm"))
-	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}})
+	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}}, true)
 	assert.Assert(t, !f.IsMoving("llm"), "an older state replaced a newer one")
 }
 
@@ -69,7 +69,7 @@
 	f := newFollower(t)
 	running := State{Service: "llm", From: "v1", To: "v2", Phase: PhaseRunning, Share: 0.1}
 	revision := f.write(t, running)
-	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}})
+	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}}, true)
 	next := running
 	next.Share = 0.5
 	f.write(t, next)
@@ -77,3 +77,28 @@
 	f.reconcile(t.Context())
 	assert.Equal(t, f.States()["llm"].Share, 0.5)
 }
+
+// Guards against daemons that bring a move back to each other after all of them have
+// forgotten it, as the service has upstreams of one version again.
+func TestForgottenMoveStaysForgotten(t *testing.T) {
+	f := newFollower(t)
+	undone := map[string]RevisionedState{"llm": {State: State{Service: "llm", From: "v1", To: "v2", Phase: PhaseUndone}, Revision: 7}}
+	f.Merge(undone, false)
+	assert.Equal(t, len(f.States()), 1)
+	f.Upstreams = func() []membership.Instance { return []membership.Instance{{Name: "a", Pool: "llm", Version: "v1"}} }
+	f.reconcile(t.Context())
+	f.Merge(undone, false)
+	assert.Equal(t, len(f.States()), 0)
+}
+
+// Guards against a state that counts as current because a daemon that does not read the
+// store passes it on.
+func TestPassedOnStateIsNotCurrent(t *testing.T) {
+	f := newFollower(t)
+	running := State{Service: "llm", From: "v1", To: "v2", Phase: PhaseRunning, Share: 0.1}
+	revision := f.write(t, running)
+	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: revision}}, false)
+	before := f.store.Calls().Total()
+	f.reconcile(t.Context())
+	assert.Assert(t, f.store.Calls().Total() > before)
+}
