Order no upstreams while the losing version of a move still has live ones

Cause: at once after the verdict the upstreams of both versions are listed. The capacity orders stated what the load needs (4 on-demand ones), the platform removed others of the old version for it, and seconds later those of the new version left: 1 or 2 a failure domain remained.

Change: nothing is ordered until the losing version has no live upstream, or 15 s.

Test: TestMoveSettlesAfterItsEnd.

--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -106,7 +106,7 @@
 		group.Go(func() error { return reporter.Run(ctx) })
 	}
 	if d.settings.Cloud.OrdersRunners {
-		isPaused := func(service string) bool { return moves.IsRunning(service) || d.follower.IsMoving(service) }
+		isPaused := func(service string) bool { return moves.IsRunning(service) || d.follower.IsUnsettled(service) }
 		controller := autoscale.New(autoscale.Options{
 			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: isPaused, Held: d.fencingToken,
 			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -104,6 +104,14 @@
 	return now.Sub(time.UnixMilli(s.ShareSinceMs))
 }
 
+// loser returns the version that gets no traffic after the end of the move.
+func (s State) loser() string {
+	if s.Phase == PhaseDone {
+		return s.From
+	}
+	return s.To
+}
+
 // end returns the state of a move that ended.
 func (s State) end(phase Phase, share float64, reason string) State {
 	s.Phase, s.Share, s.Reason = phase, share, reason
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// peerStateTTL is how long a state received from another daemon counts as
 	// current. After that the daemon reads the store itself.
 	peerStateTTL = 2500 * time.Millisecond
+	// maxSettleTime is how long after the end of a move the upstreams of the losing version
+	// are expected to leave.
+	maxSettleTime = 15 * time.Second
 )
 
 // RevisionedState is the state of a move as daemons exchange it.
@@ -53,11 +57,13 @@
 	states map[string]followedMove
 }
 
-// followedMove is a cached state and the time at which another daemon last sent
-// it; the time is zero if none has.
+// followedMove is a cached state. receivedAt is when a daemon that reads the store last sent
+// it; zero if none has.
 type followedMove struct {
 	RevisionedState
 	receivedAt time.Time
+	// changedAt is when this daemon learned of the state.
+	changedAt time.Time
 }
 
 // Run refreshes the states until ctx ends.
@@ -116,6 +122,27 @@
 	return f.states[service].State.Phase == PhaseRunning
 }
 
+// IsUnsettled reports whether a service has a running move, or one that ended a short time
+// ago and whose losing version still has live upstreams. The number of upstreams then does
+// not show the capacity.
+func (f *Follower) IsUnsettled(service string) bool {
+	f.mu.Lock()
+	move, known := f.states[service]
+	f.mu.Unlock()
+	if !known || move.State.Phase == PhaseRunning {
+		return known
+	}
+	return f.Now().Sub(move.changedAt) < maxSettleTime && f.hasLiveUpstreams(service, move.State.loser())
+}
+
+// hasLiveUpstreams reports whether a service has upstreams of a version that are not
+// leaving.
+func (f *Follower) hasLiveUpstreams(service, version string) bool {
+	return slices.ContainsFunc(f.Upstreams(), func(u membership.Instance) bool {
+		return u.Pool == service && u.Version == version && u.State != membership.StateLeaving
+	})
+}
+
 // reconcile drops the moves of services with a single version and refreshes the
 // others from the store where no other daemon has sent a recent state.
 func (f *Follower) reconcile(ctx context.Context) {
@@ -194,7 +221,11 @@
 	if receivedAt.IsZero() {
 		receivedAt = previous.receivedAt
 	}
-	f.states[service] = followedMove{RevisionedState: next, receivedAt: receivedAt}
+	changedAt := previous.changedAt
+	if next.State != previous.State {
+		changedAt = f.Now()
+	}
+	f.states[service] = followedMove{RevisionedState: next, receivedAt: receivedAt, changedAt: changedAt}
 	if next.State == previous.State {
 		return false
 	}
--- a/internal/versionmove/follower_test.go
+++ b/internal/versionmove/follower_test.go
@@ -102,3 +102,22 @@
 	f.reconcile(t.Context())
 	assert.Assert(t, f.store.Calls().Total() > before)
 }
+
+// Guards against upstreams of a version that was taken back that count as capacity, so that
+// others are ordered away just before they leave, and against a service whose capacity is
+// never adapted again because one of them stays.
+func TestMoveSettlesAfterItsEnd(t *testing.T) {
+	f := newFollower(t)
+	f.Merge(map[string]RevisionedState{"llm": {State: State{Service: "llm", From: "v1", To: "v2", Phase: PhaseUndone}, Revision: 7}}, false)
+	assert.Assert(t, !f.IsMoving("llm") && f.IsUnsettled("llm"))
+	f.now = f.now.Add(maxSettleTime)
+	f.Merge(map[string]RevisionedState{"llm": {State: State{Service: "llm", From: "v1", To: "v2", Phase: PhaseUndone}, Revision: 7}}, true)
+	assert.Assert(t, !f.IsUnsettled("llm"), "an upstream stays")
+
+	f.Merge(map[string]RevisionedState{"llm": {State: State{Service: "llm", From: "v1", To: "v3", Phase: PhaseDone}, Revision: 8}}, true)
+	assert.Assert(t, f.IsUnsettled("llm"))
+	f.Upstreams = func() []membership.Instance {
+		return []membership.Instance{{Name: "a", Pool: "llm", Version: "v3"}, {Name: "b", Pool: "llm", Version: "v1", State: membership.StateLeaving}}
+	}
+	assert.Assert(t, !f.IsUnsettled("llm"), "the last upstream is leaving")
+}
