Crash runners and let them name limits in the soak

Runners are processes that can crash, one in twelve prompts contains a part that crashes them, and limits come and go. The new faults have a random source of their own, so the seeds keep their other faults.

--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // call is a request of a client and its response. Without a response, status is 0.
@@ -57,6 +59,17 @@
 	}
 }
 
+// promptOf returns the parts of the prompt of a request. All prompts share the first part,
+// many the second, and one in twelve contains crashPart.
+func promptOf(id string) string {
+	hash := xxhash.Sum64String(id)
+	document := "d" + strconv.FormatUint(hash%5, 16)
+	if hash%12 == 0 {
+		document = crashPart
+	}
+	return "5:10," + document + ":10," + strconv.FormatUint(hash, 16) + ":1"
+}
+
 // send sends one request to the front listener of n and returns the call. It does
 // not record it in c.calls.
 func (c *clients) send(ctx context.Context, client *http.Client, n *node, id, kind, key string) call {
@@ -69,6 +82,7 @@
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Deadline-Ms", "2000")
 	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("X-Prompt-Prefix", promptOf(id))
 	// Without GetBody the transport cannot retry a request on its own, which would
 	// look like a duplicate execution.
 	request.GetBody = nil
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -70,7 +70,8 @@
 }
 
 // Guards against violated guarantees to callers while daemons are killed, paused,
-// stopped and reloaded, the store fails, runners misbehave, connections are slow,
+// stopped and reloaded, the store fails, runners misbehave, crash by themselves or under a
+// part of some prompts and limit their requests, connections are slow,
 // silent, partitioned one way or reset, and a clock jumps. The seed determines the
 // order of the faults.
 func TestSoak(t *testing.T) {
@@ -94,11 +95,13 @@
 	}
 	i := &injector{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), faultyNodes: map[*node]bool{}}
 	environment := &environmentInjector{injector: i, random: rand.New(rand.NewPCG(seed, 2))}
+	upstreams := &upstreamInjector{injector: i, random: rand.New(rand.NewPCG(seed, 3))}
 	start := time.Now()
 	var revokedAt time.Time
 	for n := range faultRounds {
 		i.inject()
 		environment.inject()
+		upstreams.inject()
 		if n == faultRounds/3 {
 			f.revokeKey()
 			revokedAt = time.Now()
