Take an empty stream that ends with its connection as broken off

One that crashes before the first event of such an answer, and whose connection is closed in order, looked like a complete, empty stream: the caller got a success without content, and the part of the prompt that had crashed the upstream was taken as cleared of all losses.

Change: without any event, and none sent before, such a stream is broken off: it is sent to another upstream if it may be, and counts as a loss. The end of a connection alone no longer clears parts.

Test: TestEmptyStreamThatEndsWithConnection; before: 200 != 502, request 0.

--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -28,7 +28,7 @@
 	}
 	complete := len(buffered) < maxBufferedBytes
 	if complete {
-		a.reportComplete(response.Status)
+		a.reportComplete(response)
 	}
 	x.writeHead(response, complete, len(buffered))
 	if _, err := x.writer.Write(buffered); err != nil {
@@ -54,7 +54,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			a.reportComplete(response.Status)
+			a.reportComplete(response)
 			return attemptOutcome{isFinal: true}
 		default:
 			return a.handleTruncated(ctx, err)
@@ -62,13 +62,16 @@
 	}
 }
 
-// reportComplete reports a response that was received completely.
-func (a *upstreamAttempt) reportComplete(status int) {
-	if status >= 500 {
+// reportComplete reports a response that was received completely. One that ends with its
+// connection does not show that the upstream survived it.
+func (a *upstreamAttempt) reportComplete(response *upstreamconn.Response) {
+	if response.Status >= 500 {
 		a.report(dispatch.StatusError)
 		return
 	}
-	a.suspicion.RecordBegun()
+	if !response.EndsWithConn {
+		a.suspicion.RecordBegun()
+	}
 	a.report(dispatch.StatusOK)
 }
 
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -38,8 +38,8 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			if response.EndsWithConn && len(splitter.remainder()) > 0 {
-				return a.handleTruncated(ctx, errors.New("connection closed within an event"))
+			if reason := x.brokenOff(response, splitter); reason != nil {
+				return a.handleTruncated(ctx, reason)
 			}
 			return a.finishStream(response, splitter)
 		default:
@@ -48,6 +48,20 @@
 	}
 }
 
+// brokenOff returns why a stream that ended is not complete, or nil. Only the end of the
+// connection, without a length or chunks, leaves that open.
+func (x *exchange) brokenOff(response *upstreamconn.Response, splitter *eventSplitter) error {
+	switch {
+	case !response.EndsWithConn:
+		return nil
+	case len(splitter.remainder()) > 0:
+		return errors.New("connection closed within an event")
+	case x.eventsSent == 0:
+		return errors.New("connection closed before the first event")
+	}
+	return nil
+}
+
 // relayEvents sends complete events to the caller and reports whether they were
 // written.
 func (a *upstreamAttempt) relayEvents(response *upstreamconn.Response, control *http.ResponseController, ready []byte, splitter *eventSplitter) bool {
@@ -96,7 +110,9 @@
 	if a.events == 0 {
 		x.recordUsage()
 	}
-	a.suspicion.RecordBegun()
+	if !response.EndsWithConn {
+		a.suspicion.RecordBegun()
+	}
 	a.report(dispatch.StatusOK)
 	if !x.headSent {
 		x.writeHead(response, false, 0)
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -68,3 +69,25 @@
 		})
 	}
 }
+
+// Guards against a crash that looks like a complete, empty answer because the upstream
+// sends neither a length nor chunks, and against a part of prompts that is taken for sound
+// by such answers.
+func TestEmptyStreamThatEndsWithConnection(t *testing.T) {
+	f := newFixture(t)
+	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+	for i := range f.chooser.upstreams {
+		f.chooser.upstreams[i].Address = serveRaw(t, head, "")
+	}
+	for i := range 4 {
+		f.holder.Confirm(7, f.bootNow())
+		status, _, _, err := f.call("/resume/1", "body", "X-Prompt-Prefix", "5:10,bad:10,1:1")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway, "request %d", i)
+		f.advance(2500 * time.Millisecond)
+	}
+	f.holder.Confirm(7, f.bootNow())
+	status, _, _, err := f.call("/resume/1", "body", "X-Prompt-Prefix", "5:10,bad:10,1:1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+}
