--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -15,9 +15,9 @@
 	maxSentVerdicts  = 64
 )
 
-// settledAge is the age of a loss after which every daemon knows which parts are cleared of
-// it and which one explains it.
-const settledAge = 10 * time.Second
+// spreadTime is the age of a loss from which on every daemon knows which parts are cleared
+// of it and which one explains it, so that this is no longer sent.
+const spreadTime = 10 * time.Second
 
 // Evidence is what one daemon tells another. Ages are in milliseconds, from the creation of
 // the Evidence.
@@ -80,7 +80,7 @@
 // partsToTell returns the parts that a loss counts against, or the one that explains it. It
 // adds the parts that are cleared of the loss to begun. t.mu must be held.
 func (t *Tracker) partsToTell(l *loss, now time.Time, begun map[uint64]time.Time) []uint64 {
-	isRecent := now.Sub(l.at) <= settledAge
+	isRecent := now.Sub(l.at) <= spreadTime
 	if l.isExplained {
 		if isRecent {
 			return []uint64{l.explainedBy}
@@ -159,11 +159,7 @@
 	}
 	v := t.verdicts[r.Part]
 	if v == nil {
-		if len(t.verdicts) >= maxVerdicts {
-			t.removeStalestVerdict()
-		}
-		v = &verdict{part: r.Part}
-		t.verdicts[r.Part] = v
+		v = t.newVerdict(r.Part)
 	}
 	switch {
 	case r.Term > v.term:
--- a/internal/quarantine/loss.go
+++ b/internal/quarantine/loss.go
@@ -106,7 +106,7 @@
 func (t *Tracker) removeExpiredLosses(now time.Time) {
 	t.losses = slices.DeleteFunc(t.losses, func(l *loss) bool {
 		age := now.Sub(l.at)
-		return age > lossRetention || age > settledAge && (l.isExplained || len(l.suspects) == 0)
+		return age > lossRetention || age > spreadTime && (l.isExplained || len(l.suspects) == 0)
 	})
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -12,17 +12,17 @@
 	// maxBegun bounds the parts.
 	begunRetention = time.Minute
 	maxBegun       = 4096
-	// repeatLosses is the number of settled losses against a part after which a request with it is
-	// no longer sent to another upstream.
+	// repeatLosses is the number of settled losses against a part after which a request with
+	// it is no longer sent to another upstream.
 	repeatLosses = 2
 )
 
 // Tracker decides for one daemon. It is safe for concurrent use. A nil Tracker allows all
 // requests.
 type Tracker struct {
-	opts     Options
-	refused  tally.Counter
-	verdictG tally.Gauge
+	opts        Options
+	refused     tally.Counter
+	quarantined tally.Gauge
 
 	mu sync.Mutex
 	// begun holds when an answer last began on a part, at any daemon as far as it matters.
@@ -35,7 +35,8 @@
 	open    map[*Attempt]struct{}
 	// evaluateAt is when the losses are to be evaluated; zero if there is nothing new.
 	evaluateAt time.Time
-	// hasNews is set while other daemons should learn of new evidence.
+	// hasNews is set by functions that find evidence of which other daemons should learn soon;
+	// update passes it on.
 	hasNews bool
 }
 
@@ -43,12 +44,12 @@
 func New(opts Options) *Tracker {
 	scope := opts.Scope.SubScope("quarantine")
 	return &Tracker{
-		opts: opts, refused: scope.Counter("refused"), verdictG: scope.Gauge("parts"),
+		opts: opts, refused: scope.Counter("refused"), quarantined: scope.Gauge("parts"),
 		begun: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}, cleared: map[uint64]time.Time{}, open: map[*Attempt]struct{}{},
 	}
 }
 
-// update calls fn with t.mu held, evaluates, and tells of news.
+// update calls fn with t.mu held, evaluates, and calls Options.OnNews if there is news.
 func (t *Tracker) update(fn func()) {
 	t.mu.Lock()
 	fn()
@@ -198,6 +199,6 @@
 			}
 		}
 		t.removeExpiredLosses(now)
-		t.verdictG.Update(float64(len(t.verdicts)))
+		t.quarantined.Update(float64(len(t.verdicts)))
 	})
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -68,13 +68,21 @@
 
 // addVerdict adds a verdict and explains the losses under the part. t.mu must be held.
 func (t *Tracker) addVerdict(part uint64, losses []*loss, now time.Time) {
+	v := t.newVerdict(part)
+	v.lastRequestAt = now
+	v.explain(losses)
+	t.log("prompt part is quarantined", v)
+}
+
+// newVerdict adds a verdict without losses, in place of the stalest one if there are too
+// many. t.mu must be held.
+func (t *Tracker) newVerdict(part uint64) *verdict {
 	if len(t.verdicts) >= maxVerdicts {
 		t.removeStalestVerdict()
 	}
-	v := &verdict{part: part, lastRequestAt: now}
+	v := &verdict{part: part}
 	t.verdicts[part] = v
-	v.explain(losses)
-	t.log("prompt part is quarantined", v)
+	return v
 }
 
 // explain attributes losses to the part.
--- a/internal/upstreamlimit/limit.go
+++ b/internal/upstreamlimit/limit.go
@@ -32,14 +32,14 @@
 // two requests of each of them.
 func (l Limit) shares(daemons int) (count int, interval time.Duration) {
 	if l.IsStarting {
-		return max(1, int(l.RequestsPerSecond/maxViews)), max(startingInterval, perSecond(l.RequestsPerSecond/maxViews))
+		return max(1, int(l.RequestsPerSecond/maxViews)), max(startingInterval, intervalOf(l.RequestsPerSecond/maxViews))
 	}
 	rate := max(l.RequestsPerSecond*namedShare, minNamedRate)
 	count = max(1, min(daemons, 1+int(rate)))
-	return count, time.Duration(count) * perSecond(rate)
+	return count, time.Duration(count) * intervalOf(rate)
 }
 
-// perSecond returns the interval of a rate below one per second, or of one per second.
-func perSecond(rate float64) time.Duration {
+// intervalOf returns the time between two requests at a rate per second.
+func intervalOf(rate float64) time.Duration {
 	return time.Duration(float64(time.Second) / rate)
 }
