Read declared moves once a second unless one is awaited

Each pass now reads only if that means to wait for a change. Test: TestDeclarationsAreReadOnceASecond; before: 20 != 5.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -19,7 +19,7 @@
 	stateKind = "moves"
 	// judgeInterval is the time between two passes of the holder over the running moves, and
 	// reconcilePasses the number of passes after which it reads the declared ones again,
-	// which costs a call of the store. Without a running move, each pass awaits one.
+	// which costs a call of the store. If all have ended, each pass awaits another.
 	judgeInterval   = 250 * time.Millisecond
 	reconcilePasses = 4
 	// endMargin is how long before the deadline a move is decided, so that the
@@ -75,8 +75,10 @@
 type Controller struct {
 	opts  ControllerOptions
 	moves map[string]*trackedMove
-	// passes counts the calls of pass.
-	passes int
+	// passes counts the calls of pass, and readFailed reports whether the latest read of the
+	// declared moves failed.
+	passes     int
+	readFailed bool
 	// running holds the set of services with a declared move that has not ended.
 	running atomic.Pointer[map[string]bool]
 }
@@ -105,25 +107,28 @@
 	return periodic.Every(ctx, judgeInterval, c.pass)
 }
 
-// pass advances the running moves. It reads the declared ones from time to time, and
-// always if none is running.
+// pass advances the running moves. It reads the declared ones from time to time, and always
+// if that means to await one.
 func (c *Controller) pass(ctx context.Context) {
 	c.passes++
-	_, held := c.opts.Held()
-	isJudged := false
-	if held && c.passes%reconcilePasses != 0 {
-		for _, m := range c.moves {
-			if m.state.Phase == PhaseRunning {
-				isJudged = true
-				c.tryAdvance(ctx, m.declaration)
-			}
-		}
-	}
-	if !isJudged {
+	if _, held := c.opts.Held(); !held || c.passes%reconcilePasses == 0 || c.awaitsDeclaration() {
 		c.reconcile(ctx)
+		return
+	}
+	for _, m := range c.moves {
+		if m.state.Phase == PhaseRunning {
+			c.tryAdvance(ctx, m.declaration)
+		}
 	}
 }
 
+// awaitsDeclaration reports whether the latest read of the declared moves succeeded and all
+// of them have ended.
+func (c *Controller) awaitsDeclaration() bool {
+	running := c.running.Load()
+	return running != nil && len(*running) == 0 && !c.readFailed
+}
+
 // tryAdvance advances a move and logs a failure.
 func (c *Controller) tryAdvance(ctx context.Context, d Declaration) {
 	if err := c.advance(ctx, d); err != nil {
@@ -140,6 +145,7 @@
 		return
 	}
 	declared, err := c.opts.Declarations.Moves(ctx)
+	c.readFailed = err != nil
 	if err != nil {
 		c.opts.Logger.Warn("cannot read the declared moves; trying again at the next pass", "error", err)
 		return
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/membership"
@@ -17,10 +18,16 @@
 type fakeDeclarations struct {
 	moves    []Declaration
 	reported []Phase
+	// reads counts the calls of Moves, which return err if it is set.
+	reads int
+	err   error
 }
 
 // Moves implements Declarations.
-func (d *fakeDeclarations) Moves(context.Context) ([]Declaration, error) { return d.moves, nil }
+func (d *fakeDeclarations) Moves(context.Context) ([]Declaration, error) {
+	d.reads++
+	return d.moves, d.err
+}
 
 // ReportPhase implements Declarations.
 func (d *fakeDeclarations) ReportPhase(_ context.Context, _ Declaration, phase Phase) error {
@@ -133,3 +140,19 @@
 		assert.Equal(t, follower.States()["s"].Phase, PhaseUndone)
 	})
 }
+
+// Guards against a holder that burdens the store with reads during an outage, or while a
+// move cannot begin.
+func TestDeclarationsAreReadOnceASecond(t *testing.T) {
+	declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "other", To: "v2", Within: 14 * time.Second}}}
+	c := newHolderController(objecttest.New(), NewLedger(), declarations)
+	for range 20 {
+		c.pass(t.Context())
+	}
+	assert.Equal(t, declarations.reads, 20/reconcilePasses)
+	declarations.reads, declarations.moves, declarations.err = 0, nil, errors.New("outage")
+	for range 20 {
+		c.pass(t.Context())
+	}
+	assert.Equal(t, declarations.reads, 20/reconcilePasses)
+}
