Move a query of moves that only tests use to their file

It stands in the test file now, its assertions unchanged; one comment is wrapped again. No behaviour changes.

--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -37,8 +37,7 @@
 }
 
 // handlePeerRequest processes the report that a request from another daemon contains: its
-// news, and whether that daemon takes its quotas from
-// this daemon's pool.
+// news, and whether that daemon takes its quotas from this daemon's pool.
 func (d *Daemon) handlePeerRequest(r peering.Report) {
 	d.applyNews(r, bootclock.Now())
 	if r.QuotaSource == d.settings.Name {
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -115,13 +115,6 @@
 	}
 }
 
-// IsMoving reports whether a service has a running move.
-func (f *Follower) IsMoving(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.states[service].State.Phase == PhaseRunning
-}
-
 // IsUnsettled reports whether a service has a running move, or one that ended a short time
 // ago and whose losing version still has live upstreams. The number of upstreams then does
 // not show the capacity.
--- a/internal/versionmove/follower_test.go
+++ b/internal/versionmove/follower_test.go
@@ -42,6 +42,13 @@
 	return stored.Version
 }
 
+// IsMoving reports whether a service has a running move.
+func (f *Follower) IsMoving(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.states[service].State.Phase == PhaseRunning
+}
+
 // Guards against store calls that grow with the number of daemons during a version
 // move, and against a daemon that cannot reach the store and continues to send
 // requests to a version whose move was undone.
