Log how an upstream marks the end of its answer

The line of a request now has the framing of the last upstream's answer (length, chunks, connection or none) and the events of a stream that were passed on.

A response to HEAD counted as one that ends with its connection; it has no body. No other logic changed. The raw upstream of the tests moved to a file of its own.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,6 +211,7 @@
 func (a *upstreamAttempt) handleResponse(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
 	x := a.exchange
 	info := x.server.opts.Codec.DecodeResponse(response.Status, response.Header)
+	x.upstreamFraming = response.Framing
 	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
 	if info.Load != nil && x.server.opts.Loads != nil {
 		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/framing"
 )
 
 // exchange is the state of one request of a caller. It belongs to one goroutine.
@@ -46,6 +47,8 @@
 	// upstreamLimit is the request limit that the upstream of the last response named, or
 	// nil.
 	upstreamLimit *float64
+	// upstreamFraming is the framing of the last upstream's response, for the log.
+	upstreamFraming framing.Kind
 	// status is the status of the response to the caller.
 	status int
 	// reason is the last failure, for the log; it is empty if there was none.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -57,8 +57,11 @@
 	if x.upstreamLimit != nil {
 		fields = append(fields, "upstreamLimit", *x.upstreamLimit)
 	}
+	if x.upstreamFraming != "" {
+		fields = append(fields, "framing", x.upstreamFraming)
+	}
 	if x.firstEvent > 0 {
-		fields = append(fields, "firstMs", x.firstEvent.Milliseconds(), "lastEvent", x.lastEventID)
+		fields = append(fields, "firstMs", x.firstEvent.Milliseconds(), "lastEvent", x.lastEventID, "events", x.eventsSent)
 	}
 	if x.reason != "" {
 		fields = append(fields, "reason", x.reason)
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
+	"rattantide/internal/framing"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -69,7 +69,7 @@
 		a.report(dispatch.StatusError)
 		return
 	}
-	if !response.EndsWithConn {
+	if response.Framing != framing.Conn {
 		a.suspicion.RecordBegun()
 	}
 	a.report(dispatch.StatusOK)
@@ -101,19 +101,15 @@
 		header[name] = values
 	}
 	switch {
-	case complete && bodyAllowed(x.request.Method, response.Status):
+	case complete && framing.BodyAllowed(x.request.Method, response.Status):
 		header.Set("Content-Length", strconv.Itoa(length))
-	case response.Length >= 0 && bodyAllowed(x.request.Method, response.Status):
+	case response.Length >= 0 && framing.BodyAllowed(x.request.Method, response.Status):
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	x.status, x.headSent = response.Status, true
 	x.writer.WriteHeader(response.Status)
 }
 
-func bodyAllowed(method string, status int) bool {
-	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
 // recordUsage counts the request for its workspace, once per request.
 func (x *exchange) recordUsage() {
 	if x.usageCounted || x.workspace == nil || x.server.opts.Usage == nil {
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
+	"rattantide/internal/framing"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -52,7 +53,7 @@
 // connection, without a length or chunks, leaves that open.
 func (x *exchange) brokenOff(response *upstreamconn.Response, splitter *eventSplitter) error {
 	switch {
-	case !response.EndsWithConn:
+	case response.Framing != framing.Conn:
 		return nil
 	case len(splitter.remainder()) > 0:
 		return errors.New("connection closed within an event")
@@ -110,7 +111,7 @@
 	if a.events == 0 {
 		x.recordUsage()
 	}
-	if !response.EndsWithConn {
+	if response.Framing != framing.Conn {
 		a.suspicion.RecordBegun()
 	}
 	a.report(dispatch.StatusOK)
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -1,9 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -13,30 +10,6 @@
 	"rattantide/internal/membership"
 )
 
-// serveRaw answers every request with the same bytes and closes the connection.
-func serveRaw(t *testing.T, head, body string) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, head+"X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nX-Response-Seal: s\r\n\r\n"+body)
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // Guards against a stream that breaks off within an event and looks complete to the
 // caller, and against one that is complete and is treated as broken off.
 func TestEndOfStreams(t *testing.T) {
@@ -58,7 +31,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
-			f.chooser.upstreams = []membership.Upstream{{Name: "raw", Address: serveRaw(t, c.head, c.body)}}
+			f.chooser.upstreams = []membership.Upstream{{Name: "raw", Address: rawUpstream{head: c.head, body: c.body}.serve(t)}}
 			status, body, _, err := f.call("/stream/1", "b")
 			if c.complete {
 				assert.NilError(t, err)
@@ -77,7 +50,7 @@
 	f := newFixture(t)
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\n"
 	for i := range f.chooser.upstreams {
-		f.chooser.upstreams[i].Address = serveRaw(t, head, "")
+		f.chooser.upstreams[i].Address = rawUpstream{head: head}.serve(t)
 	}
 	for i := range 4 {
 		f.holder.Confirm(7, f.bootNow())
--- a/internal/upstreamconn/call.go
+++ b/internal/upstreamconn/call.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/framing"
 )
 
 const (
@@ -27,9 +29,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
-	// EndsWithConn reports whether the body ends where the upstream closes the
-	// connection, so that its end does not show whether it is complete.
-	EndsWithConn bool
+	// Framing is how the end of the body is marked. With framing.Conn, io.EOF does not
+	// show that the body is complete.
+	Framing framing.Kind
 	// Body must be closed. Closing it before io.EOF closes the connection, which
 	// makes most upstreams cancel the request.
 	Body io.ReadCloser
@@ -58,7 +60,7 @@
 	b := &body{ReadCloser: response.Body, pools: p, address: address, conn: c, stop: stop, ctx: ctx, response: response}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		EndsWithConn: response.ContentLength < 0 && len(response.TransferEncoding) == 0, Body: b,
+		Framing: framing.Of(response, r.Method), Body: b,
 	}, nil
 }
 
@@ -119,7 +121,8 @@
 	done     bool
 }
 
-// Read implements io.Reader. Only io.EOF means that the body is complete.
+// Read implements io.Reader. Only io.EOF means that the body is complete, as far as its
+// framing can show that.
 func (b *body) Read(p []byte) (int, error) {
 	if b.done {
 		return 0, io.EOF
