Give callers no frame that the answer of the upstream did not have

What callers saw: answers that had been broken off and that a Content-Length or a last chunk showed as complete.

Cause: an answer may come with neither a length nor chunks and end with its connection. Its end does not show whether it is whole. The gateway took a clean end (of a stream between two events, of any other answer anywhere) for the end of the body, and framed it anew for the caller: it told the caller more than it knew. The class of fault is an intermediary that adds a claim.

Now an answer gets a length or chunks only if its upstream's answer had one of them; otherwise it ends with the caller's connection, which leaves to the caller what it left to us. An answer that is known to be broken then resets that connection, since an ordinary end could be that of a whole one; the same holds for streams to callers of HTTP/1.0. A resumed stream keeps the frame of its first part: it ends as complete only if its last part shows that it is, and the length of a first part is not passed on where the stream may be resumed.

Ruled out: to break off every answer without a frame, as whole ones would never reach their callers; to guess by the status or the type of the content.

--- a/internal/gateway/answer_framing_test.go
+++ b/internal/gateway/answer_framing_test.go
@@ -103,3 +103,39 @@
 		})
 	}
 }
+
+// Guards against a resumed stream that ends as complete by the frame of its first part
+// although its last part may have been broken off, and against a length of the first part
+// that is taken for that of the whole stream.
+func TestFramingOfResumedStreams(t *testing.T) {
+	const second = "id: 2\ndata: a longer piece\n\n"
+	cutWithLength := rawUpstream{head: headWithLength(1000), body: firstEvent}
+	cutInChunks := rawUpstream{head: headChunked, body: chunk(firstEvent)}
+	cutWithoutFrame := rawUpstream{head: headUntilClose, body: firstEvent, reset: true}
+	wholeInChunks := rawUpstream{head: headChunked, body: chunk(second) + chunk("")}
+	for name, c := range map[string]struct {
+		first, second rawUpstream
+		broken        bool
+	}{
+		"length, then chunks":            {cutWithLength, wholeInChunks, false},
+		"length, then length":            {cutWithLength, rawUpstream{head: headWithLength(len(second)), body: second}, false},
+		"chunks, then connection":        {cutInChunks, rawUpstream{head: headUntilClose, body: second}, true},
+		"chunks, then empty connection":  {cutInChunks, rawUpstream{head: headUntilClose}, true},
+		"connection, then chunks":        {cutWithoutFrame, wholeInChunks, false},
+		"connection, then connection":    {cutWithoutFrame, rawUpstream{head: headUntilClose, body: second}, false},
+		"connection, then nothing":       {cutWithoutFrame, rawUpstream{head: headUntilClose}, true},
+		"connection, then half an event": {cutWithoutFrame, rawUpstream{head: headUntilClose, body: second + "id: 3\n"}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.useRaw(c.first, c.second)
+			answer := f.callRaw(http.MethodPost, "/resume/1", "HTTP/1.1")
+			assert.Equal(t, answer.reset, c.broken, "%.300q", answer.bytes)
+			if !c.broken {
+				_, body, err := answer.response(t, http.MethodPost)
+				assert.NilError(t, err)
+				assert.Equal(t, body, firstEvent+second)
+			}
+		})
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -55,8 +55,10 @@
 	reason string
 	// firstEvent is the time from receivedAt to the first event of a stream.
 	firstEvent time.Duration
-	// headSent reports whether the head of the response was sent to the caller.
+	// headSent reports whether the head of the response was sent to the caller, with
+	// framing as the framing of the body.
 	headSent bool
+	framing  framing.Kind
 	// mustAbort reports whether the connection must be aborted, so that the response
 	// does not look complete.
 	mustAbort bool
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -100,16 +100,37 @@
 	for name, values := range withoutHopByHopHeaders(response.Header) {
 		header[name] = values
 	}
+	x.framing = x.callerFraming(response, complete)
 	switch {
-	case complete && framing.BodyAllowed(x.request.Method, response.Status):
+	case x.framing == framing.Conn:
+		framing.SetConn(header)
+	case x.framing == framing.Length && complete:
 		header.Set("Content-Length", strconv.Itoa(length))
-	case response.Length >= 0 && framing.BodyAllowed(x.request.Method, response.Status):
+	case x.framing == framing.Length:
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	x.status, x.headSent = response.Status, true
 	x.writer.WriteHeader(response.Status)
 }
 
+// callerFraming returns the framing of the response to the caller. It never shows more
+// about the end of the body than that of the upstream's response does.
+func (x *exchange) callerFraming(response *upstreamconn.Response, complete bool) framing.Kind {
+	switch {
+	case response.Framing == framing.None:
+		return framing.None
+	case response.Framing == framing.Conn:
+		return framing.Conn
+	case complete:
+		return framing.Length
+	case response.Framing == framing.Length && !x.route.Resumable:
+		return framing.Length
+	case !x.request.ProtoAtLeast(1, 1):
+		return framing.Conn
+	}
+	return framing.Chunks
+}
+
 // recordUsage counts the request for its workspace, once per request.
 func (x *exchange) recordUsage() {
 	if x.usageCounted || x.workspace == nil || x.server.opts.Usage == nil {
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -39,7 +39,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, io.EOF):
-			if reason := x.brokenOff(response, splitter); reason != nil {
+			if reason := a.brokenOff(response, splitter); reason != nil {
 				return a.handleTruncated(ctx, reason)
 			}
 			return a.finishStream(response, splitter)
@@ -49,16 +49,21 @@
 	}
 }
 
-// brokenOff returns why a stream that ended is not complete, or nil. Only the end of the
-// connection, without a length or chunks, leaves that open.
-func (x *exchange) brokenOff(response *upstreamconn.Response, splitter *eventSplitter) error {
+// brokenOff returns why a stream that ended must not end as complete for the caller, or
+// nil. Only the end of the connection, without a length or chunks, leaves that open.
+func (a *upstreamAttempt) brokenOff(response *upstreamconn.Response, splitter *eventSplitter) error {
+	x := a.exchange
 	switch {
 	case response.Framing != framing.Conn:
 		return nil
 	case len(splitter.remainder()) > 0:
 		return errors.New("connection closed within an event")
-	case x.eventsSent == 0:
+	case a.events == 0:
 		return errors.New("connection closed before the first event")
+	case x.headSent && x.framing != framing.Conn:
+		// An earlier attempt's response had a length or chunks, and the caller takes their
+		// end for that of the whole stream.
+		return errors.New("connection closed, and the stream may be incomplete")
 	}
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,9 +65,7 @@
 	}
 	x.log()
 	if x.mustAbort {
-		// Closes the connection so that a truncated response does not look
-		// complete.
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 }
 
