Continue a stream only with the stream of another upstream

What callers see: a stream begins and breaks off, the next upstream answers with an error, and its text stands in the middle of the stream; or the stream ends as if it were complete.

It can happen here: once the head was sent, only answers with 5xx were kept from the caller. Any other one, or a 200 that is no stream, was relayed: its head was ignored ("superfluous response.WriteHeader"), its text went into the stream, and its end ended the stream. The class of fault is that an answer is judged without what the caller has already been told. Now a stream is continued only by a 200 of the same content type; any other answer counts as none, and the caller's stream is broken off visibly.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -229,6 +229,9 @@
 		return a.handleInvalidResponse(ctx, "successful response without signature")
 	}
 	x.mayHaveRun = true
+	if x.headSent && !x.continues(response) {
+		return a.handleInvalidResponse(ctx, "response does not continue the stream: "+http.StatusText(response.Status))
+	}
 	if response.Status >= 500 {
 		return a.handleServerError(ctx, response)
 	}
@@ -238,6 +241,13 @@
 	return a.relayResponse(ctx, response)
 }
 
+// continues reports whether a response continues the stream whose head was sent to the
+// caller.
+func (x *exchange) continues(response *upstreamconn.Response) bool {
+	const contentType = "Content-Type"
+	return response.Status == http.StatusOK && response.Header.Get(contentType) == x.writer.Header().Get(contentType)
+}
+
 // recordUpstreamLimit records the limit that a response names, unless the response is that
 // of another upstream or to another request.
 func (x *exchange) recordUpstreamLimit(upstream string, info ResponseInfo) {
@@ -272,9 +282,6 @@
 func (a *upstreamAttempt) handleServerError(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
 	x := a.exchange
 	x.reason = "upstream responded with " + http.StatusText(response.Status)
-	if x.headSent {
-		return a.endExcluded(dispatch.StatusError)
-	}
 	if x.route.Repeatable() && x.sends < x.route.MaxAttempts && x.hasTimeForRetry() {
 		outcome := a.endExcluded(dispatch.StatusError)
 		outcome.refusal = newRefusal(http.StatusBadGateway, x.reason)
