Send no second upstream's answer into one that has begun

What callers see: an answer of more than 64 KiB on a repeatable route breaks off after its beginning was passed on, and the answer of a second upstream is written after it; with a length, up to that length, so that the mixture looks whole. A stream whose events have no identifiers is resumed from its start, so that events come twice.

Cause: whether a request may be sent once more was decided by its route alone. The head that was sent leaves one way to go on, the events of a resumable stream after the last one that has an identifier; anything else is broken off.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -135,9 +135,18 @@
 	if !outcome.notSent && x.sends >= x.route.MaxAttempts {
 		return false
 	}
+	if x.headSent {
+		return x.canResume()
+	}
 	return !x.mayHaveRun || x.route.Repeatable()
 }
 
+// canResume reports whether another upstream can continue what was sent to the caller: the
+// events of a stream whose last one it can name.
+func (x *exchange) canResume() bool {
+	return x.route.Kind == fleetconfig.Stream && x.route.Resumable && x.eventsSent > 0 && x.lastEventID != ""
+}
+
 // urgency returns the rank of the request; 0 is the most urgent.
 func (x *exchange) urgency() int {
 	if x.workspace != nil && x.workspace.Urgency != nil {
--- a/internal/gateway/resume_answer_test.go
+++ b/internal/gateway/resume_answer_test.go
@@ -32,3 +32,14 @@
 		}
 	}
 }
+
+// Guards against a stream whose events have no identifiers and that is resumed from its
+// first event, so that the caller gets events twice.
+func TestStreamWithoutIdentifiersIsNotResumed(t *testing.T) {
+	const event = "data: piece\n\n"
+	f := newFixture(t)
+	f.useRaw(rawUpstream{head: headChunked, body: chunk(event)}, rawUpstream{head: headChunked, body: chunk(event) + chunk("")})
+	answer := f.callRaw(http.MethodPost, "/resume/1", "HTTP/1.1")
+	assert.Assert(t, answer.reset)
+	assert.Equal(t, strings.Count(string(answer.bytes), event), 1)
+}
