Pass on no status that promises more than the upstream said

What callers see: an upstream that ran an order answers 408 or 429 without saying that it did not run it. Passed on, the status promises 'not run, and never will be', and the caller sends the order again (REFUSED). This was known and mended for 503 alone.

Now all four statuses with that promise (408, 421, 429, 503) are treated alike: the request goes to another upstream where it may, and is answered 502 otherwise.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -228,8 +228,8 @@
 	if x.headSent && !x.continues(response) {
 		return a.handleInvalidResponse(ctx, "response does not continue the stream: "+http.StatusText(response.Status))
 	}
-	if response.Status >= 500 {
-		return a.handleServerError(ctx, response)
+	if response.Status >= 500 || promisesNotRun(response.Status) {
+		return a.handleFailure(ctx, response)
 	}
 	if x.route.Kind == fleetconfig.Stream && response.Status == http.StatusOK {
 		return a.relayStream(ctx, response)
@@ -282,9 +282,9 @@
 	return a.endExcluded(dispatch.StatusError)
 }
 
-// handleServerError handles a response with a 5xx status. The response is relayed
-// unless the request may be sent to another upstream.
-func (a *upstreamAttempt) handleServerError(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
+// handleFailure handles a response with a status that blames the upstream. The response is
+// relayed unless the request may be sent to another upstream.
+func (a *upstreamAttempt) handleFailure(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
 	x := a.exchange
 	x.reason = "upstream responded with " + http.StatusText(response.Status)
 	if x.route.Repeatable() && x.sends < x.route.MaxAttempts && x.hasTimeForRetry() {
@@ -292,9 +292,7 @@
 		outcome.refusal = newRefusal(http.StatusBadGateway, x.reason)
 		return outcome
 	}
-	if response.Status == http.StatusServiceUnavailable {
-		// The gateway sends 503 only for requests that did not run, so the status
-		// must not be relayed for one that may have run.
+	if promisesNotRun(response.Status) {
 		a.report(dispatch.StatusError)
 		return attemptOutcome{isFinal: true, refusal: newRefusal(http.StatusBadGateway, x.reason)}
 	}
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -16,7 +16,7 @@
 // or the caller has disconnected. It refunds the quota of a request that did not run.
 func (x *exchange) writeRefusal(r *refusal) {
 	x.reason = r.reason
-	if r.promisesNotRun() {
+	if promisesNotRun(r.status) {
 		x.returnQuota()
 	}
 	if x.headSent || x.callerDisconnected {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -38,7 +38,12 @@
 	return newRefusalWithRetry(status, p.Detail, time.Duration(p.RetryAfterMs)*time.Millisecond)
 }
 
-// promisesNotRun reports whether the status promises that the request did not run.
-func (r *refusal) promisesNotRun() bool {
-	return r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests
+// promisesNotRun reports whether a status promises the caller that the request did not run.
+// It must not be sent for a request that may have run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
 }
