--- a/internal/gateway/raw_upstream_test.go
+++ b/internal/gateway/raw_upstream_test.go
@@ -12,18 +12,9 @@
 	"gotest.tools/v3/assert"
 )
 
-// rawUpstream answers every request with the same bytes and closes the connection.
-type rawUpstream struct {
-	// head is the status line and the headers, without the empty line; the identifier of
-	// the attempt and a signature are added.
-	head string
-	body string
-	// reset makes it reset the connection instead of closing it.
-	reset bool
-}
-
-// serve starts the upstream and returns its address.
-func (u rawUpstream) serve(t *testing.T) string {
+// serveConns calls handle for each connection and closes it afterwards. It returns the
+// address that it listens on.
+func serveConns(t *testing.T, handle func(net.Conn)) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -33,19 +24,42 @@
 			if err != nil {
 				return
 			}
-			go u.answer(c)
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(c)
+			}()
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// rawUpstream answers every request with the same bytes and closes the connection.
+type rawUpstream struct {
+	// head is the status line and the headers, without the empty line; the identifier of
+	// the attempt and a signature are added.
+	head string
+	body string
+	// exact is sent in place of all these bytes unless it is empty.
+	exact string
+	// reset makes it reset the connection instead of closing it.
+	reset bool
+}
+
+// serve starts the upstream and returns its address.
+func (u rawUpstream) serve(t *testing.T) string {
+	return serveConns(t, u.answer)
+}
+
 func (u rawUpstream) answer(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
 	}
-	_, _ = io.WriteString(c, u.head+"X-Attempt-Id: "+request.Header.Get("X-Attempt-Id")+"\r\nX-Response-Seal: s\r\n\r\n"+u.body)
+	text := u.exact
+	if text == "" {
+		text = u.head + "X-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\nX-Response-Seal: s\r\n\r\n" + u.body
+	}
+	_, _ = io.WriteString(c, text)
 	if u.reset {
 		u.resetOnceRead(c)
 	}
--- a/internal/gateway/repeated_refusal_test.go
+++ b/internal/gateway/repeated_refusal_test.go
@@ -24,24 +24,7 @@
 	runs   atomic.Int64
 }
 
-func (u *repeatingUpstream) serve(t *testing.T) string {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.answer(c)
-		}
-	}()
-	return listener.Addr().String()
-}
-
 func (u *repeatingUpstream) answer(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for n := 0; ; n++ {
 		if _, err := http.ReadRequest(reader); err != nil {
@@ -63,7 +46,7 @@
 				f := newFixture(t)
 				u := &repeatingUpstream{status: status, id: id}
 				// The second upstream would run the request once more.
-				f.chooser.upstreams = append([]membership.Upstream{{Name: "repeating", Address: u.serve(t)}}, f.chooser.upstreams...)
+				f.chooser.upstreams = append([]membership.Upstream{{Name: "repeating", Address: serveConns(t, u.answer)}}, f.chooser.upstreams...)
 				_, _, _, err := f.call("/order/1", "b", "X-Attempt-Id", "a1")
 				assert.NilError(t, err)
 				runsBefore := f.runCount()
@@ -91,7 +74,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			u := &repeatingUpstream{status: http.StatusServiceUnavailable, id: c.id}
-			f.chooser.upstreams = []membership.Upstream{{Name: "repeating", Address: u.serve(t)}}
+			f.chooser.upstreams = []membership.Upstream{{Name: "repeating", Address: serveConns(t, u.answer)}}
 			calls := 1
 			if c.reused {
 				calls = 2
