--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -34,6 +34,15 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
+// Relayed returns the framing with which a response is relayed to the sender of a request.
+// It shows no more about the end of the body than kind, that of the upstream's response.
+func Relayed(kind Kind, request *http.Request) Kind {
+	if kind == Chunks && !request.ProtoAtLeast(1, 1) {
+		return Conn
+	}
+	return kind
+}
+
 // SetConn makes a response that is about to be sent end with its connection. The server
 // removes the header that it sets.
 func SetConn(h http.Header) {
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
-	"rattantide/internal/framing"
 )
 
 // statusClientClosedRequest is the status in logs and metrics of a request whose
@@ -33,19 +31,6 @@
 	x.writer.WriteHeader(r.status)
 }
 
-// abort ends the caller's connection such that a truncated response does not look
-// complete. It does not return unless the connection was reset.
-func (x *exchange) abort() {
-	if x.headSent && x.framing == framing.Conn && !x.callerDisconnected {
-		err := framing.Reset(x.writer)
-		if err == nil {
-			return
-		}
-		x.server.opts.Logger.Error("connection not reset, a truncated response may look complete", "request", x.call.AttemptID, "error", err)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // log writes the log line of the request and updates the metrics.
 func (x *exchange) log() {
 	s := x.server
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -113,22 +113,18 @@
 	x.writer.WriteHeader(response.Status)
 }
 
-// callerFraming returns the framing of the response to the caller. It never shows more
-// about the end of the body than that of the upstream's response does.
+// callerFraming returns the framing of the response to the caller; complete reports whether
+// the whole body has been read.
 func (x *exchange) callerFraming(response *upstreamconn.Response, complete bool) framing.Kind {
+	kind := response.Framing
 	switch {
-	case response.Framing == framing.None:
-		return framing.None
-	case response.Framing == framing.Conn:
-		return framing.Conn
-	case complete:
-		return framing.Length
-	case response.Framing == framing.Length && !x.route.Resumable:
-		return framing.Length
-	case !x.request.ProtoAtLeast(1, 1):
-		return framing.Conn
+	case kind == framing.Chunks && complete:
+		kind = framing.Length
+	case kind == framing.Length && !complete && x.route.Resumable:
+		// The length is that of the first part of a stream that may be resumed.
+		kind = framing.Chunks
 	}
-	return framing.Chunks
+	return framing.Relayed(kind, x.request)
 }
 
 // recordUsage counts the request for its workspace, once per request.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/framing"
 )
 
 const (
@@ -65,7 +67,7 @@
 	}
 	x.log()
 	if x.mustAbort {
-		x.abort()
+		framing.Abort(w, x.framing, s.opts.Logger)
 	}
 }
 
