Give callers of services no frame that the service's answer did not have

An answer of a plain service with neither a length nor chunks reached the caller in chunks, as complete, and a recorded outcome was replayed with a length. Now both end with the connection, and an answer that is known to be broken resets it. The recorded outcome says that its body may be incomplete.

TestAnswerThatEndsWithConnectionIsNotFramed of internal/server failed ("chunks != connection") and passes. TestBrokenAnswerThatEndsWithConnectionIsReset passed before, when the answer was in chunks; it guards the new frame.

--- a/internal/intent/outcome.go
+++ b/internal/intent/outcome.go
@@ -25,4 +25,7 @@
 	ContentType string `json:"contentType,omitempty"`
 	Body        []byte `json:"body,omitempty"`
 	Truncated   bool   `json:"truncated,omitempty"`
+	// MaybeIncomplete reports whether only the end of the connection marked the end of
+	// Body, which does not show whether it is complete.
+	MaybeIncomplete bool `json:"maybeIncomplete,omitempty"`
 }
--- a/internal/server/at_most_once.go
+++ b/internal/server/at_most_once.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
+	"rattantide/internal/framing"
 	"rattantide/internal/intent"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/problem"
@@ -93,6 +94,7 @@
 	s.options.Intents.Finish(key, nonce, intent.Outcome{
 		Execution: intent.ExecutionDone, Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"),
 		Body: head[:min(len(head), limit)], Truncated: len(head) > limit,
+		MaybeIncomplete: framing.Of(response, c.request.Method) == framing.Conn,
 	})
 	s.forwardAnswer(w, c, answer, head)
 }
@@ -106,6 +108,9 @@
 			w.Header().Set("Content-Type", outcome.ContentType)
 		}
 		w.Header().Set("Idempotency-Replayed", "true")
+		if outcome.MaybeIncomplete {
+			framing.SetConn(w.Header())
+		}
 		w.WriteHeader(outcome.Status)
 		_, _ = w.Write(outcome.Body)
 	case outcome.Execution == intent.ExecutionDone:
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -12,6 +12,7 @@
 
 	"rattantide/internal/api"
 	"rattantide/internal/dispatch"
+	"rattantide/internal/framing"
 	"rattantide/internal/membership"
 	"rattantide/internal/problem"
 )
@@ -154,6 +155,10 @@
 func (s *Server) forwardAnswer(w http.ResponseWriter, c *serviceCall, answer *serviceAnswer, head []byte) {
 	copyHeader(w.Header(), answer.response.Header)
 	w.Header().Set("X-Request-Id", c.id)
+	kind := framing.Relayed(framing.Of(answer.response, c.request.Method), c.request)
+	if kind == framing.Conn {
+		framing.SetConn(w.Header())
+	}
 	w.WriteHeader(answer.response.StatusCode)
 	body := &upstreamBody{source: answer.response.Body}
 	err := copyFlushing(w, io.MultiReader(bytes.NewReader(head), body), s.options.CallerWriteTimeout)
@@ -169,8 +174,7 @@
 	s.reportServiceEnd(c, &answer.choice.Upstream, status == dispatch.StatusOK, nil)
 	answer.close(dispatch.Result{Status: status})
 	if err != nil {
-		// A normal end would make a truncated response look complete.
-		panic(http.ErrAbortHandler)
+		framing.Abort(w, kind, s.options.Logger)
 	}
 }
 
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -10,8 +10,10 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/configsync"
+	"rattantide/internal/framing"
 	"rattantide/internal/intent"
 	"rattantide/internal/problem"
+	"rattantide/internal/telemetry"
 )
 
 // newFakeService starts a service that echoes the method, URI and body, or runs
@@ -119,3 +121,40 @@
 	assert.Assert(t, response.Header.Get("Retry-After") != "")
 	assert.Equal(t, problemOf(t, response).Execution, problem.ExecutionNotRun)
 }
+
+// Guards against a service's answer without a length or chunks, which may have been broken
+// off, that reaches its caller with one of them, at once or when its outcome is replayed.
+func TestAnswerThatEndsWithConnectionIsNotFramed(t *testing.T) {
+	service, calls := newFakeService(t, func(_ int64, w http.ResponseWriter) {
+		framing.SetConn(w.Header())
+		io.WriteString(w, "a body")
+	})
+	pool := &fakePool{}
+	pool.add("app", "v1", service.URL)
+	h := newHarness(t, pool, nil)
+	for _, method := range []string{"GET", "POST", "POST"} {
+		response := h.do(t, method, "/orders/dies", "", "Idempotency-Key", "k")
+		body, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		assert.Equal(t, string(body), "a body")
+		assert.Equal(t, framing.Of(response, method), framing.Conn)
+	}
+	assert.Equal(t, calls.Load(), int64(2), "the order ran twice")
+}
+
+// Guards against a service's answer without a length or chunks that broke off and whose
+// caller sees an ordinary end of its connection.
+func TestBrokenAnswerThatEndsWithConnectionIsReset(t *testing.T) {
+	service, _ := newFakeService(t, func(_ int64, w http.ResponseWriter) {
+		framing.SetConn(w.Header())
+		io.WriteString(w, "part")
+		w.(http.Flusher).Flush()
+		framing.Abort(w, framing.Conn, telemetry.Discard())
+	})
+	pool := &fakePool{}
+	pool.add("app", "v1", service.URL)
+	h := newHarness(t, pool, nil)
+	response := h.do(t, "GET", "/orders/dies", "")
+	_, err := io.ReadAll(response.Body)
+	assert.Assert(t, err != nil)
+}
