--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -220,7 +220,7 @@
 	defer c.mu.Unlock()
 	switch {
 	case s.Revision < c.revision:
-		return errors.Errorf("configuration of %s has revision %d, older than the current revision %d", source, s.Revision, c.revision)
+		return errors.Errorf("configuration of %s has revision %d, older than the current revision %d of version %d", source, s.Revision, c.revision, c.version)
 	case s.Revision == c.revision:
 		c.opts.Holder.Confirm(c.version, s.ConfirmedAt)
 		return nil
