Reproduce the incident with a restored store on the project's own stand-ins

The stand-in of the platform's store and the in-memory store of the tests go back to a copy, give revisions out again, and the former answers with its era and with 410 to a watch from a revision that it does not have.

--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// eraHeader is the header of all responses with the era.
+const eraHeader = "Store-Era"
+
 // Meta is the metadata of an object.
 type Meta struct {
 	Name string `json:"name"`
@@ -51,7 +54,9 @@
 // Store simulates the metadata store. It is an http.Handler and safe for concurrent
 // use.
 type Store struct {
-	mu         sync.Mutex
+	mu sync.Mutex
+	// era counts the restores from a backup, from 1 on.
+	era        int64
 	revision   int64
 	compacted  int64
 	objects    map[string]map[string]*Object
@@ -65,7 +70,7 @@
 
 // New returns an empty Store.
 func New() *Store {
-	s := &Store{objects: map[string]map[string]*Object{}, changed: make(chan struct{}), callCounts: map[string]int{}, mux: http.NewServeMux(), revision: 1}
+	s := &Store{objects: map[string]map[string]*Object{}, changed: make(chan struct{}), callCounts: map[string]int{}, mux: http.NewServeMux(), revision: 1, era: 1}
 	s.mux.HandleFunc("GET /objects/{kind}", s.serveList)
 	s.mux.HandleFunc("GET /objects/{kind}/{name}", s.serveGet)
 	s.mux.HandleFunc("POST /objects/{kind}", s.serveWrite)
@@ -79,8 +84,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.callCounts[r.Method]++
-	status := s.faults.Status
+	status, era := s.faults.Status, s.era
 	s.mu.Unlock()
+	w.Header().Set(eraHeader, strconv.FormatInt(era, 10))
 	if status != 0 {
 		w.WriteHeader(status)
 		return
@@ -236,7 +242,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		if since < s.compacted {
+		w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
+		if since < s.compacted || since > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
