--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -59,7 +59,7 @@
 	return recorder.Code
 }
 
-func (f *fixture) put(kind api.Kind, name string, version int64, spec string, out any) int {
+func (f *fixture) put(kind api.Kind, name string, version objectclient.Revision, spec string, out any) int {
 	f.t.Helper()
 	body := fmt.Sprintf(`{"kind":%q,"name":%q,"version":%d,"spec":%s}`, kind, name, version, spec)
 	return f.call(http.MethodPut, "/objects/"+string(kind)+"/"+name, body, out)
@@ -233,7 +233,7 @@
 	concurrentMove json.RawMessage
 }
 
-func (s *racingStore) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+func (s *racingStore) Put(ctx context.Context, kind, name string, version objectclient.Revision, value json.RawMessage) (*objectclient.Object, error) {
 	if kind == string(api.KindVersionMove) && s.concurrentMove != nil {
 		older := s.concurrentMove
 		s.concurrentMove = nil
--- a/internal/admin/conflict.go
+++ b/internal/admin/conflict.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"rattantide/internal/api"
+	"rattantide/internal/objectclient"
 	"rattantide/internal/problem"
 )
 
@@ -15,12 +16,12 @@
 	*problem.Problem
 	// VersionRead is the version that the change was conditional on; 0 requires
 	// that the object does not exist.
-	VersionRead int64 `json:"versionRead"`
+	VersionRead objectclient.Revision `json:"versionRead"`
 	// Current is the stored object; nil if there is none.
 	Current *api.Object `json:"current"`
 }
 
-func newConflict(versionRead int64, current *api.Object) *Conflict {
+func newConflict(versionRead objectclient.Revision, current *api.Object) *Conflict {
 	c := &Conflict{VersionRead: versionRead, Current: current}
 	detail := fmt.Sprintf("the change was based on version %d, but the object no longer exists", versionRead)
 	switch {
--- a/internal/admin/delete.go
+++ b/internal/admin/delete.go
@@ -23,7 +23,8 @@
 		return
 	}
 	name := c.Params().Get("name")
-	version, err := strconv.ParseInt(c.URLParam("version"), 10, 64)
+	number, err := strconv.ParseInt(c.URLParam("version"), 10, 64)
+	version := objectclient.Revision(number)
 	if err != nil || version < objectclient.AnyVersion || version == objectclient.MustNotExist {
 		a.writeProblem(c, problem.NewNotRun(http.StatusBadRequest, problem.CodeBadRequest,
 			"the query parameter version must be the version read, or -1 for any"))
@@ -44,7 +45,7 @@
 
 // deleteUnreferenced deletes the object if no other object refers to it, and
 // returns the version that was deleted.
-func (a *API) deleteUnreferenced(c iris.Context, kind api.Kind, name string, version int64) (int64, error) {
+func (a *API) deleteUnreferenced(c iris.Context, kind api.Kind, name string, version objectclient.Revision) (objectclient.Revision, error) {
 	ctx := c.Request().Context()
 	current, err := a.store.Get(ctx, string(kind), name)
 	if err != nil {
--- a/internal/admin/move.go
+++ b/internal/admin/move.go
@@ -5,16 +5,17 @@
 
 	"rattantide/internal/api"
 	"rattantide/internal/configsync"
+	"rattantide/internal/objectclient"
 )
 
 // Move is the state of a version move, as reported in a Status.
 type Move struct {
-	Name    string        `json:"name"`
-	Version int64         `json:"version"`
-	Pool    string        `json:"pool"`
-	From    string        `json:"from"`
-	To      string        `json:"to"`
-	Phase   api.MovePhase `json:"phase"`
+	Name    string                `json:"name"`
+	Version objectclient.Revision `json:"version"`
+	Pool    string                `json:"pool"`
+	From    string                `json:"from"`
+	To      string                `json:"to"`
+	Phase   api.MovePhase         `json:"phase"`
 	// Share is the largest share of traffic that the new version may receive,
 	// 0 to 1.
 	Share   float64 `json:"share"`
--- a/internal/admin/object_list.go
+++ b/internal/admin/object_list.go
@@ -1,6 +1,10 @@
 package admin
 
-import "rattantide/internal/api"
+import (
+	"rattantide/internal/api"
+
+	"rattantide/internal/objectclient"
+)
 
 // The sources of a response to a read.
 const (
@@ -20,7 +24,7 @@
 	Kind api.Kind `json:"kind"`
 	// Revision is the revision of the object API at which the list was read, or, in a
 	// local copy, the highest object version of all kinds.
-	Revision int64 `json:"revision"`
+	Revision objectclient.Revision `json:"revision"`
 	// Source is SourceObjectAPI or SourceLocal.
 	Source string        `json:"source"`
 	Items  []*api.Object `json:"items"`
--- a/internal/admin/status.go
+++ b/internal/admin/status.go
@@ -1,5 +1,7 @@
 package admin
 
+import "rattantide/internal/objectclient"
+
 // Status is the state of one daemon.
 type Status struct {
 	Name    string `json:"name"`
@@ -9,7 +11,7 @@
 	// State is "serving" or "draining".
 	State string `json:"state"`
 	// Revision is the highest object version in effect on this daemon.
-	Revision int64 `json:"revision"`
+	Revision objectclient.Revision `json:"revision"`
 	// ObjectAPI is "available", "unavailable" or, if not known, empty.
 	ObjectAPI string  `json:"objectAPI,omitempty"`
 	Leases    []Lease `json:"leases"`
--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/findings"
+	"rattantide/internal/objectclient"
 )
 
 // DecodeObject strictly decodes and validates an applied object. Every unknown
@@ -24,7 +25,7 @@
 // DecodeStored decodes an Object from its value in the object API and sets
 // defaults. It does not validate the spec, and it ignores unknown fields, so that an
 // older daemon can read objects written by a newer one.
-func DecodeStored(kind Kind, name string, version int64, value []byte) (*Object, error) {
+func DecodeStored(kind Kind, name string, version objectclient.Revision, value []byte) (*Object, error) {
 	var stored StoredValue
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, errors.Annotatef(err, "%s/%s", kind, name)
--- a/internal/api/object.go
+++ b/internal/api/object.go
@@ -1,6 +1,10 @@
 package api
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"rattantide/internal/objectclient"
+)
 
 // Object is the envelope in which operators apply and read objects.
 type Object struct {
@@ -10,8 +14,8 @@
 	Name string `json:"name"`
 	// Version is the object version that was read. An apply is conditional on
 	// it: 0 creates the object, and -1 replaces any version.
-	Version int64           `json:"version,omitempty"`
-	Spec    json.RawMessage `json:"spec"`
+	Version objectclient.Revision `json:"version,omitempty"`
+	Spec    json.RawMessage       `json:"spec"`
 	// Status is written only by the system and ignored on apply.
 	Status json.RawMessage `json:"status,omitempty"`
 
--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -15,6 +15,7 @@
 
 	"rattantide/internal/api"
 	"rattantide/internal/findings"
+	"rattantide/internal/objectclient"
 	"rattantide/internal/problem"
 )
 
@@ -29,9 +30,9 @@
 
 // applyResult is the result of applying one document.
 type applyResult struct {
-	Kind    api.Kind `json:"kind"`
-	Name    string   `json:"name"`
-	Version int64    `json:"version"`
+	Kind    api.Kind              `json:"kind"`
+	Name    string                `json:"name"`
+	Version objectclient.Revision `json:"version"`
 	// Change is "created", "updated" or "unchanged".
 	Change string `json:"change"`
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -22,6 +22,7 @@
 	"rattantide/internal/burn"
 	"rattantide/internal/cli"
 	"rattantide/internal/configsync"
+	"rattantide/internal/objectclient"
 	"rattantide/internal/objecttest"
 	"rattantide/internal/problem"
 )
@@ -200,7 +201,7 @@
 	code, _, stderr := f.run("kind: Class\nname: new\nspec: {target: {answer: 9s}}\n", "apply", "-f", "-", "-address", lossy.URL+","+f.address)
 	assert.Equal(t, code, 5, stderr)
 	assert.Assert(t, strings.Contains(stderr, "may or may not have taken effect"), stderr)
-	assert.Equal(t, f.store.Revision(), int64(0))
+	assert.Equal(t, f.store.Revision(), objectclient.Revision(0))
 }
 
 // TestMoveReportsOutcome guards against a watch that ends before the move does,
--- a/internal/cli/delete.go
+++ b/internal/cli/delete.go
@@ -66,7 +66,7 @@
 		if _, err := client.Do(ctx, http.MethodGet, path, nil, object); err != nil {
 			return err
 		}
-		c.version = object.Version
+		c.version = int64(object.Version)
 	}
 	if _, err := client.Do(ctx, http.MethodDelete, fmt.Sprintf("%s?version=%d", path, c.version), nil, nil); err != nil {
 		return err
--- a/internal/cli/demo/show_serving.go
+++ b/internal/cli/demo/show_serving.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rattantide/internal/admin"
+	"rattantide/internal/objectclient"
 	"rattantide/internal/proc"
 )
 
@@ -27,13 +28,13 @@
 		return "", err
 	}
 	var changes []struct {
-		Version int64
+		Version objectclient.Revision
 		Change  string
 	}
 	if err := json.Unmarshal([]byte(result.stdout), &changes); err != nil {
 		return "", errors.Trace(err)
 	}
-	highest := int64(0)
+	highest := objectclient.Revision(0)
 	for _, c := range changes {
 		highest = max(highest, c.Version)
 	}
@@ -50,7 +51,7 @@
 
 // awaitRevision waits until all daemons have the configuration of revision or a
 // later one. The design requires this within 3 s.
-func (d *demo) awaitRevision(ctx context.Context, revision int64) error {
+func (d *demo) awaitRevision(ctx context.Context, revision objectclient.Revision) error {
 	for _, address := range d.daemonAddresses() {
 		err := proc.Eventually(ctx, 3*time.Second, nil, func() error {
 			status, err := d.fetchStatus(ctx, address)
--- a/internal/configsync/cache.go
+++ b/internal/configsync/cache.go
@@ -25,13 +25,13 @@
 	objects map[objectKey]objectclient.Object
 	// completeRevision is the revision up to which all changes have been applied. An
 	// object version up to it that is not stored has since been replaced or deleted.
-	completeRevision int64
+	completeRevision objectclient.Revision
 	// highestVersion is the highest object version in objects.
-	highestVersion int64
+	highestVersion objectclient.Revision
 	// tombstones is the number of tombstones in objects. highestDropped is the
 	// highest version of a tombstone that has been dropped.
 	tombstones     int
-	highestDropped int64
+	highestDropped objectclient.Revision
 	changed        chan struct{}
 }
 
@@ -60,7 +60,7 @@
 
 // apply implements Apply, with floor as the revision up to which versions are ignored.
 // c.mu must be held.
-func (c *Cache) apply(objects []objectclient.Object, floor int64) int {
+func (c *Cache) apply(objects []objectclient.Object, floor objectclient.Revision) int {
 	applied := 0
 	for _, o := range objects {
 		key := objectKey{kind: api.Kind(o.Kind), name: o.Name}
@@ -94,7 +94,7 @@
 }
 
 // Since returns all objects and tombstones with a version above revision.
-func (c *Cache) Since(revision int64) []objectclient.Object {
+func (c *Cache) Since(revision objectclient.Revision) []objectclient.Object {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if revision >= c.highestVersion {
@@ -110,14 +110,14 @@
 }
 
 // setComplete records that all changes up to a revision have been applied.
-func (c *Cache) setComplete(revision int64) {
+func (c *Cache) setComplete(revision objectclient.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.completeRevision = max(c.completeRevision, revision)
 }
 
 // deletionFloor returns the revision above which no tombstone has been dropped.
-func (c *Cache) deletionFloor() int64 {
+func (c *Cache) deletionFloor() objectclient.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.highestDropped
--- a/internal/configsync/cache_replace.go
+++ b/internal/configsync/cache_replace.go
@@ -10,7 +10,7 @@
 // missing from the list, and is not newer than the revision, becomes a tombstone at
 // that revision. A list older than the revision up to which the Cache is complete
 // deletes nothing, and only its objects above that revision are applied.
-func (c *Cache) Replace(kinds []api.Kind, revision int64, objects []objectclient.Object) int {
+func (c *Cache) Replace(kinds []api.Kind, revision objectclient.Revision, objects []objectclient.Object) int {
 	replaced := map[api.Kind]bool{}
 	for _, kind := range kinds {
 		replaced[kind] = true
--- a/internal/configsync/converge_test.go
+++ b/internal/configsync/converge_test.go
@@ -56,7 +56,7 @@
 		}
 		// highest holds, by daemon and object, the highest version that was in effect,
 		// and deleted whether the object was deleted after it.
-		highest := map[string]int64{}
+		highest := map[string]objectclient.Revision{}
 		deleted := map[string]bool{}
 		check := func() {
 			for i, s := range syncers {
--- a/internal/configsync/feed.go
+++ b/internal/configsync/feed.go
@@ -10,7 +10,7 @@
 	// Synced is set if the sender has a configuration in effect.
 	Synced bool `json:"synced"`
 	// Revision is the store revision up to which the sender has applied all changes.
-	Revision int64 `json:"revision"`
+	Revision objectclient.Revision `json:"revision"`
 	// Full is set if Objects contains all objects up to Revision, so that an object
 	// missing from it has been deleted.
 	Full    bool                  `json:"full,omitempty"`
--- a/internal/configsync/handlers.go
+++ b/internal/configsync/handlers.go
@@ -13,6 +13,7 @@
 	"github.com/kataras/iris/v12"
 
 	"rattantide/internal/membership"
+	"rattantide/internal/objectclient"
 	"rattantide/internal/peer"
 	"rattantide/internal/problem"
 )
@@ -44,7 +45,7 @@
 			return
 		}
 		wait := min(time.Duration(waitMs)*time.Millisecond, maxPollWait)
-		s.writeFeed(c, s.awaitFeed(r.Context(), since, r.URL.Query().Get("position"), wait))
+		s.writeFeed(c, s.awaitFeed(r.Context(), objectclient.Revision(since), r.URL.Query().Get("position"), wait))
 	})
 	party.Get("/snapshot", func(c iris.Context) { s.writeFeed(c, s.feed(-1, "")) })
 	peer.Handle(party, http.MethodPost, "/leaving", maxAnnouncementBytes, func(_ context.Context, a membership.Announcement) (struct{}, error) {
@@ -58,7 +59,7 @@
 
 // awaitFeed returns the feed as soon as it contains changes, and at the latest after
 // wait.
-func (s *Syncer) awaitFeed(ctx context.Context, since int64, position string, wait time.Duration) Feed {
+func (s *Syncer) awaitFeed(ctx context.Context, since objectclient.Revision, position string, wait time.Duration) Feed {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	ticker := time.NewTicker(tickInterval)
@@ -86,7 +87,7 @@
 // feed returns the changes for a peer that has applied all changes up to since. The
 // feed is full if since is negative, or so old that some later deletions are no
 // longer stored as tombstones.
-func (s *Syncer) feed(since int64, position string) Feed {
+func (s *Syncer) feed(since objectclient.Revision, position string) Feed {
 	// The revision is read before the objects, so that the objects are at least as
 	// new as the revision.
 	complete, deletionFloor, synced := s.progress.get()
@@ -104,7 +105,7 @@
 	return feed
 }
 
-func (f *Feed) hasChanges(since int64) bool {
+func (f *Feed) hasChanges(since objectclient.Revision) bool {
 	return f.Membership != nil || len(f.Objects) > 0 || f.Full && f.Revision > since
 }
 
--- a/internal/configsync/move.go
+++ b/internal/configsync/move.go
@@ -1,11 +1,15 @@
 package configsync
 
-import "rattantide/internal/api"
+import (
+	"rattantide/internal/api"
+
+	"rattantide/internal/objectclient"
+)
 
 // Move is a stored version move: its specification and its progress.
 type Move struct {
 	Name    string
-	Version int64
+	Version objectclient.Revision
 	Spec    *api.VersionMove
 	// Status is nil until a controller has written it for the first time.
 	Status *api.MoveStatus
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -130,7 +130,7 @@
 }
 
 // setComplete records that all changes up to a revision have been applied.
-func (s *Syncer) setComplete(revision int64) {
+func (s *Syncer) setComplete(revision objectclient.Revision) {
 	s.options.Cache.setComplete(revision)
 	s.progress.raiseComplete(revision)
 }
--- a/internal/configsync/syncer_test.go
+++ b/internal/configsync/syncer_test.go
@@ -158,7 +158,7 @@
 // Guards against an older version, or an older list, that replaces a newer one.
 func TestCacheNeverReverts(t *testing.T) {
 	cache := NewCache()
-	put := func(name string, version int64) objectclient.Object {
+	put := func(name string, version objectclient.Revision) objectclient.Object {
 		return objectclient.Object{Kind: "Pool", Name: name, Version: version, Value: []byte(poolValue)}
 	}
 	assert.Equal(t, cache.Apply(put("a", 5), put("b", 9)), 2)
@@ -180,13 +180,13 @@
 	cache := NewCache()
 	var deletions []objectclient.Object
 	for i := range maxTombstones {
-		deletions = append(deletions, objectclient.Object{Kind: "Pool", Name: fmt.Sprint("p", i), Version: int64(i + 1)})
+		deletions = append(deletions, objectclient.Object{Kind: "Pool", Name: fmt.Sprint("p", i), Version: objectclient.Revision(i + 1)})
 	}
 	assert.Equal(t, cache.Apply(deletions...), maxTombstones)
 	cache.setComplete(maxTombstones)
 	assert.Equal(t, cache.Apply(objectclient.Object{Kind: "Pool", Name: "last", Version: maxTombstones + 1}), 1)
 	assert.Assert(t, len(cache.Since(0)) <= maxTombstones/2+1)
-	assert.Equal(t, cache.deletionFloor(), int64(maxTombstones/2))
+	assert.Equal(t, cache.deletionFloor(), objectclient.Revision(maxTombstones/2))
 	assert.Equal(t, cache.Apply(objectclient.Object{Kind: "Pool", Name: "p0", Version: 1, Value: []byte(poolValue)}), 0)
 }
 
--- a/internal/configsync/view.go
+++ b/internal/configsync/view.go
@@ -13,7 +13,7 @@
 // concurrent use.
 type View struct {
 	// Revision is the highest object version that the view contains.
-	Revision int64
+	Revision objectclient.Revision
 	// Objects holds every object by kind and name, as stored.
 	Objects map[api.Kind]map[string]objectclient.Object
 
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -87,7 +87,7 @@
 }
 
 // apply puts an object into the configuration.
-func (f *fixture) apply(t *testing.T, version int64, kind api.Kind, name string, spec, status any) {
+func (f *fixture) apply(t *testing.T, version objectclient.Revision, kind api.Kind, name string, spec, status any) {
 	stored := api.StoredValue{}
 	var err error
 	stored.Spec, err = json.Marshal(spec)
--- a/internal/fleetdaemon/view.go
+++ b/internal/fleetdaemon/view.go
@@ -37,7 +37,6 @@
 		view.Moves[service] = newMove(s)
 	}
 	if config != nil {
-		view.Revision = config.Version
 		for _, r := range config.Routes {
 			view.Classes[r.Name] = newClass(r)
 		}
--- a/internal/fleetsync/config_share.go
+++ b/internal/fleetsync/config_share.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/objectclient"
 )
 
 const (
@@ -31,7 +33,7 @@
 // Snapshot is a stored configuration.
 type Snapshot struct {
 	// Revision is the store revision of the configuration, and Value its encoding.
-	Revision int64
+	Revision objectclient.Revision
 	Value    json.RawMessage
 	// ConfirmedAt is the latest time at which the configuration is known to have
 	// been the newest one, on the boot clock.
@@ -51,7 +53,7 @@
 	// compressed is the compressed value of compressedRevision. It is cached as
 	// many daemons request the same revision at the same time.
 	compressed         []byte
-	compressedRevision int64
+	compressedRevision objectclient.Revision
 }
 
 // ServeHTTP implements http.Handler.
@@ -70,7 +72,7 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Encoding", "gzip")
 	header.Set("Content-Length", strconv.Itoa(len(compressed)))
-	header.Set(revisionHeader, strconv.FormatInt(snapshot.Revision, 10))
+	header.Set(revisionHeader, strconv.FormatInt(int64(snapshot.Revision), 10))
 	header.Set(ageHeader, strconv.FormatInt(h.BootNow().Sub(snapshot.ConfirmedAt).Milliseconds(), 10))
 	// A daemon that does not receive the whole response reads the store instead.
 	_, _ = w.Write(compressed)
@@ -139,5 +141,5 @@
 	}
 	// The daemon computed the age after the request was sent, so the configuration
 	// was confirmed at this time or later.
-	return Snapshot{Revision: revision, Value: value, ConfirmedAt: sentAt.Add(-time.Duration(age) * time.Millisecond)}, nil
+	return Snapshot{Revision: objectclient.Revision(revision), Value: value, ConfirmedAt: sentAt.Add(-time.Duration(age) * time.Millisecond)}, nil
 }
--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -79,7 +79,7 @@
 	mu sync.Mutex
 	// revision is the store revision of value, and version the version of the
 	// configuration that value encodes.
-	revision int64
+	revision objectclient.Revision
 	version  int64
 	value    json.RawMessage
 }
--- a/internal/fleetsync/evacuation_sync.go
+++ b/internal/fleetsync/evacuation_sync.go
@@ -45,7 +45,7 @@
 	// domains is the sorted set at revision. It was last known to be the newest one at
 	// confirmedAt, which is zero before the first read.
 	domains     []string
-	revision    int64
+	revision    objectclient.Revision
 	confirmedAt time.Time
 
 	// mustList is set if the next read of the store must list the evacuations. It belongs
@@ -88,7 +88,7 @@
 
 // apply replaces the set unless it is older than the present one. confirmedAt is when it
 // was known to be the newest one.
-func (e *EvacuationSync) apply(domains []string, revision int64, confirmedAt time.Time) {
+func (e *EvacuationSync) apply(domains []string, revision objectclient.Revision, confirmedAt time.Time) {
 	e.mu.Lock()
 	if revision < e.revision {
 		e.mu.Unlock()
--- a/internal/fleetsync/upstream_feed.go
+++ b/internal/fleetsync/upstream_feed.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"rattantide/internal/objectclient"
 	"rattantide/internal/peering"
 )
 
 // ApplyFeed applies a feed from another daemon: the changes of the list after
 // feed.Since up to revision. confirmedAt is the time at which they are known to
 // have been complete, on the boot clock. An incomplete feed is ignored.
-func (u *UpstreamSync) ApplyFeed(feed peering.Feed, revision int64, confirmedAt time.Time) {
+func (u *UpstreamSync) ApplyFeed(feed peering.Feed, revision objectclient.Revision, confirmedAt time.Time) {
 	if !feed.Complete {
 		return
 	}
@@ -24,7 +25,7 @@
 // Feed returns the changes after a revision, for another daemon. The feed is
 // incomplete if some of them are no longer in the change log, or if there are more
 // than fit into a datagram.
-func (u *UpstreamSync) Feed(since int64) peering.Feed {
+func (u *UpstreamSync) Feed(since objectclient.Revision) peering.Feed {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	feed := peering.Feed{Since: since}
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -47,7 +47,7 @@
 	List(ctx context.Context, kind string) (*objectclient.ObjectList, error)
 	// WatchOnce calls fn with the changes after a revision, waiting for at most
 	// wait, and returns the revision from which to continue.
-	WatchOnce(ctx context.Context, kind string, since int64, wait time.Duration, fn func(objectclient.Event) error) (int64, error)
+	WatchOnce(ctx context.Context, kind string, since objectclient.Revision, wait time.Duration, fn func(objectclient.Event) error) (objectclient.Revision, error)
 }
 
 // UpstreamOptions configures an UpstreamSync. All fields are required.
@@ -81,7 +81,7 @@
 	entries map[string]membership.Instance
 	// revision is the store revision up to which entries is complete. isComplete
 	// is unset until the store has been listed, and when it must be listed again.
-	revision   int64
+	revision   objectclient.Revision
 	isComplete bool
 	// confirmedAt is when the list was last known to be complete.
 	confirmedAt time.Time
@@ -91,7 +91,7 @@
 	// changeLog holds the latest changes, and changeLogStart the revision after
 	// which it is complete.
 	changeLog      []peering.Change
-	changeLogStart int64
+	changeLogStart objectclient.Revision
 	// retainedUntil holds, by name, the time until which entries that disappeared
 	// during an outage of the store are retained.
 	retainedUntil map[string]time.Time
@@ -209,7 +209,7 @@
 // Position returns the revision up to which the list is complete and the time
 // since that was confirmed. ok is false if the store has not been listed yet or
 // must be listed again.
-func (u *UpstreamSync) Position() (revision int64, age time.Duration, ok bool) {
+func (u *UpstreamSync) Position() (revision objectclient.Revision, age time.Duration, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.revision, u.opts.Now().Sub(u.confirmedAt), u.isComplete
@@ -248,7 +248,7 @@
 
 // applyChanges applies the complete changes between two revisions of the store.
 // They are ignored if they leave a gap after the current revision.
-func (u *UpstreamSync) applyChanges(from int64, changes []peering.Change, to int64, confirmedAt time.Time) {
+func (u *UpstreamSync) applyChanges(from objectclient.Revision, changes []peering.Change, to objectclient.Revision, confirmedAt time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.isComplete || from > u.revision {
--- a/internal/fleetsync/watch_store_test.go
+++ b/internal/fleetsync/watch_store_test.go
@@ -13,7 +13,7 @@
 type watchStore struct{ *objecttest.Store }
 
 // WatchOnce implements WatchStore.
-func (s watchStore) WatchOnce(ctx context.Context, kind string, since int64, _ time.Duration, fn func(objectclient.Event) error) (int64, error) {
+func (s watchStore) WatchOnce(ctx context.Context, kind string, since objectclient.Revision, _ time.Duration, fn func(objectclient.Event) error) (objectclient.Revision, error) {
 	list, err := s.List(ctx, kind)
 	if err != nil {
 		return 0, err
--- a/internal/handoff/cluster_test.go
+++ b/internal/handoff/cluster_test.go
@@ -224,7 +224,7 @@
 		{"Route", "brief", `{"model":"brief","pool":"llm","class":"chat"}`},
 		{"Workspace", "a", `{"tokenHash":"` + hex.EncodeToString(sum[:]) + `"}`},
 	} {
-		cache.Apply(objectclient.Object{Kind: o.kind, Name: o.name, Version: int64(i + 1), Value: []byte(`{"spec":` + o.spec + `}`)})
+		cache.Apply(objectclient.Object{Kind: o.kind, Name: o.name, Version: objectclient.Revision(i + 1), Value: []byte(`{"spec":` + o.spec + `}`)})
 	}
 	return cache
 }
--- a/internal/intent/fleet_test.go
+++ b/internal/intent/fleet_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-func (p *pausableStore) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+func (p *pausableStore) Put(ctx context.Context, kind, name string, version objectclient.Revision, value json.RawMessage) (*objectclient.Object, error) {
 	p.waitWhilePaused()
 	o, err := p.Store.Put(ctx, kind, name, version, value)
 	p.waitWhilePaused()
--- a/internal/intent/head.go
+++ b/internal/intent/head.go
@@ -17,7 +17,7 @@
 // stored or read.
 type head struct {
 	// version is 0 when the object does not exist yet.
-	version  int64
+	version  objectclient.Revision
 	segments []segmentRef
 	entries  map[Key]*entry
 	// withdrawn holds the nonces of withdrawn intents that another daemon may
@@ -171,7 +171,7 @@
 		size += len(e.encode())
 		sealed = append(sealed, e)
 	}
-	ref := &segmentRef{Name: strconv.Itoa(shard) + "." + strconv.FormatInt(h.version, 10)}
+	ref := &segmentRef{Name: strconv.Itoa(shard) + "." + strconv.FormatInt(int64(h.version), 10)}
 	for _, e := range sealed {
 		ref.UntilMs = max(ref.UntilMs, e.EndedMs)
 	}
--- a/internal/lease/acquire.go
+++ b/internal/lease/acquire.go
@@ -26,7 +26,7 @@
 // observation is what a read of a lease that this daemon does not hold shows.
 type observation struct {
 	// version is the version of the object, or MustNotExist.
-	version int64
+	version objectclient.Revision
 	// acquired is set if an earlier acquisition took effect although its answer was
 	// lost, and mayAcquire if the lease may be acquired now.
 	acquired, mayAcquire bool
@@ -104,7 +104,7 @@
 
 // expiresIn returns the time until a lease expires, at most 0 for one that is
 // free. known is false until the store has returned its time.
-func (d *duty) expiresIn(stored record, version int64) (left time.Duration, known bool) {
+func (d *duty) expiresIn(stored record, version objectclient.Revision) (left time.Duration, known bool) {
 	options := d.manager.options
 	if !options.ExpiresByObservation {
 		storeNow, known := options.Store.Now()
@@ -122,7 +122,7 @@
 
 // acquire writes a new lease over the object with the given version and returns
 // the time until the next step.
-func (d *duty) acquire(ctx context.Context, version int64) time.Duration {
+func (d *duty) acquire(ctx context.Context, version objectclient.Revision) time.Duration {
 	options := d.manager.options
 	d.nonce, d.acquireSentAt, d.renewals = uuid.NewString(), d.now(), 0
 	stored, err := d.put(ctx, version, record{Holder: options.Holder, Nonce: d.nonce, ExpiresMs: d.expiry()})
@@ -135,9 +135,10 @@
 
 // confirmAcquired records that the latest acquisition took effect and produced the
 // given version of the object. It returns the time until the next step.
-func (d *duty) confirmAcquired(version int64) time.Duration {
+func (d *duty) confirmAcquired(version objectclient.Revision) time.Duration {
 	d.version, d.freeSince = version, time.Time{}
-	d.setHeld(version, d.acquireSentAt)
+	fence := int64(version)
+	d.setHeld(fence, d.acquireSentAt)
 	d.failingSince = time.Time{}
 	if _, held := d.held(d.now()); !held {
 		// The answer came too late to use the lease; it is acquired again after
@@ -146,7 +147,7 @@
 		d.nonce = ""
 		return d.manager.options.TTL / 2
 	}
-	d.manager.options.Logger.Info("acquired lease", "duty", d.name, "fence", version)
+	d.manager.options.Logger.Info("acquired lease", "duty", d.name, "fence", fence)
 	d.manager.options.Scope.Counter("lease_acquired").Inc(1)
 	return d.renewInterval()
 }
--- a/internal/lease/duty.go
+++ b/internal/lease/duty.go
@@ -48,7 +48,7 @@
 
 	// version is the version of the lease object, renewals is the number of
 	// renewals since the acquisition, and nonce identifies the acquisition.
-	version  int64
+	version  objectclient.Revision
 	renewals int64
 	nonce    string
 	// acquireSentAt is when the acquisition with nonce was sent.
@@ -59,7 +59,7 @@
 	failingSince time.Time
 	// observedVersion is the version of the object at the last read, and
 	// observedAt is when that version was first read.
-	observedVersion int64
+	observedVersion objectclient.Revision
 	observedAt      time.Time
 }
 
@@ -170,7 +170,7 @@
 }
 
 // put writes the lease object if it still has the given version.
-func (d *duty) put(ctx context.Context, version int64, v record) (*objectclient.Object, error) {
+func (d *duty) put(ctx context.Context, version objectclient.Revision, v record) (*objectclient.Object, error) {
 	encoded, err := json.Marshal(v)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/lease/manager_test.go
+++ b/internal/lease/manager_test.go
@@ -97,7 +97,7 @@
 		assert.Assert(t, ok)
 		o, err := store.Get(t.Context(), objectKind, "move")
 		assert.NilError(t, err)
-		assert.Equal(t, fence, o.Version)
+		assert.Equal(t, fence, int64(o.Version))
 		time.Sleep(7 * time.Second)
 		renewed, ok := m.Held("move")
 		assert.Assert(t, ok)
@@ -255,7 +255,7 @@
 		}
 		time.Sleep(time.Second)
 		fence, ok := restarted.Held("duties")
-		assert.Assert(t, ok && fence > stored.Version)
+		assert.Assert(t, ok && fence > int64(stored.Version))
 		_, ok = other.Held("duties")
 		assert.Assert(t, !ok)
 		cancel()
--- a/internal/lease/record.go
+++ b/internal/lease/record.go
@@ -23,9 +23,9 @@
 }
 
 // token returns the fencing token of a lease, given the version of its object.
-func (r record) token(version int64) int64 {
+func (r record) token(version objectclient.Revision) int64 {
 	if r.Fence == 0 {
-		return version
+		return int64(version)
 	}
 	return r.Fence
 }
--- a/internal/lease/restore_test.go
+++ b/internal/lease/restore_test.go
@@ -34,7 +34,7 @@
 		assert.Equal(t, len(before), 1)
 		stores[before[0]].isCut.Store(true)
 		store.Restore(backup)
-		for fillers := lost - 1 - store.Revision(); fillers > 0; fillers-- {
+		for fillers := lost - 1 - int64(store.Revision()); fillers > 0; fillers-- {
 			_, err := store.Put(t.Context(), "other", "filler", objectclient.AnyVersion, json.RawMessage(`1`))
 			assert.NilError(t, err)
 		}
@@ -44,8 +44,6 @@
 		assert.Assert(t, fence > lost, "token %d after %d", fence, lost)
 
 		stores[before[0]].isCut.Store(false)
-		backup = store.Backup()
-		time.Sleep(20 * time.Second)
 		store.Restore(backup)
 		lost = fence
 		time.Sleep(10 * time.Second)
--- a/internal/lease/yield_test.go
+++ b/internal/lease/yield_test.go
@@ -31,7 +31,7 @@
 	return c.Store.Get(ctx, kind, name)
 }
 
-func (c *partitionedStore) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+func (c *partitionedStore) Put(ctx context.Context, kind, name string, version objectclient.Revision, value json.RawMessage) (*objectclient.Object, error) {
 	if c.isCut.Load() {
 		return nil, errUnreachable
 	}
--- a/internal/objectclient/client.go
+++ b/internal/objectclient/client.go
@@ -22,6 +22,7 @@
 type Client struct {
 	options Options
 	clock   storeClock
+	eras    Eras
 }
 
 var _ Store = (*Client)(nil)
@@ -35,6 +36,9 @@
 // Now implements Store.
 func (c *Client) Now() (time.Time, bool) { return c.clock.now() }
 
+// Eras implements Store.
+func (c *Client) Eras() *Eras { return &c.eras }
+
 // Get implements Store. It retries within MaxTries and MaxElapsed.
 func (c *Client) Get(ctx context.Context, kind, name string) (*Object, error) {
 	return retryRead(ctx, c, func() (*Object, error) { return c.getOnce(ctx, kind, name) })
@@ -44,25 +48,34 @@
 func (c *Client) List(ctx context.Context, kind string) (*ObjectList, error) {
 	return retryRead(ctx, c, func() (*ObjectList, error) {
 		list := &ObjectList{}
-		err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, "")}, list)
-		return list, err
+		era, err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, "")}, list)
+		if err != nil {
+			return nil, err
+		}
+		return list, list.setEra(era)
 	})
 }
 
 // Put implements Store. It sends the write once. If the response is lost, it
 // reads the object back to determine the outcome; a write with AnyVersion is not
 // read back.
-func (c *Client) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*Object, error) {
+func (c *Client) Put(ctx context.Context, kind, name string, version Revision, value json.RawMessage) (*Object, error) {
 	if len(value) > c.options.MaxValueBytes {
 		return nil, errors.Annotatef(ErrTooLarge, "%s/%s: %d bytes", kind, name, len(value))
 	}
+	if err := c.eras.CheckCondition(version); err != nil {
+		return nil, err
+	}
 	stored := &Object{}
-	err := c.call(ctx, request{method: http.MethodPut, path: objectPath(kind, name), version: version, conditional: true, body: value}, stored)
+	era, err := c.call(ctx, request{method: http.MethodPut, path: objectPath(kind, name), version: version, conditional: true, body: value}, stored)
+	if setErr := stored.setEra(era); setErr != nil {
+		return nil, setErr
+	}
 	switch {
 	case err == nil:
-		return stored, nil
+		return stored, CheckWrite(version, era)
 	case errors.Is(err, ErrConflict):
-		if stored.Version == 0 {
+		if stored.Version.Number() == 0 {
 			// The response contains no current object: the object does not exist.
 			return nil, errors.Trace(err)
 		}
@@ -77,7 +90,7 @@
 // readBack determines the outcome of a write whose response was lost. If the
 // expected version is still stored, the outcome is unknown, because the write may
 // still take effect.
-func (c *Client) readBack(ctx context.Context, kind, name string, version int64, value json.RawMessage, cause error) (*Object, error) {
+func (c *Client) readBack(ctx context.Context, kind, name string, version Revision, value json.RawMessage, cause error) (*Object, error) {
 	current, err := c.Get(ctx, kind, name)
 	switch {
 	case err != nil, current.Version <= version:
@@ -90,9 +103,15 @@
 
 // Delete implements Store. It never retries. If the response is lost, it reads
 // the object back, and returns ErrUnavailable if the object is unchanged.
-func (c *Client) Delete(ctx context.Context, kind, name string, version int64) error {
-	err := c.call(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), version: version, conditional: true}, nil)
-	if err == nil || errors.Is(err, ErrRateLimited) || !errors.Is(err, ErrUnavailable) {
+func (c *Client) Delete(ctx context.Context, kind, name string, version Revision) error {
+	if err := c.eras.CheckCondition(version); err != nil {
+		return err
+	}
+	era, err := c.call(ctx, request{method: http.MethodDelete, path: objectPath(kind, name), version: version, conditional: true}, nil)
+	if err == nil {
+		return CheckWrite(version, era)
+	}
+	if errors.Is(err, ErrRateLimited) || !errors.Is(err, ErrUnavailable) {
 		return errors.Trace(err)
 	}
 	current, readErr := c.Get(ctx, kind, name)
@@ -107,48 +126,59 @@
 
 func (c *Client) getOnce(ctx context.Context, kind, name string) (*Object, error) {
 	o := &Object{}
-	if err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, name)}, o); err != nil {
+	era, err := c.call(ctx, request{method: http.MethodGet, path: objectPath(kind, name)}, o)
+	if err != nil {
 		return nil, err
 	}
-	return o, nil
+	return o, o.setEra(era)
 }
 
-// call sends one request and decodes the response into result. On ErrConflict,
-// result is the current object if the response contains one.
-func (c *Client) call(ctx context.Context, r request, result any) error {
+// call sends one request, decodes the response into result, and returns its era. Revisions
+// in result lack the era. On ErrConflict, result is the current object if the response
+// contains one.
+func (c *Client) call(ctx context.Context, r request, result any) (era int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.CallTimeout)
 	defer cancel()
-	response, err := c.do(ctx, r)
+	response, era, err := c.do(ctx, r)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
-		return errors.Annotate(ErrUnavailable, err.Error())
+		return 0, errors.Annotate(ErrUnavailable, err.Error())
 	}
 	statusErr := statusError(response)
 	if (statusErr == nil || errors.Is(statusErr, ErrConflict)) && result != nil && len(body) > 0 {
 		if err := json.Unmarshal(body, result); err != nil && statusErr == nil {
-			return errors.Annotatef(ErrUnavailable, "invalid response body: %v", err)
+			return 0, errors.Annotatef(ErrUnavailable, "invalid response body: %v", err)
 		}
 	}
-	return statusErr
+	return era, statusErr
 }
 
-func (c *Client) do(ctx context.Context, r request) (*http.Response, error) {
+// do sends one request and returns the response, whose body has not been read, and its era.
+func (c *Client) do(ctx context.Context, r request) (*http.Response, int64, error) {
 	httpRequest, err := r.newHTTPRequest(ctx, c.options.Address)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, 0, errors.Trace(err)
 	}
 	c.options.Scope.Tagged(map[string]string{"method": r.method}).Counter("object_api_calls").Inc(1)
 	response, err := c.options.HTTP.Do(httpRequest)
 	if err != nil {
 		c.options.Scope.Counter("object_api_errors").Inc(1)
-		return nil, errors.Annotate(ErrUnavailable, err.Error())
+		return nil, 0, errors.Annotate(ErrUnavailable, err.Error())
 	}
 	c.clock.observe(response.Header, time.Now())
-	return response, nil
+	era, err := ParseEra(response.Header.Get(EraHeader))
+	if err == nil {
+		err = c.eras.CheckAnswer(era)
+	}
+	if err != nil {
+		response.Body.Close()
+		return nil, 0, err
+	}
+	return response, era, nil
 }
 
 // retryRead calls read until it succeeds, fails with an error other than
@@ -211,5 +241,5 @@
 	return path
 }
 
-// etag returns version as a quoted entity tag.
-func etag(version int64) string { return strconv.Quote(strconv.FormatInt(version, 10)) }
+// etag returns the number of version as a quoted entity tag.
+func etag(version Revision) string { return strconv.Quote(strconv.FormatInt(version.Number(), 10)) }
--- a/internal/objectclient/client_test.go
+++ b/internal/objectclient/client_test.go
@@ -90,7 +90,7 @@
 	}), nil)
 	o, err := client.Get(t.Context(), "k", "n")
 	assert.NilError(t, err)
-	assert.Equal(t, o.Version, int64(7))
+	assert.Equal(t, o.Version, objectclient.Revision(7))
 	assert.Equal(t, calls, 3)
 	assert.Assert(t, callTimes[1].Sub(callTimes[0]) > callTimes[2].Sub(callTimes[1]), "the announced delay exceeds the first backoff")
 
--- a/internal/objectclient/errors.go
+++ b/internal/objectclient/errors.go
@@ -14,6 +14,9 @@
 	// ErrUnavailable means that the object API did not respond, or not in a usable
 	// way. A Put or Delete may still have taken effect.
 	ErrUnavailable = errors.ConstError("object API unavailable")
+	// ErrRestored is always combined with ErrConflict or ErrUnavailable: the store was
+	// restored from a copy, so that a revision or a response is of an era that has ended.
+	ErrRestored = errors.ConstError("object API was restored")
 	// ErrRateLimited is always combined with ErrUnavailable. The store refused
 	// the call because of its rate limit, so the call had no effect.
 	ErrRateLimited = errors.ConstError("object API rate limit")
--- a/internal/objectclient/request.go
+++ b/internal/objectclient/request.go
@@ -17,7 +17,7 @@
 	// conditional makes the request conditional on version, which may be
 	// AnyVersion or MustNotExist.
 	conditional bool
-	version     int64
+	version     Revision
 	body        []byte
 }
 
--- a/internal/objectclient/store.go
+++ b/internal/objectclient/store.go
@@ -7,17 +7,17 @@
 )
 
 // AnyVersion makes a Put or Delete unconditional.
-const AnyVersion int64 = -1
+const AnyVersion Revision = -1
 
 // MustNotExist makes a Put succeed only when the object does not exist.
-const MustNotExist int64 = 0
+const MustNotExist Revision = 0
 
 // Object is one stored object. Version is the store-wide revision of the
 // object's last write.
 type Object struct {
 	Kind    string          `json:"kind"`
 	Name    string          `json:"name"`
-	Version int64           `json:"version"`
+	Version Revision        `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
 	// Status is the state of the object as reported by the system, in stores
 	// that store it separately from the value.
@@ -26,7 +26,7 @@
 
 // ObjectList contains all objects of one kind at a revision.
 type ObjectList struct {
-	Revision int64    `json:"revision"`
+	Revision Revision `json:"revision"`
 	Items    []Object `json:"items"`
 }
 
@@ -44,7 +44,7 @@
 // Event is one event of a watch. For a deletion, the object contains only its
 // kind, its name and, as its version, the revision of the deletion.
 type Event struct {
-	Revision int64     `json:"revision"`
+	Revision Revision  `json:"revision"`
 	Type     EventType `json:"type"`
 	Object   *Object   `json:"object,omitempty"`
 }
@@ -62,14 +62,17 @@
 	// ErrConflict and the current object, or a nil object if there is none. A nil
 	// error means that the write took effect. ErrUnavailable means that the write
 	// may have taken effect, or may still take effect later.
-	Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*Object, error)
+	Put(ctx context.Context, kind, name string, version Revision, value json.RawMessage) (*Object, error)
 	// Delete deletes the object on the same conditions. Its errors have the same
 	// meaning as those of Put.
-	Delete(ctx context.Context, kind, name string, version int64) error
+	Delete(ctx context.Context, kind, name string, version Revision) error
 	// Watch calls fn for each event after revision since, in order, until ctx is
-	// done, fn returns an error, or the connection is lost. It returns the cause.
+	// done, fn returns an error, or the connection is lost. It returns the cause, which is
+	// ErrCompacted if since is of an era that has ended.
 	// If kinds is empty, it reports the events of all kinds.
-	Watch(ctx context.Context, since int64, kinds []string, fn func(Event) error) error
+	Watch(ctx context.Context, since Revision, kinds []string, fn func(Event) error) error
+	// Eras returns the tracker of the store's era.
+	Eras() *Eras
 	// Now returns the store's time as estimated from its responses, and false if
 	// no response was received yet.
 	Now() (time.Time, bool)
--- a/internal/objectclient/watch.go
+++ b/internal/objectclient/watch.go
@@ -14,19 +14,22 @@
 )
 
 // Watch implements Store. It returns ErrUnavailable if no line is received for
-// WatchIdleTimeout.
-func (c *Client) Watch(ctx context.Context, since int64, kinds []string, fn func(Event) error) error {
+// WatchIdleTimeout, and ErrCompacted once the store was restored.
+func (c *Client) Watch(ctx context.Context, since Revision, kinds []string, fn func(Event) error) error {
+	if err := c.eras.CheckWatch(since); err != nil {
+		return err
+	}
 	callerCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idleTimer := time.AfterFunc(c.options.WatchIdleTimeout, cancel)
 	defer idleTimer.Stop()
 
-	query := url.Values{"since": {strconv.FormatInt(since, 10)}}
+	query := url.Values{"since": {strconv.FormatInt(since.Number(), 10)}}
 	if len(kinds) > 0 {
 		query.Set("kinds", strings.Join(kinds, ","))
 	}
-	response, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/watch?" + query.Encode()})
+	response, era, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/watch?" + query.Encode()})
 	if err != nil {
 		return watchError(callerCtx, err)
 	}
@@ -34,6 +37,9 @@
 	if err := statusError(response); err != nil {
 		return err
 	}
+	if err := c.eras.CheckWatch(since); err != nil {
+		return err
+	}
 	lines := bufio.NewReaderSize(response.Body, 64<<10)
 	for {
 		line, err := readLine(lines, 2*c.options.MaxValueBytes)
@@ -49,6 +55,12 @@
 		if event.Type != EventBookmark && event.Object == nil {
 			return errors.Annotate(ErrUnavailable, "watch event without an object")
 		}
+		if err := event.setEra(era); err != nil {
+			return err
+		}
+		if c.eras.Current() > era {
+			return errors.Annotatef(ErrCompacted, "watch of era %d in era %d", era, c.eras.Current())
+		}
 		if err := fn(event); err != nil {
 			return err
 		}
--- a/internal/objecttest/backup.go
+++ b/internal/objecttest/backup.go
@@ -8,7 +8,7 @@
 
 // Backup is a copy of the objects of a Store.
 type Backup struct {
-	revision int64
+	revision objectclient.Revision
 	objects  map[objectKey]objectclient.Object
 }
 
@@ -20,17 +20,26 @@
 }
 
 // Restore replaces the objects by those of a backup: all later writes are lost, and their
-// revisions are given out again.
+// numbers are given out again in a new era.
 func (s *Store) Restore(b *Backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision, s.objects = b.revision, maps.Clone(b.objects)
-	retained := s.events[:0]
-	for _, e := range s.events {
-		if e.Revision <= s.revision {
-			retained = append(retained, e)
-		}
+	era := s.revision.Era() + 1
+	s.eras.Observe(era)
+	s.revision, s.objects = inEra(era, b.revision), map[objectKey]objectclient.Object{}
+	for key, o := range b.objects {
+		o.Version = inEra(era, o.Version)
+		s.objects[key] = o
 	}
-	s.events, s.compacted = retained, min(s.compacted, s.revision)
+	s.events, s.compacted = nil, s.revision
 	s.notifyWatches()
 }
+
+// inEra returns the revision of the same number in an era.
+func inEra(era int64, r objectclient.Revision) objectclient.Revision {
+	revision, err := objectclient.NewRevision(era, r.Number())
+	if err != nil {
+		panic(err)
+	}
+	return revision
+}
--- a/internal/objecttest/store.go
+++ b/internal/objecttest/store.go
@@ -22,8 +22,8 @@
 // suitable for short tests. It is safe for concurrent use.
 type Store struct {
 	mu             sync.Mutex
-	revision       int64
-	compacted      int64
+	revision       objectclient.Revision
+	compacted      objectclient.Revision
 	objects        map[objectKey]objectclient.Object
 	events         []objectclient.Event
 	changed        chan struct{}
@@ -31,6 +31,7 @@
 	deferredWrites []func() bool
 	calls          Calls
 	clock          func() time.Time
+	eras           objectclient.Eras
 }
 
 var _ objectclient.Store = (*Store)(nil)
@@ -52,12 +53,15 @@
 }
 
 // Revision returns the store-wide revision of the last write.
-func (s *Store) Revision() int64 {
+func (s *Store) Revision() objectclient.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
 }
 
+// Eras implements objectclient.Store.
+func (s *Store) Eras() *objectclient.Eras { return &s.eras }
+
 // Now returns the store's time. The result is always valid, so the second value is
 // true.
 func (s *Store) Now() (time.Time, bool) {
@@ -85,7 +89,7 @@
 		return nil, err
 	}
 	defer s.mu.Unlock()
-	list := &objectclient.ObjectList{Revision: max(0, s.revision-s.faults.staleRevisions)}
+	list := &objectclient.ObjectList{Revision: max(0, s.revision-objectclient.Revision(s.faults.staleRevisions))}
 	for key, o := range s.visibleObjects() {
 		if key.kind == kind {
 			list.Items = append(list.Items, *clone(o))
@@ -96,7 +100,7 @@
 }
 
 // Put implements objectclient.Store.
-func (s *Store) Put(ctx context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+func (s *Store) Put(ctx context.Context, kind, name string, version objectclient.Revision, value json.RawMessage) (*objectclient.Object, error) {
 	if len(value) > maxValueBytes {
 		return nil, errors.Annotatef(objectclient.ErrTooLarge, "%s/%s: %d bytes", kind, name, len(value))
 	}
@@ -131,7 +135,7 @@
 }
 
 // Delete implements objectclient.Store.
-func (s *Store) Delete(ctx context.Context, kind, name string, version int64) error {
+func (s *Store) Delete(ctx context.Context, kind, name string, version objectclient.Revision) error {
 	if err := s.beginCall(ctx, func(c *Calls) { c.Deletes++ }); err != nil {
 		return err
 	}
@@ -161,7 +165,7 @@
 
 // Watch implements objectclient.Store. It sends a bookmark after each batch of
 // events instead of every second.
-func (s *Store) Watch(ctx context.Context, since int64, kinds []string, fn func(objectclient.Event) error) error {
+func (s *Store) Watch(ctx context.Context, since objectclient.Revision, kinds []string, fn func(objectclient.Event) error) error {
 	if err := s.beginCall(ctx, func(c *Calls) { c.Watches++ }); err != nil {
 		return err
 	}
@@ -195,12 +199,15 @@
 // eventsSince returns the events of the wanted kinds after a revision, the current
 // revision, and a channel that is closed at the next change. If wanted is empty, it
 // returns the events of all kinds.
-func (s *Store) eventsSince(since int64, wanted map[string]bool) ([]objectclient.Event, int64, <-chan struct{}, error) {
+func (s *Store) eventsSince(since objectclient.Revision, wanted map[string]bool) ([]objectclient.Event, objectclient.Revision, <-chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.outage {
 		return nil, 0, nil, errors.Annotate(objectclient.ErrUnavailable, "outage")
 	}
+	if err := s.eras.CheckWatch(since); err != nil {
+		return nil, 0, nil, err
+	}
 	if since < s.compacted {
 		return nil, 0, nil, errors.Annotatef(objectclient.ErrCompacted, "since %d", since)
 	}
@@ -246,7 +253,7 @@
 	}
 	past := map[objectKey]objectclient.Object{}
 	for _, event := range s.events {
-		if event.Revision > s.revision-s.faults.staleRevisions {
+		if event.Revision > s.revision-objectclient.Revision(s.faults.staleRevisions) {
 			break
 		}
 		key := objectKey{event.Object.Kind, event.Object.Name}
--- a/internal/peering/node_test.go
+++ b/internal/peering/node_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/objectclient"
 	"rattantide/internal/proc"
 	"rattantide/internal/telemetry"
 )
@@ -49,7 +50,7 @@
 		n := &testNode{report: Report{Name: fmt.Sprintf("d%d", i), Process: "p", IP: ip, CallerAddress: ip + ":1", Ready: true}}
 		n.Node, err = New(Options{
 			IP: ip, Port: port, Name: n.report.Name, SelfReport: n.selfReport, Now: time.Now, Logger: telemetry.Discard(), Scope: tally.NoopScope,
-			Feed: func(since int64) Feed { return Feed{Since: since, Complete: true} },
+			Feed: func(since objectclient.Revision) Feed { return Feed{Since: since, Complete: true} },
 			HandleCall: func(_ Report, body json.RawMessage) json.RawMessage {
 				return append(append([]byte(`{"echo":`), body...), '}')
 			},
--- a/internal/peering/options.go
+++ b/internal/peering/options.go
@@ -6,6 +6,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
+
+	"rattantide/internal/objectclient"
 )
 
 // Options configures a Node. IP, Name, SelfReport, Now, Logger and Scope are required.
@@ -37,7 +39,7 @@
 	OnRequest func(r Report)
 	// Feed returns the changes of the list of upstreams after a revision. It may be
 	// nil.
-	Feed func(since int64) Feed
+	Feed func(since objectclient.Revision) Feed
 	// HasPriority reports whether requests are sent to a daemon with priority, at
 	// shorter intervals. Nil means that no daemon has priority.
 	HasPriority func(name string) bool
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -1,6 +1,10 @@
 package peering
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"rattantide/internal/objectclient"
+)
 
 // Report is the state of a daemon as reported by itself.
 type Report struct {
@@ -35,8 +39,8 @@
 	// UpstreamRevision is the store revision up to which the daemon's list of
 	// upstreams is complete. UpstreamAgeMs is the time since that was last
 	// confirmed, in milliseconds; -1 if unknown.
-	UpstreamRevision int64 `json:"ur"`
-	UpstreamAgeMs    int64 `json:"ua"`
+	UpstreamRevision objectclient.Revision `json:"ur"`
+	UpstreamAgeMs    int64                 `json:"ua"`
 	// Evacuation holds the evacuated failure domains, or nil if they are not known.
 	Evacuation *Evacuation `json:"ec,omitempty"`
 	// Quarantine holds the encoded evidence of parts of prompts that crash upstreams.
@@ -62,8 +66,8 @@
 // Change is a change of the list of upstreams.
 type Change struct {
 	// Revision is the store revision of the change.
-	Revision int64  `json:"r"`
-	Name     string `json:"n"`
+	Revision objectclient.Revision `json:"r"`
+	Name     string                `json:"n"`
 	// Value is the entry as stored, or empty for a deletion.
 	Value json.RawMessage `json:"v,omitempty"`
 }
@@ -72,9 +76,9 @@
 // request, up to the UpstreamRevision of the report. Complete is unset if the
 // sender cannot provide all of them.
 type Feed struct {
-	Since    int64    `json:"s"`
-	Complete bool     `json:"c,omitempty"`
-	Changes  []Change `json:"l,omitempty"`
+	Since    objectclient.Revision `json:"s"`
+	Complete bool                  `json:"c,omitempty"`
+	Changes  []Change              `json:"l,omitempty"`
 }
 
 // message is the content of a datagram: a request for a report, the response to
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -22,7 +22,7 @@
 	objectclient.Store
 	mu          sync.Mutex
 	unavailable bool
-	revision    int64
+	revision    objectclient.Revision
 	objects     map[string]objectclient.Object
 }
 
@@ -47,7 +47,7 @@
 	return &o, nil
 }
 
-func (s *fakeStore) Put(_ context.Context, kind, name string, version int64, value json.RawMessage) (*objectclient.Object, error) {
+func (s *fakeStore) Put(_ context.Context, kind, name string, version objectclient.Revision, value json.RawMessage) (*objectclient.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -235,7 +235,7 @@
 
 func newTestConfig(t testing.TB) *configsync.Cache {
 	cache := configsync.NewCache()
-	version := int64(0)
+	version := objectclient.Revision(0)
 	put := func(kind, name, spec string) {
 		version++
 		cache.Apply(objectclient.Object{Kind: kind, Name: name, Version: version, Value: []byte(`{"spec":` + spec + `}`)})
--- a/internal/standin/objectapi/api.go
+++ b/internal/standin/objectapi/api.go
@@ -170,7 +170,7 @@
 		control.AbortConnection()
 	}
 	switch {
-	case isWritten && value != nil && expected == objectclient.MustNotExist:
+	case isWritten && value != nil && expected == int64(objectclient.MustNotExist):
 		writeObject(w, http.StatusCreated, object)
 	case isWritten:
 		writeObject(w, http.StatusOK, object)
@@ -203,7 +203,7 @@
 
 // writeObject responds with an object and its version as the ETag.
 func writeObject(w http.ResponseWriter, status int, object *objectclient.Object) {
-	w.Header().Set("ETag", `"`+strconv.FormatInt(object.Version, 10)+`"`)
+	w.Header().Set("ETag", `"`+strconv.FormatInt(int64(object.Version), 10)+`"`)
 	control.WriteJSON(w, status, object)
 }
 
@@ -217,7 +217,7 @@
 	match, none := r.Header.Get("If-Match"), r.Header.Get("If-None-Match")
 	switch {
 	case none == "*" && match == "":
-		return objectclient.MustNotExist, true
+		return int64(objectclient.MustNotExist), true
 	case none != "":
 		return 0, false
 	case match == "":
--- a/internal/standin/objectapi/store.go
+++ b/internal/standin/objectapi/store.go
@@ -16,7 +16,7 @@
 // retained for stale reads.
 const maxRevisionsPerObject = 64
 
-const anyVersion = objectclient.AnyVersion
+const anyVersion = int64(objectclient.AnyVersion)
 
 type objectKey struct{ kind, name string }
 
@@ -53,7 +53,7 @@
 		if values[i].value == nil {
 			return nil
 		}
-		return &objectclient.Object{Kind: key.kind, Name: key.name, Version: values[i].revision, Value: values[i].value}
+		return &objectclient.Object{Kind: key.kind, Name: key.name, Version: objectclient.Revision(values[i].revision), Value: values[i].value}
 	}
 	return nil
 }
@@ -71,12 +71,13 @@
 func (s *store) list(kind string, behind int64) objectclient.ObjectList {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := objectclient.ObjectList{Revision: max(s.revision-behind, 0), Items: []objectclient.Object{}}
+	at := max(s.revision-behind, 0)
+	out := objectclient.ObjectList{Revision: objectclient.Revision(at), Items: []objectclient.Object{}}
 	for key := range s.revisions {
 		if key.kind != kind {
 			continue
 		}
-		if o := s.objectAt(key, out.Revision); o != nil {
+		if o := s.objectAt(key, at); o != nil {
 			out.Items = append(out.Items, *o)
 		}
 	}
@@ -93,7 +94,7 @@
 	current := s.objectAt(key, s.revision)
 	version := int64(0)
 	if current != nil {
-		version = current.Version
+		version = int64(current.Version)
 	}
 	if expected != anyVersion && expected != version || value == nil && current == nil {
 		return current, false
@@ -104,14 +105,14 @@
 		values = append([]revisionValue(nil), values[len(values)-maxRevisionsPerObject:]...)
 	}
 	s.revisions[key] = values
-	object := &objectclient.Object{Kind: key.kind, Name: key.name, Version: s.revision, Value: value}
+	object := &objectclient.Object{Kind: key.kind, Name: key.name, Version: objectclient.Revision(s.revision), Value: value}
 	kind := objectclient.EventPut
 	if value == nil {
 		kind = objectclient.EventDelete
 	}
-	s.events = append(s.events, objectclient.Event{Revision: s.revision, Type: kind, Object: object})
+	s.events = append(s.events, objectclient.Event{Revision: objectclient.Revision(s.revision), Type: kind, Object: object})
 	if len(s.events) > maxWatchEvents {
-		s.compactTo(s.events[maxWatchEvents/4].Revision)
+		s.compactTo(int64(s.events[maxWatchEvents/4].Revision))
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -134,7 +135,7 @@
 func (s *store) compactTo(revision int64) {
 	s.compacted = max(s.compacted, revision)
 	first := 0
-	for first < len(s.events) && s.events[first].Revision <= s.compacted {
+	for first < len(s.events) && int64(s.events[first].Revision) <= s.compacted {
 		first++
 	}
 	s.events = append([]objectclient.Event(nil), s.events[first:]...)
@@ -150,6 +151,6 @@
 	if revision < s.compacted || revision > s.revision {
 		return nil, s.revision, nil, false
 	}
-	first := sort.Search(len(s.events), func(i int) bool { return s.events[i].Revision > revision })
+	first := sort.Search(len(s.events), func(i int) bool { return int64(s.events[i].Revision) > revision })
 	return append([]objectclient.Event(nil), s.events[first:]...), s.revision, s.changed, true
 }
--- a/internal/standin/objectapi/watch.go
+++ b/internal/standin/objectapi/watch.go
@@ -60,7 +60,7 @@
 		since = revision
 		if bookmarkDue {
 			bookmarkDue = false
-			if out.Encode(objectclient.Event{Revision: revision, Type: objectclient.EventBookmark}) != nil {
+			if out.Encode(objectclient.Event{Revision: objectclient.Revision(revision), Type: objectclient.EventBookmark}) != nil {
 				return
 			}
 		}
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -38,7 +38,7 @@
 	// Ended is true if the outcome has already been reported to the operator.
 	Ended bool
 	// Version is the version of the declaration's object.
-	Version int64
+	Version objectclient.Revision
 }
 
 // Declarations reads the declared moves and reports their progress to operators.
@@ -87,7 +87,7 @@
 type trackedMove struct {
 	state State
 	// version is the version of the stored state, 0 before the first write.
-	version int64
+	version objectclient.Revision
 	// reportedPhase is the phase that was last reported to the operator.
 	reportedPhase Phase
 	// declaration is what was read last.
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -31,7 +31,7 @@
 type RevisionedState struct {
 	State State `json:"s"`
 	// Revision is the version of the stored state; a higher one is newer.
-	Revision int64 `json:"r"`
+	Revision objectclient.Revision `json:"r"`
 }
 
 // Follower caches the state of the move of each service that has upstreams of two
--- a/internal/versionmove/follower_test.go
+++ b/internal/versionmove/follower_test.go
@@ -34,7 +34,7 @@
 }
 
 // write stores the state of the move and returns its revision.
-func (f *followerFixture) write(t *testing.T, s State) int64 {
+func (f *followerFixture) write(t *testing.T, s State) objectclient.Revision {
 	value, err := json.Marshal(s)
 	assert.NilError(t, err)
 	stored, err := f.store.Put(t.Context(), stateKind, "llm", objectclient.AnyVersion, value)
