Order configurations by the version that operators give them

Cause: the revision at which a configuration is stored decided whether it is newer. A lower one after the restore was an error for good; an equal one confirmed other contents. What orders configurations is their version. One that is read at a later position but has an older version never replaces the current one. It does not confirm it either: it shows that the store lost changes, and a later one that was acknowledged may have removed keys; the store is read again at once until the operator has written the newest version. Such a read is no failure of the store, so that its reader stays a reader.

--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -39,6 +39,9 @@
 	jitterFraction = 0.2
 )
 
+// errOlderConfig means that a configuration is older than the current one.
+const errOlderConfig = errors.ConstError("older than the current configuration")
+
 // ConfigOptions configures a ConfigSync. All fields are required.
 type ConfigOptions struct {
 	Store objectclient.Store
@@ -77,11 +80,13 @@
 	absentAt time.Time
 
 	mu sync.Mutex
-	// revision is the store revision of value, and version the version of the
-	// configuration that value encodes.
+	// revision is the highest store revision at which value was read, and version the
+	// version of the configuration that value encodes.
 	revision objectclient.Revision
 	version  int64
-	value    json.RawMessage
+	// olderRevision is the revision of an older configuration that was read last.
+	olderRevision objectclient.Revision
+	value         json.RawMessage
 }
 
 // NewConfigSync returns a ConfigSync that does nothing until Run.
@@ -144,13 +149,16 @@
 	}
 	c.probedAt = c.opts.BootNow()
 	err := c.readStore(ctx)
-	isAbsent := errors.Is(err, objectclient.ErrNotFound)
-	if err != nil && !isAbsent {
+	isAbsent, isOlder := errors.Is(err, objectclient.ErrNotFound), errors.Is(err, errOlderConfig)
+	if err != nil && !isAbsent && !isOlder {
 		c.opts.Scope.Counter("config_read_failed").Inc(1)
 		c.status.recordFailure(ctx, err)
 		return retryInterval
 	}
 	c.status.recordSuccess()
+	if isOlder {
+		return retryInterval
+	}
 	if !isAbsent {
 		return readInterval
 	}
@@ -212,27 +220,41 @@
 	return c.applySnapshot(Snapshot{Revision: object.Version, Value: object.Value, ConfirmedAt: sentAt}, "store")
 }
 
-// applySnapshot applies a configuration, or confirms the current one if the
-// revision is the same. It returns an error for an older revision. source names
-// the origin in log lines and errors.
+// applySnapshot applies a configuration, or confirms the current one if the version is the
+// same. Versions, which operators assign, order configurations; revisions do not, as a store
+// that was restored returns older ones at higher revisions until operators write them again.
+// It returns errOlderConfig for an older version: the current one is never replaced by it,
+// and not confirmed either, since a newer one that was lost may have removed keys. source
+// names the origin in log lines and errors.
 func (c *ConfigSync) applySnapshot(s Snapshot, source string) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case s.Revision < c.revision:
-		return errors.Errorf("configuration of %s has revision %d, older than the current revision %d of version %d", source, s.Revision, c.revision, c.version)
-	case s.Revision == c.revision:
+	switch s.Revision {
+	case c.revision:
 		c.opts.Holder.Confirm(c.version, s.ConfirmedAt)
 		return nil
+	case c.olderRevision:
+		return errors.Trace(errOlderConfig)
 	}
 	config, err := c.opts.Decode(s.Value)
 	if err != nil {
-		// The current configuration is not confirmed, as a newer one exists.
-		return errors.Annotatef(err, "decode configuration at revision %d", s.Revision)
+		// The current configuration is not confirmed, as a newer one may exist.
+		return errors.Annotatef(err, "decode configuration at revision %d of era %d", s.Revision.Number(), s.Revision.Era())
+	}
+	switch {
+	case config.Version < c.version:
+		c.olderRevision = s.Revision
+		c.opts.Logger.Warn("an older configuration was ignored; the current one is not confirmed", "version", config.Version,
+			"current", c.version, "revision", s.Revision.Number(), "era", s.Revision.Era(), "from", source)
+		return errors.Annotatef(errOlderConfig, "version %d of %s, current %d", config.Version, source, c.version)
+	case config.Version == c.version:
+		c.revision = max(c.revision, s.Revision)
+		c.opts.Holder.Confirm(c.version, s.ConfirmedAt)
+		return nil
 	}
 	c.revision, c.version, c.value = s.Revision, config.Version, s.Value
 	if c.opts.Holder.Apply(config, s.ConfirmedAt) {
-		c.opts.Logger.Info("applied configuration", "version", config.Version, "revision", s.Revision,
+		c.opts.Logger.Info("applied configuration", "version", config.Version, "revision", s.Revision.Number(), "era", s.Revision.Era(),
 			"routes", len(config.Routes), "workspaces", len(config.Workspaces), "from", source)
 	}
 	return nil
--- a/internal/fleetsync/restore_test.go
+++ b/internal/fleetsync/restore_test.go
@@ -113,3 +113,35 @@
 	advance(time.Second)
 	assert.Assert(t, e.Includes("b") && !e.Includes("a"), "changes after the restore are missed")
 }
+
+// Guards against a configuration that is replaced or confirmed by an older one from a copy
+// of the store, against a store that then counts as unreachable, and against the newest one
+// that is not confirmed when the operator has written it again.
+func TestOlderConfigurationOfRestoredStore(t *testing.T) {
+	c := newTestConfigSync()
+	c.readerRank = 0
+	c.put(t, "7")
+	c.step(t.Context())
+	backup := c.store.Backup()
+	c.put(t, "9")
+	c.step(t.Context())
+	_, before := c.holder.Current()
+	c.store.Restore(backup)
+	for range 3 {
+		c.now = c.now.Add(time.Second)
+		wait := c.step(t.Context())
+		assert.Equal(t, wait, retryInterval)
+	}
+	_, after := c.holder.Current()
+	assert.Equal(t, c.version(), int64(9))
+	assert.Equal(t, after, before, "the newest configuration was confirmed by an older one")
+	assert.Assert(t, !c.IsStoreFailing())
+	c.put(t, "9")
+	c.now = c.now.Add(time.Second)
+	c.step(t.Context())
+	_, after = c.holder.Current()
+	assert.Equal(t, after, c.now)
+	c.put(t, "10")
+	c.step(t.Context())
+	assert.Equal(t, c.version(), int64(10))
+}
