Do not let a restored store undo what is known of upstreams

What callers risk: after the store came back from a copy, requests go to upstreams that had said that they leave, or that are gone, and all upstreams that have started since the copy are dropped for a moment.

Cause: the list of a restored store is the latest reading, but part of it is older than what was known. An entry is now taken for one of the copy until somebody has written it after the first reading of the era: such an entry does not bring back an upstream that was known to be gone, nor make a leaving one live. Upstreams that the copy lacks are kept as after an outage, for the time in which live ones register again.

--- a/internal/fleetsync/restore_test.go
+++ b/internal/fleetsync/restore_test.go
@@ -1,10 +1,12 @@
 package fleetsync
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
@@ -14,6 +16,27 @@
 	"rattantide/internal/telemetry"
 )
 
+// errStopWatch ends a watch of eventStore.
+const errStopWatch = errors.ConstError("end of the events")
+
+// eventStore is an in-memory store whose watches return the events at once.
+type eventStore struct{ *objecttest.Store }
+
+// WatchOnce implements WatchStore.
+func (s eventStore) WatchOnce(ctx context.Context, kind string, since objectclient.Revision, _ time.Duration, fn func(objectclient.Event) error) (objectclient.Revision, error) {
+	err := s.Watch(ctx, since, []string{kind}, func(e objectclient.Event) error {
+		if e.Type == objectclient.EventBookmark {
+			since = max(since, e.Revision)
+			return errStopWatch
+		}
+		return fn(e)
+	})
+	if errors.Is(err, errStopWatch) {
+		return since, nil
+	}
+	return 0, err
+}
+
 // restoredUpstreams is an UpstreamSync with the list that it applied last.
 type restoredUpstreams struct {
 	*UpstreamSync
@@ -25,7 +48,7 @@
 func newRestoredUpstreams() *restoredUpstreams {
 	u := &restoredUpstreams{store: objecttest.New(), now: time.Unix(1000, 0)}
 	u.UpstreamSync = NewUpstreamSync(UpstreamOptions{
-		Store: watchStore{u.store}, Kind: "servers", ReaderRank: func() int { return 0 },
+		Store: eventStore{u.store}, Kind: "servers", ReaderRank: func() int { return 0 },
 		Decode: func(o *objectclient.Object) (membership.Instance, error) {
 			instance := membership.Instance{Name: o.Name}
 			return instance, json.Unmarshal(o.Value, &instance.State)
@@ -88,6 +111,7 @@
 // a copy that is older than it.
 func TestEvacuationsAfterRestore(t *testing.T) {
 	e := newTestEvacuationSync(0)
+	e.opts.Store = eventStore{e.store}
 	advance := func(d time.Duration) {
 		for until := e.now.Add(d); e.now.Before(until); e.now = e.now.Add(100 * time.Millisecond) {
 			e.step(t.Context())
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -95,6 +95,9 @@
 	// retainedUntil holds, by name, the time until which entries that disappeared
 	// during an outage of the store are retained.
 	retainedUntil map[string]time.Time
+	// departed holds what is not to be believed of a copy from which the store was
+	// restored.
+	departed departures
 
 	status readStatus
 }
@@ -102,7 +105,7 @@
 // NewUpstreamSync returns an UpstreamSync that does nothing until Run.
 func NewUpstreamSync(opts UpstreamOptions) *UpstreamSync {
 	return &UpstreamSync{
-		opts: opts, entries: map[string]membership.Instance{}, retainedUntil: map[string]time.Time{},
+		opts: opts, entries: map[string]membership.Instance{}, retainedUntil: map[string]time.Time{}, departed: newDepartures(),
 		status: readStatus{part: "the list of upstreams", logger: opts.Logger},
 	}
 }
@@ -216,36 +219,62 @@
 }
 
 // applyList replaces the entries by those of a list that was requested at sentAt.
-// After an outage, live entries that are absent from the list are retained for
-// absentRetention.
+// After an outage or a restore of the store, live entries that are absent from the list are
+// retained for absentRetention. Entries that a restored store has from its copy do not undo
+// what was known before.
 func (u *UpstreamSync) applyList(list *objectclient.ObjectList, sentAt time.Time) {
-	entries := make(map[string]membership.Instance, len(list.Items))
-	for i := range list.Items {
-		if instance, ok := u.decode(&list.Items[i]); ok {
-			entries[instance.Name] = instance
-		}
-	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.opts.Now()
-	afterOutage := !u.confirmedAt.IsZero() && now.Sub(u.confirmedAt) > outageThreshold
+	isRestored := !u.confirmedAt.IsZero() && list.Revision.Era() > u.revision.Era()
+	if isRestored {
+		u.departed.setCopy(list.Revision)
+		u.opts.Logger.Info("the store of the upstreams was restored", "era", list.Revision.Era(), "revision", list.Revision.Number())
+	}
+	entries := u.decodeList(list, now)
+	isOutage := isRestored || !u.confirmedAt.IsZero() && now.Sub(u.confirmedAt) > outageThreshold
 	for name, before := range u.entries {
 		if _, ok := entries[name]; ok {
 			delete(u.retainedUntil, name)
 			continue
 		}
-		if _, retained := u.retainedUntil[name]; !retained && afterOutage && before.State == membership.StateLive {
+		if _, retained := u.retainedUntil[name]; !retained && isOutage && before.State == membership.StateLive {
 			u.retainedUntil[name] = now.Add(absentRetention)
 		}
 		if until, retained := u.retainedUntil[name]; retained && now.Before(until) {
 			entries[name] = before
+			continue
 		}
+		u.departed.add(name, now)
 	}
 	u.entries, u.revision, u.isComplete, u.confirmedAt, u.feedConfirmedAt = entries, list.Revision, true, sentAt, sentAt
 	u.changeLog, u.changeLogStart = nil, list.Revision
 	u.publish()
 }
 
+// decodeList returns the upstreams of a list by name, without those that only a copy of the
+// store still has. u.mu must be held.
+func (u *UpstreamSync) decodeList(list *objectclient.ObjectList, now time.Time) map[string]membership.Instance {
+	entries := make(map[string]membership.Instance, len(list.Items))
+	for i := range list.Items {
+		o := &list.Items[i]
+		instance, ok := u.decode(o)
+		if !ok {
+			continue
+		}
+		if u.departed.isCopied(o.Version) {
+			if u.departed.includes(o.Name, now) {
+				continue
+			}
+			if before, known := u.entries[o.Name]; known && before.State == membership.StateLeaving {
+				instance.State = membership.StateLeaving
+			}
+		}
+		entries[o.Name] = instance
+	}
+	return entries
+}
+
 // applyChanges applies the complete changes between two revisions of the store.
 // They are ignored if they leave a gap after the current revision.
 func (u *UpstreamSync) applyChanges(from objectclient.Revision, changes []peering.Change, to objectclient.Revision, confirmedAt time.Time) {
@@ -293,6 +322,7 @@
 	delete(u.retainedUntil, c.Name)
 	if len(c.Value) == 0 {
 		delete(u.entries, c.Name)
+		u.departed.add(c.Name, u.opts.Now())
 		if known {
 			u.opts.Logger.Info("upstream is gone", "upstream", c.Name, "revision", c.Revision)
 		}
@@ -304,6 +334,7 @@
 		return known
 	}
 	u.entries[c.Name] = instance
+	u.departed.remove(c.Name)
 	if instance != before {
 		u.opts.Logger.Info("upstream changed", "upstream", c.Name, "pool", instance.Pool, "domain", instance.Domain,
 			"state", instance.State, "version", instance.Version, "revision", c.Revision)
@@ -324,6 +355,7 @@
 		}
 		delete(u.retainedUntil, name)
 		delete(u.entries, name)
+		u.departed.add(name, now)
 		changed = true
 		u.opts.Logger.Info("upstream removed; it did not register again after the store outage", "upstream", name)
 	}
