Keep evacuations that a restored store lacks until operators can write them again

An evacuation that had been acknowledged ended when the store came back from a copy older than it, and its upstreams got requests again. It is kept for the time in which upstreams register again too; what the store lists by then decides.

--- a/internal/fleetsync/evacuation_sync.go
+++ b/internal/fleetsync/evacuation_sync.go
@@ -48,6 +48,12 @@
 	revision    objectclient.Revision
 	confirmedAt time.Time
 
+	// retained holds the evacuations that a restored store lacks, until retainedUntil: by
+	// then, operators have written again those that are still declared. Both belong to the
+	// goroutine of Run.
+	retained      []string
+	retainedUntil time.Time
+
 	// mustList is set if the next read of the store must list the evacuations. It belongs
 	// to the goroutine of Run.
 	mustList bool
@@ -118,6 +124,9 @@
 	if e.opts.ReaderRank() != 0 && e.isFresh() {
 		return feedCheckInterval
 	}
+	if len(e.retained) > 0 && !e.opts.Now().Before(e.retainedUntil) {
+		e.retained, e.mustList = nil, true
+	}
 	err := e.readStore(ctx)
 	if err == nil {
 		e.status.recordSuccess()
@@ -132,6 +141,20 @@
 	return retryInterval
 }
 
+// addRetained adds the evacuations to a list of the store that it lacks because it was
+// restored.
+func (e *EvacuationSync) addRetained(listed []string, revision objectclient.Revision) []string {
+	e.mu.Lock()
+	known, isRestored := e.domains, !e.confirmedAt.IsZero() && revision.Era() > e.revision.Era()
+	e.mu.Unlock()
+	if isRestored {
+		e.retained, e.retainedUntil = slices.Clone(known), e.opts.Now().Add(absentRetention)
+		e.opts.Logger.Info("the store of the evacuations was restored", "era", revision.Era(), "listed", listed, "known", known)
+	}
+	e.retained = slices.DeleteFunc(e.retained, func(domain string) bool { return slices.Contains(listed, domain) })
+	return append(listed, e.retained...)
+}
+
 // readStore lists the evacuations if necessary, else waits for a change.
 func (e *EvacuationSync) readStore(ctx context.Context) error {
 	sentAt := e.opts.Now()
@@ -144,6 +167,7 @@
 		for i := range list.Items {
 			domains = append(domains, list.Items[i].Name)
 		}
+		domains = e.addRetained(domains, list.Revision)
 		slices.Sort(domains)
 		e.mustList = false
 		e.apply(domains, list.Revision, sentAt)
