Order the states of a version move by the move itself across a restore

Cause: states were ordered by the revision at which they are stored. The copy's older state is read at a later revision, so that all daemons took it. Within one era revisions still order states; across eras the states do: by the start of the move, then a verdict before all that is not one, then by the number of changes. The holder of the duty compares what is stored with what its own daemon knows, and stores that again if the store has lost it.

TestVerdictHoldsAfterRestore failed (running after undone; both cases) and passes.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -49,14 +49,17 @@
 	ReportPhase(ctx context.Context, d Declaration, phase Phase) error
 }
 
-// ControllerOptions configures a Controller. All fields except OnChange and Collect are
-// required.
+// ControllerOptions configures a Controller. All fields except Known, OnChange and Collect
+// are required.
 type ControllerOptions struct {
 	Declarations Declarations
 	Store        objectclient.Store
 	Ledger       *Ledger
 	// Upstreams returns all known upstreams.
 	Upstreams func() []membership.Instance
+	// Known returns what this daemon knows of a service's move. It may be further than the
+	// stored state after the store was restored from a copy. It may be nil.
+	Known func(service string) (State, bool)
 	// OnChange is called with each state that is written. It may be nil.
 	OnChange func(service string, s RevisionedState)
 	// Collect requests the tallies of all daemons. It is called about once a second while a
@@ -232,20 +235,32 @@
 	switch {
 	case err == nil:
 		m.version = stored.Version
-		if json.Unmarshal(stored.Value, &m.state) == nil && m.state.To == d.To {
-			c.moves[d.Service] = m
-			return m, nil
+		if err := json.Unmarshal(stored.Value, &m.state); err != nil {
+			c.opts.Logger.Warn("cannot decode the stored state of the version move; replacing it", "service", d.Service, "error", err)
+			m.state = State{}
 		}
 	case !errors.Is(err, objectclient.ErrNotFound):
 		return nil, errors.Trace(err)
 	}
+	if m.state.To != d.To {
+		m.state = State{}
+	}
+	if known, ok := c.known(d); ok && known.isAfter(m.state) {
+		c.opts.Logger.Info("storing the state of the version move again; the store has lost it", "service", d.Service, "to", d.To, "phase", known.Phase, "share", known.Share)
+		if err := c.write(ctx, m, known); err != nil {
+			return nil, err
+		}
+	}
+	if m.state.To == d.To {
+		c.moves[d.Service] = m
+		return m, nil
+	}
 	from, _ := sourceVersion(c.opts.Upstreams(), d.Service, d.To)
 	if from == "" {
 		return nil, nil
 	}
-	m.state = State{}
 	if err := c.write(ctx, m, State{
-		Service: d.Service, From: from, To: d.To, Phase: PhaseRunning, DeadlineMs: now.Add(d.Within).UnixMilli(),
+		Service: d.Service, From: from, To: d.To, Phase: PhaseRunning, DeadlineMs: now.Add(d.Within).UnixMilli(), StartedMs: now.UnixMilli(),
 	}); err != nil {
 		return nil, err
 	}
@@ -253,8 +268,18 @@
 	return m, nil
 }
 
+// known returns the state of a declared move that this daemon knows, if any.
+func (c *Controller) known(d Declaration) (State, bool) {
+	if c.opts.Known == nil {
+		return State{}, false
+	}
+	state, ok := c.opts.Known(d.Service)
+	return state, ok && state.To == d.To
+}
+
 // write stores the next state if the stored object is unchanged.
 func (c *Controller) write(ctx context.Context, m *trackedMove, next State) error {
+	next.Step++
 	value, err := json.Marshal(next)
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -58,6 +58,23 @@
 	ShareSinceMs int64   `json:"shareSinceMs,omitempty"`
 	// Reason describes why the move ended.
 	Reason string `json:"reason,omitempty"`
+	// StartedMs is when the move was first stored, in Unix milliseconds of the true time,
+	// and Step counts the changes of its state since then.
+	StartedMs int64 `json:"startedMs,omitempty"`
+	Step      int64 `json:"step,omitempty"`
+}
+
+// isAfter reports whether s follows other by what the states themselves tell: it is of a
+// later move, or of the same one and further. A verdict is final, so that it follows every
+// state of a running move.
+func (s State) isAfter(other State) bool {
+	if s.StartedMs != other.StartedMs {
+		return s.StartedMs > other.StartedMs
+	}
+	if sEnded, otherEnded := s.Phase != PhaseRunning, other.Phase != PhaseRunning; sEnded != otherEnded {
+		return sEnded
+	}
+	return s.Step > other.Step
 }
 
 // Evidence is the input to the decision about a move.
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -30,10 +30,19 @@
 // RevisionedState is the state of a move as daemons exchange it.
 type RevisionedState struct {
 	State State `json:"s"`
-	// Revision is the version of the stored state; a higher one is newer.
+	// Revision is the version of the stored state.
 	Revision objectclient.Revision `json:"r"`
 }
 
+// isOlder reports whether r is older than other. Revisions of one era of the store order
+// states; across a restore, the states themselves do.
+func (r RevisionedState) isOlder(other RevisionedState) bool {
+	if r.Revision.Era() != other.Revision.Era() && r.State != other.State {
+		return other.State.isAfter(r.State)
+	}
+	return r.Revision < other.Revision
+}
+
 // Follower caches the state of the move of each service that has upstreams of two
 // versions. It is safe for concurrent use.
 type Follower struct {
@@ -115,6 +124,14 @@
 	}
 }
 
+// Known returns the state of a service's move that this daemon knows, if any.
+func (f *Follower) Known(service string) (State, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	move, ok := f.states[service]
+	return move.State, ok
+}
+
 // IsUnsettled reports whether a service has a running move, or one that ended a short time
 // ago and whose losing version still has live upstreams. The number of upstreams then does
 // not show the capacity.
@@ -207,8 +224,8 @@
 	if f.states == nil {
 		f.states = map[string]followedMove{}
 	}
-	previous := f.states[service]
-	if next.Revision < previous.Revision {
+	previous, isKnown := f.states[service]
+	if isKnown && next.isOlder(previous.RevisionedState) {
 		return false
 	}
 	if receivedAt.IsZero() {
--- a/internal/versionmove/restore_test.go
+++ b/internal/versionmove/restore_test.go
@@ -25,6 +25,7 @@
 				c.opts.OnChange = func(service string, s RevisionedState) {
 					follower.Merge(map[string]RevisionedState{service: s}, true)
 				}
+				c.opts.Known = follower.Known
 				c.reconcile(t.Context())
 				c.reconcile(t.Context())
 				assert.Equal(t, follower.States()["s"].Share, canaryShare)
@@ -38,6 +39,7 @@
 				store.Restore(backup)
 				// Another daemon holds the duty; it knows of the move what its follower knows.
 				next := newHolderController(store, NewLedger(), declarations)
+				next.opts.OnChange, next.opts.Known = c.opts.OnChange, c.opts.Known
 				for range 20 {
 					next.reconcile(t.Context())
 					follower.reconcile(t.Context())
