Remember the final counts of usage windows outside the store

Cause: the counts of a window became final by a record in the store alone. A copy lacks it after a restore, and the next holder fixed its own counts. The class of fault is a promise to the outside whose only memory can be taken back.

The holder and its next holders now exchange final counts; the holder sends them with every report, and at once when they became final. A next holder uses what it knows, and stores it again. If counts became final more than once, the first ones hold, by the revision of their record. A window that was due before the present era was known, has no record and is known to nobody may have been reported: after 3 s for the others to answer it is left out, which costs a report and breaks no promise. Daemons tell each other the era of the store and since when it is known, so that one that starts later knows too, and none takes an answer of an era that has ended.

Open: a window that was due while the store was away is left out as well, unless its holder survived.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -78,6 +78,8 @@
 	quotaPool *quota.Pool
 	counter   *usage.Counter
 	ledger    *usage.Ledger
+	finals    *usage.Finals
+	era       *eraTracker
 	leases    *lease.Manager
 	latencies *latencyTracker
 	// versionRecorder tallies the results of this daemon's requests by version;
@@ -213,7 +215,8 @@
 		})
 	}
 	d.counter = usage.NewCounter(s.Bounds.UsageWindow, d.clock.Now)
-	d.ledger = usage.NewLedger()
+	d.ledger, d.finals = usage.NewLedger(), usage.NewFinals()
+	d.era = &eraTracker{eras: d.store.Eras(), now: d.clock.Now, onRise: d.recordEraRise}
 }
 
 func (d *Daemon) buildPeers() error {
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -117,6 +117,8 @@
 	if config, confirmedAt := d.holder.Current(); config != nil {
 		r.ConfigVersion, r.ConfigAgeMs = config.Version, bootclock.Now().Sub(confirmedAt).Milliseconds()
 	}
+	era, since := d.era.current()
+	r.Era, r.EraSinceMs = era, since.UnixMilli()
 	r.YieldedToken = d.leases.YieldedFence(dutyLease)
 	r.StoreUnavailable = d.config.IsStoreFailing()
 	r.QuotaSource = d.quota.Holder()
@@ -137,9 +139,20 @@
 	if full {
 		d.addCounts(&r)
 	}
+	if _, held := d.fencingToken(); full || held {
+		d.addFinalCounts(&r)
+	}
 	return r
 }
 
+// addFinalCounts adds the final counts that the next holders of the duties must not deviate
+// from.
+func (d *Daemon) addFinalCounts(r *peering.Report) {
+	if finals := d.finals.Windows(); len(finals) > 0 {
+		r.FinalCounts = d.encodePart("finals", finals)
+	}
+}
+
 // addCounts adds the counts that the holder of the duties needs from each daemon.
 func (d *Daemon) addCounts(r *peering.Report) {
 	if len(d.follower.States()) > 0 {
--- a/internal/fleetdaemon/report_parts.go
+++ b/internal/fleetdaemon/report_parts.go
@@ -5,6 +5,7 @@
 
 	"rattantide/internal/autoscale"
 	"rattantide/internal/peering"
+	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
 )
 
@@ -41,6 +42,14 @@
 	}
 }
 
+// applyFinalCounts stores the final counts of usage windows that another daemon knows.
+func (d *Daemon) applyFinalCounts(r peering.Report) {
+	var finals map[int64]usage.FinalCounts
+	if d.decodePart(r, "finals", r.FinalCounts, &finals) {
+		d.finals.Merge(finals)
+	}
+}
+
 // applyVersionTallies stores another daemon's tallies of requests by version.
 func (d *Daemon) applyVersionTallies(r peering.Report) {
 	var tallies map[string]versionmove.Tally
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -99,7 +99,7 @@
 	}
 	if d.settings.Cloud.ReportsUsage {
 		reporter := usage.NewReporter(usage.ReporterOptions{
-			Store: d.store, Sender: d.cloud, Counter: d.counter, Ledger: d.ledger, Held: d.fencingToken, Now: d.clock.Now,
+			Store: d.store, Sender: d.cloud, Counter: d.counter, Ledger: d.ledger, Finals: d.finals, StoreSince: d.era.knownSince, OnFinal: d.announceNews, Held: d.fencingToken, Now: d.clock.Now,
 			Collect: d.peers.Collect, Logger: d.logger, Scope: d.scope,
 			StaleFence: func(err error) bool { return errors.Is(err, platform.ErrStaleFence) },
 		})
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -30,6 +30,10 @@
 	WallMs int64 `json:"w"`
 	// StoreUnavailable is set if the daemon's reads of the store fail.
 	StoreUnavailable bool `json:"sa,omitempty"`
+	// Era is the highest era of the store that the daemon knows of, and EraSinceMs the true
+	// time since which some daemon knows of it, in Unix milliseconds.
+	Era        int64 `json:"e,omitempty"`
+	EraSinceMs int64 `json:"es,omitempty"`
 	// YieldedToken is the fencing token of the duty lease if the daemon gave the lease up
 	// but could not write that to the store, else 0.
 	YieldedToken int64 `json:"fy,omitempty"`
@@ -58,6 +62,8 @@
 	LatencyHistograms json.RawMessage `json:"la,omitempty"`
 	// RequestCounts holds the number of started requests by window and workspace.
 	RequestCounts map[int64]map[string]int64 `json:"u,omitempty"`
+	// FinalCounts holds the encoded final counts of usage windows that the daemon knows.
+	FinalCounts json.RawMessage `json:"uf,omitempty"`
 }
 
 // ProcessName returns a name of the process that is unique among all daemons.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -30,6 +30,12 @@
 	reconcileInterval = 500 * time.Millisecond
 	// maxBacklog bounds the number of past windows that a new holder reports.
 	maxBacklog = 4
+	// recallTime is how long after a restore of the store the holder waits for what other
+	// daemons know of windows that may have been reported before.
+	recallTime = 3 * time.Second
+	// errNotKnown means that a window may have been reported with counts that neither the
+	// store nor a daemon knows any more.
+	errNotKnown = errors.ConstError("the store was restored since the window was due, and nobody knows whether it was reported")
 )
 
 // Sender sends usage reports.
@@ -46,6 +52,13 @@
 	Sender  Sender
 	Counter *Counter
 	Ledger  *Ledger
+	Finals  *Finals
+	// StoreSince returns the true time since which the present era of the store is known to
+	// some daemon. Records that were written before may be lost.
+	StoreSince func() time.Time
+	// OnFinal is called when the counts of a window became final, before they are sent, so
+	// that the next holders learn of them.
+	OnFinal func()
 	// Held returns the fencing token of the duty and whether this daemon holds it.
 	Held func() (fence int64, ok bool)
 	// Now returns the true time.
@@ -62,7 +75,9 @@
 
 // Reporter sends one report per window while this daemon holds the duty. The counts
 // of a window are written to the store before they are first sent, so that all reports
-// of a window are identical, whichever daemon sends them. A Reporter is not safe for
+// of a window are identical, whichever daemon sends them. A store that is restored from a
+// copy may lose them: daemons remember them too, and a window that may have been reported
+// with counts that nobody knows is not reported again. A Reporter is not safe for
 // concurrent use.
 type Reporter struct {
 	opts ReporterOptions
@@ -98,8 +113,12 @@
 		r.lastReported = due - maxBacklog
 	}
 	for window := max(r.lastReported+1, due-maxBacklog); window <= due; window++ {
-		if err := r.report(ctx, fence, window); err != nil {
+		err := r.report(ctx, fence, window)
+		isLost := errors.Is(err, errNotKnown) && r.opts.Now().Sub(r.opts.StoreSince()) > recallTime
+		if err != nil {
 			r.handleError(fence, window, err)
+		}
+		if err != nil && !isLost {
 			return
 		}
 		r.lastReported = window
@@ -153,32 +172,56 @@
 	return nil
 }
 
-// persistCounts returns the stored counts of a window. If there are none, it stores
-// those of the ledger.
+// persistCounts returns the final counts of a window. If there are none, those of the ledger
+// become final by being stored.
 func (r *Reporter) persistCounts(ctx context.Context, window int64) (Counts, error) {
-	counts := r.opts.Ledger.Total(window)
+	final, isKnown := r.opts.Finals.Get(window)
+	if isKnown && final.Revision.Era() == r.opts.Store.Eras().Current() {
+		return final.Counts, nil
+	}
+	counts := final.Counts
+	if !isKnown {
+		counts = r.opts.Ledger.Total(window)
+	}
 	if len(counts) == 0 {
 		return nil, nil
 	}
-	value, err := json.Marshal(record{Window: window, Counts: counts})
+	stored, err := r.storeCounts(ctx, window, counts, isKnown)
 	if err != nil {
-		return nil, errors.Trace(err)
+		return nil, err
 	}
-	stored, err := r.opts.Store.Put(ctx, recordKind, strconv.FormatInt(window, 10), objectclient.MustNotExist, value)
-	switch {
-	case err == nil:
-	case errors.Is(err, objectclient.ErrConflict):
-		if stored == nil {
-			if stored, err = r.opts.Store.Get(ctx, recordKind, strconv.FormatInt(window, 10)); err != nil {
-				return nil, errors.Trace(err)
-			}
+	var inStore record
+	if err := json.Unmarshal(stored.Value, &inStore); err != nil {
+		return nil, errors.Annotatef(err, "record of window %d", window)
+	}
+	r.opts.Finals.Merge(map[int64]FinalCounts{window: {Counts: inStore.Counts, Revision: stored.Version}})
+	r.opts.OnFinal()
+	final, _ = r.opts.Finals.Get(window)
+	return final.Counts, nil
+}
+
+// storeCounts stores the counts of a window unless it has a record, and returns the record.
+// Counts that are not known to be final are not stored if others may have been, in a record
+// that a restore has lost.
+func (r *Reporter) storeCounts(ctx context.Context, window int64, counts Counts, areFinal bool) (*objectclient.Object, error) {
+	name := strconv.FormatInt(window, 10)
+	if !areFinal && r.opts.Counter.End(window).Add(settleDelay).Before(r.opts.StoreSince()) {
+		stored, err := r.opts.Store.Get(ctx, recordKind, name)
+		if errors.Is(err, objectclient.ErrNotFound) {
+			return nil, errors.Trace(errNotKnown)
 		}
-	default:
+		return stored, errors.Trace(err)
+	}
+	value, err := json.Marshal(record{Window: window, Counts: counts})
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	var final record
-	if err := json.Unmarshal(stored.Value, &final); err != nil {
-		return nil, errors.Annotatef(err, "record of window %d", window)
+	stored, err := r.opts.Store.Put(ctx, recordKind, name, objectclient.MustNotExist, value)
+	if errors.Is(err, objectclient.ErrConflict) && stored == nil {
+		stored, err = r.opts.Store.Get(ctx, recordKind, name)
 	}
-	return final.Counts, nil
+	if err != nil && !errors.Is(err, objectclient.ErrConflict) {
+		return nil, errors.Trace(err)
+	}
+	return stored, nil
 }
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -42,15 +42,19 @@
 	sender  *recordingSender
 	counter *Counter
 	ledger  *Ledger
+	finals  *Finals
 	fence   int64
+	// storeSince is since when the era of the store is known.
+	storeSince time.Time
 	// collect is called when the reporter requests the counts of the other daemons.
 	collect func()
 }
 
 func newDutyHolder(store *objecttest.Store) *dutyHolder {
-	h := &dutyHolder{sender: &recordingSender{}, counter: NewCounter(5*time.Second, time.Now), ledger: NewLedger()}
+	h := &dutyHolder{sender: &recordingSender{}, counter: NewCounter(5*time.Second, time.Now), ledger: NewLedger(), finals: NewFinals()}
 	h.Reporter = NewReporter(ReporterOptions{
-		Store: store, Sender: h.sender, Counter: h.counter, Ledger: h.ledger, Now: time.Now,
+		Store: store, Sender: h.sender, Counter: h.counter, Ledger: h.ledger, Finals: h.finals, Now: time.Now,
+		StoreSince: func() time.Time { return h.storeSince }, OnFinal: func() {},
 		Held:   func() (int64, bool) { return h.fence, h.fence > 0 },
 		Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		Collect: func(bool) {
