Register daemons again after a restore of the store

A daemon registers once; if the store comes back from a copy that is older than its entry, daemons that start later do not learn of it, unless it reads the store. Each daemon now registers again in the new era. TestRegistersAgainAfterRestore failed (not found) before.

--- a/internal/peering/registrar.go
+++ b/internal/peering/registrar.go
@@ -18,6 +18,9 @@
 	// daemons that do not know each other learn each other's address.
 	registerInterval   = 30 * time.Second
 	registerRetryDelay = time.Second
+	// eraCheckInterval is how often a daemon checks whether the store was restored, which
+	// may have lost its entry.
+	eraCheckInterval = 2 * time.Second
 )
 
 // entry is a daemon's entry in the store.
@@ -55,12 +58,31 @@
 				r.Logger.Warn("daemon registration failed; retrying", "error", err)
 			}
 		}
+		if r.waitForRestore(ctx, wait, r.Store.Eras().Current()) {
+			isRegistered = false
+		}
+	}
+	return nil
+}
+
+// waitForRestore waits for a time, or until the era of the store is higher than era. It
+// reports whether it is.
+func (r *Registrar) waitForRestore(ctx context.Context, wait time.Duration, era int64) bool {
+	deadline := time.After(wait)
+	check := time.NewTicker(eraCheckInterval)
+	defer check.Stop()
+	for {
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+			return false
+		case <-deadline:
+			return false
+		case <-check.C:
+			if r.Store.Eras().Current() > era {
+				return true
+			}
 		}
 	}
-	return nil
 }
 
 // register reads the entries and writes this daemon's if it is missing. An old list
--- a/internal/peering/registrar_test.go
+++ b/internal/peering/registrar_test.go
@@ -44,3 +44,26 @@
 		cancel()
 	})
 }
+
+// Guards against a daemon that is unknown to those that start later, because the store came
+// back from a copy that is older than its entry.
+func TestRegistersAgainAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objecttest.New()
+		backup := store.Backup()
+		ctx, cancel := context.WithCancel(t.Context())
+		r := &Registrar{
+			Store: store, Name: "d", IP: "10.0.0.1", Logger: telemetry.Discard(), OnRegistered: func() {},
+			ReadsStore: func() bool { return false }, Add: func(...string) {},
+		}
+		go func() { _ = r.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		_, err := store.Get(t.Context(), daemonKind, "d")
+		assert.NilError(t, err)
+		store.Restore(backup)
+		time.Sleep(2 * eraCheckInterval)
+		_, err = store.Get(t.Context(), daemonKind, "d")
+		assert.NilError(t, err)
+		cancel()
+	})
+}
