Keep the orders of upstreams when a holder gets the duty back after a restore

After a restore the holder's lease ends and it acquires a new one; it then forgot its orders and went on from the capacity in the copy, or, without one there, from the upstreams of the moment. It keeps its planners if it has the duty again in a higher era within 3 s. A capacity that the store has lost is created again; an unconditional write of a missing object fails on the platform's store. TestHolderKeepsOrdersAcrossRestore failed ("the orders were forgotten") and passes.

--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -15,8 +15,12 @@
 	"rattantide/internal/periodic"
 )
 
-// reconcileInterval is the time between two passes over the services.
-const reconcileInterval = 500 * time.Millisecond
+const (
+	// reconcileInterval is the time between two passes over the services.
+	reconcileInterval = 500 * time.Millisecond
+	// maxHoldGap is the time without the duty after which another daemon may have held it.
+	maxHoldGap = 3 * time.Second
+)
 
 // LatencySummary summarizes how long recent requests waited for their first answer.
 type LatencySummary struct {
@@ -76,8 +80,11 @@
 // Controller orders upstreams while this daemon holds the duty. It is not safe for
 // concurrent use.
 type Controller struct {
-	opts     Options
-	fence    int64
+	opts  Options
+	fence int64
+	// heldAt is when the duty was last held, and isLost is set if it was not since then.
+	heldAt   time.Time
+	isLost   bool
 	planners map[string]*Planner
 	// stored is the capacity that was last read from or sent to the store, by
 	// service.
@@ -97,13 +104,18 @@
 	fence, ok := c.opts.Held()
 	config, _ := c.opts.Config.Current()
 	if !ok || config == nil {
-		c.planners = nil
+		c.isLost = true
 		return
 	}
-	if fence != c.fence || c.planners == nil {
-		// The orders of an earlier holder are not known.
-		c.fence, c.planners, c.stored = fence, map[string]*Planner{}, map[string]storedCapacity{}
+	now := c.opts.Now()
+	if fence != c.fence || c.isLost {
+		if !c.isReacquired(fence, now) {
+			// The orders of another holder are not known.
+			c.planners = map[string]*Planner{}
+		}
+		c.fence, c.stored, c.isLost = fence, map[string]storedCapacity{}, false
 	}
+	c.heldAt = now
 	upstreams := c.opts.Upstreams()
 	for name, service := range config.Services {
 		if service.Autoscale == nil || c.opts.IsPaused(name) {
@@ -127,6 +139,13 @@
 	}
 }
 
+// isReacquired reports whether this daemon has got the duty again because the store was
+// restored: its planners then know more of the orders than the store does.
+func (c *Controller) isReacquired(fence int64, now time.Time) bool {
+	isRestored := objectclient.Revision(fence).Era() > objectclient.Revision(c.fence).Era()
+	return isRestored && c.planners != nil && now.Sub(c.heldAt) <= maxHoldGap
+}
+
 // loadPlanner returns a planner that continues from the stored capacity, if there
 // is any. ok is false if the store could not be read.
 func (c *Controller) loadPlanner(ctx context.Context, service string) (planner *Planner, ok bool) {
@@ -162,11 +181,11 @@
 		c.opts.Logger.Error("cannot encode the capacity of the service; not storing it", "service", service, "error", err)
 		return
 	}
-	version := objectclient.AnyVersion
-	if c.stored[service].Initial == 0 {
-		version = objectclient.MustNotExist
+	_, err = c.opts.Store.Put(ctx, capacityKind, service, objectclient.AnyVersion, value)
+	if errors.Is(err, objectclient.ErrNotFound) {
+		_, err = c.opts.Store.Put(ctx, capacityKind, service, objectclient.MustNotExist, value)
 	}
-	if _, err := c.opts.Store.Put(ctx, capacityKind, service, version, value); err != nil && !errors.Is(err, objectclient.ErrConflict) {
+	if err != nil && !errors.Is(err, objectclient.ErrConflict) {
 		c.opts.Scope.Counter("capacity_write_failed").Inc(1)
 		c.opts.Logger.Warn("cannot store the capacity of the service; writing it again when it changes", "service", service, "error", err)
 	}
