Restore the stand-in of the object API from a copy, and search the own interface for it

The stand-in goes back to a copy (POST /control/backup and /control/restore) and answers with its era. The in-memory store of the tests reconstructed stale reads wrongly after a restore; the search found that first.

--- a/internal/configsync/converge_test.go
+++ b/internal/configsync/converge_test.go
@@ -44,7 +44,7 @@
 // Guards against an object that reverts to an older version, against a deletion that
 // is undone or never applied, and against daemons that do not converge, when lists
 // (stale ones included), watches, incremental feeds and snapshots are applied in any
-// order.
+// order, and the store is restored from copies.
 func TestConfigurationConverges(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		ctx := context.Background()
@@ -76,6 +76,7 @@
 				}
 			}
 		}
+		backup := store.Backup()
 		pick := func(rt *rapid.T, what string) *Syncer {
 			return syncers[rapid.IntRange(0, 2).Draw(rt, what)]
 		}
@@ -102,6 +103,8 @@
 				pick(rt, "to").applyFeed(&feed)
 			},
 			"compact": func(*rapid.T) { store.Compact() },
+			"backup":  func(*rapid.T) { backup = store.Backup() },
+			"restore": func(*rapid.T) { store.Restore(backup) },
 			"":        func(*rapid.T) { check() },
 		})
 		if err := syncers[0].listAll(ctx); err != nil {
--- a/internal/objecttest/backup.go
+++ b/internal/objecttest/backup.go
@@ -31,6 +31,7 @@
 		o.Version = inEra(era, o.Version)
 		s.objects[key] = o
 	}
+	s.restored = Backup{revision: s.revision, objects: maps.Clone(s.objects)}
 	s.events, s.compacted = nil, s.revision
 	s.notifyWatches()
 }
--- a/internal/objecttest/store.go
+++ b/internal/objecttest/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"sort"
 	"sync"
 	"time"
@@ -32,6 +33,8 @@
 	calls          Calls
 	clock          func() time.Time
 	eras           objectclient.Eras
+	// restored is the state at the beginning of the present era.
+	restored Backup
 }
 
 var _ objectclient.Store = (*Store)(nil)
@@ -89,7 +92,7 @@
 		return nil, err
 	}
 	defer s.mu.Unlock()
-	list := &objectclient.ObjectList{Revision: max(0, s.revision-objectclient.Revision(s.faults.staleRevisions))}
+	list := &objectclient.ObjectList{Revision: s.visibleRevision()}
 	for key, o := range s.visibleObjects() {
 		if key.kind == kind {
 			list.Items = append(list.Items, *clone(o))
@@ -245,15 +248,23 @@
 	return nil
 }
 
+// visibleRevision returns the revision as of which reads are. The caller holds s.mu.
+func (s *Store) visibleRevision() objectclient.Revision {
+	return max(s.restored.revision, s.revision-objectclient.Revision(s.faults.staleRevisions))
+}
+
 // visibleObjects returns the objects that a read returns, as of staleRevisions
 // revisions ago. The caller holds s.mu.
 func (s *Store) visibleObjects() map[objectKey]objectclient.Object {
 	if s.faults.staleRevisions <= 0 {
 		return s.objects
 	}
-	past := map[objectKey]objectclient.Object{}
+	past := maps.Clone(s.restored.objects)
+	if past == nil {
+		past = map[objectKey]objectclient.Object{}
+	}
 	for _, event := range s.events {
-		if event.Revision > s.revision-objectclient.Revision(s.faults.staleRevisions) {
+		if event.Revision > s.visibleRevision() {
 			break
 		}
 		key := objectKey{event.Object.Kind, event.Object.Name}
--- a/internal/standin/objectapi/api.go
+++ b/internal/standin/objectapi/api.go
@@ -32,6 +32,8 @@
 	// outageStarted is closed when an outage begins, which ends the watches, and
 	// is then replaced.
 	outageStarted chan struct{}
+	// saved is the backup that POST /control/restore restores.
+	saved *Backup
 }
 
 // New returns an API that stores no objects.
@@ -50,6 +52,8 @@
 		control.WriteJSON(w, http.StatusOK, a.stats.snapshot())
 	})
 	a.mux.HandleFunc("POST /control/compact", a.serveCompact)
+	a.mux.HandleFunc("POST /control/backup", a.serveBackup)
+	a.mux.HandleFunc("POST /control/restore", a.serveRestore)
 	return a
 }
 
@@ -66,6 +70,7 @@
 // ServeHTTP serves the object API and its control calls.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Store-Time-Ms", strconv.FormatInt(time.Now().UnixMilli(), 10))
+	w.Header().Set(objectclient.EraHeader, strconv.FormatInt(a.store.currentEra(), 10))
 	if !strings.HasPrefix(r.URL.Path, "/control/") && !a.admit(w, r) {
 		return
 	}
--- a/internal/standin/objectapi/store.go
+++ b/internal/standin/objectapi/store.go
@@ -31,6 +31,7 @@
 // those that require the caller to hold s.mu.
 type store struct {
 	mu        sync.Mutex
+	era       int64
 	revision  int64
 	compacted int64
 	revisions map[objectKey][]revisionValue
@@ -143,12 +144,12 @@
 
 // eventsSince returns the events after a revision, the current revision, and a
 // channel that is closed at the next change. It returns false if events after the
-// revision have been compacted, or if the revision is above the current one and
-// therefore comes from another store.
-func (s *store) eventsSince(revision int64) ([]objectclient.Event, int64, <-chan struct{}, bool) {
+// revision have been compacted, if the era has ended, or if the revision is above the
+// current one and therefore comes from an earlier era.
+func (s *store) eventsSince(era, revision int64) ([]objectclient.Event, int64, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision < s.compacted || revision > s.revision {
+	if era != s.era || revision < s.compacted || revision > s.revision {
 		return nil, s.revision, nil, false
 	}
 	first := sort.Search(len(s.events), func(i int) bool { return int64(s.events[i].Revision) > revision })
--- a/internal/standin/objectapi/watch.go
+++ b/internal/standin/objectapi/watch.go
@@ -36,8 +36,10 @@
 	ticker := time.NewTicker(bookmarkInterval)
 	defer ticker.Stop()
 	bookmarkDue := true
+	era := a.store.currentEra()
+	w.Header().Set(objectclient.EraHeader, strconv.FormatInt(era, 10))
 	for isStarted := false; ; isStarted = true {
-		events, revision, changed, ok := a.store.eventsSince(since)
+		events, revision, changed, ok := a.store.eventsSince(era, since)
 		if !ok && !isStarted {
 			control.WriteError(w, http.StatusGone, "compacted", "the revision is compacted")
 			return
