Store intents and outcomes again that a restored store has lost

An order that had run ran again under its key after the object API came back from a copy, as the record of its intent was gone; or its outcome was unknown. The writer of a shard remembers the latest head that was stored. In a new era it reads first, and adds what it remembers and the store lacks, which is then written with the next batch.

TestIntentsHoldAfterRestore failed on both cases (the second daemon was granted the key) and passes. Open: entries that were sealed into a segment within the time of the copy, and a writer that is restarted in the gap.

--- a/internal/intent/commit.go
+++ b/internal/intent/commit.go
@@ -21,7 +21,7 @@
 	var err error
 	for range maxCommitAttempts {
 		begins = w.dropAbandoned(begins)
-		if w.head == nil {
+		if w.head == nil || w.isRestored() {
 			if err = w.read(); err != nil {
 				break
 			}
@@ -61,7 +61,7 @@
 	}
 	dropped := next.expire(now, w.log.options.Retention, w.log.options.PendingTimeout)
 
-	changed := w.writeUnresolved || ref != nil
+	changed := w.writeUnresolved || w.mustStore || ref != nil
 	for _, op := range finishes {
 		sealed, err := w.sealedEntry(base, next, op.key)
 		if err != nil {
@@ -144,7 +144,7 @@
 	case err == nil:
 		w.log.options.Scope.Counter("intent_writes").Inc(1)
 		next.version = stored.Version
-		w.head, w.readAt, w.writeUnresolved = next, time.Now(), false
+		w.head, w.remembered, w.readAt, w.writeUnresolved, w.mustStore = next, next, time.Now(), false, false
 		return nil
 	case errors.Is(err, objectclient.ErrConflict):
 		w.log.stats.Conflicts.Add(1)
--- a/internal/intent/head.go
+++ b/internal/intent/head.go
@@ -55,6 +55,28 @@
 	return h, nil
 }
 
+// addLost adds the entries of an earlier head that h lacks, and the outcomes of those that h
+// has without one. It reports whether there were any.
+func (h *head) addLost(earlier *head) bool {
+	changed := false
+	for key, e := range earlier.entries {
+		current := h.entries[key]
+		switch {
+		case current == nil:
+			if e.Outcome == nil {
+				h.pending++
+			}
+		case current.Nonce == e.Nonce && current.Outcome == nil && e.Outcome != nil:
+			h.pending--
+		default:
+			continue
+		}
+		h.entries[key] = e
+		changed = true
+	}
+	return changed
+}
+
 // encode returns the stored form with writeID as its write identifier. The
 // order of entries is fixed, so that equal heads are sealed into equal
 // segments.
--- a/internal/intent/writer.go
+++ b/internal/intent/writer.go
@@ -41,6 +41,11 @@
 	head     *head
 	readAt   time.Time
 	segments segments
+	// remembered is the latest version that is known to have been stored. A store that is
+	// restored from a copy may have lost its entries; mustStore is set while the head has
+	// entries that must be stored again.
+	remembered *head
+	mustStore  bool
 	// writeUnresolved reports that a write was sent whose result is not known,
 	// so it may still change the stored object.
 	writeUnresolved bool
@@ -234,7 +239,7 @@
 	return w.adopt(h)
 }
 
-// adopt sets the head to h once its segments are indexed.
+// adopt sets the head to h, which was just read, once its segments are indexed.
 func (w *writer) adopt(h *head) error {
 	w.head = nil
 	ctx, cancel := w.storeContext()
@@ -242,6 +247,16 @@
 	if err := w.segments.loadMissing(ctx, w.log, h); err != nil {
 		return err
 	}
-	w.head, w.readAt = h, time.Now()
+	if w.isRestored() && h.addLost(w.remembered) {
+		w.mustStore = true
+		w.log.options.Scope.Counter("intent_restored").Inc(1)
+		w.log.options.Logger.Warn("the object API was restored and has lost intents or outcomes; storing those that are remembered again", "shard", w.shard)
+	}
+	w.head, w.remembered, w.readAt = h, h, time.Now()
 	return nil
 }
+
+// isRestored reports whether the store was restored since the remembered head was stored.
+func (w *writer) isRestored() bool {
+	return w.remembered != nil && w.log.options.Store.Eras().Current() > w.remembered.version.Era()
+}
