Restore the store from copies in the soak, among all other faults

A restore of the platform's stand-in to one of the last six rounds, after an outage of 0.3 to 1.5 s, overlaps with kills, pauses, cuts, clock steps and changes; the operator and the runners then write again, as on the platform. Two holders with one fencing token are a violation now.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -87,9 +87,8 @@
 	storeAddress, cloudAddress := serve(f.store), serve(f.cloud)
 	for i := range 4 {
 		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
-		service := "app"
 		if i%2 == 1 {
-			r.Events, service = streamEvents, "llm"
+			r.Events = streamEvents
 		}
 		process, err := runner.StartProcess(r, runnerRestartDelay)
 		assert.NilError(t, err)
@@ -98,10 +97,8 @@
 		runnerLink := startLink(t, process.Address())
 		f.processes = append(f.processes, process)
 		f.runners, f.runnerLinks = append(f.runners, r), append(f.runnerLinks, runnerLink)
-		f.store.Set("servers", r.ID, map[string]any{
-			"service": service, "address": runnerLink.address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1,
-		})
 	}
+	f.writeRunners()
 	f.writeConfig()
 	f.port = freePortRange(t)
 	f.dir = t.TempDir()
@@ -184,11 +181,36 @@
 	}
 }
 
+// writeRunners writes the entries of the runners to the store.
+func (f *fleet) writeRunners() {
+	for i, r := range f.runners {
+		service := "app"
+		if r.Events > 0 {
+			service = "llm"
+		}
+		f.store.Set("servers", r.ID, map[string]any{
+			"service": service, "address": f.runnerLinks[i].address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1,
+		})
+	}
+}
+
 // writeConfig writes the configuration with the next version number to the store.
 func (f *fleet) writeConfig() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configVersion++
+	f.storeConfig()
+}
+
+// rewriteConfig writes the latest configuration to the store again.
+func (f *fleet) rewriteConfig() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeConfig()
+}
+
+// storeConfig writes the latest configuration. The caller holds f.mu.
+func (f *fleet) storeConfig() {
 	route := func(name, service, kind string, attempts int, resume bool) any {
 		return map[string]any{
 			"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 2000, "targetLatencyMs": 500,
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -96,12 +96,14 @@
 	i := &injector{fleet: f, random: rand.New(rand.NewPCG(seed, 0)), faultyNodes: map[*node]bool{}}
 	environment := &environmentInjector{injector: i, random: rand.New(rand.NewPCG(seed, 2))}
 	upstreams := &upstreamInjector{injector: i, random: rand.New(rand.NewPCG(seed, 3))}
+	restores := &restoreInjector{injector: i, random: rand.New(rand.NewPCG(seed, 4))}
 	start := time.Now()
 	var revokedAt time.Time
 	for n := range faultRounds {
 		i.inject()
 		environment.inject()
 		upstreams.inject()
+		restores.inject()
 		if n == faultRounds/3 {
 			f.revokeKey()
 			revokedAt = time.Now()
--- a/test/soak/violations_test.go
+++ b/test/soak/violations_test.go
@@ -60,13 +60,17 @@
 			addf("%s was executed but no client sent it", id)
 		}
 	}
-	countsByWindow := map[int64]string{}
+	countsByWindow, holderByToken := map[int64]string{}, map[int64]string{}
 	for _, r := range f.cloud.Reports() {
 		text := fmt.Sprint(r.Counts)
 		if previous, ok := countsByWindow[r.Window]; ok && previous != text {
 			addf("usage of window %d was reported with different counts: %s and %s", r.Window, previous, text)
 		}
 		countsByWindow[r.Window] = text
+		if previous, ok := holderByToken[r.Fence]; ok && previous != r.Holder {
+			addf("fencing token %d was used by %s and by %s", r.Fence, previous, r.Holder)
+		}
+		holderByToken[r.Fence] = r.Holder
 	}
 	return out
 }
