--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -274,21 +274,6 @@
 	d.follower.OnChange = d.applyMoveChange
 }
 
-// buildQuota builds the components that enforce the quotas of workspaces.
-func (d *Daemon) buildQuota() {
-	bound := func() quota.Bound {
-		b := d.bounds.Load()
-		return quota.Bound{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
-	}
-	d.quotaPool = quota.NewPool(quota.PoolOptions{
-		Daemons: d.daemonCount, Bound: bound, Now: bootclock.Now,
-	})
-	d.quota = quota.NewLimiter(quota.Options{
-		Self: d.settings.Name, Holders: d.quotaPoolHolders, Pool: d.quotaPool, RemotePool: quotaSource{d.peers},
-		OnHolderChange: func(from, to string) { d.peers.Notify(from, to) }, Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
-	})
-}
-
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -7,6 +7,7 @@
 
 	"rattantide/internal/bootclock"
 	"rattantide/internal/peering"
+	"rattantide/internal/quota"
 )
 
 // maxQuotaPools is the number of daemons whose quota pools this daemon may take from.
@@ -36,6 +37,21 @@
 	return nil
 }
 
+// buildQuota builds the components that enforce the quotas of workspaces.
+func (d *Daemon) buildQuota() {
+	bound := func() quota.Bound {
+		b := d.bounds.Load()
+		return quota.Bound{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack}
+	}
+	d.quotaPool = quota.NewPool(quota.PoolOptions{
+		Daemons: d.daemonCount, Bound: bound, Now: bootclock.Now,
+	})
+	d.quota = quota.NewLimiter(quota.Options{
+		Self: d.settings.Name, Holders: d.quotaPoolHolders, Pool: d.quotaPool, RemotePool: quotaSource{d.peers},
+		OnHolderChange: func(from, to string) { d.peers.Notify(from, to) }, Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+	})
+}
+
 // handlePeerRequest processes the report that a request from another daemon contains: its
 // news, and whether that daemon takes its quotas from this daemon's pool.
 func (d *Daemon) handlePeerRequest(r peering.Report) {
--- a/internal/lease/renew.go
+++ b/internal/lease/renew.go
@@ -39,7 +39,7 @@
 			d.version = stored.Version
 			return 0
 		}
-		options.Logger.Warn("lost the lease: another holder acquired it", "duty", d.name, "fence", fence)
+		options.Logger.Warn("lost the lease: another holder acquired it, or the store was restored without it", "duty", d.name, "fence", fence, "error", err)
 		options.Scope.Counter("lease_lost").Inc(1)
 		d.clearHeld()
 		d.nonce = ""
