Break off a resumed stream that repeats events

The first event of a resumed part must come after the last one that was relayed, as far as identifiers are numbers; otherwise it must not be the same. TestResumedStreamDoesNotRepeatEvents failed on 2 of 3 cases and passes.

--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,6 +32,9 @@
 				return a.handleTruncated(ctx, errors.New("event exceeds the limit of 1 MiB"))
 			}
 			if len(ready) > 0 {
+				if a.events == 0 && repeatsEvents(ready, x.lastEventID) {
+					return a.handleInvalidResponse(ctx, "resumed stream repeats events")
+				}
 				if !a.relayEvents(response, control, ready, splitter) {
 					return a.endDisconnected(false)
 				}
@@ -49,6 +53,24 @@
 	}
 }
 
+// repeatsEvents reports whether a stream that was resumed after the event last begins with
+// that event or an earlier one. Identifiers rise; only numbers show by how much.
+func repeatsEvents(events []byte, last string) bool {
+	if last == "" {
+		return false
+	}
+	id, ok := eventID(events[:eventSize(events)])
+	if !ok {
+		return false
+	}
+	number, err := strconv.ParseInt(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseInt(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id == last
+	}
+	return number <= lastNumber
+}
+
 // brokenOff returns why a stream that ended must not end as complete for the caller, or
 // nil. Only the end of the connection, without a length or chunks, leaves that open.
 func (a *upstreamAttempt) brokenOff(response *upstreamconn.Response, splitter *eventSplitter) error {
--- a/internal/gateway/resume_answer_test.go
+++ b/internal/gateway/resume_answer_test.go
@@ -43,3 +43,30 @@
 	assert.Assert(t, answer.reset)
 	assert.Equal(t, strings.Count(string(answer.bytes), event), 1)
 }
+
+// Guards against events that reach the caller twice because the second upstream begins the
+// stream anew instead of continuing it.
+func TestResumedStreamDoesNotRepeatEvents(t *testing.T) {
+	const second, third = "id: 2\ndata: piece\n\n", "id: 3\ndata: piece\n\n"
+	for name, c := range map[string]struct {
+		continuation string
+		continues    bool
+	}{
+		"continues":       {third, true},
+		"begins anew":     {firstEvent + second + third, false},
+		"repeats the end": {second + third, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.useRaw(
+				rawUpstream{head: headChunked, body: chunk(firstEvent + second)},
+				rawUpstream{head: headChunked, body: chunk(c.continuation) + chunk("")},
+			)
+			answer := f.callRaw(http.MethodPost, "/resume/1", "HTTP/1.1")
+			assert.Equal(t, answer.reset, !c.continues, "%.300q", answer.bytes)
+			for _, event := range []string{firstEvent, second} {
+				assert.Equal(t, strings.Count(string(answer.bytes), event), 1, "%.300q", answer.bytes)
+			}
+		})
+	}
+}
