--- a/internal/fleetsync/read_status.go
+++ b/internal/fleetsync/read_status.go
@@ -12,8 +12,8 @@
 const failureLogInterval = 5 * time.Second
 
 // readStatus tracks whether the latest read of a part of the store failed, and logs each
-// change, and from time to time that reads still fail. It is safe for concurrent use by
-// several readers of its state and one goroutine that records.
+// change, and every failureLogInterval that reads still fail. Any goroutine may read failing;
+// the other methods belong to one goroutine.
 type readStatus struct {
 	// part names what is read, in log lines.
 	part    string
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -95,8 +95,8 @@
 	// retainedUntil holds, by name, the time until which entries that disappeared
 	// during an outage of the store are retained.
 	retainedUntil map[string]time.Time
-	// departed holds what is not to be believed of a copy from which the store was
-	// restored.
+	// departed holds the upstreams that are gone, whose entries a restored store may have
+	// again.
 	departed departures
 
 	status readStatus
