--- a/internal/fleetsync/upstream_sync_test.go
+++ b/internal/fleetsync/upstream_sync_test.go
@@ -56,3 +56,23 @@
 	}
 	assert.Equal(t, applied[0].State, `"leaving"`)
 }
+
+// Guards against requests to an upstream that left while this daemon alone was cut off, just
+// before it reached the store again: its entry did not lapse in an outage of the store.
+func TestUpstreamThatLeftDuringOwnCutIsDroppedInTime(t *testing.T) {
+	u := newRestoredUpstreams()
+	u.put(t, "stays", membership.StateLive)
+	u.put(t, "goes", membership.StateLive)
+	u.advance(t, time.Second)
+	u.store.SetOutage(true)
+	u.advance(t, 12*time.Second)
+	u.store.SetOutage(false)
+	assert.NilError(t, u.store.Delete(t.Context(), "servers", "goes", objectclient.AnyVersion))
+	leftAt := u.now
+	u.now = u.now.Add(200 * time.Millisecond)
+	for u.applied["goes"] != "" {
+		u.advance(t, 100*time.Millisecond)
+		assert.Assert(t, u.now.Sub(leftAt) < drainTime, "still used after %v", u.now.Sub(leftAt))
+	}
+	assert.Equal(t, u.applied["stays"], membership.StateLive)
+}
