--- a/internal/objectclient/client.go
+++ b/internal/objectclient/client.go
@@ -170,10 +170,7 @@
 		return nil, 0, errors.Annotate(ErrUnavailable, err.Error())
 	}
 	c.clock.observe(response.Header, time.Now())
-	era, err := ParseEra(response.Header.Get(EraHeader))
-	if err == nil {
-		err = c.eras.CheckAnswer(era)
-	}
+	era, err := c.eras.ReadAnswer(response.Header.Get(EraHeader))
 	if err != nil {
 		response.Body.Close()
 		return nil, 0, err
--- a/internal/objectclient/eras.go
+++ b/internal/objectclient/eras.go
@@ -24,14 +24,19 @@
 	return false
 }
 
-// CheckAnswer records the era of a response. It returns ErrUnavailable for a late response
-// of an era that has ended: what it says may have been lost since then.
-func (e *Eras) CheckAnswer(era int64) error {
+// ReadAnswer records and returns the era that a header value of a response names, 0 if it is
+// empty. It returns ErrUnavailable for a late response of an era that has ended: what it says
+// may have been lost since then.
+func (e *Eras) ReadAnswer(header string) (int64, error) {
+	era, err := parseEra(header)
+	if err != nil {
+		return 0, err
+	}
 	e.Observe(era)
 	if current := e.Current(); era < current {
-		return errors.WithType(errors.Annotatef(ErrUnavailable, "response of era %d in era %d", era, current), ErrRestored)
+		return 0, errors.WithType(errors.Annotatef(ErrUnavailable, "response of era %d in era %d", era, current), ErrRestored)
 	}
-	return nil
+	return era, nil
 }
 
 // CheckCondition returns ErrConflict for a condition on a revision of an era that has ended.
--- a/internal/objectclient/revision.go
+++ b/internal/objectclient/revision.go
@@ -24,11 +24,11 @@
 	maxEra     = 1<<(62-numberBits) - 1
 )
 
-// NewRevision returns the revision of a number in an era. It returns an error if one of
-// them is negative or too large.
+// NewRevision returns the revision of a number in an era. It returns ErrUnavailable if one of
+// them is negative or too large, so that the response that it is from cannot be used.
 func NewRevision(era, number int64) (Revision, error) {
 	if era < 0 || era > maxEra || number < 0 || number > maxNumber {
-		return 0, errors.NotValidf("revision %d of era %d", number, era)
+		return 0, errors.Annotatef(ErrUnavailable, "invalid revision %d of era %d", number, era)
 	}
 	return Revision(era<<numberBits | number), nil
 }
--- a/internal/objectclient/wire_era.go
+++ b/internal/objectclient/wire_era.go
@@ -9,9 +9,9 @@
 // EraHeader is the response header of the object API with the store's era.
 const EraHeader = "X-Store-Era"
 
-// ParseEra returns the era that a header value names, and 0 for none. The error wraps
+// parseEra returns the era that a header value names, and 0 for none. The error wraps
 // ErrUnavailable.
-func ParseEra(text string) (int64, error) {
+func parseEra(text string) (int64, error) {
 	if text == "" {
 		return 0, nil
 	}
@@ -26,7 +26,7 @@
 func (r *Revision) setEra(era int64) error {
 	revision, err := NewRevision(era, int64(*r))
 	if err != nil {
-		return errors.Annotate(ErrUnavailable, err.Error())
+		return err
 	}
 	*r = revision
 	return nil
