--- a/internal/admin/object_list.go
+++ b/internal/admin/object_list.go
@@ -2,7 +2,6 @@
 
 import (
 	"rattantide/internal/api"
-
 	"rattantide/internal/objectclient"
 )
 
--- a/internal/configsync/move.go
+++ b/internal/configsync/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"rattantide/internal/api"
-
 	"rattantide/internal/objectclient"
 )
 
--- a/internal/fleetdaemon/era.go
+++ b/internal/fleetdaemon/era.go
@@ -26,11 +26,16 @@
 func (t *eraTracker) current() (era int64, since time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.refresh()
+	return t.era, t.since
+}
+
+// refresh takes the era from eras. t.mu must be held.
+func (t *eraTracker) refresh() {
 	if era := t.eras.Current(); era > t.era || t.since.IsZero() {
 		t.era, t.since = era, t.now()
 		t.onRise()
 	}
-	return t.era, t.since
 }
 
 // knownSince returns the true time since which the present era is known.
@@ -42,10 +47,10 @@
 // merge adds what another daemon reports: an era, and since when it is known.
 func (t *eraTracker) merge(era int64, since time.Time) {
 	t.eras.Observe(era)
-	current, _ := t.current()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if era == current && current == t.era && since.Before(t.since) {
+	t.refresh()
+	if era == t.era && since.Before(t.since) {
 		t.since = since
 	}
 }
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -51,15 +51,16 @@
 	if counts == nil {
 		counts = Counts{}
 		c.windows[window] = counts
-		for oldWindow := range c.windows {
-			if oldWindow < window-retainedWindows {
-				delete(c.windows, oldWindow)
-			}
-		}
+		deleteExpired(c.windows, window)
 	}
 	counts[workspace]++
 }
 
+// deleteExpired deletes the windows that precede latest by more than retainedWindows.
+func deleteExpired[V any](windows map[int64]V, latest int64) {
+	maps.DeleteFunc(windows, func(window int64, _ V) bool { return window < latest-retainedWindows })
+}
+
 // Windows returns a copy of the counts of the latest windows, at most limit of them,
 // by window number. The current window is included.
 func (c *Counter) Windows(limit int) map[int64]Counts {
--- a/internal/usage/finals.go
+++ b/internal/usage/finals.go
@@ -35,17 +35,7 @@
 			continue
 		}
 		f.windows[window] = next
-		f.deleteExpired(window)
-	}
-}
-
-// deleteExpired deletes the windows that precede latest by more than retainedWindows. The
-// caller holds mu.
-func (f *Finals) deleteExpired(latest int64) {
-	for window := range f.windows {
-		if window < latest-retainedWindows {
-			delete(f.windows, window)
-		}
+		deleteExpired(f.windows, window)
 	}
 }
 
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -22,7 +22,7 @@
 		if byProcess == nil {
 			byProcess = map[string]Counts{}
 			l.windows[window] = byProcess
-			l.deleteExpired(window)
+			deleteExpired(l.windows, window)
 		}
 		stored := byProcess[process]
 		if stored == nil {
@@ -35,16 +35,6 @@
 	}
 }
 
-// deleteExpired deletes the windows that precede latest by more than
-// retainedWindows. The caller holds mu.
-func (l *Ledger) deleteExpired(latest int64) {
-	for window := range l.windows {
-		if window < latest-retainedWindows {
-			delete(l.windows, window)
-		}
-	}
-}
-
 // Total returns the counts of a window, summed over all processes.
 func (l *Ledger) Total(window int64) Counts {
 	l.mu.Lock()
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -113,18 +113,21 @@
 		r.lastReported = due - maxBacklog
 	}
 	for window := max(r.lastReported+1, due-maxBacklog); window <= due; window++ {
-		err := r.report(ctx, fence, window)
-		isLost := errors.Is(err, errNotKnown) && r.opts.Now().Sub(r.opts.StoreSince()) > recallTime
-		if err != nil {
+		if err := r.report(ctx, fence, window); err != nil {
 			r.handleError(fence, window, err)
-		}
-		if err != nil && !isLost {
-			return
+			if !r.isLost(err) {
+				return
+			}
 		}
 		r.lastReported = window
 	}
 }
 
+// isLost reports whether a window is left out: nobody has told its counts for recallTime.
+func (r *Reporter) isLost(err error) bool {
+	return errors.Is(err, errNotKnown) && r.opts.Now().Sub(r.opts.StoreSince()) > recallTime
+}
+
 // collect requests the counts of the window that ended last, collectAttempts times in
 // consecutive calls.
 func (r *Reporter) collect() {
