Read and log what an upstream says of itself in an answer

No log line or metric showed whether an answer said that its upstream leaves or wants a rest, so the hypotheses could not be told apart. The stand-in of a runner can say both and records arrivals that it refuses. No decision uses them yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -213,6 +213,7 @@
 	info := x.server.opts.Codec.DecodeResponse(response.Status, response.Header)
 	x.upstreamFraming = response.Framing
 	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
+	x.countUpstreamState(info)
 	if info.Load != nil && x.server.opts.Loads != nil {
 		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
 	}
@@ -262,6 +263,17 @@
 	}
 }
 
+// countUpstreamState counts the responses by which an upstream says that it leaves or rests.
+func (x *exchange) countUpstreamState(info ResponseInfo) {
+	x.upstreamLeaving, x.upstreamRest = info.Leaving, info.Rest
+	if info.Leaving {
+		x.server.leavingAnswers.Inc(1)
+	}
+	if info.Rest > 0 {
+		x.server.restAnswers.Inc(1)
+	}
+}
+
 // handleNotRun handles a response that states that the request did not run.
 func (a *upstreamAttempt) handleNotRun(response *upstreamconn.Response, info ResponseInfo) attemptOutcome {
 	a.exchange.reason = "upstream refused the request: " + http.StatusText(response.Status)
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -57,6 +57,12 @@
 	if x.upstreamLimit != nil {
 		fields = append(fields, "upstreamLimit", *x.upstreamLimit)
 	}
+	if x.upstreamLeaving {
+		fields = append(fields, "upstreamLeaving", true)
+	}
+	if x.upstreamRest > 0 {
+		fields = append(fields, "upstreamRestMs", x.upstreamRest.Milliseconds())
+	}
 	if x.upstreamFraming != "" {
 		fields = append(fields, "framing", x.upstreamFraming)
 	}
--- a/internal/gateway/response_info.go
+++ b/internal/gateway/response_info.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "rattantide/internal/membership"
+import (
+	"time"
+
+	"rattantide/internal/membership"
+)
 
 // ResponseInfo holds what the gateway reads from the headers of an upstream's
 // response.
@@ -18,4 +22,9 @@
 	// RequestLimit is the number of requests per second that the upstream takes from all
 	// daemons together, or nil if it names none.
 	RequestLimit *float64
+	// Leaving reports whether the upstream states that it is about to stop.
+	Leaving bool
+	// Rest is how long the upstream wants no further request of this daemon; 0 means that it
+	// does not ask for that.
+	Rest time.Duration
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -33,6 +33,10 @@
 	duration     tally.Histogram
 	firstEvent   tally.Histogram
 	lostAttempts tally.Counter
+	// leavingAnswers and restAnswers count the responses of upstreams that say that they
+	// leave, or that they want no requests for some time.
+	leavingAnswers tally.Counter
+	restAnswers    tally.Counter
 }
 
 // New returns a Server.
@@ -41,9 +45,11 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &Server{
 		opts: opts, scope: scope,
-		duration:     scope.Histogram("request_duration", buckets),
-		firstEvent:   scope.Histogram("first_event", buckets),
-		lostAttempts: scope.Counter("lost_attempts"),
+		duration:       scope.Histogram("request_duration", buckets),
+		firstEvent:     scope.Histogram("first_event", buckets),
+		lostAttempts:   scope.Counter("lost_attempts"),
+		leavingAnswers: scope.Counter("leaving_answers"),
+		restAnswers:    scope.Counter("rest_answers"),
 	}
 }
 
--- /dev/null
+++ b/internal/standin/runner/arrival.go
@@ -0,0 +1,9 @@
+package runner
+
+import "time"
+
+// Arrival is a request that has reached the runner, whether or not it was executed.
+type Arrival struct {
+	AttemptID string
+	At        time.Time
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -77,7 +77,10 @@
 	fault           Fault
 	faultsRemaining int
 	limit           float64
+	isLeaving       bool
+	rest            string
 	executions      []Execution
+	arrivals        []Arrival
 	canceledCount   int
 }
 
@@ -96,13 +99,41 @@
 	r.limit = limit
 }
 
-// addLimit adds the limit to the header of a response, if there is one.
-func (r *Runner) addLimit(h http.Header) {
+// SetLeaving makes the responses state that the runner is about to stop, or not.
+func (r *Runner) SetLeaving(isLeaving bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.isLeaving = isLeaving
+}
+
+// SetRest makes the runner refuse all requests, without executing them, with the given
+// value of Retry-After; empty ends that.
+func (r *Runner) SetRest(retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rest = retryAfter
+}
+
+// Arrivals returns the requests for this runner that have reached it, in order.
+func (r *Runner) Arrivals() []Arrival {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Arrival(nil), r.arrivals...)
+}
+
+// arrive records a request and adds what the runner states of itself to the header of the
+// response. It returns the value of Retry-After if the request is to be refused.
+func (r *Runner) arrive(id string, h http.Header) (retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals = append(r.arrivals, Arrival{AttemptID: id, At: time.Now()})
 	if r.limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
 	}
+	if r.isLeaving {
+		h.Set("Server-Leaving", "1")
+	}
+	return r.rest
 }
 
 // Executions returns the requests whose execution the runner has started, in order.
@@ -144,7 +175,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.addLimit(w.Header())
+	if rest := r.arrive(id, w.Header()); rest != "" {
+		w.Header().Set("Retry-After", rest)
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	fault := r.takeFault()
 	if fault == FaultQueueFull {
 		w.Header().Set("X-Not-Executed", "1")
