--- /dev/null
+++ b/internal/fleetdaemon/rest_test.go
@@ -0,0 +1,99 @@
+package fleetdaemon
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// restSlack is the time after an answer that asks for a rest from which it binds, and
+	// maxRestRequests the number of requests that may reach the upstream in the rest of it.
+	restSlack       = 500 * time.Millisecond
+	maxRestRequests = 2
+)
+
+// Guards against requests to an upstream within the time for which it asked for none, and
+// against callers that are refused because of it although other upstreams serve.
+func TestUpstreamThatAsksForRest(t *testing.T) {
+	const rest = 2500 * time.Millisecond
+	f := startPlainFleet(t, 1, 3)
+	resting := f.runners[0]
+	resting.SetRest("2.5")
+	f.waitFor("a refusal", func() bool { return f.call(0) == http.StatusOK && len(resting.Arrivals()) > 1 })
+	arrivals := resting.Arrivals()
+	askedAt := arrivals[len(arrivals)-1].At
+	// A shorter rest does not end a longer one.
+	resting.SetRest("0.1")
+	failed := f.callAllFor(rest-100*time.Millisecond, 0)
+	count := arrivedBetween(resting, askedAt.Add(restSlack), askedAt.Add(rest))
+	t.Logf("%d requests in the rest, %d failed", count, failed)
+	assert.Check(t, count <= maxRestRequests, "%d requests reached the upstream in its rest", count)
+	assert.Check(t, failed == 0, "%d requests failed", failed)
+	resting.SetRest("")
+	f.waitFor("requests after the rest", func() bool {
+		before := len(resting.Executions())
+		f.callAllFor(200*time.Millisecond, 0)
+		return len(resting.Executions()) > before
+	})
+}
+
+// Guards against callers that wait or come back too early while all upstreams rest: they are
+// refused at once, told when the first rest ends, and come back one after the other.
+func TestAllUpstreamsRest(t *testing.T) {
+	const rest = 2500 * time.Millisecond
+	f := startPlainFleet(t, 1, 3)
+	for _, r := range f.runners {
+		r.SetRest("2.5")
+	}
+	startedAt := time.Now()
+	f.waitFor("refusals by all", func() bool {
+		f.call(0)
+		for _, r := range f.runners {
+			if arrivedBetween(r, startedAt, time.Now()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	askedAt := time.Now()
+	moments := map[time.Duration]bool{}
+	tooEarly, slow := 0, 0
+	for time.Since(askedAt) < rest/2 {
+		sentAt := time.Now()
+		status, delay := f.callForDelay(0)
+		assert.Check(t, status == http.StatusServiceUnavailable, "status %d", status)
+		if time.Since(sentAt) > time.Second {
+			slow++
+		}
+		if sentAt.Add(delay).Before(startedAt.Add(rest)) {
+			tooEarly++
+		}
+		moments[sentAt.Add(delay).Sub(startedAt).Round(10*time.Millisecond)] = true
+	}
+	assert.Check(t, slow == 0, "%d callers waited for more than a second", slow)
+	assert.Check(t, tooEarly == 0, "%d callers were told to come back while all upstreams rest", tooEarly)
+	for _, r := range f.runners {
+		count := arrivedBetween(r, askedAt.Add(restSlack), startedAt.Add(rest))
+		assert.Check(t, count <= maxRestRequests, "%d requests reached %s in its rest", count, r.ID)
+	}
+	assert.Check(t, len(moments) > 5, "all are told to come back at the same %d moments", len(moments))
+}
+
+// callForDelay sends a request to a daemon and returns the status and the delay of
+// Retry-After.
+func (f *plainFleet) callForDelay(daemon int) (status int, delay time.Duration) {
+	request, err := http.NewRequestWithContext(f.t.Context(), http.MethodGet, "http://"+f.daemons[daemon].settings.CallerAddress+"/x/1", nil)
+	assert.NilError(f.t, err)
+	request.Host = "h"
+	request.Header.Set("X-Attempt-Id", "a-"+strconv.FormatInt(time.Now().UnixNano(), 36))
+	request.Header.Set("Authorization", "Bearer key-a")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(f.t, err)
+	defer response.Body.Close()
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	return response.StatusCode, time.Duration(seconds * float64(time.Second))
+}
