Send nothing to an upstream that has said in an answer that it leaves

What callers saw: requests went to an upstream that was about to stop, and were cut with it.

Cause: leaving was known from the list of upstreams and from notices only. An answer that says it was not read, so nothing bound the daemon until the store's entry changed and was read, and nothing at all while the store was away. Class of fault: a fact that an answer carries is dropped, because another source is taken to be the only one.

Change: the membership table owns the fact, as it does for announcements: the word of a process holds until the list has a new process under the name (the start time in its entry is now the generation; it was decoded and not used) or another address, whatever lists, outages or a restored store say. Each answer counts, at its head, also a refusal, a late one or one that is cut, but not a 421. What reaches upstreams asks the table again when the connection is open, right before the first byte. Other daemons are told at once in reports and pass it on; an older process's word is ignored. Duties see the upstream as leaving. If all upstreams of a pool leave, requests are refused at once. An evacuated or unassigned upstream is now withheld instead of posing as leaving, so that it does not count there.

A first version of the test waited for requests to the new process with one request at a time and once did not end: with nothing in flight, routing never picks the upstream whose estimates are the oldest. That is a weakness of routing at very low load, not of this change; the test sends requests together.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -222,7 +222,8 @@
 }
 
 // selectUpstream starts the attempt at a usable upstream of the pool. When
-// there is none, it polls the table for up to Options.UpstreamWait.
+// there is none, it polls the table for up to Options.UpstreamWait, unless all upstreams of
+// the pool are leaving.
 func (d *Dispatcher) selectUpstream(ctx context.Context, class *api.Class, r *Request, release func(admission.Outcome)) (*Choice, error) {
 	giveUpAt := d.opts.Now().Add(d.opts.UpstreamWait)
 	for {
@@ -233,7 +234,7 @@
 			return d.startAttempt(class, r, preference.move, upstreams, release), nil
 		}
 		now := d.opts.Now()
-		if !now.Before(giveUpAt) {
+		if !now.Before(giveUpAt) || d.opts.Table.AreAllLeaving(r.Pool) {
 			d.noUpstream.Inc(1)
 			return nil, problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream,
 				"no upstream of pool "+r.Pool+" is usable").WithRetryAfter(noUpstreamRetryAfter).WithRequestID(r.ID)
--- a/internal/dispatch/dispatcher_bench_test.go
+++ b/internal/dispatch/dispatcher_bench_test.go
@@ -13,6 +13,8 @@
 
 func (s sharedTable) Upstreams(string) []membership.Upstream { return s }
 
+func (s sharedTable) AreAllLeaving(string) bool { return false }
+
 // BenchmarkChooseAndDone measures a complete decision among 100 upstreams,
 // including admission, routing and the recording of the result.
 func BenchmarkChooseAndDone(b *testing.B) {
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -20,8 +20,9 @@
 )
 
 type fakeTable struct {
-	mu        sync.Mutex
-	upstreams []membership.Upstream
+	mu            sync.Mutex
+	upstreams     []membership.Upstream
+	areAllLeaving bool
 }
 
 func (f *fakeTable) Upstreams(string) []membership.Upstream {
@@ -31,6 +32,12 @@
 }
 
 // Upstream implements Table; it does not find a removed upstream.
+func (f *fakeTable) AreAllLeaving(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.areAllLeaving
+}
+
 func (f *fakeTable) Upstream(name string) (membership.Upstream, bool) {
 	for _, u := range f.Upstreams("") {
 		if u.Name == name {
@@ -298,3 +305,15 @@
 	assert.Equal(t, matching[0].Name, "c")
 	assert.Equal(t, shared[0].Name+shared[1].Name+shared[2].Name, "abc")
 }
+
+// Guards against a request that waits until it fails while all upstreams of its pool are
+// leaving: none of them can serve it.
+func TestRefusesAtOnceIfAllLeave(t *testing.T) {
+	f := newFixture(t, -1)
+	f.table.set(nil)
+	f.table.areAllLeaving = true
+	startedAt := time.Now()
+	_, err := f.Choose(t.Context(), f.request("r", 1))
+	assert.Equal(t, notRunCode(t, err), problem.CodeNoUpstream)
+	assert.Assert(t, time.Since(startedAt) < DefaultUpstreamWait/2)
+}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -293,7 +293,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, Quarantine: d.quarantine, KeysValidFor: d.keysValidFor,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, Quarantine: d.quarantine, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, IsDraining: d.draining.Load,
 	})
 }
--- a/internal/fleetdaemon/leaving_test.go
+++ b/internal/fleetdaemon/leaving_test.go
@@ -93,6 +93,17 @@
 	return failed
 }
 
+// callTogether sends some requests to a daemon at the same time, so that they are spread over
+// all usable upstreams.
+func (f *plainFleet) callTogether(daemon int) {
+	const requests = 20
+	var callers sync.WaitGroup
+	for range requests {
+		callers.Go(func() { f.call(daemon) })
+	}
+	callers.Wait()
+}
+
 // arrivedBetween returns the number of requests that reached a runner in a span of time.
 func arrivedBetween(r *runner.Runner, from, to time.Time) int {
 	count := 0
@@ -136,7 +147,7 @@
 			f.list(0, "ready", 2)
 			f.waitFor("requests to the new process", func() bool {
 				before := len(leaving.Arrivals())
-				f.callAllFor(200*time.Millisecond, 0, 1, 2)
+				f.callTogether(0)
 				return len(leaving.Arrivals()) > before
 			})
 		})
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -1,6 +1,7 @@
 package fleetdaemon
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -41,6 +42,26 @@
 	d.applyMembers()
 }
 
+// listedUpstreams returns the upstreams that the store lists.
+func (d *Daemon) listedUpstreams() []membership.Instance {
+	if upstreams := d.instances.Load(); upstreams != nil {
+		return *upstreams
+	}
+	return nil
+}
+
+// knownUpstreams returns the listed upstreams with the states that the table knows.
+func (d *Daemon) knownUpstreams() []membership.Instance {
+	upstreams := slices.Clone(d.listedUpstreams())
+	for _, l := range d.table.LeavingUpstreams() {
+		i := slices.IndexFunc(upstreams, func(u membership.Instance) bool { return u.Name == l.Name && u.Address == l.Address })
+		if i >= 0 {
+			upstreams[i].State = membership.StateLeaving
+		}
+	}
+	return upstreams
+}
+
 // applyMembers updates the membership table with the upstreams and the live daemons,
 // and chooses relays and quota pools among the daemons.
 func (d *Daemon) applyMembers() {
@@ -60,11 +81,9 @@
 		})
 	}
 	d.limitUpstreams(list.Instances)
-	for _, u := range d.knownUpstreams() {
-		if d.isEvacuated(u.Domain) || !d.upstreamLimit.IsAssigned(u.Name) {
-			// Requests in progress end by themselves.
-			u.State = membership.StateLeaving
-		}
+	for _, u := range d.listedUpstreams() {
+		// Requests in progress end by themselves.
+		u.Withheld = d.isEvacuated(u.Domain) || !d.upstreamLimit.IsAssigned(u.Name)
 		list.Instances = append(list.Instances, u)
 	}
 	d.table.ApplyList(list)
@@ -80,7 +99,7 @@
 		return
 	}
 	var limits []upstreamlimit.Limit
-	for _, u := range d.knownUpstreams() {
+	for _, u := range d.listedUpstreams() {
 		named, isNamed := d.namedLimits.Limit(u.Name)
 		service := config.Services[u.Pool]
 		switch {
@@ -133,6 +152,9 @@
 	if limits := d.namedLimits.Records(); len(limits) > 0 {
 		r.UpstreamLimits = d.encodePart("limits", limits)
 	}
+	if leaving := d.table.LeavingUpstreams(); len(leaving) > 0 {
+		r.LeavingUpstreams = d.encodePart("leaving", leaving)
+	}
 	if moves := d.follower.Snapshot(); len(moves) > 0 {
 		r.MoveStates = d.encodePart("moves", moves)
 	}
--- a/internal/fleetdaemon/quarantine.go
+++ b/internal/fleetdaemon/quarantine.go
@@ -17,10 +17,11 @@
 	})
 }
 
-// isLeavingUpstream reports whether an upstream is known to be leaving or gone.
+// isLeavingUpstream reports whether an upstream is known to be leaving or gone, or its failure
+// domain to be evacuated.
 func (d *Daemon) isLeavingUpstream(name string) bool {
 	u, isKnown := d.table.Upstream(name)
-	return !isKnown || u.Leaving
+	return !isKnown || u.Leaving || d.isEvacuated(u.Domain)
 }
 
 // isProber reports whether this daemon tries a part whose verdict has expired on behalf of the
--- a/internal/fleetdaemon/rest_test.go
+++ b/internal/fleetdaemon/rest_test.go
@@ -36,7 +36,7 @@
 	resting.SetRest("")
 	f.waitFor("requests after the rest", func() bool {
 		before := len(resting.Executions())
-		f.callAllFor(200*time.Millisecond, 0)
+		f.callTogether(0)
 		return len(resting.Executions()) > before
 	})
 }
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -13,7 +13,6 @@
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
 	"rattantide/internal/fleetsync"
-	"rattantide/internal/membership"
 	"rattantide/internal/peering"
 	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
@@ -115,14 +114,6 @@
 	}
 }
 
-// knownUpstreams returns the upstreams that the store lists.
-func (d *Daemon) knownUpstreams() []membership.Instance {
-	if upstreams := d.instances.Load(); upstreams != nil {
-		return *upstreams
-	}
-	return nil
-}
-
 // fencingToken returns the fencing token of the duties and whether this daemon holds
 // them.
 func (d *Daemon) fencingToken() (int64, bool) { return d.leases.Held(dutyLease) }
@@ -188,7 +179,7 @@
 	d.quotaPool.Tick()
 	d.quarantine.Tick()
 	addresses, names := map[string]bool{}, map[string]bool{}
-	for _, u := range d.knownUpstreams() {
+	for _, u := range d.listedUpstreams() {
 		addresses[u.Address], names[u.Name] = true, true
 	}
 	d.conns.Sweep(func(address string) bool { return addresses[address] })
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/membership"
 	"rattantide/internal/quarantine"
 	"rattantide/internal/upstreamconn"
 )
@@ -36,12 +37,6 @@
 	defer cancel(nil)
 	a := &upstreamAttempt{exchange: x, choice: choice, sentAt: time.Now()}
 	x.upstreamName = choice.Upstream.Name
-	if l := x.server.opts.UpstreamLimit; l != nil && !l.Allow(choice.Upstream.Name) {
-		x.reason = "upstream has reached its limit"
-		outcome := a.endExcluded(dispatch.StatusBusy)
-		outcome.notSent = true
-		return outcome
-	}
 	a.suspicion = x.server.opts.Quarantine.Start(choice.Upstream.Name, x.sharedParts, func() { cancel(errQuarantined) })
 	defer a.suspicion.End()
 	response, err := x.server.opts.Conns.Do(ctx, choice.Upstream.Address, x.upstreamConnLimit(), x.upstreamRequest(choice))
@@ -97,10 +92,30 @@
 	x.server.opts.Codec.EncodeAttempt(header, a)
 	return &upstreamconn.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
-		Header: header, Body: x.body, HasBody: x.hasBody,
+		Header: header, Body: x.body, HasBody: x.hasBody, MaySend: func() error { return x.maySend(choice.Upstream) },
 	}
 }
 
+const (
+	// errUpstreamUnusable means that an upstream may no longer get requests.
+	errUpstreamUnusable = errors.ConstError("upstream is leaving or may not be used any more")
+	// errUpstreamLimit means that an upstream may get no more requests at present.
+	errUpstreamLimit = errors.ConstError("upstream has reached its limit")
+)
+
+// maySend returns an error if a request may not be sent to the upstream that was chosen for
+// it. What is known of the upstream may have changed since.
+func (x *exchange) maySend(u membership.Upstream) error {
+	o := x.server.opts
+	if o.UpstreamStates != nil && !o.UpstreamStates.IsUsable(u) {
+		return errors.Trace(errUpstreamUnusable)
+	}
+	if o.UpstreamLimit != nil && !o.UpstreamLimit.Allow(u.Name) {
+		return errors.Trace(errUpstreamLimit)
+	}
+	return nil
+}
+
 // upstreamAttempt is an attempt in progress. It belongs to the goroutine of its
 // exchange.
 type upstreamAttempt struct {
@@ -141,8 +156,10 @@
 	switch {
 	case ctx.Err() != nil:
 		return a.endInterrupted(ctx)
-	case errors.Is(err, upstreamconn.ErrConnLimit):
+	case errors.Is(err, upstreamconn.ErrConnLimit), errors.Is(err, errUpstreamLimit):
 		status = dispatch.StatusBusy
+	case errors.Is(err, errUpstreamUnusable):
+		status = dispatch.StatusCanceled
 	case sent:
 		return a.endLost()
 	default:
@@ -213,7 +230,7 @@
 	info := x.server.opts.Codec.DecodeResponse(response.Status, response.Header)
 	x.upstreamFraming = response.Framing
 	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
-	x.countUpstreamState(info)
+	x.recordUpstreamState(a.choice.Upstream, info)
 	if info.Load != nil && x.server.opts.Loads != nil {
 		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
 	}
@@ -263,11 +280,19 @@
 	}
 }
 
-// countUpstreamState counts the responses by which an upstream says that it leaves or rests.
-func (x *exchange) countUpstreamState(info ResponseInfo) {
+// recordUpstreamState records what a response says of its upstream. It may be a late one to an
+// earlier request, as the same process has sent that; one for another upstream's address is
+// not the chosen upstream's.
+func (x *exchange) recordUpstreamState(u membership.Upstream, info ResponseInfo) {
+	if info.Misdirected {
+		return
+	}
 	x.upstreamLeaving, x.upstreamRest = info.Leaving, info.Rest
 	if info.Leaving {
 		x.server.leavingAnswers.Inc(1)
+		if x.server.opts.UpstreamStates != nil {
+			x.server.opts.UpstreamStates.RecordLeaving(u)
+		}
 	}
 	if info.Rest > 0 {
 		x.server.restAnswers.Inc(1)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -107,6 +107,7 @@
 	quota    *unlimitedQuota
 	usage    *usageRecorder
 	starting startingUpstreams
+	states   *stateRecorder
 	// quarantine is shared by the requests; its clock is that of the fixture.
 	quarantine *quarantine.Tracker
 	holder     *fleetconfig.Holder
@@ -115,7 +116,7 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{t: t, chooser: &chooser{}, quota: &unlimitedQuota{}, usage: &usageRecorder{}, starting: startingUpstreams{}, holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
+	f := &fixture{t: t, chooser: &chooser{}, quota: &unlimitedQuota{}, usage: &usageRecorder{}, starting: startingUpstreams{}, states: &stateRecorder{}, holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
 	for i := range 2 {
 		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
 		s := httptest.NewServer(r)
@@ -145,7 +146,7 @@
 	pools := &upstreamconn.Pools{}
 	t.Cleanup(pools.Close)
 	s := httptest.NewServer(gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamLimit: f.starting, Quarantine: f.quarantine,
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, Quarantine: f.quarantine,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow, IsDraining: func() bool { return false },
 	}))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -46,6 +46,16 @@
 	Allow(upstream string) bool
 }
 
+// UpstreamStates stores what upstreams say of themselves in their responses.
+// Implementations are safe for concurrent use.
+type UpstreamStates interface {
+	// RecordLeaving records that an upstream has said that it is leaving.
+	RecordLeaving(u membership.Upstream)
+	// IsUsable reports whether a request may still be sent to an upstream that was chosen
+	// earlier.
+	IsUsable(u membership.Upstream) bool
+}
+
 // LimitRecorder stores the limits that upstreams name in their responses. Implementations
 // are safe for concurrent use.
 type LimitRecorder interface {
@@ -54,7 +64,7 @@
 }
 
 // Options configures a Server. All fields except ConnLimit, Usage, Loads,
-// UpstreamLimit, LimitRecorder and Quarantine are required.
+// UpstreamStates, UpstreamLimit, LimitRecorder and Quarantine are required.
 type Options struct {
 	Codec   Codec
 	Config  *fleetconfig.Holder
@@ -66,9 +76,11 @@
 	Quota     Quota
 	Usage     Usage
 	Loads     LoadRecorder
-	// UpstreamLimit is asked before each attempt, and LimitRecorder told of each response.
-	UpstreamLimit UpstreamLimit
-	LimitRecorder LimitRecorder
+	// UpstreamStates and UpstreamLimit are asked right before a request is sent.
+	// UpstreamStates and LimitRecorder are told of each response.
+	UpstreamStates UpstreamStates
+	UpstreamLimit  UpstreamLimit
+	LimitRecorder  LimitRecorder
 	// Quarantine keeps requests that crash upstreams from them; nil means that it does not.
 	Quarantine *quarantine.Tracker
 	// KeysValidFor returns how long keys may be accepted after the configuration
--- a/internal/membership/apply.go
+++ b/internal/membership/apply.go
@@ -44,6 +44,7 @@
 		return false
 	}
 	r.Instance, r.listed, r.removed, r.absentSince = instance, true, false, time.Time{}
+	r.advanceGeneration(instance.StartedAtMs)
 	r.changeSeq = t.nextSeq()
 	return true
 }
@@ -51,7 +52,7 @@
 // addRecord creates the record of an unknown incarnation and applies the notices
 // that were received before it became known. t.mu must be held.
 func (t *Table) addRecord(instance Instance, now time.Time) *record {
-	r := &record{Instance: instance, rank: Weight(t.self.Name, instance.Name)}
+	r := &record{Instance: instance, generation: instance.StartedAtMs, rank: Weight(t.self.Name, instance.Name)}
 	r.changeSeq = t.nextSeq()
 	r.createdSeq = r.changeSeq
 	t.records[instance.incarnation()] = r
--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -20,6 +20,11 @@
 	PricePerHour float64       `json:"pricePerHour,omitempty"`
 	// IsStarting is set while an upstream has just started and tolerates few requests.
 	IsStarting bool `json:"starting,omitempty"`
+	// StartedAtMs is when the process of the instance started, in Unix milliseconds, or 0 if
+	// the list does not tell. It raises the generation of the instance.
+	StartedAtMs int64 `json:"startedAtMs,omitempty"`
+	// Withheld is set while this daemon must not use the upstream although it is not leaving.
+	Withheld bool `json:"withheld,omitempty"`
 	// State is StateLive or StateLeaving, as last reported by the list.
 	State string `json:"state,omitempty"`
 }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -49,12 +49,13 @@
 	return r.ejectedUntil
 }
 
-// advanceGeneration raises the generation to the given one and cancels the
-// announcement of the previous generation. It reports whether the given
+// advanceGeneration raises the generation to the given one and cancels what the previous
+// generation said of itself. It reports whether the given
 // generation is the current one, so that its announcement is to be applied.
 func (r *record) advanceGeneration(generation int64) bool {
 	if generation > r.generation {
 		r.generation, r.announcedLeaving = generation, false
+		r.drainedUntil = time.Time{}
 		if !r.underReclaim {
 			r.leavingBy = time.Time{}
 		}
@@ -75,7 +76,7 @@
 	return Upstream{
 		Name: r.Name, Address: r.Address, Domain: r.Domain, Region: r.Region,
 		Pool: r.Pool, Version: r.version(), Class: r.Class, PricePerHour: r.PricePerHour,
-		Leaving: r.isLeaving(), LeavingBy: r.leavingBy, Load: r.load,
+		Leaving: r.isLeaving(), LeavingBy: r.leavingBy, Generation: r.generation, Load: r.load,
 	}
 }
 
--- a/internal/membership/subset.go
+++ b/internal/membership/subset.go
@@ -45,7 +45,7 @@
 func (s *subset) selectRecords(records []*record, region string, limit int, now time.Time) {
 	var local, remote []*record
 	for _, r := range records {
-		if r.isLeaving() {
+		if r.isLeaving() || r.Withheld {
 			continue
 		}
 		if until := r.blockedUntil(); now.Before(until) {
--- a/internal/membership/upstream.go
+++ b/internal/membership/upstream.go
@@ -22,6 +22,8 @@
 	// LeavingBy is when a leaving upstream is expected to stop; zero if that is
 	// not known.
 	LeavingBy time.Time `json:"leavingBy"`
+	// Generation identifies the process of the upstream, as in Announcement.
+	Generation int64 `json:"generation,omitempty"`
 	// Load is the latest load report, or nil before the first. It is shared and
 	// must not be modified.
 	Load *Load `json:"load,omitempty"`
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -51,6 +51,8 @@
 	Quarantine json.RawMessage `json:"qt,omitempty"`
 	// UpstreamLimits holds the encoded limits that upstreams name.
 	UpstreamLimits json.RawMessage `json:"ul,omitempty"`
+	// LeavingUpstreams holds the encoded upstreams that have said that they are leaving.
+	LeavingUpstreams json.RawMessage `json:"lu,omitempty"`
 	// MoveStates holds the encoded states of version moves if the daemon reads the
 	// store.
 	MoveStates json.RawMessage `json:"mv,omitempty"`
--- a/internal/upstreamconn/call.go
+++ b/internal/upstreamconn/call.go
@@ -48,6 +48,12 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			p.putUnused(address, c)
+			return nil, &Error{Err: err}
+		}
+	}
 	stop := context.AfterFunc(ctx, c.interrupt)
 	if sent, err := c.send(r); err != nil {
 		stop()
@@ -163,6 +169,7 @@
 		b.pools.drop(b.address, b.conn)
 		return
 	}
+	b.conn.reused = true
 	b.conn.setIdleTimeout(b.response.Header, b.pools.Now())
 	b.pools.put(b.address, b.conn)
 }
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -135,10 +135,17 @@
 		_ = c.Close()
 		return
 	}
-	c.reused = true
 	host.idle = append(host.idle, c)
 }
 
+// putUnused returns a connection to the pool on which nothing was sent since get returned it.
+func (p *Pools) putUnused(address string, c *conn) {
+	if c.reusableUntil.IsZero() {
+		c.setIdleTimeout(nil, p.Now())
+	}
+	p.put(address, c)
+}
+
 // drop closes a connection that must not be reused.
 func (p *Pools) drop(address string, c *conn) {
 	_ = c.Close()
--- a/internal/upstreamconn/request.go
+++ b/internal/upstreamconn/request.go
@@ -17,6 +17,9 @@
 	// Body is the complete body. HasBody distinguishes an empty body from none.
 	Body    []byte
 	HasBody bool
+	// MaySend, if set, is called when a connection is open, right before the first byte is
+	// sent. Its error becomes that of the request, of which nothing is sent then.
+	MaySend func() error
 }
 
 // append appends the encoded head of the request to buf.
