Send nothing to an upstream within the time for which it asked for none

What callers saw: repeats went to an upstream that had refused with a time to wait, and were refused again; callers were told to come back after 0.2 s while all upstreams rested, and came back all at once.

Cause: Retry-After of a refusal was not read. An upstream that refuses was only dearer to routing for a while, and the refusal of a request named a fixed delay.

Change: the membership table holds the rest beside what else keeps an upstream out of the choice, so admission counts its places as missing, and it is asked again right before the first byte. The longest end of several holds; a new process under the name has none; a late answer, a 421 and other statuses than 503 begin none; a rest binds this daemon only. If all upstreams of a pool that do not leave rest beyond the time in which a request can start, it is refused at once; the callers are told the end of the first rest and one after the other, 10 ms apart. Delays are rounded up: two that were rounded down called callers back up to 10 ms early.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -32,6 +32,7 @@
 	opts     Options
 	attempts attemptTracker
 	suspects suspectTracker
+	returns  returnOrder
 	buffers  sync.Pool
 
 	started, moved, resumed, retried, hedged, noUpstream tally.Counter
@@ -222,8 +223,8 @@
 }
 
 // selectUpstream starts the attempt at a usable upstream of the pool. When
-// there is none, it polls the table for up to Options.UpstreamWait, unless all upstreams of
-// the pool are leaving.
+// there is none, it polls the table for up to Options.UpstreamWait, unless it is known that
+// there will be none in that time.
 func (d *Dispatcher) selectUpstream(ctx context.Context, class *api.Class, r *Request, release func(admission.Outcome)) (*Choice, error) {
 	giveUpAt := d.opts.Now().Add(d.opts.UpstreamWait)
 	for {
@@ -234,10 +235,12 @@
 			return d.startAttempt(class, r, preference.move, upstreams, release), nil
 		}
 		now := d.opts.Now()
-		if !now.Before(giveUpAt) || d.opts.Table.AreAllLeaving(r.Pool) {
-			d.noUpstream.Inc(1)
-			return nil, problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream,
-				"no upstream of pool "+r.Pool+" is usable").WithRetryAfter(noUpstreamRetryAfter).WithRequestID(r.ID)
+		outlook := d.opts.Table.Outlook(r.Pool)
+		if outlook.RestUntil.After(d.latestUsefulStart(class, r, giveUpAt)) {
+			return nil, d.noUsable(r, d.returns.delay(r.Pool, outlook.RestUntil, now))
+		}
+		if !now.Before(giveUpAt) || outlook.AllLeaving {
+			return nil, d.noUsable(r, noUpstreamRetryAfter)
 		}
 		timer := time.NewTimer(min(upstreamPollInterval, giveUpAt.Sub(now)))
 		select {
@@ -250,6 +253,26 @@
 	}
 }
 
+// latestUsefulStart returns the latest time until which waiting for an upstream is of use: a
+// request that is refused if its target cannot be met does not wait beyond the target.
+func (d *Dispatcher) latestUsefulStart(class *api.Class, r *Request, giveUpAt time.Time) time.Time {
+	target := admissionRequest(class, r).FirstTarget
+	if !d.opts.EnforceFirstTarget || target <= 0 || r.Attempt > 1 {
+		return giveUpAt
+	}
+	if targetAt := r.AcceptedAt.Add(target); targetAt.Before(giveUpAt) {
+		return targetAt
+	}
+	return giveUpAt
+}
+
+// noUsable returns the error of a request whose pool has no usable upstream.
+func (d *Dispatcher) noUsable(r *Request, retryAfter time.Duration) error {
+	d.noUpstream.Inc(1)
+	return problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream,
+		"no upstream of pool "+r.Pool+" is usable").WithRetryAfter(retryAfter).WithRequestID(r.ID)
+}
+
 // startAttempt picks one of the upstreams by the routing policy and records the
 // attempt. upstreams must not be empty.
 func (d *Dispatcher) startAttempt(class *api.Class, r *Request, move *configsync.Move, upstreams []membership.Upstream, release func(admission.Outcome)) *Choice {
--- a/internal/dispatch/dispatcher_bench_test.go
+++ b/internal/dispatch/dispatcher_bench_test.go
@@ -13,7 +13,7 @@
 
 func (s sharedTable) Upstreams(string) []membership.Upstream { return s }
 
-func (s sharedTable) AreAllLeaving(string) bool { return false }
+func (s sharedTable) Outlook(string) membership.Outlook { return membership.Outlook{} }
 
 // BenchmarkChooseAndDone measures a complete decision among 100 upstreams,
 // including admission, routing and the recording of the result.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -20,9 +20,9 @@
 )
 
 type fakeTable struct {
-	mu            sync.Mutex
-	upstreams     []membership.Upstream
-	areAllLeaving bool
+	mu        sync.Mutex
+	upstreams []membership.Upstream
+	outlook   membership.Outlook
 }
 
 func (f *fakeTable) Upstreams(string) []membership.Upstream {
@@ -32,10 +32,10 @@
 }
 
 // Upstream implements Table; it does not find a removed upstream.
-func (f *fakeTable) AreAllLeaving(string) bool {
+func (f *fakeTable) Outlook(string) membership.Outlook {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.areAllLeaving
+	return f.outlook
 }
 
 func (f *fakeTable) Upstream(name string) (membership.Upstream, bool) {
@@ -311,9 +311,36 @@
 func TestRefusesAtOnceIfAllLeave(t *testing.T) {
 	f := newFixture(t, -1)
 	f.table.set(nil)
-	f.table.areAllLeaving = true
+	f.table.outlook.AllLeaving = true
 	startedAt := time.Now()
 	_, err := f.Choose(t.Context(), f.request("r", 1))
 	assert.Equal(t, notRunCode(t, err), problem.CodeNoUpstream)
 	assert.Assert(t, time.Since(startedAt) < DefaultUpstreamWait/2)
 }
+
+// Guards against a request that waits for upstreams that rest longer than it can wait, and
+// against callers that are all told to return at the end of the same rest; and against one
+// that is refused although the rest ends in time.
+func TestRefusesAtOnceIfAllRest(t *testing.T) {
+	f := newFixture(t, -1)
+	upstreams := f.table.Upstreams("p")
+	f.table.set(nil)
+	startedAt := time.Now()
+	f.table.outlook.RestUntil = startedAt.Add(2 * DefaultUpstreamWait)
+	moments := map[time.Duration]bool{}
+	for i := range 30 {
+		_, err := f.Choose(t.Context(), f.request(fmt.Sprintf("r%d", i), 1))
+		var p *problem.Problem
+		assert.Assert(t, errors.As(err, &p) && p.Execution == problem.ExecutionNotRun, "%v", err)
+		returnAt := time.Since(startedAt) + time.Duration(p.RetryAfterMs)*time.Millisecond
+		assert.Assert(t, returnAt >= 2*DefaultUpstreamWait-2*time.Millisecond, "returns after %s", returnAt)
+		moments[returnAt.Round(returnInterval)] = true
+	}
+	assert.Assert(t, time.Since(startedAt) < DefaultUpstreamWait/2)
+	assert.Assert(t, len(moments) >= 15, "all return at %d moments", len(moments))
+
+	f.table.outlook.RestUntil = time.Now().Add(DefaultUpstreamWait / 10)
+	time.AfterFunc(DefaultUpstreamWait/20, func() { f.table.set(upstreams) })
+	_, err := f.Choose(t.Context(), f.request("last", 1))
+	assert.NilError(t, err)
+}
--- a/internal/dispatch/table.go
+++ b/internal/dispatch/table.go
@@ -7,8 +7,8 @@
 	// Upstreams returns the usable upstreams of a pool, excluding those that
 	// are leaving.
 	Upstreams(pool string) []membership.Upstream
-	// AreAllLeaving reports whether a pool has known upstreams and all of them are leaving.
-	AreAllLeaving(pool string) bool
+	// Outlook returns when a pool without usable upstreams may have one again.
+	Outlook(pool string) membership.Outlook
 	// Upstream returns an upstream by name, including one that is leaving.
 	Upstream(name string) (membership.Upstream, bool)
 }
--- a/internal/fleetdaemon/rest_test.go
+++ b/internal/fleetdaemon/rest_test.go
@@ -23,7 +23,11 @@
 	f := startPlainFleet(t, 1, 3)
 	resting := f.runners[0]
 	resting.SetRest("2.5")
-	f.waitFor("a refusal", func() bool { return f.call(0) == http.StatusOK && len(resting.Arrivals()) > 1 })
+	setAt := time.Now()
+	f.waitFor("a refusal", func() bool {
+		f.callTogether(0)
+		return arrivedBetween(resting, setAt, time.Now()) > 0
+	})
 	arrivals := resting.Arrivals()
 	askedAt := arrivals[len(arrivals)-1].At
 	// A shorter rest does not end a longer one.
--- a/internal/fleetdaemon/upstream_states.go
+++ b/internal/fleetdaemon/upstream_states.go
@@ -1,6 +1,8 @@
 package fleetdaemon
 
 import (
+	"time"
+
 	"rattantide/internal/membership"
 	"rattantide/internal/peering"
 )
@@ -13,6 +15,12 @@
 	s.d.recordLeaving(membership.LeavingUpstream{Name: u.Name, Address: u.Address, Generation: u.Generation}, "its answer")
 }
 
+// RecordRest implements gateway.UpstreamStates.
+func (s upstreamStates) RecordRest(u membership.Upstream, d time.Duration) {
+	s.d.logger.Info("upstream asks for a rest", "upstream", u.Name, "ms", d.Milliseconds())
+	s.d.table.RecordRest(u, d)
+}
+
 // IsUsable implements gateway.UpstreamStates.
 func (s upstreamStates) IsUsable(u membership.Upstream) bool { return s.d.table.IsUsable(u) }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -98,7 +98,7 @@
 
 const (
 	// errUpstreamUnusable means that an upstream may no longer get requests.
-	errUpstreamUnusable = errors.ConstError("upstream is leaving or may not be used any more")
+	errUpstreamUnusable = errors.ConstError("upstream is leaving, rests or may not be used any more")
 	// errUpstreamLimit means that an upstream may get no more requests at present.
 	errUpstreamLimit = errors.ConstError("upstream has reached its limit")
 )
@@ -230,7 +230,7 @@
 	info := x.server.opts.Codec.DecodeResponse(response.Status, response.Header)
 	x.upstreamFraming = response.Framing
 	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
-	x.recordUpstreamState(a.choice.Upstream, info)
+	x.recordUpstreamState(a.choice.Upstream, info, response.Reused && info.AttemptID != x.call.AttemptID)
 	if info.Load != nil && x.server.opts.Loads != nil {
 		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
 	}
@@ -280,10 +280,11 @@
 	}
 }
 
-// recordUpstreamState records what a response says of its upstream. It may be a late one to an
-// earlier request, as the same process has sent that; one for another upstream's address is
-// not the chosen upstream's.
-func (x *exchange) recordUpstreamState(u membership.Upstream, info ResponseInfo) {
+// recordUpstreamState records what a response says of its upstream. One that leaves says so
+// also in a late response to an earlier request, as the same process has sent that; the time
+// of a rest counts from the response that first asked for it. The response of another
+// upstream at the address is not the chosen upstream's.
+func (x *exchange) recordUpstreamState(u membership.Upstream, info ResponseInfo, isLate bool) {
 	if info.Misdirected {
 		return
 	}
@@ -294,8 +295,11 @@
 			x.server.opts.UpstreamStates.RecordLeaving(u)
 		}
 	}
-	if info.Rest > 0 {
+	if info.Rest > 0 && !isLate {
 		x.server.restAnswers.Inc(1)
+		if x.server.opts.UpstreamStates != nil {
+			x.server.opts.UpstreamStates.RecordRest(u, info.Rest)
+		}
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -116,13 +116,18 @@
 }
 
 // choiceRefusal returns the refusal of a request for which no upstream could be
-// chosen: that of the last attempt, or one made from err if there was no attempt.
+// chosen: that of the last attempt, or one made from err if there was no attempt. The
+// caller is to return when both allow it.
 func (x *exchange) choiceRefusal(err error, lastRefusal *refusal) *refusal {
 	if x.request.Context().Err() != nil {
 		x.callerDisconnected = true
 	}
+	refusal := refusalFromError(err)
 	if lastRefusal == nil {
-		return refusalFromError(err)
+		return refusal
+	}
+	if promisesNotRun(lastRefusal.status) {
+		lastRefusal.retryAfter = max(lastRefusal.retryAfter, refusal.retryAfter)
 	}
 	return lastRefusal
 }
--- a/internal/gateway/upstream_states_test.go
+++ b/internal/gateway/upstream_states_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -16,6 +17,7 @@
 type stateRecorder struct {
 	mu       sync.Mutex
 	leaving  []string
+	rests    map[string]time.Duration
 	unusable map[string]bool
 }
 
@@ -26,6 +28,16 @@
 	s.leaving = append(s.leaving, u.Name)
 }
 
+// RecordRest implements gateway.UpstreamStates.
+func (s *stateRecorder) RecordRest(u membership.Upstream, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rests == nil {
+		s.rests = map[string]time.Duration{}
+	}
+	s.rests[u.Name] = d
+}
+
 // IsUsable implements gateway.UpstreamStates.
 func (s *stateRecorder) IsUsable(u membership.Upstream) bool {
 	s.mu.Lock()
@@ -88,3 +100,25 @@
 	assert.Assert(t, h.Get("Retry-After") != "")
 	assert.Equal(t, len(f.runners[1].Arrivals()), 1)
 }
+
+// Guards against a rest that an upstream asks for and that is not recorded, and against one
+// that a late answer, another upstream or another status begins anew.
+func TestRestIsHeard(t *testing.T) {
+	const head = "Retry-After: 1.5\r\nContent-Length: 0\r\n"
+	for name, c := range map[string]struct {
+		raw    rawUpstream
+		wanted time.Duration
+	}{
+		"not executed":     {rawUpstream{head: "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\n" + head}, 1500 * time.Millisecond},
+		"executed":         {rawUpstream{head: "HTTP/1.1 503 x\r\n" + head}, 1500 * time.Millisecond},
+		"too many":         {rawUpstream{head: "HTTP/1.1 429 x\r\nX-Not-Executed: 1\r\n" + head}, 0},
+		"another upstream": {rawUpstream{head: "HTTP/1.1 421 x\r\n" + head}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.useRaw(c.raw, rawUpstream{head: headWithLength(2), body: "ok"})
+			f.callRaw(http.MethodPost, "/lookup/1", "HTTP/1.1")
+			assert.Equal(t, f.states.rests["raw-0"], c.wanted)
+		})
+	}
+}
--- a/internal/membership/leaving.go
+++ b/internal/membership/leaving.go
@@ -60,18 +60,10 @@
 }
 
 // IsUsable reports whether a request may be sent to an upstream that was chosen earlier: it
-// is still a member, is not leaving and not withheld.
+// is still a member, is not leaving, not withheld and does not rest.
 func (t *Table) IsUsable(u Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[incarnation{u.Name, u.Address}]
-	return r != nil && !r.removed && !r.isLeaving() && !r.Withheld
-}
-
-// AreAllLeaving reports whether a pool has known upstreams and all of them are leaving.
-func (t *Table) AreAllLeaving(pool string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p := t.view.Load().pools[pool]
-	return p != nil && !slices.ContainsFunc(p.records, func(r *record) bool { return !r.isLeaving() })
+	return r != nil && !r.removed && !r.isLeaving() && !r.Withheld && !t.options.Now().Before(r.restUntil)
 }
--- a/internal/membership/leaving_test.go
+++ b/internal/membership/leaving_test.go
@@ -60,7 +60,7 @@
 	table := newTestTable(clock, "d")
 	table.ApplyList(testList(1, testUpstream(0)))
 	assert.Assert(t, table.RecordLeaving(LeavingUpstream{Name: "u0000", Address: testUpstream(0).Address}))
-	assert.Assert(t, table.AreAllLeaving("p"))
+	assert.Assert(t, table.Outlook("p").AllLeaving)
 	sameAddress, sameName, withheld := testUpstream(1), testUpstream(0), testUpstream(2)
 	sameAddress.Address = testUpstream(0).Address
 	sameName.Address = "10.9.9.9"
@@ -70,5 +70,5 @@
 	table.ApplyList(testList(3, withheld))
 	u, ok := table.Upstream(withheld.Name)
 	assert.Assert(t, ok && !u.Leaving && !table.IsUsable(u))
-	assert.Assert(t, !table.AreAllLeaving("p") && !table.AreAllLeaving("unknown"))
+	assert.Assert(t, !table.Outlook("p").AllLeaving && !table.Outlook("unknown").AllLeaving)
 }
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // record is a Table's state of one incarnation. It is guarded by Table.mu.
 type record struct {
@@ -25,6 +28,8 @@
 	underReclaim     bool
 	leavingBy        time.Time
 
+	// restUntil is until when the upstream has asked this daemon to send it nothing.
+	restUntil    time.Time
 	drainedAt    time.Time
 	drainedUntil time.Time
 	ejections    int
@@ -40,13 +45,10 @@
 	return r.announcedLeaving || r.underReclaim || r.State == StateLeaving
 }
 
-// blockedUntil returns the time until which evidence from calls or a draining
-// report excludes the upstream from new work.
+// blockedUntil returns the time until which evidence from calls, a draining report or a
+// rest that it asked for excludes the upstream from new work.
 func (r *record) blockedUntil() time.Time {
-	if r.drainedUntil.After(r.ejectedUntil) {
-		return r.drainedUntil
-	}
-	return r.ejectedUntil
+	return slices.MaxFunc([]time.Time{r.drainedUntil, r.ejectedUntil, r.restUntil}, time.Time.Compare)
 }
 
 // advanceGeneration raises the generation to the given one and cancels what the previous
@@ -55,7 +57,7 @@
 func (r *record) advanceGeneration(generation int64) bool {
 	if generation > r.generation {
 		r.generation, r.announcedLeaving = generation, false
-		r.drainedUntil = time.Time{}
+		r.drainedUntil, r.restUntil = time.Time{}, time.Time{}
 		if !r.underReclaim {
 			r.leavingBy = time.Time{}
 		}
--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -55,9 +55,10 @@
 	return p
 }
 
-// WithRetryAfter sets the advised delay before a retry and returns p.
+// WithRetryAfter sets the advised delay before a retry, rounded up to milliseconds, and
+// returns p.
 func (p *Problem) WithRetryAfter(d time.Duration) *Problem {
-	p.RetryAfterMs = d.Milliseconds()
+	p.RetryAfterMs = (d + time.Millisecond - 1).Milliseconds()
 	return p
 }
 
