Name the key of a request that is lost with its upstream in the log

The line of a lost attempt did not tell whether two requests are the same one. The stand-in of a runner can end under a body.

--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -44,9 +45,19 @@
 	if x.service == nil {
 		return newRefusal(http.StatusServiceUnavailable, "route without service")
 	}
+	x.key = sync.OnceValue(x.computeKey)
 	return x.takeQuota()
 }
 
+// computeKey returns the key of the request.
+func (x *exchange) computeKey() uint64 {
+	workspace := ""
+	if x.workspace != nil {
+		workspace = x.workspace.Name
+	}
+	return requestKey(workspace, x.request, x.body)
+}
+
 func (x *exchange) authenticate(config *fleetconfig.Config, fresh bool) *refusal {
 	if len(config.Workspaces) == 0 || x.route.Public {
 		return nil
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -195,7 +196,7 @@
 	x.server.lostAttempts.Inc(1)
 	x.server.opts.Logger.Warn("upstream lost during a request", "request", x.call.AttemptID, "attempt", x.attempts,
 		"upstream", a.choice.Upstream.Name, "version", a.choice.Version, "events", a.events,
-		"sharedParts", formatPartIDs(x.sharedParts), "reason", x.reason)
+		"sharedParts", formatPartIDs(x.sharedParts), "key", strconv.FormatUint(x.key(), 16), "reason", x.reason)
 	return a.endExcluded(dispatch.StatusCrash)
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -29,6 +29,9 @@
 	hasBody  bool
 	// sharedParts are the parts of the prompt that other prompts may contain too.
 	sharedParts []uint64
+	// key returns the key of the request, which is computed when it is first needed. It is
+	// safe for concurrent use.
+	key func() uint64
 	// quotaCost is the cost that is charged to the workspace's quota.
 	quotaCost float64
 
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -72,6 +72,9 @@
 	// request is then held until its connection is closed. Empty means that there is none.
 	CrashPart string
 	OnCrash   func()
+	// CrashBody does the same to requests with this body, before any answer. Empty means that
+	// there is none.
+	CrashBody string
 
 	mu              sync.Mutex
 	fault           Fault
@@ -219,6 +222,12 @@
 		<-request.Context().Done()
 		return
 	}
+	if r.CrashBody != "" && string(body) == r.CrashBody {
+		time.Sleep(r.EventInterval)
+		r.OnCrash()
+		<-request.Context().Done()
+		return
+	}
 	if r.Events > 0 {
 		r.serveStream(w, request, fault)
 		return
