Keep a request away from upstreams after three have ended under it

What callers saw: a look-up that came again and again ended one upstream after the other; the pool of three was down for most of 15 s, and up to 25 other requests were lost with each end.

The quarantine knew parts of prompts only. A request of a plain service has none, so its losses counted against nothing, at any daemon. Class of fault: evidence is kept under a name that does not cover all that can be the cause.

Change: the quarantine's tracker now judges parts of one kind by a policy, and each daemon has a second one for whole requests, with memory of its own, so that requests push out no parts of prompts. A request is suspended when three upstreams were lost under it at three moments (20 ms apart, so a reclaim is one), confirmed at five. One that other callers got an answer to within a minute needs five, and an answer after or within 2 s before a loss clears it of that; daemons tell each other of both. A suspended request is refused at once with a delay; one daemon tries it for the fleet 10 s after the latest loss, then 20 s; so a sound one that looks the same comes free, and one that is not gets two tries. A whole error answer shows that the upstream lived. Losses of upstreams that are leaving count against nothing.

TestEmptyStreamThatEndsWithConnection sent the same request four times to check the verdict on a part of its prompt; it now sends different ones, as the same one is kept away earlier. The daemons of a test's deployment now drain together at its end, which shortens tests.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -97,7 +97,8 @@
 	// with a limit in namedLimits.
 	upstreamLimit *upstreamlimit.Limiter
 	namedLimits   *upstreamlimit.Named
-	quarantine    *quarantine.Tracker
+	// promptQuarantine judges the shared parts of prompts, requestQuarantine whole requests.
+	promptQuarantine, requestQuarantine *quarantine.Tracker
 	// news wakes spreadNews, and haveLimitsChanged makes it apply the limits of upstreams.
 	news              chan struct{}
 	haveLimitsChanged atomic.Bool
@@ -144,7 +145,7 @@
 	}
 	d.news = make(chan struct{}, 1)
 	d.buildState()
-	d.buildQuarantine()
+	d.buildQuarantines()
 	if err := d.buildPeers(); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -293,7 +294,7 @@
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, Quarantine: d.quarantine, KeysValidFor: d.keysValidFor,
+		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, IsDraining: d.draining.Load,
 	})
 }
--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -112,6 +112,10 @@
 		s.daemons, s.stops, s.done = append(s.daemons, d), append(s.stops, stop), append(s.done, done)
 	}
 	t.Cleanup(func() {
+		// All drain at the same time.
+		for _, stop := range s.stops {
+			stop()
+		}
 		for i := range s.stops {
 			s.stopDaemon(i)
 		}
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -148,7 +148,8 @@
 	if d.evacuations != nil {
 		r.Evacuation = d.evacuations.Report()
 	}
-	r.Quarantine = d.encodeEvidence()
+	r.Quarantine = d.encodeEvidence(d.promptQuarantine)
+	r.RequestQuarantine = d.encodeEvidence(d.requestQuarantine)
 	if limits := d.namedLimits.Records(); len(limits) > 0 {
 		r.UpstreamLimits = d.encodePart("limits", limits)
 	}
--- a/internal/fleetdaemon/news.go
+++ b/internal/fleetdaemon/news.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rattantide/internal/peering"
-	"rattantide/internal/quarantine"
 	"rattantide/internal/upstreamlimit"
 )
 
@@ -53,16 +52,14 @@
 
 // applyNews adds what the report of another daemon, which was created at about the time
 // at, tells of the era of the store, of version moves, of usage that was reported, of
-// upstreams that say that they are leaving, of parts that crash upstreams and of limits that upstreams name.
+// upstreams that say that they are leaving, of requests that crash upstreams and of limits that upstreams name.
 func (d *Daemon) applyNews(r peering.Report, at time.Time) {
 	d.applyEra(r)
 	d.applyMoves(r)
 	d.applyFinalCounts(r)
 	d.applyLeaving(r)
-	var evidence quarantine.Evidence
-	if d.decodePart(r, "quarantine", r.Quarantine, &evidence) {
-		d.quarantine.Merge(&evidence, at)
-	}
+	d.applyEvidence(d.promptQuarantine, r, r.Quarantine, at)
+	d.applyEvidence(d.requestQuarantine, r, r.RequestQuarantine, at)
 	var limits []upstreamlimit.Record
 	if d.decodePart(r, "limits", r.UpstreamLimits, &limits) {
 		d.namedLimits.Merge(limits, at)
--- a/internal/fleetdaemon/quarantine.go
+++ b/internal/fleetdaemon/quarantine.go
@@ -1,20 +1,26 @@
 package fleetdaemon
 
 import (
+	"encoding/json"
 	"slices"
 	"strconv"
+	"time"
 
 	"rattantide/internal/bootclock"
 	"rattantide/internal/membership"
+	"rattantide/internal/peering"
 	"rattantide/internal/quarantine"
 )
 
-// buildQuarantine builds the component that keeps requests that crash upstreams from them.
-func (d *Daemon) buildQuarantine() {
-	d.quarantine = quarantine.New(quarantine.Options{
-		IsLeaving: d.isLeavingUpstream, IsProber: d.isProber, OnNews: d.announceNews,
-		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
-	})
+// buildQuarantines builds the components that keep requests that crash upstreams from them.
+func (d *Daemon) buildQuarantines() {
+	build := func(policy quarantine.Policy) *quarantine.Tracker {
+		return quarantine.New(quarantine.Options{
+			Policy: policy, IsLeaving: d.isLeavingUpstream, IsProber: d.isProber, OnNews: d.announceNews,
+			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		})
+	}
+	d.promptQuarantine, d.requestQuarantine = build(quarantine.PromptParts), build(quarantine.WholeRequests)
 }
 
 // isLeavingUpstream reports whether an upstream is known to be leaving or gone, or its failure
@@ -36,11 +42,20 @@
 	return slices.Contains(membership.TopByWeight("quarantine/"+strconv.FormatUint(part, 16), names, 1), d.settings.Name)
 }
 
-// encodeEvidence returns the evidence for a report, or nil if there is none.
-func (d *Daemon) encodeEvidence() []byte {
-	evidence := d.quarantine.Evidence()
+// encodeEvidence returns the evidence of a quarantine for a report, or nil if there is none.
+func (d *Daemon) encodeEvidence(t *quarantine.Tracker) []byte {
+	evidence := t.Evidence()
 	if evidence.IsEmpty() {
 		return nil
 	}
 	return d.encodePart("quarantine", evidence)
 }
+
+// applyEvidence adds the evidence of another daemon's quarantine, which was encoded at about
+// the time at.
+func (d *Daemon) applyEvidence(t *quarantine.Tracker, r peering.Report, text json.RawMessage, at time.Time) {
+	var evidence quarantine.Evidence
+	if d.decodePart(r, "quarantine", text, &evidence) {
+		t.Merge(&evidence, at)
+	}
+}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -177,7 +177,8 @@
 	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
 	d.quotaPool.Tick()
-	d.quarantine.Tick()
+	d.promptQuarantine.Tick()
+	d.requestQuarantine.Tick()
 	addresses, names := map[string]bool{}, map[string]bool{}
 	for _, u := range d.listedUpstreams() {
 		addresses[u.Address], names[u.Name] = true, true
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,7 +12,6 @@
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/membership"
-	"rattantide/internal/quarantine"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -38,8 +37,8 @@
 	defer cancel(nil)
 	a := &upstreamAttempt{exchange: x, choice: choice, sentAt: time.Now()}
 	x.upstreamName = choice.Upstream.Name
-	a.suspicion = x.server.opts.Quarantine.Start(choice.Upstream.Name, x.sharedParts, func() { cancel(errQuarantined) })
-	defer a.suspicion.End()
+	a.suspicion = x.startSuspicion(choice.Upstream.Name, func() { cancel(errQuarantined) })
+	defer a.suspicion.end()
 	response, err := x.server.opts.Conns.Do(ctx, choice.Upstream.Address, x.upstreamConnLimit(), x.upstreamRequest(choice))
 	if err != nil {
 		return a.handleError(ctx, err)
@@ -131,7 +130,7 @@
 	maxGap time.Duration
 	events int
 	// suspicion records whether the upstream is lost before the answer has begun.
-	suspicion *quarantine.Attempt
+	suspicion suspicion
 }
 
 // report passes the result of the attempt to the dispatcher.
@@ -191,7 +190,7 @@
 func (a *upstreamAttempt) endLost() attemptOutcome {
 	x := a.exchange
 	if a.events < begunEvents {
-		a.suspicion.RecordLost()
+		a.suspicion.recordLost()
 	}
 	x.server.lostAttempts.Inc(1)
 	x.server.opts.Logger.Warn("upstream lost during a request", "request", x.call.AttemptID, "attempt", x.attempts,
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -108,11 +108,12 @@
 	usage    *usageRecorder
 	starting startingUpstreams
 	states   *stateRecorder
-	// quarantine is shared by the requests; its clock is that of the fixture.
-	quarantine *quarantine.Tracker
-	holder     *fleetconfig.Holder
-	now        time.Time
-	nowMu      sync.Mutex
+	// quarantine and requests judge the parts of prompts and whole requests; their clock is
+	// that of the fixture.
+	quarantine, requests *quarantine.Tracker
+	holder               *fleetconfig.Holder
+	now                  time.Time
+	nowMu                sync.Mutex
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -139,14 +140,17 @@
 	config.Routes[3].Resumable = true
 	config.Index()
 	f.holder.Apply(config, f.now)
-	f.quarantine = quarantine.New(quarantine.Options{
-		IsLeaving: func(string) bool { return false }, IsProber: func(uint64) bool { return false }, OnNews: func() {},
-		Now: f.bootNow, Logger: telemetry.Discard(), Scope: tally.NoopScope,
-	})
+	newQuarantine := func(policy quarantine.Policy) *quarantine.Tracker {
+		return quarantine.New(quarantine.Options{
+			Policy: policy, IsLeaving: func(string) bool { return false }, IsProber: func(uint64) bool { return false }, OnNews: func() {},
+			Now: f.bootNow, Logger: telemetry.Discard(), Scope: tally.NoopScope,
+		})
+	}
+	f.quarantine, f.requests = newQuarantine(quarantine.PromptParts), newQuarantine(quarantine.WholeRequests)
 	pools := &upstreamconn.Pools{}
 	t.Cleanup(pools.Close)
 	s := httptest.NewServer(gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, Quarantine: f.quarantine,
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, PromptQuarantine: f.quarantine, RequestQuarantine: f.requests,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow, IsDraining: func() bool { return false },
 	}))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -66,7 +66,7 @@
 }
 
 // Options configures a Server. All fields except ConnLimit, Usage, Loads,
-// UpstreamStates, UpstreamLimit, LimitRecorder and Quarantine are required.
+// UpstreamStates, UpstreamLimit, LimitRecorder and the quarantines are required.
 type Options struct {
 	Codec   Codec
 	Config  *fleetconfig.Holder
@@ -83,8 +83,10 @@
 	UpstreamStates UpstreamStates
 	UpstreamLimit  UpstreamLimit
 	LimitRecorder  LimitRecorder
-	// Quarantine keeps requests that crash upstreams from them; nil means that it does not.
-	Quarantine *quarantine.Tracker
+	// PromptQuarantine and RequestQuarantine keep requests that crash upstreams from them, by
+	// the shared parts of their prompts and as a whole; nil means that it does not.
+	PromptQuarantine  *quarantine.Tracker
+	RequestQuarantine *quarantine.Tracker
 	// KeysValidFor returns how long keys may be accepted after the configuration
 	// was last confirmed to be the newest one.
 	KeysValidFor func() time.Duration
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -65,12 +65,16 @@
 // reportComplete reports a response that was received completely. One that ends with its
 // connection does not show that the upstream survived it.
 func (a *upstreamAttempt) reportComplete(response *upstreamconn.Response) {
+	isWhole := response.Framing != framing.Conn
 	if response.Status >= 500 {
+		if isWhole {
+			a.suspicion.recordFailed()
+		}
 		a.report(dispatch.StatusError)
 		return
 	}
-	if response.Framing != framing.Conn {
-		a.suspicion.RecordBegun()
+	if isWhole {
+		a.suspicion.recordBegun()
 	}
 	a.report(dispatch.StatusOK)
 }
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -128,7 +128,7 @@
 	a.lastEventAt = now
 	a.events += count
 	if a.events >= begunEvents {
-		a.suspicion.RecordBegun()
+		a.suspicion.recordBegun()
 	}
 }
 
@@ -139,7 +139,7 @@
 		x.recordUsage()
 	}
 	if response.Framing != framing.Conn {
-		a.suspicion.RecordBegun()
+		a.suspicion.recordBegun()
 	}
 	a.report(dispatch.StatusOK)
 	if !x.headSent {
--- a/internal/gateway/request_key_test.go
+++ b/internal/gateway/request_key_test.go
@@ -27,3 +27,13 @@
 		assert.Assert(t, other != same, name)
 	}
 }
+
+// BenchmarkRequestKey measures the key of a request with a body of 20 kB.
+func BenchmarkRequestKey(b *testing.B) {
+	r := httptest.NewRequest("POST", "http://h/a/b", nil)
+	body := make([]byte, 20<<10)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		requestKey("w", r, body)
+	}
+}
--- a/internal/gateway/stream_end_test.go
+++ b/internal/gateway/stream_end_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -54,7 +55,8 @@
 	}
 	for i := range 4 {
 		f.holder.Confirm(7, f.bootNow())
-		status, _, _, err := f.call("/resume/1", "body", "X-Prompt-Prefix", "5:10,bad:10,1:1")
+		// The requests differ, so that only the part has them in common.
+		status, _, _, err := f.call("/resume/1", fmt.Sprintf("body %d", i), "X-Prompt-Prefix", "5:10,bad:10,1:1")
 		assert.NilError(t, err)
 		assert.Equal(t, status, http.StatusBadGateway, "request %d", i)
 		f.advance(2500 * time.Millisecond)
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -49,6 +49,8 @@
 	Evacuation *Evacuation `json:"ec,omitempty"`
 	// Quarantine holds the encoded evidence of parts of prompts that crash upstreams.
 	Quarantine json.RawMessage `json:"qt,omitempty"`
+	// RequestQuarantine holds the encoded evidence of requests that crash upstreams.
+	RequestQuarantine json.RawMessage `json:"qr,omitempty"`
 	// UpstreamLimits holds the encoded limits that upstreams name.
 	UpstreamLimits json.RawMessage `json:"ul,omitempty"`
 	// LeavingUpstreams holds the encoded upstreams that have said that they are leaving.
--- a/internal/quarantine/attempt.go
+++ b/internal/quarantine/attempt.go
@@ -1,7 +1,7 @@
 package quarantine
 
 // Attempt is an open attempt of a request at an upstream whose answer has not begun. Its
-// methods may be called on nil, which stands for an attempt without shared parts. It
+// methods may be called on nil, which stands for an attempt without parts. It
 // belongs to one goroutine.
 type Attempt struct {
 	tracker  *Tracker
@@ -11,7 +11,7 @@
 	hasEnded bool
 }
 
-// Start records an attempt of a request with the given shared parts. cancel is called if
+// Start records an attempt of a request with the given parts. cancel is called if
 // one of them turns out to crash upstreams before the answer has begun; it must not block.
 func (t *Tracker) Start(upstream string, parts []uint64, cancel func()) *Attempt {
 	if t == nil || len(parts) == 0 {
--- a/internal/quarantine/decision.go
+++ b/internal/quarantine/decision.go
@@ -7,9 +7,8 @@
 const (
 	// Allow means that nothing is known against the request.
 	Allow Decision = iota
-	// RefuseForNow means that a part of the prompt is suspected, which other requests may
-	// still disprove.
+	// RefuseForNow means that a part is suspected, which other requests may still disprove.
 	RefuseForNow
-	// Refuse means that a part of the prompt crashes upstreams.
+	// Refuse means that a part crashes upstreams.
 	Refuse
 )
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -69,7 +69,7 @@
 		wasConfirmed := v.isConfirmed()
 		v.explain(losses)
 		if v.isConfirmed() && !wasConfirmed {
-			t.log("prompt part is confirmed to crash upstreams", v)
+			t.log("is confirmed to crash upstreams", v)
 			t.hasNews = true
 		}
 	}
@@ -94,11 +94,11 @@
 			}
 		}
 	}
-	maps.DeleteFunc(rare, func(_ uint64, against []*loss) bool { return len(against) < suspendLosses })
+	maps.DeleteFunc(rare, func(_ uint64, against []*loss) bool { return !t.opts.Policy.suffices(against) })
 	if len(rare) > 0 {
 		return partsWithMost(rare)
 	}
-	maps.DeleteFunc(popular, func(_ uint64, against []*loss) bool { return countMoments(against) < confirmLosses })
+	maps.DeleteFunc(popular, func(_ uint64, against []*loss) bool { return countMoments(against) < t.opts.Policy.ConfirmLosses })
 	return partsWithMost(popular)
 }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -9,10 +9,9 @@
 
 // The bounds of an Evidence keep it within a datagram.
 const (
-	maxSentLosses    = 24
-	maxSentLossParts = 12
-	maxSentBegun     = 128
-	maxSentVerdicts  = 64
+	maxSentLosses   = 24
+	maxSentBegun    = 128
+	maxSentVerdicts = 64
 )
 
 // spreadTime is the age of a loss from which on every daemon knows which parts are cleared
@@ -65,7 +64,7 @@
 			break
 		}
 		if parts := t.partsToTell(l, now, begun); len(parts) > 0 {
-			e.Losses = append(e.Losses, LossRecord{Upstream: l.upstream, AgeMs: now.Sub(l.at).Milliseconds(), Parts: parts[:min(len(parts), maxSentLossParts)]})
+			e.Losses = append(e.Losses, LossRecord{Upstream: l.upstream, AgeMs: now.Sub(l.at).Milliseconds(), Parts: parts[:min(len(parts), t.opts.Policy.MaxSentLossParts)]})
 		}
 	}
 	for part, at := range begun {
@@ -94,6 +93,13 @@
 			}
 		}
 	}
+	if isRecent && t.opts.Policy.TellsBegun {
+		for part := range l.suspects {
+			if at, isKnown := t.begun[part]; isKnown && len(begun) < maxSentBegun {
+				begun[part] = at
+			}
+		}
+	}
 	return t.mostSuspectFirst(slices.Collect(maps.Keys(l.suspects)))
 }
 
@@ -144,7 +150,7 @@
 	if at.Sub(lostAt) > lossRetention || r.Upstream == "" {
 		return
 	}
-	if t.addLoss(r.Upstream, lostAt, r.Parts[:min(len(r.Parts), maxSentLossParts)]) {
+	if t.addLoss(r.Upstream, lostAt, r.Parts[:min(len(r.Parts), t.opts.Policy.MaxSentLossParts)]) {
 		t.hasNews = true
 		t.scheduleEvaluation(at)
 	}
@@ -154,7 +160,7 @@
 // t.mu must be held.
 func (t *Tracker) mergeVerdict(r VerdictRecord, at time.Time) {
 	lastLossAt, lastRequestAt := before(at, r.LossAgeMs), before(at, r.RequestAgeMs)
-	if r.Losses < suspendLosses || t.begun[r.Part].After(lastLossAt) || at.Sub(lastRequestAt) > holdTime && r.Term == 0 {
+	if r.Losses < t.opts.Policy.SuspendLosses || t.begun[r.Part].After(lastLossAt) || at.Sub(lastRequestAt) > holdTime && r.Term == 0 {
 		return
 	}
 	v := t.verdicts[r.Part]
@@ -163,7 +169,7 @@
 	}
 	switch {
 	case r.Term > v.term:
-		v.term, v.losses, v.explained = r.Term, r.Losses, min(r.Losses, confirmLosses-1)
+		v.term, v.losses, v.explained = r.Term, r.Losses, min(r.Losses, t.opts.Policy.ConfirmLosses-1)
 	case r.Term == v.term && r.Losses > v.losses:
 		if !v.isConfirmed() {
 			t.hasNews = true
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -118,6 +118,7 @@
 	f.isSending = make([]bool, load.daemons)
 	for i := range load.daemons {
 		f.trackers = append(f.trackers, New(Options{
+			Policy:    PromptParts,
 			IsLeaving: func(string) bool { return false }, IsProber: func(part uint64) bool { return int(part)%load.daemons == i },
 			OnNews: func() { f.spread(i) }, Now: func() time.Time { return f.now }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		}))
--- a/internal/quarantine/fuzz_test.go
+++ b/internal/quarantine/fuzz_test.go
@@ -41,7 +41,7 @@
 			t.Errorf("bounds exceeded: %d losses, %d verdicts, %d begun", len(tracker.losses), len(tracker.verdicts), len(told.Begun))
 		}
 		for _, r := range told.Verdicts {
-			if r.Losses < suspendLosses || r.LossAgeMs < 0 || r.RequestAgeMs < 0 {
+			if r.Losses < PromptParts.SuspendLosses || r.LossAgeMs < 0 || r.RequestAgeMs < 0 {
 				t.Errorf("told an invalid verdict: %+v", r)
 			}
 		}
--- a/internal/quarantine/loss.go
+++ b/internal/quarantine/loss.go
@@ -14,9 +14,8 @@
 	sameLossWithin = 2 * time.Second
 	// lossRetention is how long a loss counts against the parts that were involved.
 	lossRetention = 10 * time.Minute
-	// maxLosses bounds the losses that are remembered, and maxLossParts the parts of each.
-	maxLosses    = 64
-	maxLossParts = 32
+	// maxLosses bounds the losses that are remembered.
+	maxLosses = 64
 )
 
 // loss is the loss of an upstream while answers on parts had not begun.
@@ -52,11 +51,11 @@
 }
 
 // addSuspect adds a part whose latest answer began at a time. It reports whether the part
-// is new.
-func (l *loss) addSuspect(part uint64, begunAt time.Time) bool {
+// is new. At most limit parts are remembered.
+func (l *loss) addSuspect(part uint64, begunAt time.Time, limit int) bool {
 	_, isSuspect := l.suspects[part]
 	_, isCleared := l.cleared[part]
-	if isSuspect || isCleared || len(l.suspects)+len(l.cleared) >= maxLossParts {
+	if isSuspect || isCleared || len(l.suspects)+len(l.cleared) >= limit {
 		return false
 	}
 	l.suspects[part] = struct{}{}
@@ -86,7 +85,7 @@
 		t.losses = append(t.losses, l)
 	}
 	for _, part := range t.mostSuspectFirst(parts) {
-		if l.addSuspect(part, t.begun[part]) {
+		if l.addSuspect(part, t.begun[part], t.opts.Policy.MaxLossParts) {
 			hasChanged = true
 		}
 	}
--- a/internal/quarantine/options.go
+++ b/internal/quarantine/options.go
@@ -10,6 +10,7 @@
 // Options configures a Tracker. All fields are required. The functions are called without
 // locks of the Tracker, except for Now.
 type Options struct {
+	Policy Policy
 	// IsLeaving reports whether an upstream is known to be leaving or gone. Losing it is
 	// then no evidence of a crash.
 	IsLeaving func(upstream string) bool
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -42,7 +42,7 @@
 
 // New returns a Tracker without evidence.
 func New(opts Options) *Tracker {
-	scope := opts.Scope.SubScope("quarantine")
+	scope := opts.Scope.SubScope("quarantine").Tagged(map[string]string{"subject": opts.Policy.Subject})
 	return &Tracker{
 		opts: opts, refused: scope.Counter("refused"), quarantined: scope.Gauge("parts"),
 		begun: map[uint64]time.Time{}, verdicts: map[uint64]*verdict{}, cleared: map[uint64]time.Time{}, open: map[*Attempt]struct{}{},
@@ -62,7 +62,7 @@
 	}
 }
 
-// Check decides whether a request with the given shared parts may be sent to an upstream.
+// Check decides whether a request with the given parts may be sent to an upstream.
 // isRepeat is set if it was sent to one before.
 func (t *Tracker) Check(parts []uint64, isRepeat bool) Decision {
 	decision := Allow
@@ -80,11 +80,11 @@
 	return decision
 }
 
-// suspension is a suspended part of a request. Each daemon may try it, unless wasConfirmed:
-// then only the prober of the fleet does.
+// suspension is a suspended part of a request. Each daemon may try it, unless
+// isTriedForFleet: then only the prober of the fleet does.
 type suspension struct {
-	part         uint64
-	wasConfirmed bool
+	part            uint64
+	isTriedForFleet bool
 }
 
 // check returns the decision without trials, and the suspended parts. t.mu must be held.
@@ -106,7 +106,7 @@
 			decision = Refuse
 		default:
 			decision = max(decision, RefuseForNow)
-			suspended = append(suspended, suspension{part: part, wasConfirmed: v.term > 0})
+			suspended = append(suspended, suspension{part: part, isTriedForFleet: v.isTriedForFleet()})
 		}
 		v.lastRequestAt = now
 	}
@@ -117,7 +117,7 @@
 // the trial.
 func (t *Tracker) mayProbe(suspended []suspension) bool {
 	for _, s := range suspended {
-		if s.wasConfirmed && !t.opts.IsProber(s.part) {
+		if s.isTriedForFleet && !t.opts.IsProber(s.part) {
 			return false
 		}
 	}
@@ -143,7 +143,7 @@
 		delete(t.verdicts, part)
 		t.cleared[part] = at
 		t.hasNews = true
-		t.log("prompt part is no longer quarantined: an answer has begun on it", v)
+		t.log("is no longer quarantined: an answer has begun on it", v)
 	}
 	for _, l := range t.losses {
 		if l.clear(part, at) && !l.isExplained {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -18,6 +18,7 @@
 
 func (c *clock) newTracker(isProber bool) *Tracker {
 	return New(Options{
+		Policy:    PromptParts,
 		IsLeaving: func(upstream string) bool { return upstream == "leaving" }, IsProber: func(uint64) bool { return isProber }, OnNews: func() {},
 		Now: func() time.Time { return c.now }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 	})
@@ -168,7 +169,7 @@
 func TestLossesCountOnce(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
 	first, second := c.newTracker(false), c.newTracker(false)
-	for i := range suspendLosses {
+	for i := range PromptParts.SuspendLosses {
 		for _, tracker := range []*Tracker{first, second} {
 			tracker.Start(fmt.Sprint(i), []uint64{part}, func() {}).RecordLost()
 		}
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -6,24 +6,22 @@
 )
 
 const (
-	// suspendLosses is the number of lost upstreams after which requests with a part are
-	// refused except for single trials, and confirmLosses the number after which all are.
-	suspendLosses = 4
-	confirmLosses = 5
 	// holdTime is how long a verdict outlives the last request with the part. The part is
 	// then tried by a single request; if it crashes its upstream, the verdict holds again.
 	holdTime = 10 * time.Minute
 	// forgetTime is the time without requests after which a confirmed verdict is removed.
 	forgetTime = 24 * time.Hour
-	// probeInterval is the minimum time between two trials of a suspended part.
+	// probeInterval is the minimum time between two trials of a suspended part unless the
+	// policy has a TrialDelay.
 	probeInterval = time.Second
 	// maxVerdicts bounds the verdicts that are remembered.
 	maxVerdicts = 256
 )
 
-// verdict is the finding that a part of prompts crashes upstreams.
+// verdict is the finding that a part crashes upstreams.
 type verdict struct {
-	part uint64
+	policy *Policy
+	part   uint64
 	// losses is the number of upstreams lost under the part, as far as any daemon knows, and
 	// explained the number of those that this daemon knows itself.
 	losses    int
@@ -38,17 +36,35 @@
 	probedAt time.Time
 }
 
-func (v *verdict) isConfirmed() bool { return v.losses >= confirmLosses }
+func (v *verdict) isConfirmed() bool { return v.losses >= v.policy.ConfirmLosses }
 
 // mayProbe reports whether the part may be tried at the time now, and records the trial.
 func (v *verdict) mayProbe(now time.Time) bool {
-	if !v.probedAt.IsZero() && now.Sub(v.probedAt) < probeInterval {
+	if v.untilTrial(now) > 0 {
 		return false
 	}
 	v.probedAt = now
 	return true
 }
 
+// untilTrial returns the time until the part may be tried again.
+func (v *verdict) untilTrial(now time.Time) time.Duration {
+	delay, since := probeInterval, v.probedAt
+	if v.policy.TrialDelay > 0 && v.term == 0 {
+		delay = v.policy.TrialDelay << max(0, v.losses-v.policy.SuspendLosses)
+		if v.lastLossAt.After(since) {
+			since = v.lastLossAt
+		}
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return max(0, since.Add(delay).Sub(now))
+}
+
+// isTriedForFleet reports whether only one daemon tries the part.
+func (v *verdict) isTriedForFleet() bool { return v.term > 0 || v.policy.TrialDelay > 0 }
+
 // age lifts a verdict for a trial after holdTime without requests. It returns false if the
 // verdict is to be removed.
 func (v *verdict) age(now time.Time) bool {
@@ -58,7 +74,7 @@
 		return true
 	case v.isConfirmed():
 		v.term++
-		v.losses, v.explained = confirmLosses-1, confirmLosses-1
+		v.losses, v.explained = v.policy.ConfirmLosses-1, v.policy.ConfirmLosses-1
 		return true
 	case v.term > 0:
 		return quiet <= forgetTime
@@ -71,7 +87,7 @@
 	v := t.newVerdict(part)
 	v.lastRequestAt = now
 	v.explain(losses)
-	t.log("prompt part is quarantined", v)
+	t.log("is quarantined", v)
 }
 
 // newVerdict adds a verdict without losses, in place of the stalest one if there are too
@@ -80,7 +96,7 @@
 	if len(t.verdicts) >= maxVerdicts {
 		t.removeStalestVerdict()
 	}
-	v := &verdict{part: part}
+	v := &verdict{policy: &t.opts.Policy, part: part}
 	t.verdicts[part] = v
 	return v
 }
@@ -111,5 +127,5 @@
 
 // log logs a change of a verdict. t.mu must be held.
 func (t *Tracker) log(message string, v *verdict) {
-	t.opts.Logger.Warn(message, "part", strconv.FormatUint(v.part, 16), "lostUpstreams", v.losses, "confirmed", v.isConfirmed(), "term", v.term)
+	t.opts.Logger.Warn(t.opts.Policy.Subject+" "+message, "part", strconv.FormatUint(v.part, 16), "lostUpstreams", v.losses, "confirmed", v.isConfirmed(), "term", v.term)
 }
