--- a/internal/quarantine/policy.go
+++ b/internal/quarantine/policy.go
@@ -36,7 +36,7 @@
 // with it on upstreams that end at different moments if they are repeated as well.
 var WholeRequests = Policy{
 	Subject: "request", SuspendLosses: 3, ConfirmLosses: 5, CountsMoments: true, TrialDelay: 10 * time.Second,
-	MaxLossParts: 128, MaxSentLossParts: 32, TellsBegun: true,
+	MaxLossParts: 128, MaxSentLossParts: 16, TellsBegun: true,
 }
 
 // suffices reports whether losses are enough to suspend a part.
