Let no odd entry hide the others or break the feed to other daemons

But a nesting beyond 10,000 made each response that held it unreadable (list, watch, single read and conditional write, in both clients of a store), so all upstreams were hidden as long as it stood; finalizers of another type did the same (TestOddEntryHidesNoOther, 7 of 10 cases; TestDeepValueHidesNoObject). Found beside it: a daemon passed the odd entry on to the others as it was, and a large one made the message too large to be sent, so the others did not follow the list from it (TestFeedHoldsNoOddEntries, a feed of 218,101 bytes where a message takes 60 KiB).

--- a/internal/fleetsync/upstream_feed.go
+++ b/internal/fleetsync/upstream_feed.go
@@ -32,12 +32,14 @@
 	if !u.isComplete || since < u.changeLogStart || since > u.revision {
 		return feed
 	}
+	bytes := 0
 	for i := range u.changeLog {
 		if u.changeLog[i].Revision > since {
 			feed.Changes = append(feed.Changes, u.changeLog[i])
+			bytes += len(u.changeLog[i].Name) + len(u.changeLog[i].Value)
 		}
 	}
-	if len(feed.Changes) > maxFeedChanges {
+	if len(feed.Changes) > maxFeedChanges || bytes > maxFeedBytes {
 		return peering.Feed{Since: since}
 	}
 	feed.Complete = true
--- a/internal/fleetsync/upstream_sync.go
+++ b/internal/fleetsync/upstream_sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -33,9 +34,10 @@
 	// feedCheckInterval is how often a daemon checks whether that time has passed.
 	feedCheckInterval = 200 * time.Millisecond
 	// maxLogChanges bounds the changes that are retained for other daemons, and
-	// maxFeedChanges those of one feed, which must fit into a datagram.
+	// maxFeedChanges and maxFeedBytes those of one feed, which must fit into a datagram.
 	maxLogChanges  = 1024
 	maxFeedChanges = 60
+	maxFeedBytes   = 16 << 10
 	// outageThreshold is the time without a confirmation of the list after which
 	// entries may have disappeared from the store although their upstreams are
 	// live.
@@ -248,6 +250,9 @@
 	}
 }
 
+// invalidValue stands for the value of an entry that is not that of an upstream.
+var invalidValue = json.RawMessage("null")
+
 // applyChange applies a change and reports whether the list changed. u.mu must be
 // held.
 func (u *UpstreamSync) applyChange(c *peering.Change) bool {
@@ -263,6 +268,9 @@
 	}
 	instance, ok := u.decode(&objectclient.Object{Name: c.Name, Version: c.Revision, Value: c.Value})
 	if !ok {
+		// Other daemons are told only that the entry is not that of an upstream: what it
+		// holds may be too large or nested too deeply for a message.
+		c.Value = invalidValue
 		delete(u.entries, c.Name)
 		return known
 	}
--- a/internal/objectclient/client.go
+++ b/internal/objectclient/client.go
@@ -12,6 +12,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/juju/errors"
+
+	"rattantide/internal/lenientjson"
 )
 
 // maxResponseBytes limits the body of a response.
@@ -150,7 +152,11 @@
 	}
 	statusErr := statusError(response)
 	if (statusErr == nil || errors.Is(statusErr, ErrConflict)) && result != nil && len(body) > 0 {
-		if err := json.Unmarshal(body, result); err != nil && statusErr == nil {
+		isPruned, err := lenientjson.Unmarshal(body, result)
+		if isPruned {
+			c.options.Scope.Counter("object_api_pruned_answers").Inc(1)
+		}
+		if err != nil && statusErr == nil {
 			return 0, errors.Annotatef(ErrUnavailable, "invalid response body: %v", err)
 		}
 	}
--- a/internal/objectclient/watch.go
+++ b/internal/objectclient/watch.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/lenientjson"
 )
 
 // Watch implements Store. It returns ErrUnavailable if no line is received for
@@ -49,7 +50,7 @@
 		// The time that fn takes does not count as idle time.
 		idleTimer.Stop()
 		var event Event
-		if err := json.Unmarshal(line, &event); err != nil {
+		if _, err := lenientjson.Unmarshal(line, &event); err != nil {
 			return errors.Annotatef(ErrUnavailable, "invalid watch line: %v", err)
 		}
 		if event.Type != EventBookmark && event.Object == nil {
