Pass nothing on in a planned stop that may be cut at its end

Here it could happen: a request whose head came in time and whose body came late was passed on whatever time was left, and so were repeats and requests that had waited. At the end all open requests were cut without an answer, also those that had come in time. A request whose head comes late is not taken: the server closes its connection at once.

A stream that has begun is continued. What is still open 0.25 s before the shutdown is answered: 502 if it may have run, 503 if not.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -295,7 +295,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
 		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
-		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now, IsDraining: d.draining.Load,
+		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now,
 	})
 }
 
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -13,6 +13,7 @@
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
 	"rattantide/internal/fleetsync"
+	"rattantide/internal/gateway"
 	"rattantide/internal/peering"
 	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
@@ -37,8 +38,10 @@
 	// of the lifetime of the addresses that callers hold.
 	lingerTTLs = 1.5
 	// shutdownMargin is the time at the end of the grace period that is reserved for
-	// the shutdown after the drain.
+	// the shutdown after the drain, and answerMargin the time before that in which the
+	// requests that are still open are answered.
 	shutdownMargin = 500 * time.Millisecond
+	answerMargin   = 250 * time.Millisecond
 )
 
 // Run serves until ctx ends, then drains and returns nil. If a component fails, Run
@@ -147,12 +150,15 @@
 // address, and waits for the open requests, all within the grace period.
 func (d *Daemon) drain(servers []*http.Server) {
 	d.logger.Info("daemon is draining", "daemon", d.settings.Name, "open", d.gateway.OpenRequests())
-	d.draining.Store(true)
-	d.peers.Announce()
 	grace := d.settings.Bounds.Grace - shutdownMargin
 	deadline := bootclock.Now().Add(grace)
-	linger := time.Duration(lingerTTLs * float64(min(addressTTL, d.settings.Bounds.MaxAddressTTL)))
-	time.Sleep(min(linger, grace/2))
+	linger := min(time.Duration(lingerTTLs*float64(min(addressTTL, d.settings.Bounds.MaxAddressTTL))), grace/2)
+	d.gateway.BeginDrain(gateway.Drain{AcceptUntil: time.Now().Add(linger), EndAt: time.Now().Add(grace - answerMargin)})
+	d.draining.Store(true)
+	d.peers.Announce()
+	time.Sleep(linger)
+	end := time.AfterFunc(deadline.Sub(bootclock.Now())-answerMargin, d.gateway.EndRequests)
+	defer end.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(bootclock.Now()))
 	defer cancel()
 	// The first server is that of the callers; the others, such as the readiness
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,9 @@
 // it. What is known of the upstream may have changed since.
 func (x *exchange) maySend(u membership.Upstream) error {
 	o := x.server.opts
+	if x.isTooLate() {
+		return errors.Trace(errDraining)
+	}
 	if o.UpstreamStates != nil && !o.UpstreamStates.IsUsable(u) {
 		return errors.Trace(errUpstreamUnusable)
 	}
@@ -158,7 +161,7 @@
 		return a.endInterrupted(ctx)
 	case errors.Is(err, upstreamconn.ErrConnLimit), errors.Is(err, errUpstreamLimit):
 		status = dispatch.StatusBusy
-	case errors.Is(err, errUpstreamUnusable):
+	case errors.Is(err, errUpstreamUnusable), errors.Is(err, errDraining):
 		status = dispatch.StatusCanceled
 	case sent:
 		return a.endLost()
@@ -171,15 +174,19 @@
 }
 
 // endInterrupted ends an attempt whose deadline has passed, whose caller has disconnected,
-// or whose request is kept from upstreams.
+// whose request is kept from upstreams, or whose daemon stops.
 func (a *upstreamAttempt) endInterrupted(ctx context.Context) attemptOutcome {
 	x := a.exchange
 	if x.request.Context().Err() != nil {
 		return a.endDisconnected(false)
 	}
-	if errors.Is(context.Cause(ctx), errQuarantined) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errQuarantined):
 		a.report(dispatch.StatusCanceled)
 		return attemptOutcome{isFinal: true, refusal: newRefusal(http.StatusBadGateway, quarantineReason)}
+	case errors.Is(cause, errStopping):
+		a.report(dispatch.StatusCanceled)
+		return attemptOutcome{isFinal: true, refusal: x.stoppedRefusal()}
 	}
 	a.report(dispatch.StatusTimeout)
 	return attemptOutcome{isFinal: true, refusal: x.timeoutRefusal()}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -90,7 +90,10 @@
 // serve sends the request to upstreams until an attempt is final or no further
 // attempt is allowed. It returns nil if the response of an upstream was relayed.
 func (x *exchange) serve() *refusal {
-	ctx := x.request.Context()
+	ctx, end := context.WithCancelCause(x.request.Context())
+	defer end(nil)
+	stopWaiting := context.AfterFunc(x.server.running, func() { end(errStopping) })
+	defer stopWaiting()
 	if !x.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, x.deadline)
@@ -101,6 +104,9 @@
 		if refusal := x.quarantineRefusal(); refusal != nil {
 			return refusal
 		}
+		if refusal := x.drainRefusal(); refusal != nil {
+			return refusal
+		}
 		x.attempts++
 		choice, err := x.server.opts.Chooser.Choose(ctx, x.dispatchRequest())
 		if err != nil {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -152,7 +152,7 @@
 	s := httptest.NewServer(gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, PromptQuarantine: f.quarantine, RequestQuarantine: f.requests,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
-		BootNow: f.bootNow, IsDraining: func() bool { return false },
+		BootNow: f.bootNow,
 	}))
 	t.Cleanup(s.Close)
 	f.address = s.Listener.Addr().String()
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -96,7 +96,4 @@
 	// BootNow returns the time of a clock that includes the time for which the
 	// machine was suspended.
 	BootNow func() time.Time
-	// IsDraining reports whether callers should use another daemon for their next
-	// request; responses then close the connection.
-	IsDraining func() bool
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 type Server struct {
 	opts         Options
 	openRequests atomic.Int64
+	// drain is nil until BeginDrain. running ends with endRequests.
+	drain       atomic.Pointer[Drain]
+	running     context.Context
+	endRequests context.CancelFunc
 
 	scope        tally.Scope
 	duration     tally.Histogram
@@ -43,8 +48,9 @@
 func New(opts Options) *Server {
 	scope := opts.Scope.SubScope("gateway")
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+	running, endRequests := context.WithCancel(context.Background())
 	return &Server{
-		opts: opts, scope: scope,
+		opts: opts, scope: scope, running: running, endRequests: endRequests,
 		duration:       scope.Histogram("request_duration", buckets),
 		firstEvent:     scope.Histogram("first_event", buckets),
 		lostAttempts:   scope.Counter("lost_attempts"),
@@ -61,7 +67,7 @@
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	x := &exchange{server: s, writer: w, request: r, receivedAt: time.Now()}
-	if s.opts.IsDraining() {
+	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	refusal := x.admit()
