Play upstreams that leave or rest by their answers in the soak

Runners now say for some seconds that they leave, and start again under their name, or ask for rests, among all other faults.

--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -129,7 +129,7 @@
 func (r *Runner) arrive(id string, h http.Header) (retryAfter string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{AttemptID: id, At: time.Now()})
+	r.arrivals = append(r.arrivals, Arrival{AttemptID: id, At: time.Now(), Rest: r.rest})
 	if r.limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
 	}
--- a/test/soak/clients_test.go
+++ b/test/soak/clients_test.go
@@ -21,6 +21,11 @@
 	body          string
 	// seal is the signature of the runner, from the header X-Response-Seal.
 	seal string
+	// node is the daemon that the request was sent to, endedAt when the response was read, and
+	// isLeaving whether it says that its runner leaves.
+	node      *node
+	endedAt   time.Time
+	isLeaving bool
 	// isComplete reports whether the response body was read without an error.
 	isComplete bool
 }
@@ -73,7 +78,7 @@
 // send sends one request to the front listener of n and returns the call. It does
 // not record it in c.calls.
 func (c *clients) send(ctx context.Context, client *http.Client, n *node, id, kind, key string) call {
-	result := call{id: id, kind: kind, key: key}
+	result := call{id: id, kind: kind, key: key, node: n}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.front.address()+"/"+kind+"/1", strings.NewReader("body"))
 	if err != nil {
 		return result
@@ -94,5 +99,6 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	result.status, result.body, result.seal, result.isComplete = response.StatusCode, string(body), response.Header.Get("X-Response-Seal"), err == nil
+	result.endedAt, result.isLeaving = time.Now(), response.Header.Get("Server-Leaving") != ""
 	return result
 }
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -22,6 +22,7 @@
 )
 
 const (
+	runnerCount = 4
 	// streamEvents is the number of events of each stream.
 	streamEvents = 5
 	// validKey and revokedKey are API keys of the clients' workspace. revokeKey
@@ -43,6 +44,8 @@
 	// front carries the clients' connections to the node; store and cloud carry the
 	// node's connections to the platform.
 	front, store, cloud *link
+	// disturbances are the starts, ends and signals of the process.
+	disturbances disturbances
 
 	mu      sync.Mutex
 	process *proc.Process
@@ -69,7 +72,11 @@
 
 	mu            sync.Mutex
 	configVersion int
-	apiKeys       []string
+	// born holds when the process of the runner with the same index started, and departures
+	// the times in which runners said that they leave.
+	born       [runnerCount]int64
+	departures []departure
+	apiKeys    []string
 }
 
 // startFleet starts the stand-ins, the runners and the given number of daemons. It
@@ -85,7 +92,7 @@
 		return s.Listener.Addr().String()
 	}
 	storeAddress, cloudAddress := serve(f.store), serve(f.cloud)
-	for i := range 4 {
+	for i := range runnerCount {
 		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
 		if i%2 == 1 {
 			r.Events = streamEvents
@@ -157,6 +164,7 @@
 		spec.Program = os.Args[0]
 		spec.Env = append(spec.Env, clockFileEnv+"="+n.clockPath)
 	}
+	n.disturbances.record()
 	process, err := proc.Launch(spec)
 	if err != nil {
 		f.t.Errorf("starting %s: %v", n.name, err)
@@ -176,6 +184,7 @@
 
 // signal sends a signal to the node's process unless it has exited.
 func (n *node) signal(s syscall.Signal) {
+	n.disturbances.record()
 	if p := n.currentProcess(); !p.HasExited() {
 		_ = p.Signal(s)
 	}
@@ -183,13 +192,15 @@
 
 // writeRunners writes the entries of the runners to the store.
 func (f *fleet) writeRunners() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for i, r := range f.runners {
 		service := "app"
 		if r.Events > 0 {
 			service = "llm"
 		}
 		f.store.Set("servers", r.ID, map[string]any{
-			"service": service, "address": f.runnerLinks[i].address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1,
+			"service": service, "address": f.runnerLinks[i].address(), "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1, "born": f.born[i],
 		})
 	}
 }
--- a/test/soak/link_test.go
+++ b/test/soak/link_test.go
@@ -26,6 +26,8 @@
 
 // link is a TCP proxy on a loopback address in front of one server.
 type link struct {
+	disturbances disturbances
+
 	listener net.Listener
 	target   string
 
@@ -147,6 +149,7 @@
 
 // setState changes the state and wakes up all waiting directions.
 func (l *link) setState(s linkState) {
+	l.disturbances.record()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state = s
@@ -156,6 +159,7 @@
 
 // resetConns resets all open connections to clients and to the target.
 func (l *link) resetConns() {
+	l.disturbances.record()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
--- a/test/soak/upstream_injector_test.go
+++ b/test/soak/upstream_injector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 )
 
@@ -16,11 +17,12 @@
 	random *rand.Rand
 }
 
-// inject crashes a runner, or makes it name a limit of requests per second for some time.
+// inject crashes a runner, or makes it name a limit of requests per second, ask for rests or
+// say that it leaves for some time.
 func (u *upstreamInjector) inject() {
 	index := u.random.IntN(len(u.fleet.runners))
 	r := u.fleet.runners[index]
-	switch u.random.IntN(4) {
+	switch u.random.IntN(6) {
 	case 0:
 		u.fleet.processes[index].Crash()
 		u.log = append(u.log, "runner "+r.ID+": crash")
@@ -28,5 +30,29 @@
 		r.SetLimit(0.5 + 5*u.random.Float64())
 		u.scheduleEnd(time.Duration(500+u.random.IntN(3000))*time.Millisecond, func() { r.SetLimit(0) })
 		u.log = append(u.log, "runner "+r.ID+": limit")
+	case 2:
+		r.SetRest(strconv.FormatFloat(0.5+2*u.random.Float64(), 'f', 2, 64))
+		u.scheduleEnd(time.Duration(300+u.random.IntN(2500))*time.Millisecond, func() { r.SetRest("") })
+		u.log = append(u.log, "runner "+r.ID+": rest")
+	case 3:
+		u.leave(index)
 	}
 }
+
+// leave makes a runner say that it leaves for some time, and then start again under its name.
+func (u *upstreamInjector) leave(index int) {
+	r := u.fleet.runners[index]
+	d := departure{runner: r, link: u.fleet.runnerLinks[index], from: time.Now()}
+	r.SetLeaving(true)
+	u.scheduleEnd(time.Duration(1000+u.random.IntN(6000))*time.Millisecond, func() {
+		r.SetLeaving(false)
+		u.fleet.processes[index].Crash()
+		u.fleet.mu.Lock()
+		d.to = time.Now()
+		u.fleet.departures = append(u.fleet.departures, d)
+		u.fleet.born[index]++
+		u.fleet.mu.Unlock()
+		u.fleet.writeRunners()
+	})
+	u.log = append(u.log, "runner "+r.ID+": leaves")
+}
