Let upstreams of the own interface rest as well

The result of an attempt now carries the rest, and the membership table, which both daemons share, holds it.

What an upstream of the own interface says of its leaving (X-Draining) is left as it is: it holds for 30 s or until a load report, which every daemon reads, says otherwise.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -118,7 +118,13 @@
 // Nothing is reported for a full queue, nor for an attempt that was canceled or
 // moved while the upstream was not draining.
 func (a *attempt) recordEvidence(res Result, now time.Time) {
-	if a.d.opts.Evidence == nil || res.Status == StatusBusy || (!res.Draining && (res.Status == StatusCanceled || res.Status == StatusMoved)) {
+	if a.d.opts.Evidence == nil {
+		return
+	}
+	if res.Rest > 0 {
+		a.d.opts.Evidence.Observe(a.upstream.Name, UpstreamEvidence{Rest: res.Rest}, now)
+	}
+	if res.Status == StatusBusy || (!res.Draining && (res.Status == StatusCanceled || res.Status == StatusMoved)) {
 		return
 	}
 	a.d.opts.Evidence.Observe(a.upstream.Name, UpstreamEvidence{
--- a/internal/dispatch/table_evidence.go
+++ b/internal/dispatch/table_evidence.go
@@ -15,6 +15,10 @@
 // Observe implements EvidenceRecorder.
 func (e TableEvidenceRecorder) Observe(upstream string, evidence UpstreamEvidence, _ time.Time) {
 	switch {
+	case evidence.Rest > 0:
+		if u, isKnown := e.Table.Upstream(upstream); isKnown {
+			e.Table.RecordRest(u, evidence.Rest)
+		}
 	case evidence.Draining:
 		e.Table.Observe(upstream, membership.EvidenceDraining)
 	case evidence.Lost:
--- a/internal/engineclient/error.go
+++ b/internal/engineclient/error.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/retryafter"
 )
 
 // Causes that an engine reports with an error code. Test for them with errors.Is.
@@ -35,6 +38,8 @@
 	Rejected bool
 	// Draining is true if the engine announced that it is leaving.
 	Draining bool
+	// Rest is how long the engine wants no further request; 0 if it does not ask for that.
+	Rest time.Duration
 	// Body is the start of the engine's response, at most 4 KiB.
 	Body []byte
 	Err  error
@@ -68,6 +73,9 @@
 // errorFromResponse returns the error for a response without a 2xx status.
 func errorFromResponse(res *http.Response) *Error {
 	e := &Error{Status: res.StatusCode, Draining: res.Header.Get("X-Draining") == "true"}
+	if e.Status == http.StatusServiceUnavailable {
+		e.Rest = retryafter.Parse(res.Header)
+	}
 	// A truncated body is not an error here. It can hide the error code, but the
 	// status remains valid.
 	e.Body, _ = io.ReadAll(io.LimitReader(res.Body, maxErrorBodyBytes))
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -133,6 +133,17 @@
 	if !isCallError || !failure.NotRun && !failure.Rejected {
 		r.mayHaveRun = true
 	}
+	result := r.resultOf(ctx, attemptCtx, err, failure, mode)
+	if isCallError {
+		result.rest = failure.Rest
+	}
+	return result
+}
+
+// resultOf returns the result of an attempt that ended with err; failure is nil unless the
+// call itself failed.
+func (r *requestExecutor) resultOf(ctx, attemptCtx context.Context, err error, failure *engineclient.Error, mode attemptMode) attemptResult {
+	isCallError := failure != nil
 	switch {
 	case ctx.Err() != nil:
 		return attemptResult{reason: endCanceled, err: err}
--- a/internal/server/attempt_result.go
+++ b/internal/server/attempt_result.go
@@ -1,6 +1,10 @@
 package server
 
-import "rattantide/internal/problem"
+import (
+	"time"
+
+	"rattantide/internal/problem"
+)
 
 // endReason is the reason why an attempt at an engine ended.
 type endReason int
@@ -42,6 +46,8 @@
 type attemptResult struct {
 	reason   endReason
 	draining bool
+	// rest is how long the engine wants no further request.
+	rest time.Duration
 	// problem is set with endUnrecoverable.
 	problem *problem.Problem
 	err     error
--- a/internal/server/service_answer.go
+++ b/internal/server/service_answer.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
+	"rattantide/internal/retryafter"
 )
 
 // serviceAnswer is the outcome of one attempt at a plain service. close must be
@@ -29,8 +30,10 @@
 	// did not run the call.
 	notRun   bool
 	draining bool
-	stalled  bool
-	err      error
+	// rest is how long the upstream wants no further request.
+	rest    time.Duration
+	stalled bool
+	err     error
 }
 
 // callService makes one attempt and waits for the header of the response. Failures
@@ -58,6 +61,9 @@
 		return a
 	}
 	a.timeToHeader = time.Since(a.startedAt)
+	if response.StatusCode == http.StatusServiceUnavailable {
+		a.rest = retryafter.Parse(response.Header)
+	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("X-Draining") == "true" {
 		response.Body.Close()
 		a.notRun, a.draining = true, true
@@ -107,7 +113,7 @@
 	if r.Status == "" {
 		r.Status = a.status()
 	}
-	r.FirstToken, r.Total, r.Draining = a.timeToHeader, time.Since(a.startedAt), a.draining
+	r.FirstToken, r.Total, r.Draining, r.Rest = a.timeToHeader, time.Since(a.startedAt), a.draining, a.rest
 	a.choice.Done(r)
 }
 
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -158,3 +159,27 @@
 	_, err := io.ReadAll(response.Body)
 	assert.Assert(t, err != nil)
 }
+
+// Guards against an upstream that refuses with a time to wait and is chosen again within it,
+// because the time is not reported.
+func TestRestOfServiceIsReported(t *testing.T) {
+	for name, isDraining := range map[string]bool{"refusal that drains": true, "other refusal": false} {
+		t.Run(name, func(t *testing.T) {
+			resting, _ := newFakeService(t, func(_ int64, w http.ResponseWriter) {
+				if isDraining {
+					w.Header().Set("X-Draining", "true")
+				}
+				w.Header().Set("Retry-After", "2.5")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			pool := &fakePool{}
+			pool.add("resting", "v1", resting.URL)
+			h := newHarness(t, pool, nil)
+			h.do(t, "POST", "/jobs/7", "body", "Authorization", "Bearer "+otherToken)
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			assert.Assert(t, len(pool.results) > 0)
+			assert.Equal(t, pool.results[0].Rest, 2500*time.Millisecond)
+		})
+	}
+}
