Split files that have grown

The choice of an upstream, the request that is sent to one, what an upstream says of itself, and the same of the stand-in of a runner get files of their own. No change of behaviour; the tests of the packages pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -4,14 +4,12 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
-	"rattantide/internal/membership"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -55,70 +53,6 @@
 	return x.server.opts.ConnLimit(x.service)
 }
 
-// hopByHopHeaders are the headers that apply to a single connection and are not
-// forwarded.
-var hopByHopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
-// withoutHopByHopHeaders returns a copy of h without hopByHopHeaders and the
-// headers that Connection names.
-func withoutHopByHopHeaders(h http.Header) http.Header {
-	out := h.Clone()
-	for _, value := range h.Values("Connection") {
-		for _, name := range strings.Split(value, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHopHeaders {
-		out.Del(name)
-	}
-	return out
-}
-
-func (x *exchange) upstreamRequest(choice *dispatch.Choice) *upstreamconn.Request {
-	header := withoutHopByHopHeaders(x.request.Header)
-	a := Attempt{Upstream: choice.Upstream.Name, LastEventID: x.lastEventID}
-	if !x.deadline.IsZero() {
-		a.Remaining, a.HasDeadline = time.Until(x.deadline), true
-	}
-	if x.workspace != nil {
-		a.Workspace = x.workspace.Name
-	}
-	if x.service.Engine != nil {
-		a.Urgency, a.HasUrgency = x.urgency(), true
-	}
-	x.server.opts.Codec.EncodeAttempt(header, a)
-	return &upstreamconn.Request{
-		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
-		Header: header, Body: x.body, HasBody: x.hasBody, MaySend: func() error { return x.maySend(choice.Upstream) },
-	}
-}
-
-const (
-	// errUpstreamUnusable means that an upstream may no longer get requests.
-	errUpstreamUnusable = errors.ConstError("upstream is leaving, rests or may not be used any more")
-	// errUpstreamLimit means that an upstream may get no more requests at present.
-	errUpstreamLimit = errors.ConstError("upstream has reached its limit")
-)
-
-// maySend returns an error if a request may not be sent to the upstream that was chosen for
-// it. What is known of the upstream may have changed since.
-func (x *exchange) maySend(u membership.Upstream) error {
-	o := x.server.opts
-	if x.isTooLate() {
-		return errors.Trace(errDraining)
-	}
-	if o.UpstreamStates != nil && !o.UpstreamStates.IsUsable(u) {
-		return errors.Trace(errUpstreamUnusable)
-	}
-	if o.UpstreamLimit != nil && !o.UpstreamLimit.Allow(u.Name) {
-		return errors.Trace(errUpstreamLimit)
-	}
-	return nil
-}
-
 // upstreamAttempt is an attempt in progress. It belongs to the goroutine of its
 // exchange.
 type upstreamAttempt struct {
@@ -278,38 +212,6 @@
 	return response.Status == http.StatusOK && response.Header.Get(contentType) == x.writer.Header().Get(contentType)
 }
 
-// recordUpstreamLimit records the limit that a response names, unless the response is that
-// of another upstream or to another request.
-func (x *exchange) recordUpstreamLimit(upstream string, info ResponseInfo) {
-	x.upstreamLimit = info.RequestLimit
-	if x.server.opts.LimitRecorder != nil && !info.Misdirected && info.AttemptID == x.call.AttemptID {
-		x.server.opts.LimitRecorder.Observe(upstream, info.RequestLimit)
-	}
-}
-
-// recordUpstreamState records what a response says of its upstream. One that leaves says so
-// also in a late response to an earlier request, as the same process has sent that; the time
-// of a rest counts from the response that first asked for it. The response of another
-// upstream at the address is not the chosen upstream's.
-func (x *exchange) recordUpstreamState(u membership.Upstream, info ResponseInfo, isLate bool) {
-	if info.Misdirected {
-		return
-	}
-	x.upstreamLeaving, x.upstreamRest = info.Leaving, info.Rest
-	if info.Leaving {
-		x.server.leavingAnswers.Inc(1)
-		if x.server.opts.UpstreamStates != nil {
-			x.server.opts.UpstreamStates.RecordLeaving(u)
-		}
-	}
-	if info.Rest > 0 && !isLate {
-		x.server.restAnswers.Inc(1)
-		if x.server.opts.UpstreamStates != nil {
-			x.server.opts.UpstreamStates.RecordRest(u, info.Rest)
-		}
-	}
-}
-
 // handleNotRun handles a response that states that the request did not run.
 func (a *upstreamAttempt) handleNotRun(response *upstreamconn.Response, info ResponseInfo) attemptOutcome {
 	a.exchange.reason = "upstream refused the request: " + http.StatusText(response.Status)
