--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -171,7 +171,7 @@
 	info := x.server.opts.Codec.DecodeResponse(response.Status, response.Header)
 	x.upstreamFraming = response.Framing
 	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
-	x.recordUpstreamState(a.choice.Upstream, info, response.Reused && info.AttemptID != x.call.AttemptID)
+	x.recordUpstreamState(a.choice.Upstream, info, x.isLate(response, info))
 	if info.Load != nil && x.server.opts.Loads != nil {
 		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
 	}
@@ -196,6 +196,11 @@
 	return a.relayResponse(ctx, response)
 }
 
+// isLate reports whether a response is one to an earlier request on the same connection.
+func (x *exchange) isLate(response *upstreamconn.Response, info ResponseInfo) bool {
+	return response.Reused && info.AttemptID != "" && info.AttemptID != x.call.AttemptID
+}
+
 // isOwn reports whether a refusal is that of this request. One that names no request can
 // be a late one to an earlier request on the same connection.
 func (x *exchange) isOwn(response *upstreamconn.Response, info ResponseInfo) bool {
