--- a/internal/fleetdaemon/era.go
+++ b/internal/fleetdaemon/era.go
@@ -32,8 +32,13 @@
 
 // refresh takes the era from eras. t.mu must be held.
 func (t *eraTracker) refresh() {
-	if era := t.eras.Current(); era > t.era || t.since.IsZero() {
-		t.era, t.since = era, t.now()
+	era := t.eras.Current()
+	hasRisen := era > t.era
+	if !hasRisen && !t.since.IsZero() {
+		return
+	}
+	t.era, t.since = era, t.now()
+	if hasRisen {
 		t.onRise()
 	}
 }
