--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -47,13 +48,22 @@
 	storeBlocked []atomic.Bool
 }
 
-// freePort returns a TCP port that was free a moment ago. The daemons use its number
-// for TCP and for UDP.
+// freePort returns a port that no process uses on any address, below those that outgoing
+// connections get: another process could get such a one before the daemons listen. The
+// daemons use its number for TCP and for UDP.
 func freePort(t testing.TB) int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
+	const first, count, attempts = 15_000, 15_000, 50
+	for range attempts {
+		port := first + rand.IntN(count)
+		l, err := net.Listen("tcp4", ":"+strconv.Itoa(port))
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, l.Close())
+		return port
+	}
+	t.Fatal("no free port found")
+	return 0
 }
 
 func startDeployment(t testing.TB, daemons int) *deployment {
