Use the field's terms for backoffs and for what upstreams state

An upstream that refuses with Retry-After asks for a backoff; the code called it a rest. The metric is gateway_backoff_answers, the log line "upstream asks for a backoff".

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -121,8 +121,8 @@
 	if a.d.opts.Evidence == nil {
 		return
 	}
-	if res.Rest > 0 {
-		a.d.opts.Evidence.Observe(a.upstream.Name, UpstreamEvidence{Rest: res.Rest}, now)
+	if res.Backoff > 0 {
+		a.d.opts.Evidence.Observe(a.upstream.Name, UpstreamEvidence{Backoff: res.Backoff}, now)
 	}
 	if res.Status == StatusBusy || (!res.Draining && (res.Status == StatusCanceled || res.Status == StatusMoved)) {
 		return
--- a/internal/dispatch/rest_test.go
+++ b/internal/dispatch/backoff_test.go
@@ -9,8 +9,8 @@
 	"rattantide/internal/membership"
 )
 
-// Guards against an upstream that asked for a rest with a refusal and stays in the choice.
-func TestRestOfUpstreamReachesTable(t *testing.T) {
+// Guards against an upstream that asked for a backoff with a refusal and stays in the choice.
+func TestBackoffOfUpstreamReachesTable(t *testing.T) {
 	f := newFixture(t, -1)
 	table := membership.NewTable(membership.Daemon{Name: "d", Region: "r"}, membership.Options{})
 	list := membership.InstanceList{Revision: 1}
@@ -23,7 +23,7 @@
 	d := New(Options{Config: f.config, Table: table, Evidence: TableEvidenceRecorder{Table: table}})
 	c, err := d.Choose(t.Context(), f.request("first", 1))
 	assert.NilError(t, err)
-	c.Done(Result{Status: StatusBusy, Rest: time.Minute})
+	c.Done(Result{Status: StatusBusy, Backoff: time.Minute})
 	for range 20 {
 		next, err := d.Choose(t.Context(), f.request("next", 1))
 		assert.NilError(t, err)
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -318,15 +318,15 @@
 	assert.Assert(t, time.Since(startedAt) < DefaultUpstreamWait/2)
 }
 
-// Guards against a request that waits for upstreams that rest longer than it can wait, and
-// against callers that are all told to return at the end of the same rest; and against one
-// that is refused although the rest ends in time.
-func TestRefusesAtOnceIfAllRest(t *testing.T) {
+// Guards against a request that waits for upstreams that back off longer than it can wait, and
+// against callers that are all told to return at the end of the same backoff; and against one
+// that is refused although the backoff ends in time.
+func TestRefusesAtOnceIfAllBackOff(t *testing.T) {
 	f := newFixture(t, -1)
 	upstreams := f.table.Upstreams("p")
 	f.table.set(nil)
 	startedAt := time.Now()
-	f.table.outlook.RestUntil = startedAt.Add(2 * DefaultUpstreamWait)
+	f.table.outlook.BackoffUntil = startedAt.Add(2 * DefaultUpstreamWait)
 	moments := map[time.Duration]bool{}
 	for i := range 30 {
 		_, err := f.Choose(t.Context(), f.request(fmt.Sprintf("r%d", i), 1))
@@ -339,7 +339,7 @@
 	assert.Assert(t, time.Since(startedAt) < DefaultUpstreamWait/2)
 	assert.Assert(t, len(moments) >= 15, "all return at %d moments", len(moments))
 
-	f.table.outlook.RestUntil = time.Now().Add(DefaultUpstreamWait / 10)
+	f.table.outlook.BackoffUntil = time.Now().Add(DefaultUpstreamWait / 10)
 	time.AfterFunc(DefaultUpstreamWait/20, func() { f.table.set(upstreams) })
 	_, err := f.Choose(t.Context(), f.request("last", 1))
 	assert.NilError(t, err)
--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -35,9 +35,9 @@
 	Status Status
 	// Draining reports whether the upstream itself answered that it is leaving.
 	Draining bool
-	// Rest is how long the upstream wants no further request of this daemon; 0 means that it
+	// Backoff is how long the upstream wants no further request of this daemon; 0 means that it
 	// does not ask for that.
-	Rest time.Duration
+	Backoff time.Duration
 	// FirstToken is the time from dispatch to the first token or byte; 0 when
 	// none was received.
 	FirstToken time.Duration
--- a/internal/dispatch/return_order.go
+++ b/internal/dispatch/return_order.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// returnInterval is the time between two callers that return when a rest has ended, and
+	// returnInterval is the time between two callers that return when a backoff has ended, and
 	// returnSpan the time over which they are spread; further ones start over.
 	returnInterval = 10 * time.Millisecond
 	returnSpan     = time.Second
 )
 
-// returnOrder spreads the callers that are refused because all upstreams of their pool rest,
+// returnOrder spreads the callers that are refused because all upstreams of their pool have asked for a backoff,
 // so that they do not all return at the same moment. It is safe for concurrent use.
 type returnOrder struct {
 	mu   sync.Mutex
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -27,8 +27,8 @@
 		}
 		now := d.opts.Now()
 		outlook := d.opts.Table.Outlook(r.Pool)
-		if outlook.RestUntil.After(d.latestUsefulStart(class, r, giveUpAt)) {
-			return nil, d.noUsable(r, d.returns.delay(r.Pool, outlook.RestUntil, now))
+		if outlook.BackoffUntil.After(d.latestUsefulStart(class, r, giveUpAt)) {
+			return nil, d.noUsable(r, d.returns.delay(r.Pool, outlook.BackoffUntil, now))
 		}
 		if !now.Before(giveUpAt) || outlook.AllLeaving {
 			return nil, d.noUsable(r, noUpstreamRetryAfter)
--- a/internal/dispatch/table_evidence.go
+++ b/internal/dispatch/table_evidence.go
@@ -15,9 +15,9 @@
 // Observe implements EvidenceRecorder.
 func (e TableEvidenceRecorder) Observe(upstream string, evidence UpstreamEvidence, _ time.Time) {
 	switch {
-	case evidence.Rest > 0:
+	case evidence.Backoff > 0:
 		if u, isKnown := e.Table.Upstream(upstream); isKnown {
-			e.Table.RecordRest(u, evidence.Rest)
+			e.Table.RecordBackoff(u, evidence.Backoff)
 		}
 	case evidence.Draining:
 		e.Table.Observe(upstream, membership.EvidenceDraining)
--- a/internal/dispatch/upstream_evidence.go
+++ b/internal/dispatch/upstream_evidence.go
@@ -8,8 +8,8 @@
 	Answered bool
 	// Draining reports whether the upstream itself answered that it is leaving.
 	Draining bool
-	// Rest is how long the upstream wants no further request; 0 if it does not ask for that.
-	Rest time.Duration
+	// Backoff is how long the upstream wants no further request; 0 if it does not ask for that.
+	Backoff time.Duration
 	// Lost reports whether the connection was refused or lost, or made no
 	// progress.
 	Lost bool
--- a/internal/engineclient/error.go
+++ b/internal/engineclient/error.go
@@ -38,8 +38,8 @@
 	Rejected bool
 	// Draining is true if the engine announced that it is leaving.
 	Draining bool
-	// Rest is how long the engine wants no further request; 0 if it does not ask for that.
-	Rest time.Duration
+	// Backoff is how long the engine wants no further request; 0 if it does not ask for that.
+	Backoff time.Duration
 	// Body is the start of the engine's response, at most 4 KiB.
 	Body []byte
 	Err  error
@@ -74,7 +74,7 @@
 func errorFromResponse(res *http.Response) *Error {
 	e := &Error{Status: res.StatusCode, Draining: res.Header.Get("X-Draining") == "true"}
 	if e.Status == http.StatusServiceUnavailable {
-		e.Rest = retryafter.Parse(res.Header)
+		e.Backoff = retryafter.Parse(res.Header)
 	}
 	// A truncated body is not an error here. It can hide the error code, but the
 	// status remains valid.
--- a/internal/fleetdaemon/rest_test.go
+++ b/internal/fleetdaemon/backoff_test.go
@@ -10,48 +10,48 @@
 )
 
 const (
-	// restSlack is the time after an answer that asks for a rest from which it binds, and
-	// maxRestRequests the number of requests that may reach the upstream in the rest of it.
-	restSlack       = 500 * time.Millisecond
-	maxRestRequests = 2
+	// backoffSlack is the time after an answer that asks for a backoff from which it binds, and
+	// maxBackoffRequests the number of requests that may reach the upstream in the rest of it.
+	backoffSlack       = 500 * time.Millisecond
+	maxBackoffRequests = 2
 )
 
 // Guards against requests to an upstream within the time for which it asked for none, and
 // against callers that are refused because of it although other upstreams serve.
-func TestUpstreamThatAsksForRest(t *testing.T) {
-	const rest = 2500 * time.Millisecond
+func TestUpstreamThatAsksForBackoff(t *testing.T) {
+	const backoff = 2500 * time.Millisecond
 	f := startPlainFleet(t, 1, 3)
-	resting := f.runners[0]
-	resting.SetRest("2.5")
+	backingOff := f.runners[0]
+	backingOff.SetBackoff("2.5")
 	setAt := time.Now()
 	f.waitFor("a refusal", func() bool {
 		f.callTogether(0)
-		return arrivedBetween(resting, setAt, time.Now()) > 0
+		return arrivedBetween(backingOff, setAt, time.Now()) > 0
 	})
-	arrivals := resting.Arrivals()
+	arrivals := backingOff.Arrivals()
 	askedAt := arrivals[len(arrivals)-1].At
-	// A shorter rest does not end a longer one.
-	resting.SetRest("0.1")
-	failed := f.callAllFor(rest-100*time.Millisecond, 0)
-	count := arrivedBetween(resting, askedAt.Add(restSlack), askedAt.Add(rest))
-	t.Logf("%d requests in the rest, %d failed", count, failed)
-	assert.Check(t, count <= maxRestRequests, "%d requests reached the upstream in its rest", count)
+	// A shorter backoff does not end a longer one.
+	backingOff.SetBackoff("0.1")
+	failed := f.callAllFor(backoff-100*time.Millisecond, 0)
+	count := arrivedBetween(backingOff, askedAt.Add(backoffSlack), askedAt.Add(backoff))
+	t.Logf("%d requests in the backoff, %d failed", count, failed)
+	assert.Check(t, count <= maxBackoffRequests, "%d requests reached the upstream in its backoff", count)
 	assert.Check(t, failed == 0, "%d requests failed", failed)
-	resting.SetRest("")
-	f.waitFor("requests after the rest", func() bool {
-		before := len(resting.Executions())
+	backingOff.SetBackoff("")
+	f.waitFor("requests after the backoff", func() bool {
+		before := len(backingOff.Executions())
 		f.callTogether(0)
-		return len(resting.Executions()) > before
+		return len(backingOff.Executions()) > before
 	})
 }
 
-// Guards against callers that wait or come back too early while all upstreams rest: they are
-// refused at once, told when the first rest ends, and come back one after the other.
-func TestAllUpstreamsRest(t *testing.T) {
-	const rest = 2500 * time.Millisecond
+// Guards against callers that wait or come back too early while all upstreams back off: they are
+// refused at once, told when the first backoff ends, and come back one after the other.
+func TestAllUpstreamsBackOff(t *testing.T) {
+	const backoff = 2500 * time.Millisecond
 	f := startPlainFleet(t, 1, 3)
 	for _, r := range f.runners {
-		r.SetRest("2.5")
+		r.SetBackoff("2.5")
 	}
 	startedAt := time.Now()
 	f.waitFor("refusals by all", func() bool {
@@ -66,23 +66,23 @@
 	askedAt := time.Now()
 	moments := map[time.Duration]bool{}
 	tooEarly, slow := 0, 0
-	for time.Since(askedAt) < rest/2 {
+	for time.Since(askedAt) < backoff/2 {
 		sentAt := time.Now()
 		status, delay := f.callForDelay(0)
 		assert.Check(t, status == http.StatusServiceUnavailable, "status %d", status)
 		if time.Since(sentAt) > time.Second {
 			slow++
 		}
-		if sentAt.Add(delay).Before(startedAt.Add(rest)) {
+		if sentAt.Add(delay).Before(startedAt.Add(backoff)) {
 			tooEarly++
 		}
 		moments[sentAt.Add(delay).Sub(startedAt).Round(10*time.Millisecond)] = true
 	}
 	assert.Check(t, slow == 0, "%d callers waited for more than a second", slow)
-	assert.Check(t, tooEarly == 0, "%d callers were told to come back while all upstreams rest", tooEarly)
+	assert.Check(t, tooEarly == 0, "%d callers were told to come back while all upstreams back off", tooEarly)
 	for _, r := range f.runners {
-		count := arrivedBetween(r, askedAt.Add(restSlack), startedAt.Add(rest))
-		assert.Check(t, count <= maxRestRequests, "%d requests reached %s in its rest", count, r.ID)
+		count := arrivedBetween(r, askedAt.Add(backoffSlack), startedAt.Add(backoff))
+		assert.Check(t, count <= maxBackoffRequests, "%d requests reached %s in its backoff", count, r.ID)
 	}
 	assert.Check(t, len(moments) > 5, "all are told to come back at the same %d moments", len(moments))
 }
--- a/internal/fleetdaemon/leaving_test.go
+++ b/internal/fleetdaemon/leaving_test.go
@@ -134,13 +134,13 @@
 			bound := time.Now().Add(drainBound - 500*time.Millisecond)
 			failed += f.callAllFor(drainBound, 0)
 			if !isStoreAway {
-				// An entry that is written again as ready does not take the word back.
+				// An entry that is written again as ready does not take the statement back.
 				f.list(0, "ready", 1)
 			}
 			failed += f.callAllFor(time.Second, 0, 1, 2)
 			late := arrivedBetween(leaving, bound, time.Now())
-			t.Logf("%d requests after the word, %d failed", late, failed)
-			assert.Check(t, late == 0, "%d requests reached the upstream later than %s after its word", late, drainBound)
+			t.Logf("%d requests after the statement, %d failed", late, failed)
+			assert.Check(t, late == 0, "%d requests reached the upstream later than %s after its statement", late, drainBound)
 			assert.Check(t, failed == 0, "%d requests failed", failed)
 			f.store.SetFaults(platformstore.Faults{})
 			leaving.SetLeaving(false)
--- a/internal/fleetdaemon/upstream_states.go
+++ b/internal/fleetdaemon/upstream_states.go
@@ -15,10 +15,10 @@
 	s.d.recordLeaving(membership.LeavingUpstream{Name: u.Name, Address: u.Address, Generation: u.Generation}, "its answer")
 }
 
-// RecordRest implements gateway.UpstreamStates.
-func (s upstreamStates) RecordRest(u membership.Upstream, d time.Duration) {
-	s.d.logger.Info("upstream asks for a rest", "upstream", u.Name, "ms", d.Milliseconds())
-	s.d.table.RecordRest(u, d)
+// RecordBackoff implements gateway.UpstreamStates.
+func (s upstreamStates) RecordBackoff(u membership.Upstream, d time.Duration) {
+	s.d.logger.Info("upstream asks for a backoff", "upstream", u.Name, "ms", d.Milliseconds())
+	s.d.table.RecordBackoff(u, d)
 }
 
 // IsUsable implements gateway.UpstreamStates.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -50,10 +50,10 @@
 	// upstreamLimit is the request limit that the upstream of the last response named, or
 	// nil.
 	upstreamLimit *float64
-	// upstreamLeaving and upstreamRest are what the last response says of its upstream, for
+	// upstreamLeaving and upstreamBackoff are what the last response says of its upstream, for
 	// the log.
 	upstreamLeaving bool
-	upstreamRest    time.Duration
+	upstreamBackoff time.Duration
 	// upstreamFraming is the framing of the last upstream's response, for the log.
 	upstreamFraming framing.Kind
 	// status is the status of the response to the caller.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -60,8 +60,8 @@
 	if x.upstreamLeaving {
 		fields = append(fields, "upstreamLeaving", true)
 	}
-	if x.upstreamRest > 0 {
-		fields = append(fields, "upstreamRestMs", x.upstreamRest.Milliseconds())
+	if x.upstreamBackoff > 0 {
+		fields = append(fields, "upstreamBackoffMs", x.upstreamBackoff.Milliseconds())
 	}
 	if x.upstreamFraming != "" {
 		fields = append(fields, "framing", x.upstreamFraming)
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -51,8 +51,8 @@
 type UpstreamStates interface {
 	// RecordLeaving records that an upstream has said that it is leaving.
 	RecordLeaving(u membership.Upstream)
-	// RecordRest records that an upstream wants no requests of this daemon for some time.
-	RecordRest(u membership.Upstream, d time.Duration)
+	// RecordBackoff records that an upstream wants no requests of this daemon for some time.
+	RecordBackoff(u membership.Upstream, d time.Duration)
 	// IsUsable reports whether a request may still be sent to an upstream that was chosen
 	// earlier.
 	IsUsable(u membership.Upstream) bool
--- a/internal/gateway/response_info.go
+++ b/internal/gateway/response_info.go
@@ -24,7 +24,7 @@
 	RequestLimit *float64
 	// Leaving reports whether the upstream states that it is about to stop.
 	Leaving bool
-	// Rest is how long the upstream wants no further request of this daemon; 0 means that it
+	// Backoff is how long the upstream wants no further request of this daemon; 0 means that it
 	// does not ask for that.
-	Rest time.Duration
+	Backoff time.Duration
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -38,10 +38,10 @@
 	duration     tally.Histogram
 	firstEvent   tally.Histogram
 	lostAttempts tally.Counter
-	// leavingAnswers and restAnswers count the responses of upstreams that say that they
+	// leavingAnswers and backoffAnswers count the responses of upstreams that say that they
 	// leave, or that they want no requests for some time.
 	leavingAnswers tally.Counter
-	restAnswers    tally.Counter
+	backoffAnswers tally.Counter
 }
 
 // New returns a Server.
@@ -55,7 +55,7 @@
 		firstEvent:     scope.Histogram("first_event", buckets),
 		lostAttempts:   scope.Counter("lost_attempts"),
 		leavingAnswers: scope.Counter("leaving_answers"),
-		restAnswers:    scope.Counter("rest_answers"),
+		backoffAnswers: scope.Counter("backoff_answers"),
 	}
 }
 
--- a/internal/gateway/upstream_request.go
+++ b/internal/gateway/upstream_request.go
@@ -55,7 +55,7 @@
 
 const (
 	// errUpstreamUnusable means that an upstream may no longer get requests.
-	errUpstreamUnusable = errors.ConstError("upstream is leaving, rests or may not be used any more")
+	errUpstreamUnusable = errors.ConstError("upstream is leaving, has asked for a backoff or may not be used any more")
 	// errUpstreamLimit means that an upstream may get no more requests at present.
 	errUpstreamLimit = errors.ConstError("upstream has reached its limit")
 )
--- a/internal/gateway/upstream_states.go
+++ b/internal/gateway/upstream_states.go
@@ -13,23 +13,23 @@
 
 // recordUpstreamState records what a response says of its upstream. One that leaves says so
 // also in a late response to an earlier request, as the same process has sent that; the time
-// of a rest counts from the response that first asked for it. The response of another
+// of a backoff counts from the response that first asked for it. The response of another
 // upstream at the address is not the chosen upstream's.
 func (x *exchange) recordUpstreamState(u membership.Upstream, info ResponseInfo, isLate bool) {
 	if info.Misdirected {
 		return
 	}
-	x.upstreamLeaving, x.upstreamRest = info.Leaving, info.Rest
+	x.upstreamLeaving, x.upstreamBackoff = info.Leaving, info.Backoff
 	if info.Leaving {
 		x.server.leavingAnswers.Inc(1)
 		if x.server.opts.UpstreamStates != nil {
 			x.server.opts.UpstreamStates.RecordLeaving(u)
 		}
 	}
-	if info.Rest > 0 && !isLate {
-		x.server.restAnswers.Inc(1)
+	if info.Backoff > 0 && !isLate {
+		x.server.backoffAnswers.Inc(1)
 		if x.server.opts.UpstreamStates != nil {
-			x.server.opts.UpstreamStates.RecordRest(u, info.Rest)
+			x.server.opts.UpstreamStates.RecordBackoff(u, info.Backoff)
 		}
 	}
 }
--- a/internal/gateway/upstream_states_test.go
+++ b/internal/gateway/upstream_states_test.go
@@ -17,7 +17,7 @@
 type stateRecorder struct {
 	mu       sync.Mutex
 	leaving  []string
-	rests    map[string]time.Duration
+	backoffs map[string]time.Duration
 	unusable map[string]bool
 }
 
@@ -28,14 +28,14 @@
 	s.leaving = append(s.leaving, u.Name)
 }
 
-// RecordRest implements gateway.UpstreamStates.
-func (s *stateRecorder) RecordRest(u membership.Upstream, d time.Duration) {
+// RecordBackoff implements gateway.UpstreamStates.
+func (s *stateRecorder) RecordBackoff(u membership.Upstream, d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.rests == nil {
-		s.rests = map[string]time.Duration{}
+	if s.backoffs == nil {
+		s.backoffs = map[string]time.Duration{}
 	}
-	s.rests[u.Name] = d
+	s.backoffs[u.Name] = d
 }
 
 // IsUsable implements gateway.UpstreamStates.
@@ -54,24 +54,24 @@
 // Guards against an answer by which an upstream says that it leaves and that is not heard:
 // one that is refused, cut, late or a stream; and against the answer of another upstream at
 // the same address that is taken for the chosen one's.
-func TestWordOfLeavingUpstreamIsHeard(t *testing.T) {
-	const word = "Server-Leaving: 1\r\n"
+func TestStatementOfLeavingUpstreamIsHeard(t *testing.T) {
+	const statement = "Server-Leaving: 1\r\n"
 	for name, c := range map[string]struct {
 		path  string
 		raw   rawUpstream
 		heard bool
 	}{
-		"whole":             {"/lookup/1", rawUpstream{head: headWithLength(2) + word, body: "ok"}, true},
-		"not executed":      {"/order/1", rawUpstream{head: "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n" + word}, true},
-		"failure":           {"/order/1", rawUpstream{head: "HTTP/1.1 500 x\r\nContent-Length: 0\r\n" + word}, true},
-		"cut":               {"/order/1", rawUpstream{head: headWithLength(20) + word, body: "ok"}, true},
-		"stream":            {"/stream/1", rawUpstream{head: headChunked + word, body: chunk(firstEvent) + chunk("")}, true},
-		"cut stream":        {"/stream/1", rawUpstream{head: headChunked + word, body: chunk(firstEvent)}, true},
-		"to another":        {"/order/1", rawUpstream{exact: "HTTP/1.1 200 x\r\nX-Attempt-Id: z\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n" + word + "\r\n"}, true},
-		"another upstream":  {"/order/1", rawUpstream{head: "HTTP/1.1 421 x\r\nContent-Length: 0\r\n" + word}, false},
-		"without the word":  {"/order/1", rawUpstream{head: headWithLength(2), body: "ok"}, false},
-		"no answer at all":  {"/order/1", rawUpstream{exact: strings.TrimPrefix(word, "Server-")}, false},
-		"word that is zero": {"/order/1", rawUpstream{head: headWithLength(2) + "Server-Leaving: 0\r\n", body: "ok"}, false},
+		"whole":                  {"/lookup/1", rawUpstream{head: headWithLength(2) + statement, body: "ok"}, true},
+		"not executed":           {"/order/1", rawUpstream{head: "HTTP/1.1 503 x\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n" + statement}, true},
+		"failure":                {"/order/1", rawUpstream{head: "HTTP/1.1 500 x\r\nContent-Length: 0\r\n" + statement}, true},
+		"cut":                    {"/order/1", rawUpstream{head: headWithLength(20) + statement, body: "ok"}, true},
+		"stream":                 {"/stream/1", rawUpstream{head: headChunked + statement, body: chunk(firstEvent) + chunk("")}, true},
+		"cut stream":             {"/stream/1", rawUpstream{head: headChunked + statement, body: chunk(firstEvent)}, true},
+		"to another":             {"/order/1", rawUpstream{exact: "HTTP/1.1 200 x\r\nX-Attempt-Id: z\r\nX-Response-Seal: s\r\nContent-Length: 0\r\n" + statement + "\r\n"}, true},
+		"another upstream":       {"/order/1", rawUpstream{head: "HTTP/1.1 421 x\r\nContent-Length: 0\r\n" + statement}, false},
+		"without the statement":  {"/order/1", rawUpstream{head: headWithLength(2), body: "ok"}, false},
+		"no answer at all":       {"/order/1", rawUpstream{exact: strings.TrimPrefix(statement, "Server-")}, false},
+		"statement that is zero": {"/order/1", rawUpstream{head: headWithLength(2) + "Server-Leaving: 0\r\n", body: "ok"}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
@@ -101,9 +101,9 @@
 	assert.Equal(t, len(f.runners[1].Arrivals()), 1)
 }
 
-// Guards against a rest that an upstream asks for and that is not recorded, and against one
+// Guards against a backoff that an upstream asks for and that is not recorded, and against one
 // that a late answer, another upstream or another status begins anew.
-func TestRestIsHeard(t *testing.T) {
+func TestBackoffIsHeard(t *testing.T) {
 	const head = "Retry-After: 1.5\r\nContent-Length: 0\r\n"
 	for name, c := range map[string]struct {
 		raw    rawUpstream
@@ -118,7 +118,7 @@
 			f := newFixture(t)
 			f.useRaw(c.raw, rawUpstream{head: headWithLength(2), body: "ok"})
 			f.callRaw(http.MethodPost, "/lookup/1", "HTTP/1.1")
-			assert.Equal(t, f.states.rests["raw-0"], c.wanted)
+			assert.Equal(t, f.states.backoffs["raw-0"], c.wanted)
 		})
 	}
 }
--- a/internal/membership/rest.go
+++ b/internal/membership/backoff.go
@@ -2,17 +2,17 @@
 
 import "time"
 
-// RecordRest records that an upstream has asked this daemon to send it nothing for some
+// RecordBackoff records that an upstream has asked this daemon to send it nothing for some
 // time. Of several such times, the one that ends last holds.
-func (t *Table) RecordRest(u Upstream, d time.Duration) {
+func (t *Table) RecordBackoff(u Upstream, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[incarnation{u.Name, u.Address}]
 	until := t.options.Now().Add(d)
-	if r == nil || r.generation != u.Generation || !until.After(r.restUntil) {
+	if r == nil || r.generation != u.Generation || !until.After(r.backoffUntil) {
 		return
 	}
-	r.restUntil = until
+	r.backoffUntil = until
 	if p := t.view.Load().pools[r.Pool]; p != nil {
 		p.invalidate()
 	}
--- a/internal/membership/leaving.go
+++ b/internal/membership/leaving.go
@@ -60,10 +60,10 @@
 }
 
 // IsUsable reports whether a request may be sent to an upstream that was chosen earlier: it
-// is still a member, is not leaving, not withheld and does not rest.
+// is still a member, is not leaving, not withheld and has not asked for a backoff.
 func (t *Table) IsUsable(u Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[incarnation{u.Name, u.Address}]
-	return r != nil && !r.removed && !r.isLeaving() && !r.Withheld && !t.options.Now().Before(r.restUntil)
+	return r != nil && !r.removed && !r.isLeaving() && !r.Withheld && !t.options.Now().Before(r.backoffUntil)
 }
--- a/internal/membership/leaving_test.go
+++ b/internal/membership/leaving_test.go
@@ -11,8 +11,8 @@
 // has it as ready, has lost it for a moment or is older than its process, or because another
 // daemon repeats what an earlier process said; and against a new process under the same name
 // that is not used.
-func TestUpstreamsOwnWordHolds(t *testing.T) {
-	word := func(generation int64) LeavingUpstream {
+func TestUpstreamsOwnStatementHolds(t *testing.T) {
+	statement := func(generation int64) LeavingUpstream {
 		return LeavingUpstream{Name: "u0000", Address: testUpstream(0).Address, Generation: generation}
 	}
 	list := func(table *Table, startedAtMs ...int64) {
@@ -28,15 +28,15 @@
 		steps  func(*Table)
 		usable bool
 	}{
-		"listed again":               {func(t *Table) { list(t, 5); t.RecordLeaving(word(5)); list(t, 5) }, false},
-		"lost and listed again":      {func(t *Table) { list(t, 5); t.RecordLeaving(word(5)); list(t); list(t, 5) }, false},
-		"older list":                 {func(t *Table) { list(t, 5); t.RecordLeaving(word(5)); list(t, 4) }, false},
-		"heard before it is listed":  {func(t *Table) { list(t); t.RecordLeaving(word(5)); list(t, 5) }, false},
-		"newer than the list":        {func(t *Table) { list(t, 4); t.RecordLeaving(word(5)); list(t, 4) }, false},
-		"new process":                {func(t *Table) { list(t, 5); t.RecordLeaving(word(5)); list(t, 6) }, true},
-		"old word after new process": {func(t *Table) { list(t, 6); t.RecordLeaving(word(5)) }, true},
-		"both leave":                 {func(t *Table) { list(t, 5); t.RecordLeaving(word(5)); list(t, 6); t.RecordLeaving(word(6)) }, false},
-		"without start times":        {func(t *Table) { list(t, 0); t.RecordLeaving(word(0)); list(t, 0) }, false},
+		"listed again":                    {func(t *Table) { list(t, 5); t.RecordLeaving(statement(5)); list(t, 5) }, false},
+		"lost and listed again":           {func(t *Table) { list(t, 5); t.RecordLeaving(statement(5)); list(t); list(t, 5) }, false},
+		"older list":                      {func(t *Table) { list(t, 5); t.RecordLeaving(statement(5)); list(t, 4) }, false},
+		"heard before it is listed":       {func(t *Table) { list(t); t.RecordLeaving(statement(5)); list(t, 5) }, false},
+		"newer than the list":             {func(t *Table) { list(t, 4); t.RecordLeaving(statement(5)); list(t, 4) }, false},
+		"new process":                     {func(t *Table) { list(t, 5); t.RecordLeaving(statement(5)); list(t, 6) }, true},
+		"old statement after new process": {func(t *Table) { list(t, 6); t.RecordLeaving(statement(5)) }, true},
+		"both leave":                      {func(t *Table) { list(t, 5); t.RecordLeaving(statement(5)); list(t, 6); t.RecordLeaving(statement(6)) }, false},
+		"without start times":             {func(t *Table) { list(t, 0); t.RecordLeaving(statement(0)); list(t, 0) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			clock := &testClock{time.Unix(1000, 0)}
@@ -47,7 +47,7 @@
 			assert.Equal(t, table.IsUsable(u), c.usable)
 			assert.Equal(t, len(table.Upstreams("p")) == 2, c.usable)
 			assert.Equal(t, len(table.LeavingUpstreams()) == 0, c.usable)
-			assert.Assert(t, c.usable || !table.RecordLeaving(table.LeavingUpstreams()[0]), "the word is news twice")
+			assert.Assert(t, c.usable || !table.RecordLeaving(table.LeavingUpstreams()[0]), "the statement is news twice")
 		})
 	}
 }
--- a/internal/membership/outlook.go
+++ b/internal/membership/outlook.go
@@ -7,9 +7,9 @@
 type Outlook struct {
 	// AllLeaving is set if the pool has known upstreams and all of them are leaving.
 	AllLeaving bool
-	// RestUntil is when the first rest ends if all upstreams that are not leaving rest, and
+	// BackoffUntil is when the first backoff ends if all upstreams that are not leaving asked for one, and
 	// zero otherwise.
-	RestUntil time.Time
+	BackoffUntil time.Time
 }
 
 // Outlook returns the Outlook of a pool.
@@ -26,11 +26,11 @@
 		if r.isLeaving() {
 			continue
 		}
-		if !now.Before(r.restUntil) {
+		if !now.Before(r.backoffUntil) {
 			return Outlook{}
 		}
-		if o.AllLeaving || r.restUntil.Before(o.RestUntil) {
-			o.AllLeaving, o.RestUntil = false, r.restUntil
+		if o.AllLeaving || r.backoffUntil.Before(o.BackoffUntil) {
+			o.AllLeaving, o.BackoffUntil = false, r.backoffUntil
 		}
 	}
 	return o
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -28,8 +28,8 @@
 	underReclaim     bool
 	leavingBy        time.Time
 
-	// restUntil is until when the upstream has asked this daemon to send it nothing.
-	restUntil    time.Time
+	// backoffUntil is until when the upstream has asked this daemon to send it nothing.
+	backoffUntil time.Time
 	drainedAt    time.Time
 	drainedUntil time.Time
 	ejections    int
@@ -46,9 +46,9 @@
 }
 
 // blockedUntil returns the time until which evidence from calls, a draining report or a
-// rest that it asked for excludes the upstream from new work.
+// backoff that it asked for excludes the upstream from new work.
 func (r *record) blockedUntil() time.Time {
-	return slices.MaxFunc([]time.Time{r.drainedUntil, r.ejectedUntil, r.restUntil}, time.Time.Compare)
+	return slices.MaxFunc([]time.Time{r.drainedUntil, r.ejectedUntil, r.backoffUntil}, time.Time.Compare)
 }
 
 // advanceGeneration raises the generation to the given one and cancels what the previous
@@ -57,7 +57,7 @@
 func (r *record) advanceGeneration(generation int64) bool {
 	if generation > r.generation {
 		r.generation, r.announcedLeaving = generation, false
-		r.drainedUntil, r.restUntil = time.Time{}, time.Time{}
+		r.drainedUntil, r.backoffUntil = time.Time{}, time.Time{}
 		if !r.underReclaim {
 			r.leavingBy = time.Time{}
 		}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -135,7 +135,7 @@
 	}
 	result := r.resultOf(ctx, attemptCtx, err, failure, mode)
 	if isCallError {
-		result.rest = failure.Rest
+		result.backoff = failure.Backoff
 	}
 	return result
 }
--- a/internal/server/attempt_result.go
+++ b/internal/server/attempt_result.go
@@ -46,8 +46,8 @@
 type attemptResult struct {
 	reason   endReason
 	draining bool
-	// rest is how long the engine wants no further request.
-	rest time.Duration
+	// backoff is how long the engine wants no further request.
+	backoff time.Duration
 	// problem is set with endUnrecoverable.
 	problem *problem.Problem
 	err     error
--- a/internal/server/run_attempts.go
+++ b/internal/server/run_attempts.go
@@ -74,7 +74,7 @@
 			"class", r.rec.Class, "attempt", number, "upstream", choice.Upstream.Name, "version", choice.Version,
 			"domain", choice.Upstream.Domain, "mode", mode, "status", dispatchStatus(result, ctx), "error", result.err)
 		measurement.draining = measurement.draining || result.draining
-		measurement.rest = max(measurement.rest, result.rest)
+		measurement.backoff = max(measurement.backoff, result.backoff)
 		if result.reason == endUnknownRequest && streamBroken {
 			// An engine retains a generation whose connection broke. An engine that
 			// no longer has the generation has crashed and restarted.
--- a/internal/server/service_answer.go
+++ b/internal/server/service_answer.go
@@ -30,8 +30,8 @@
 	// did not run the call.
 	notRun   bool
 	draining bool
-	// rest is how long the upstream wants no further request.
-	rest    time.Duration
+	// backoff is how long the upstream wants no further request.
+	backoff time.Duration
 	stalled bool
 	err     error
 }
@@ -62,7 +62,7 @@
 	}
 	a.timeToHeader = time.Since(a.startedAt)
 	if response.StatusCode == http.StatusServiceUnavailable {
-		a.rest = retryafter.Parse(response.Header)
+		a.backoff = retryafter.Parse(response.Header)
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get("X-Draining") == "true" {
 		response.Body.Close()
@@ -113,7 +113,7 @@
 	if r.Status == "" {
 		r.Status = a.status()
 	}
-	r.FirstToken, r.Total, r.Draining, r.Rest = a.timeToHeader, time.Since(a.startedAt), a.draining, a.rest
+	r.FirstToken, r.Total, r.Draining, r.Backoff = a.timeToHeader, time.Since(a.startedAt), a.draining, a.backoff
 	a.choice.Done(r)
 }
 
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -162,10 +162,10 @@
 
 // Guards against an upstream that refuses with a time to wait and is chosen again within it,
 // because the time is not reported.
-func TestRestOfServiceIsReported(t *testing.T) {
+func TestBackoffOfServiceIsReported(t *testing.T) {
 	for name, isDraining := range map[string]bool{"refusal that drains": true, "other refusal": false} {
 		t.Run(name, func(t *testing.T) {
-			resting, _ := newFakeService(t, func(_ int64, w http.ResponseWriter) {
+			backingOff, _ := newFakeService(t, func(_ int64, w http.ResponseWriter) {
 				if isDraining {
 					w.Header().Set("X-Draining", "true")
 				}
@@ -173,13 +173,13 @@
 				w.WriteHeader(http.StatusServiceUnavailable)
 			})
 			pool := &fakePool{}
-			pool.add("resting", "v1", resting.URL)
+			pool.add("backing off", "v1", backingOff.URL)
 			h := newHarness(t, pool, nil)
 			h.do(t, "POST", "/jobs/7", "body", "Authorization", "Bearer "+otherToken)
 			pool.mu.Lock()
 			defer pool.mu.Unlock()
 			assert.Assert(t, len(pool.results) > 0)
-			assert.Equal(t, pool.results[0].Rest, 2500*time.Millisecond)
+			assert.Equal(t, pool.results[0].Backoff, 2500*time.Millisecond)
 		})
 	}
 }
--- a/internal/server/upstream_measurement.go
+++ b/internal/server/upstream_measurement.go
@@ -20,7 +20,7 @@
 	// an existing generation.
 	recomputed int
 	draining   bool
-	rest       time.Duration
+	backoff    time.Duration
 	// onFirstToken, if set, is called with the time to the first token.
 	onFirstToken func(time.Duration)
 }
@@ -52,7 +52,7 @@
 // event of a complete answer, which has the token usage, or nil.
 func (m *upstreamMeasurement) dispatchResult(status dispatch.Status, final []byte) dispatch.Result {
 	r := dispatch.Result{
-		Status: status, Draining: m.draining, Rest: m.rest, FirstToken: m.firstToken, Total: time.Since(m.startedAt),
+		Status: status, Draining: m.draining, Backoff: m.backoff, FirstToken: m.firstToken, Total: time.Since(m.startedAt),
 		Tokens: m.tokens, MaxGap: m.maxGap, MeanGap: m.meanGap(), RecomputedTokens: m.recomputed,
 	}
 	var c struct {
--- a/internal/standin/runner/arrival.go
+++ b/internal/standin/runner/arrival.go
@@ -6,6 +6,6 @@
 type Arrival struct {
 	AttemptID string
 	At        time.Time
-	// Rest is the value of Retry-After with which the request was refused; empty if it was not.
-	Rest string
+	// Backoff is the value of Retry-After with which the request was refused; empty if it was not.
+	Backoff string
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -81,7 +81,7 @@
 	faultsRemaining int
 	limit           float64
 	isLeaving       bool
-	rest            string
+	backoff         string
 	executions      []Execution
 	arrivals        []Arrival
 	canceledCount   int
@@ -134,8 +134,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if rest := r.arrive(id, w.Header()); rest != "" {
-		w.Header().Set("Retry-After", rest)
+	if backoff := r.arrive(id, w.Header()); backoff != "" {
+		w.Header().Set("Retry-After", backoff)
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/standin/runner/statements.go
+++ b/internal/standin/runner/statements.go
@@ -20,12 +20,12 @@
 	r.isLeaving = isLeaving
 }
 
-// SetRest makes the runner refuse all requests, without executing them, with the given
+// SetBackoff makes the runner refuse all requests, without executing them, with the given
 // value of Retry-After; empty ends that.
-func (r *Runner) SetRest(retryAfter string) {
+func (r *Runner) SetBackoff(retryAfter string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rest = retryAfter
+	r.backoff = retryAfter
 }
 
 // Arrivals returns the requests for this runner that have reached it, in order.
@@ -40,12 +40,12 @@
 func (r *Runner) arrive(id string, h http.Header) (retryAfter string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{AttemptID: id, At: time.Now(), Rest: r.rest})
+	r.arrivals = append(r.arrivals, Arrival{AttemptID: id, At: time.Now(), Backoff: r.backoff})
 	if r.limit > 0 {
 		h.Set("Server-Limit", strconv.FormatFloat(r.limit, 'f', -1, 64))
 	}
 	if r.isLeaving {
 		h.Set("Server-Leaving", "1")
 	}
-	return r.rest
+	return r.backoff
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -71,7 +71,7 @@
 
 // Guards against violated guarantees to callers while daemons are killed, paused,
 // stopped and reloaded, the store fails, runners misbehave, crash by themselves or under a
-// part of some prompts, limit their requests, rest and leave, connections are slow,
+// part of some prompts, limit their requests, ask for backoffs and leave, connections are slow,
 // silent, partitioned one way or reset, and a clock jumps. The seed determines the
 // order of the faults.
 func TestSoak(t *testing.T) {
--- a/test/soak/statement_violations_test.go
+++ b/test/soak/statement_violations_test.go
@@ -12,10 +12,10 @@
 	// drainBound is the time after which a daemon must send nothing to a runner that has said
 	// that it leaves.
 	drainBound = 2 * time.Second
-	// restSlack is the time after which a rest binds, and maxRestArrivals the number of requests
+	// backoffSlack is the time after which a backoff binds, and maxBackoffArrivals the number of requests
 	// of one daemon that may reach the runner in the remainder.
-	restSlack       = 500 * time.Millisecond
-	maxRestArrivals = 2
+	backoffSlack       = 500 * time.Millisecond
+	maxBackoffArrivals = 2
 )
 
 // departure is a span in which a runner said in its responses that it leaves.
@@ -26,7 +26,7 @@
 }
 
 // statementViolations describes the requests that daemons sent to runners although these had
-// told them that they leave or rest.
+// told them that they leave or asked for a backoff.
 func statementViolations(f *fleet, calls []call) []string {
 	byID := map[string]*call{}
 	for i := range calls {
@@ -37,19 +37,19 @@
 		out = append(out, d.violations(calls, byID)...)
 	}
 	for i, r := range f.runners {
-		out = append(out, restViolations(r, f.runnerLinks[i], byID)...)
+		out = append(out, backoffViolations(r, f.runnerLinks[i], byID)...)
 	}
 	return out
 }
 
 // violations describes the requests that reached the runner too late after a daemon had passed
-// on its word.
+// on its statement.
 func (d *departure) violations(calls []call, byID map[string]*call) []string {
 	heardAt := map[*node]time.Time{}
 	for i := range calls {
 		c := &calls[i]
-		isWord := c.isLeaving && c.isComplete && c.seal == "seal-"+d.runner.ID+"-"+c.id && c.sentAt.After(d.from) && c.endedAt.Before(d.to)
-		if earliest, ok := heardAt[c.node]; isWord && (!ok || c.endedAt.Before(earliest)) {
+		isStatement := c.isLeaving && c.isComplete && c.seal == "seal-"+d.runner.ID+"-"+c.id && c.sentAt.After(d.from) && c.endedAt.Before(d.to)
+		if earliest, ok := heardAt[c.node]; isStatement && (!ok || c.endedAt.Before(earliest)) {
 			heardAt[c.node] = c.endedAt
 		}
 	}
@@ -67,13 +67,13 @@
 	return out
 }
 
-// restViolations describes the rests in which too many requests of the daemon that was told
+// backoffViolations describes the backoffs in which too many requests of the daemon that was told
 // reached the runner.
-func restViolations(r *runner.Runner, l *link, byID map[string]*call) []string {
+func backoffViolations(r *runner.Runner, l *link, byID map[string]*call) []string {
 	var out []string
 	arrivals := r.Arrivals()
 	for i, a := range arrivals {
-		seconds, err := strconv.ParseFloat(a.Rest, 64)
+		seconds, err := strconv.ParseFloat(a.Backoff, 64)
 		told := byID[a.AttemptID]
 		if err != nil || told == nil {
 			continue
@@ -82,12 +82,12 @@
 		count := 0
 		for _, later := range arrivals[i+1:] {
 			c := byID[later.AttemptID]
-			if c != nil && c.node == told.node && later.At.After(a.At.Add(restSlack)) && later.At.Before(until) {
+			if c != nil && c.node == told.node && later.At.After(a.At.Add(backoffSlack)) && later.At.Before(until) {
 				count++
 			}
 		}
-		if count > maxRestArrivals && !told.node.disturbances.overlap(a.At, until) && !l.disturbances.overlap(a.At, until) {
-			out = append(out, fmt.Sprintf("%d requests reached runner %s from %s in its rest of %s s", count, r.ID, told.node.name, a.Rest))
+		if count > maxBackoffArrivals && !told.node.disturbances.overlap(a.At, until) && !l.disturbances.overlap(a.At, until) {
+			out = append(out, fmt.Sprintf("%d requests reached runner %s from %s in its backoff of %s s", count, r.ID, told.node.name, a.Backoff))
 		}
 	}
 	return out
--- a/test/soak/upstream_injector_test.go
+++ b/test/soak/upstream_injector_test.go
@@ -17,7 +17,7 @@
 	random *rand.Rand
 }
 
-// inject crashes a runner, or makes it name a limit of requests per second, ask for rests or
+// inject crashes a runner, or makes it name a limit of requests per second, ask for backoffs or
 // say that it leaves for some time.
 func (u *upstreamInjector) inject() {
 	index := u.random.IntN(len(u.fleet.runners))
@@ -31,9 +31,9 @@
 		u.scheduleEnd(time.Duration(500+u.random.IntN(3000))*time.Millisecond, func() { r.SetLimit(0) })
 		u.log = append(u.log, "runner "+r.ID+": limit")
 	case 2:
-		r.SetRest(strconv.FormatFloat(0.5+2*u.random.Float64(), 'f', 2, 64))
-		u.scheduleEnd(time.Duration(300+u.random.IntN(2500))*time.Millisecond, func() { r.SetRest("") })
-		u.log = append(u.log, "runner "+r.ID+": rest")
+		r.SetBackoff(strconv.FormatFloat(0.5+2*u.random.Float64(), 'f', 2, 64))
+		u.scheduleEnd(time.Duration(300+u.random.IntN(2500))*time.Millisecond, func() { r.SetBackoff("") })
+		u.log = append(u.log, "runner "+r.ID+": backoff")
 	case 3:
 		u.leave(index)
 	}
