Handle SIGHUP from the first line of the daemon on

Cause: the signal was registered only when the daemon ran, after its settings were read and its listeners opened; until then SIGHUP ends a process. It is now registered first of all, and the daemon gets the channel. What remains is the time before main, some 30 ms here, in which packages are initialized: no line of ours can run before.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,7 @@
 	process         string
 	droppedLogLines func() int64
 	wall            func() time.Time
+	reloads         <-chan os.Signal
 	// wasReady is the readiness that logReadiness logged last.
 	wasReady bool
 
@@ -121,7 +123,7 @@
 	callers, readiness, directory, metricsListener, peerListener net.Listener
 }
 
-// Options configures a Daemon. All fields are required.
+// Options configures a Daemon. All fields except Reloads are required.
 type Options struct {
 	Settings *platform.Settings
 	Logger   *log.Logger
@@ -129,6 +131,8 @@
 	DroppedLogLines func() int64
 	// Wall returns the instance's wall-clock time, which may jump.
 	Wall func() time.Time
+	// Reloads receives the signals that the settings file has changed.
+	Reloads <-chan os.Signal
 }
 
 // New opens the listeners and builds the components. Nothing runs until Run.
@@ -136,7 +140,7 @@
 	scope, metrics, closer := telemetry.NewScope()
 	s := o.Settings
 	d := &Daemon{
-		settings: s, logger: o.Logger, droppedLogLines: o.DroppedLogLines, wall: o.Wall,
+		settings: s, logger: o.Logger, droppedLogLines: o.DroppedLogLines, wall: o.Wall, reloads: o.Reloads,
 		scope: scope, metrics: metrics, scopeCloser: closer, process: uuid.NewString()[:8],
 	}
 	d.bounds.Store(&s.Bounds)
--- a/internal/fleetdaemon/execute.go
+++ b/internal/fleetdaemon/execute.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"rattantide/internal/program"
@@ -19,6 +21,9 @@
 // it is signaled to stop, and returns the exit code of the process. wall returns the
 // instance's wall-clock time.
 func Execute(wall func() time.Time) int {
+	// A signal that is not handled yet would end the process.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "rattantide-gateway: invalid settings:\n%v\n", err)
@@ -35,6 +40,6 @@
 		return program.ExitSettings
 	}
 	return program.Run(logger, func() (*Daemon, error) {
-		return New(Options{Settings: settings, Logger: logger, DroppedLogLines: lines.Dropped, Wall: wall})
+		return New(Options{Settings: settings, Logger: logger, DroppedLogLines: lines.Dropped, Wall: wall, Reloads: reloads})
 	})
 }
--- a/internal/fleetdaemon/settings.go
+++ b/internal/fleetdaemon/settings.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"rattantide/platform"
@@ -15,12 +12,9 @@
 // change without a signal.
 const settingsPollInterval = 5 * time.Second
 
-// followSettings applies changes of the settings file until ctx ends. SIGHUP makes it
-// read the file at once.
+// followSettings applies changes of the settings file until ctx ends. A signal from reloads
+// makes it read the file at once.
 func (d *Daemon) followSettings(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	current := d.settings
@@ -29,7 +23,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-d.reloads:
 			signaled = true
 		case <-ticker.C:
 		}
