Do not signal soak nodes before their program runs, nor shift a clock twice at once

Seed 8352 of the soak: SIGHUP reached a daemon of the test binary before its packages were initialized (63 ms by GODEBUG=inittrace=1); the Go runtime then ends the process, which no program can prevent. Seed 8340: two clock faults that overlapped renamed the same file; they take turns now. The faults are logged before the wait for recovery, so that a run that fails there shows them.

--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -47,8 +47,20 @@
 	// disturbances are the starts, ends and signals of the process.
 	disturbances disturbances
 
-	mu      sync.Mutex
-	process *proc.Process
+	mu        sync.Mutex
+	process   *proc.Process
+	startedAt time.Time
+}
+
+// initializationTime exceeds the time in which a process initializes its packages. The Go
+// runtime ends a process that gets SIGHUP before any line of its program runs.
+const initializationTime = 300 * time.Millisecond
+
+// untilInitialized returns the time until the process can have begun to handle signals.
+func (n *node) untilInitialized() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(0, time.Until(n.startedAt.Add(initializationTime)))
 }
 
 // fleet is a deployment of daemons, platform stand-ins and runners on loopback
@@ -172,7 +184,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.process = process
+	n.process, n.startedAt = process, time.Now()
 }
 
 // currentProcess returns the process that was started last, which may have exited.
--- a/test/soak/injector_test.go
+++ b/test/soak/injector_test.go
@@ -92,7 +92,9 @@
 			i.scheduleEnd(0, func() { <-ended; i.fleet.startNode(n); i.releaseNode(n) })
 		})
 	case 5:
-		description = i.injectNodeFault("reload", func(n *node) { n.signal(syscall.SIGHUP); i.releaseNode(n) })
+		description = i.injectNodeFault("reload", func(n *node) {
+			i.scheduleEnd(n.untilInitialized(), func() { n.signal(syscall.SIGHUP); i.releaseNode(n) })
+		})
 	case 6:
 		description = "store refuses requests"
 		status := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}[i.random.IntN(2)]
--- a/test/soak/main_test.go
+++ b/test/soak/main_test.go
@@ -42,6 +42,8 @@
 // setClock shifts the node's wall clock by offset. The file is replaced atomically,
 // because the daemon reads it at any time.
 func (n *node) setClock(offset time.Duration) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	next := n.clockPath + ".next"
 	if err := os.WriteFile(next, []byte(strconv.FormatInt(offset.Milliseconds(), 10)), 0o600); err != nil {
 		return err
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -37,8 +37,9 @@
 // instead.
 //
 // Seed 30 caused a deadlock: the quota limiter and the peers component of one daemon
-// waited for each other's locks.
-var ciSeeds = []uint64{1, 2, 30}
+// waited for each other's locks. Seed 8352 ended a daemon that got SIGHUP right after its
+// start, before it had read its settings.
+var ciSeeds = []uint64{1, 2, 30, 8352}
 
 // selectedSeeds returns the seeds of SOAK_SEEDS, or ciSeeds if it is not set.
 func selectedSeeds(t *testing.T) []uint64 {
@@ -111,6 +112,7 @@
 		time.Sleep(i.randomDuration(200, 1100))
 	}
 	i.endFaults()
+	t.Logf("faults: %s", strings.Join(i.log, ", "))
 	f.awaitServing(c, "recovery", recoveryTimeout)
 	cancel()
 	clientGroup.Wait()
@@ -125,7 +127,7 @@
 			served++
 		}
 	}
-	t.Logf("%d calls, %d with status 200; faults: %s", len(c.calls), served, strings.Join(i.log, ", "))
+	t.Logf("%d calls, %d with status 200", len(c.calls), served)
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
