--- a/internal/dispatch/return_order.go
+++ b/internal/dispatch/return_order.go
@@ -12,8 +12,9 @@
 	returnSpan     = time.Second
 )
 
-// returnOrder spreads the callers that are refused because all upstreams of their pool have asked for a backoff,
-// so that they do not all return at the same moment. It is safe for concurrent use.
+// returnOrder spreads the callers that are refused because all upstreams of their pool have
+// asked for a backoff, so that they do not all return at the same moment. It is safe for
+// concurrent use.
 type returnOrder struct {
 	mu   sync.Mutex
 	next map[string]time.Time
--- a/internal/fleetdaemon/news.go
+++ b/internal/fleetdaemon/news.go
@@ -52,7 +52,8 @@
 
 // applyNews adds what the report of another daemon, which was created at about the time
 // at, tells of the era of the store, of version moves, of usage that was reported, of
-// upstreams that say that they are leaving, of requests that crash upstreams and of limits that upstreams name.
+// upstreams that say that they are leaving, of requests that crash upstreams and of limits
+// that upstreams name.
 func (d *Daemon) applyNews(r peering.Report, at time.Time) {
 	d.applyEra(r)
 	d.applyMoves(r)
--- a/internal/membership/outlook.go
+++ b/internal/membership/outlook.go
@@ -7,8 +7,8 @@
 type Outlook struct {
 	// AllLeaving is set if the pool has known upstreams and all of them are leaving.
 	AllLeaving bool
-	// BackoffUntil is when the first backoff ends if all upstreams that are not leaving asked for one, and
-	// zero otherwise.
+	// BackoffUntil is when the first backoff ends if all upstreams that are not leaving
+	// asked for one, and zero otherwise.
 	BackoffUntil time.Time
 }
 
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -52,8 +52,8 @@
 }
 
 // advanceGeneration raises the generation to the given one and cancels what the previous
-// generation said of itself. It reports whether the given
-// generation is the current one, so that its announcement is to be applied.
+// generation said of itself. It reports whether the given generation is the current one, so
+// that its announcement is to be applied.
 func (r *record) advanceGeneration(generation int64) bool {
 	if generation > r.generation {
 		r.generation, r.announcedLeaving = generation, false
