--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -59,11 +59,12 @@
 	var e Evidence
 	begun := map[uint64]time.Time{}
 	maps.Copy(begun, t.cleared)
+	counts := t.countLosses()
 	for _, l := range slices.Backward(t.losses) {
 		if len(e.Losses) == maxSentLosses {
 			break
 		}
-		if parts := t.partsToTell(l, now, begun); len(parts) > 0 {
+		if parts := t.partsToTell(l, now, begun, counts); len(parts) > 0 {
 			e.Losses = append(e.Losses, LossRecord{Upstream: l.upstream, AgeMs: now.Sub(l.at).Milliseconds(), Parts: parts[:min(len(parts), t.opts.Policy.MaxSentLossParts)]})
 		}
 	}
@@ -78,7 +79,7 @@
 
 // partsToTell returns the parts that a loss counts against, or the one that explains it. It
 // adds the parts that are cleared of the loss to begun. t.mu must be held.
-func (t *Tracker) partsToTell(l *loss, now time.Time, begun map[uint64]time.Time) []uint64 {
+func (t *Tracker) partsToTell(l *loss, now time.Time, begun map[uint64]time.Time, counts map[uint64]int) []uint64 {
 	isRecent := now.Sub(l.at) <= spreadTime
 	if l.isExplained {
 		if isRecent {
@@ -100,7 +101,7 @@
 			}
 		}
 	}
-	return t.mostSuspectFirst(slices.Collect(maps.Keys(l.suspects)))
+	return mostSuspectFirst(slices.Collect(maps.Keys(l.suspects)), counts)
 }
 
 // verdictRecords returns the verdicts, those of the latest requests first. t.mu must be
--- a/internal/quarantine/loss.go
+++ b/internal/quarantine/loss.go
@@ -84,7 +84,7 @@
 		l = &loss{upstream: upstream, at: at, suspects: map[uint64]struct{}{}, cleared: map[uint64]time.Time{}}
 		t.losses = append(t.losses, l)
 	}
-	for _, part := range t.mostSuspectFirst(parts) {
+	for _, part := range mostSuspectFirst(parts, t.countLosses()) {
 		if l.addSuspect(part, t.begun[part], t.opts.Policy.MaxLossParts) {
 			hasChanged = true
 		}
@@ -109,20 +109,29 @@
 	})
 }
 
+// countLosses returns the number of losses that count against each part. t.mu must be held.
+func (t *Tracker) countLosses() map[uint64]int {
+	counts := map[uint64]int{}
+	for _, l := range t.losses {
+		if l.isExplained {
+			continue
+		}
+		for part := range l.suspects {
+			counts[part]++
+		}
+	}
+	return counts
+}
+
 // mostSuspectFirst returns the parts ordered by the losses that count against them, so
 // that many harmless parts cannot displace the one that crashes upstreams. Others are in
-// random order, so that the one has a chance at each loss. t.mu must be held.
-func (t *Tracker) mostSuspectFirst(parts []uint64) []uint64 {
-	counts := make(map[uint64]int, len(parts))
+// random order, so that the one has a chance at each loss. counts are those of countLosses.
+func mostSuspectFirst(parts []uint64, counts map[uint64]int) []uint64 {
+	distinct := make(map[uint64]struct{}, len(parts))
 	for _, part := range parts {
-		counts[part] = 0
-		for _, l := range t.losses {
-			if l.countsAgainst(part) {
-				counts[part]++
-			}
-		}
+		distinct[part] = struct{}{}
 	}
-	sorted := slices.Collect(maps.Keys(counts))
+	sorted := slices.Collect(maps.Keys(distinct))
 	rand.Shuffle(len(sorted), func(i, j int) { sorted[i], sorted[j] = sorted[j], sorted[i] })
 	slices.SortStableFunc(sorted, func(a, b uint64) int { return cmp.Compare(counts[b], counts[a]) })
 	return sorted
