--- a/review/_stand/client.go
+++ b/review/_stand/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,8 +22,8 @@
 
 // routeLoad is a route and its share of the traffic.
 type routeLoad struct {
-	path       string
-	idempotent bool
+	path, service string
+	idempotent    bool
 	// isModel marks a streaming route that may be resumed.
 	isModel bool
 	share   float64
@@ -45,6 +46,8 @@
 type sentRequest struct {
 	at      time.Time
 	address string
+	// status is that of the answer, or 0 without one.
+	status int
 }
 
 func (r *run) startClients(ctx context.Context, rate int, routes []routeLoad) *clients {
@@ -153,6 +156,7 @@
 	response, err := c.transport.RoundTrip(request)
 	if err != nil {
 		c.finish(id, 0, err)
+		c.exclude(address)
 		return 0, 0
 	}
 	defer response.Body.Close()
@@ -166,9 +170,22 @@
 	return response.StatusCode, time.Duration(seconds * float64(time.Second))
 }
 
+// exclude drops an address that has failed until the addresses are asked for again.
+func (c *clients) exclude(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	remaining := slices.DeleteFunc(slices.Clone(c.addresses), func(a string) bool { return a == address })
+	if len(remaining) > 0 {
+		c.addresses = remaining
+	}
+}
+
 func (c *clients) finish(id string, status int, err error) {
 	c.mu.Lock()
 	c.statuses[status]++
+	sent := c.sent[id]
+	sent.status = status
+	c.sent[id] = sent
 	c.mu.Unlock()
 	if err != nil {
 		c.r.logf("answered %s with no answer: %v", id, err)
--- a/review/_stand/exposure.go
+++ b/review/_stand/exposure.go
@@ -40,42 +40,52 @@
 }
 
 var bookingRoutes = []routeLoad{
-	{path: "/commit/", share: 0.72},
-	{path: "/lookup/", idempotent: true, share: 0.23},
-	{path: "/pots/", share: 0.05},
+	{path: "/commit/", service: serviceName, share: 0.72},
+	{path: "/lookup/", service: serviceName, idempotent: true, share: 0.23},
+	{path: "/pots/", service: serviceName, share: 0.05},
 }
 
 // writeManifest stores the operator's manifest.
 func (r *run) writeManifest(routes []routeLoad) {
-	var list []map[string]any
+	var list, services []map[string]any
+	known := map[string]bool{}
 	for _, route := range routes {
+		if !known[route.service] {
+			known[route.service] = true
+			services = append(services, map[string]any{"name": route.service, "healthPath": healthPath, "maxConns": 620})
+		}
 		kind, attempts := "non_idempotent", 1
 		if route.idempotent {
 			kind, attempts = "idempotent", 2
 		}
 		list = append(list, map[string]any{
 			"name": "r" + strings.ReplaceAll(route.path, "/", "-"), "host": hostName, "pathPrefix": route.path, "kind": kind, "timeoutMs": 2500,
-			"targetLatencyMs": 150, "priority": 1, "service": serviceName, "maxAttempts": attempts, "public": false,
+			"targetLatencyMs": 150, "priority": 1, "service": route.service, "maxAttempts": attempts, "public": false,
 		})
 	}
 	r.store.Set("config", "main", map[string]any{
 		"version": 1, "routes": list,
-		"services": []map[string]any{{"name": serviceName, "healthPath": healthPath, "maxConns": 620}},
+		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []map[string]any{{"name": "kitchens", "apiKeys": []string{apiKey}}},
 	})
 }
 
-// rolloutState returns the state that the system has written for the roll-out.
-func (r *run) rolloutState() string {
-	o := r.store.Object("rollouts", serviceName)
+// rolloutState returns the state that the system has written for the roll-out of a service to
+// a version.
+func (r *run) rolloutState(service, version string) string {
+	o := r.store.Object("rollouts", service)
 	if o == nil || len(o.Status) == 0 {
 		return ""
 	}
 	var status struct {
-		State string `json:"state"`
+		State  string `json:"state"`
+		Target string `json:"target"`
 	}
 	_ = json.Unmarshal(o.Status, &status)
+	if status.Target != version {
+		return ""
+	}
 	return status.State
 }
 
@@ -101,11 +111,11 @@
 func (r *run) runExposure(c exposureCase) (bool, error) {
 	r.writeManifest(c.routes)
 	for i := range runnersPerVersion {
-		if _, err := r.addRunner(fmt.Sprintf("i-old-%d", i), oldVersion, nil); err != nil {
+		if _, err := r.addRunner(serviceName, fmt.Sprintf("i-old-%d", i), oldVersion, nil); err != nil {
 			return false, err
 		}
 	}
-	if err := r.startDaemons(c.daemons); err != nil {
+	if err := r.startDaemons(c.daemons, c.daemons); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -119,15 +129,20 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	orderedAt := time.Now()
-	r.store.Set("rollouts", serviceName, map[string]any{"service": serviceName, "target": newVersion, "completeByS": c.timeLimit.Seconds()})
-	r.logf("operator orders version %s, to be complete within %s", newVersion, c.timeLimit)
+	r.order(serviceName, newVersion, c.timeLimit)
 	if err := r.followRollout(c, orderedAt); err != nil {
 		return false, err
 	}
 	cancel()
 	load.open.Wait()
 	load.logStatuses()
-	return r.checkExposure(load, orderedAt, c.timeLimit), nil
+	return r.checkExposure(load, serviceName, []string{oldVersion}, newVersion, orderedAt, c.timeLimit), nil
+}
+
+// order writes the operator's order of a version.
+func (r *run) order(service, version string, timeLimit time.Duration) {
+	r.store.Set("rollouts", service, map[string]any{"service": service, "target": version, "completeByS": timeLimit.Seconds()})
+	r.logf("operator orders version %s of %s, to be complete within %s", version, service, timeLimit)
 }
 
 // followRollout starts the runners of the new version and acts on the state of the roll-out
@@ -139,14 +154,14 @@
 		fails := func(path string, _ int) bool {
 			return c.fails != nil && c.fails(path, int(number.Add(1)), time.Since(orderedAt))
 		}
-		if _, err := r.addRunner(fmt.Sprintf("i-new-%d", i), newVersion, fails); err != nil {
+		if _, err := r.addRunner(serviceName, fmt.Sprintf("i-new-%d", i), newVersion, fails); err != nil {
 			return err
 		}
 	}
 	last := ""
 	for time.Since(orderedAt) < c.timeLimit {
 		time.Sleep(20 * time.Millisecond)
-		state := r.rolloutState()
+		state := r.rolloutState(serviceName, newVersion)
 		if state == last {
 			continue
 		}
@@ -154,41 +169,38 @@
 		r.logf("state of the roll-out: %s", state)
 		switch state {
 		case "complete":
-			r.stopVersion(oldVersion)
+			r.stopVersion(serviceName, oldVersion)
 		case "rolled_back":
-			go r.drainVersion(newVersion)
+			go r.drainVersion(serviceName, newVersion, drainDelay)
 		}
 	}
 	return nil
 }
 
-func (r *run) stopVersion(version string) {
-	for _, s := range r.runners {
-		if s.version == version {
-			s.stop()
-		}
+func (r *run) stopVersion(service, version string) {
+	for _, s := range r.runnersOf(service, version) {
+		s.stop()
 	}
 }
 
-// drainVersion makes the runners of a version report that they drain, and ends them.
-func (r *run) drainVersion(version string) {
-	time.Sleep(drainDelay)
-	for _, s := range r.runners {
-		if s.version == version {
-			s.mu.Lock()
-			s.state = "draining"
-			s.mu.Unlock()
-			s.register()
-			r.logf("runner %s drains", s.id)
-		}
+// drainVersion makes the runners of a version report after a delay that they drain, and ends
+// them.
+func (r *run) drainVersion(service, version string, delay time.Duration) {
+	time.Sleep(delay)
+	for _, s := range r.runnersOf(service, version) {
+		s.mu.Lock()
+		s.state = "draining"
+		s.mu.Unlock()
+		s.register()
+		r.logf("runner %s drains", s.id)
 	}
 	time.Sleep(drainTime)
-	r.stopVersion(version)
+	r.stopVersion(service, version)
 }
 
-// checkExposure checks both parts of the rule EXPOSURE for the requests that daemons in touch
-// passed on; only those that are killed are not in touch here.
-func (r *run) checkExposure(load *clients, orderedAt time.Time, timeLimit time.Duration) bool {
+// checkExposure checks both parts of the rule EXPOSURE for a version of a service, for the
+// requests that daemons in touch passed on; only those that are killed are not in touch here.
+func (r *run) checkExposure(load *clients, service string, others []string, version string, orderedAt time.Time, timeLimit time.Duration) bool {
 	end := orderedAt.Add(timeLimit)
 	inTouch := func(run serverRun) bool {
 		sent, known := load.sent[run.id]
@@ -201,12 +213,14 @@
 	}
 	within := func(run serverRun) bool { return run.at.After(orderedAt) && run.at.Before(end) }
 	total, bad := 0, 0
-	for _, run := range r.allRuns(oldVersion) {
-		if within(run) {
-			total++
+	for _, other := range others {
+		for _, run := range r.allRuns(service, other) {
+			if within(run) {
+				total++
+			}
 		}
 	}
-	newRuns := r.allRuns(newVersion)
+	newRuns := r.allRuns(service, version)
 	var failures []time.Time
 	for _, run := range newRuns {
 		if !within(run) {
@@ -221,7 +235,7 @@
 		}
 	}
 	limit := exposureShare*float64(total) + exposureSlack
-	r.logf("EXPOSURE, first part: of %d requests that reached the service until the time limit, daemons in touch sent %d to the new version; allowed are %.0f; bad answers: %d", total, bad, limit, len(failures))
+	r.logf("EXPOSURE, first part: of %d requests that reached %s until the time limit, daemons in touch sent %d to version %s; allowed are %.0f; bad answers: %d", total, service, bad, version, limit, len(failures))
 	broken := len(failures) > 0 && float64(bad) > limit
 	if len(failures) < badAnswers {
 		r.logf("EXPOSURE, second part: fewer than %d bad answers", badAnswers)
@@ -235,7 +249,7 @@
 			late++
 		}
 	}
-	r.logf("EXPOSURE, second part: bad answer number %d came at %.3f s; %d requests that were sent more than %s later reached the new version", badAnswers, failures[badAnswers-1].Sub(r.start).Seconds(), late, rollbackTime)
+	r.logf("EXPOSURE, second part: bad answer number %d came at %.3f s; %d requests that were sent more than %s later reached it", badAnswers, failures[badAnswers-1].Sub(r.start).Seconds(), late, rollbackTime)
 	return broken || late > 0
 }
 
@@ -252,13 +266,3 @@
 		},
 	})
 }
-
-// exposureRoute makes the new version fail on one route only.
-func exposureRoute(r *run) (bool, error) {
-	return r.runExposure(exposureCase{
-		daemons: 3, rate: 200, timeLimit: 16 * time.Second, routes: bookingRoutes,
-		fails: func(path string, number int, _ time.Duration) bool {
-			return r.trouble && path == "/pots/" && number%5 < 3
-		},
-	})
-}
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -22,9 +22,10 @@
 // cases maps the names of the cases to their functions. A function returns whether the rule
 // was broken.
 var cases = map[string]func(*run) (bool, error){
-	"exposure-later": exposureLater,
-	"exposure-route": exposureRoute,
-	"twice-extra":    twiceExtra,
+	"exposure-later":   exposureLater,
+	"twice-extra":      twiceExtra,
+	"recover-replaced": recoverReplaced,
+	"exposure-reorder": exposureReorder,
 }
 
 func main() {
--- a/review/_stand/run.go
+++ b/review/_stand/run.go
@@ -31,6 +31,7 @@
 	// basePort is the first of the ports that each daemon uses on its own address.
 	basePort  int
 	daemons   []*daemon
+	runnersMu sync.Mutex
 	runners   []*runner
 	modelRuns modelRuns
 
@@ -130,18 +131,15 @@
 	}
 }
 
-// startDaemons starts count daemons and waits until all are ready.
-func (r *run) startDaemons(count int) error {
+// startDaemons starts count daemons and waits until all are ready. most is the number of
+// daemons that the case starts in all.
+func (r *run) startDaemons(count, most int) error {
 	var err error
-	if r.basePort, err = freePorts(count); err != nil {
+	if r.basePort, err = freePorts(most); err != nil {
 		return err
 	}
-	for i := range count {
-		d := &daemon{name: fmt.Sprintf("front-zone-a-%d", i+1), ip: daemonIP(i)}
-		r.daemons = append(r.daemons, d)
-	}
-	for _, d := range r.daemons {
-		if err := r.startProcess(d); err != nil {
+	for range count {
+		if err := r.startProcess(r.newDaemon()); err != nil {
 			return err
 		}
 	}
@@ -158,6 +156,14 @@
 	return nil
 }
 
+// newDaemon adds a daemon with an address of its own.
+func (r *run) newDaemon() *daemon {
+	i := len(r.daemons)
+	d := &daemon{name: fmt.Sprintf("front-zone-a-%d", i+1), ip: daemonIP(i)}
+	r.daemons = append(r.daemons, d)
+	return d
+}
+
 func daemonIP(i int) string { return fmt.Sprintf("127.83.1.%d", i+1) }
 
 // freePorts returns the first of portsPerDaemon ports that are free on the addresses of all
--- a/review/_stand/runner.go
+++ b/review/_stand/runner.go
@@ -21,6 +21,7 @@
 // runner is a stand-in of a runner of the booking service.
 type runner struct {
 	r       *run
+	service string
 	id      string
 	version string
 	address string
@@ -47,13 +48,15 @@
 }
 
 // addRunner starts a runner and registers it.
-func (r *run) addRunner(id, version string, fails func(path string, number int) bool) (*runner, error) {
-	s := &runner{r: r, id: id, version: version, fails: fails, slots: make(chan struct{}, runnerSlots), state: "ready", born: time.Now().UnixMilli()}
+func (r *run) addRunner(service, id, version string, fails func(path string, number int) bool) (*runner, error) {
+	s := &runner{r: r, service: service, id: id, version: version, fails: fails, slots: make(chan struct{}, runnerSlots), state: "ready", born: time.Now().UnixMilli()}
 	var err error
 	if s.address, err = serve("127.0.0.1:0", s); err != nil {
 		return nil, err
 	}
+	r.runnersMu.Lock()
 	r.runners = append(r.runners, s)
+	r.runnersMu.Unlock()
 	s.register()
 	go s.beat()
 	r.logf("started runner %s, version %s, at %s", id, version, s.address)
@@ -69,7 +72,7 @@
 	}
 	s.seqNo++
 	s.r.store.Set("servers", s.id, map[string]any{
-		"service": serviceName, "address": s.address, "zone": "zone-a", "version": s.version, "slots": runnerSlots,
+		"service": s.service, "address": s.address, "zone": "zone-a", "version": s.version, "slots": runnerSlots,
 		"state": s.state, "coldLeftMs": 0, "seqNo": s.seqNo, "born": s.born,
 	})
 }
@@ -167,15 +170,26 @@
 	s.waiting += waiting
 }
 
-// allRuns returns the runs of all runners of a version.
-func (r *run) allRuns(version string) []serverRun {
-	var out []serverRun
+// runnersOf returns the runners of a version of a service.
+func (r *run) runnersOf(service, version string) []*runner {
+	r.runnersMu.Lock()
+	defer r.runnersMu.Unlock()
+	var out []*runner
 	for _, s := range r.runners {
-		if s.version == version {
-			s.mu.Lock()
-			out = append(out, s.runs...)
-			s.mu.Unlock()
+		if s.service == service && s.version == version {
+			out = append(out, s)
 		}
 	}
 	return out
 }
+
+// allRuns returns the runs of all runners of a version of a service.
+func (r *run) allRuns(service, version string) []serverRun {
+	var out []serverRun
+	for _, s := range r.runnersOf(service, version) {
+		s.mu.Lock()
+		out = append(out, s.runs...)
+		s.mu.Unlock()
+	}
+	return out
+}
--- a/review/_stand/twice.go
+++ b/review/_stand/twice.go
@@ -13,7 +13,7 @@
 	faultyRunners = 12
 	// modelRate is the number of streams and calls a second.
 	modelRate = 60
-	modelTime = 90 * time.Second
+	modelTime = 60 * time.Second
 	// overlapLimit is the time for which a runner may still work on a request that goes on at
 	// another one.
 	overlapLimit = 400 * time.Millisecond
@@ -45,7 +45,7 @@
 			return false, err
 		}
 	}
-	if err := r.startDaemons(3); err != nil {
+	if err := r.startDaemons(3, 3); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), modelTime)
