--- a/review/_stand/reorder.go
+++ b/review/_stand/reorder.go
@@ -10,14 +10,14 @@
 
 const (
 	nextVersion      = "v3"
-	reorderServices  = 6
-	reorderRate      = 360
+	reorderServices  = 5
+	reorderRate      = 600
 	reorderTimeLimit = 12 * time.Second
 	// reorderDelay is the time from the state rolled_back until the operator orders the next
 	// version, and reorderDrainDelay the time until the runners of the bad one report that
 	// they drain.
 	reorderDelay      = 500 * time.Millisecond
-	reorderDrainDelay = 5 * time.Second
+	reorderDrainDelay = 3 * time.Second
 	rollbackWait      = 10 * time.Second
 )
 
