--- a/review/_stand/reorder.go
+++ b/review/_stand/reorder.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	nextVersion      = "v3"
-	reorderServices  = 5
+	nextVersion = "v3"
+	// reorderStagger is the time between the orders for two services.
+	reorderStagger   = 200 * time.Millisecond
+	reorderServices  = 10
 	reorderRate      = 600
 	reorderTimeLimit = 12 * time.Second
 	// reorderDelay is the time from the state rolled_back until the operator orders the next
@@ -48,6 +50,7 @@
 	errs := make([]error, len(routes))
 	for i, route := range routes {
 		orders.Go(func() {
+			time.Sleep(time.Duration(i) * reorderStagger)
 			orderedAt[i] = time.Now()
 			errs[i] = r.playReorder(route.service)
 		})
--- a/review/_stand/run.go
+++ b/review/_stand/run.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -164,15 +165,17 @@
 	return d
 }
 
-func daemonIP(i int) string { return fmt.Sprintf("127.83.1.%d", i+1) }
+// network is the network of the daemons' addresses. Runs at the same time have different ones.
+var network = fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), 1+rand.IntN(254))
+
+func daemonIP(i int) string { return fmt.Sprintf("%s.%d", network, i+1) }
 
 // freePorts returns the first of portsPerDaemon ports that are free on the addresses of all
 // daemons.
 func freePorts(count int) (int, error) {
 	const first, step, steps = 21000, 517, 70
 	for i := range steps {
-		// Runs at the same time begin at different ports.
-		base := first + (os.Getpid()+i)%steps*step
+		base := first + i*step
 		if arePortsFree(base, count) {
 			return base, nil
 		}
