Give a new version all requests only when the rest fits the operators' bound

Cause: a move completed after 0.4 of its time. The bound counts all requests from the order to the limit, also those before the version turned bad, and nothing is left to go back to after `complete`. Evidence: the record shows `complete` 6.6 s after the order and every request at the new version from then on; the failures were counted, but an ended move doesn't change.

Change: share and switch are planned together (planCanary) from the settings' share and slack, the time that is left, and the attempts that all daemons count at their start. 0.85 of the bound is planned with. The switch is 0.2 to 1.5 s before the limit, so the holder passes more often near it, and repeats a report that failed at the next pass instead of the next reading of the orders.

Test: TestVersionThatTurnsBadLaterStaysWithinLimits plays a service against the holder for four rates, four limits and seven moments.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -28,9 +28,10 @@
 	// Moves enforces version moves. Default: the share in the status of the move
 	// applies, and samples are discarded.
 	Moves Moves
-	// Evidence and Observer are optional.
+	// Evidence, Observer and Starts are optional.
 	Evidence EvidenceRecorder
 	Observer Observer
+	Starts   StartObserver
 	// RepeatBudget, when set, replaces the retry and hedge budgets of the classes:
 	// each attempt after one that reached an upstream consumes from it.
 	RepeatBudget RepeatBudget
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -94,6 +94,9 @@
 		d.suspects.recordStart(a.upstream.Name)
 	}
 	d.started.Inc(1)
+	if d.opts.Starts != nil {
+		d.opts.Starts.ObserveStart(r.Pool, a.upstream.Version)
+	}
 	d.attempts.recordStart(r, a.upstream.Name)
 	d.opts.Admission.RecordUpstream(r.ID, a.upstream.Name, a.upstream.Version)
 	choice := &Choice{
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -294,7 +294,7 @@
 	d.versionRecorder = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: d.view, Table: d.table, Admission: admitter,
-		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
+		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
--- a/internal/fleetdaemon/moves.go
+++ b/internal/fleetdaemon/moves.go
@@ -1,6 +1,9 @@
 package fleetdaemon
 
-import "rattantide/internal/versionmove"
+import (
+	"rattantide/internal/peering"
+	"rattantide/internal/versionmove"
+)
 
 // regularlyKnownDaemons is the number of other daemons up to which regular requests reach
 // each of them about once a second.
@@ -24,3 +27,21 @@
 		d.peers.Collect(true)
 	}
 }
+
+// exposureLimits returns the limits on the requests to a bad version of a move.
+func (d *Daemon) exposureLimits() versionmove.ExposureLimits {
+	b := d.bounds.Load()
+	return versionmove.ExposureLimits{Share: b.CanaryShare, Slack: b.CanarySlack}
+}
+
+// liveProcesses returns the names of the processes of this daemon and of the live others.
+func (d *Daemon) liveProcesses() []string {
+	self := peering.Report{Name: d.settings.Name, Process: d.process}
+	processes := []string{self.ProcessName()}
+	for _, p := range d.peers.Peers() {
+		if p.Alive {
+			processes = append(processes, p.ProcessName())
+		}
+	}
+	return processes
+}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -92,7 +92,7 @@
 func (d *Daemon) startDuties(ctx context.Context, group *errgroup.Group) {
 	moves := versionmove.NewController(versionmove.ControllerOptions{
 		Declarations: &platform.Rollouts{Store: d.store, Logger: d.logger}, Store: d.store, Ledger: d.versionLedger,
-		Upstreams: d.knownUpstreams, Known: d.follower.Known, OnChange: d.applyWrittenMove, Collect: d.collectTallies, Held: d.fencingToken, Now: d.clock.Now, Logger: d.logger,
+		Limits: d.exposureLimits, Processes: d.liveProcesses, Upstreams: d.knownUpstreams, Known: d.follower.Known, OnChange: d.applyWrittenMove, Collect: d.collectTallies, Held: d.fencingToken, Now: d.clock.Now, Logger: d.logger,
 	})
 	group.Go(func() error { return moves.Run(ctx) })
 	group.Go(func() error { return d.follower.Run(ctx) })
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -11,20 +11,11 @@
 
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
-	"rattantide/internal/periodic"
 )
 
 const (
 	// stateKind is the kind of the objects that store the states of moves.
 	stateKind = "moves"
-	// judgeInterval is the time between two passes of the holder over the running moves, and
-	// reconcilePasses the number of passes after which it reads the declared ones again,
-	// which costs a call of the store. If all have ended, each pass awaits another.
-	judgeInterval   = 250 * time.Millisecond
-	reconcilePasses = 4
-	// endMargin is how long before the deadline a move is decided, so that the
-	// outcome can be written in time.
-	endMargin = 1500 * time.Millisecond
 )
 
 // Declaration is a move that an operator declared.
@@ -49,12 +40,18 @@
 	ReportPhase(ctx context.Context, d Declaration, phase Phase) error
 }
 
-// ControllerOptions configures a Controller. All fields except Known, OnChange and Collect
-// are required.
+// ControllerOptions configures a Controller. All fields except Limits, Processes, Known,
+// OnChange and Collect are required.
 type ControllerOptions struct {
 	Declarations Declarations
 	Store        objectclient.Store
 	Ledger       *Ledger
+	// Limits returns the bounds on the requests to a version that turns out to be bad.
+	// Default: the new version gets the least share.
+	Limits func() ExposureLimits
+	// Processes returns the names of the processes of all live daemons, as the Ledger has
+	// them. Without it the rate of the traffic counts as unknown.
+	Processes func() []string
 	// Upstreams returns all known upstreams.
 	Upstreams func() []membership.Instance
 	// Known returns what this daemon knows of a service's move. It may be further than the
@@ -78,6 +75,8 @@
 type Controller struct {
 	opts  ControllerOptions
 	moves map[string]*trackedMove
+	// declared holds the declared moves as read last.
+	declared []Declaration
 	// passes counts the calls of pass, and readFailed reports whether the latest read of the
 	// declared moves failed.
 	passes     int
@@ -95,9 +94,12 @@
 	reportedPhase Phase
 	// declaration is what was read last.
 	declaration Declaration
-	// oldBaseline and newBaseline are the tallies of both versions when this
-	// holder last wrote a change of state.
+	// oldBaseline and newBaseline are the tallies of both versions when this holder created
+	// the move or first gave the new version a share.
 	oldBaseline, newBaseline Tally
+	traffic                  *trafficCounter
+	// switchAt is when the new version is planned to get all traffic.
+	switchAt time.Time
 }
 
 // NewController returns a Controller.
@@ -105,33 +107,6 @@
 	return &Controller{opts: opts, moves: map[string]*trackedMove{}}
 }
 
-// Run reconciles until ctx ends.
-func (c *Controller) Run(ctx context.Context) error {
-	return periodic.Every(ctx, judgeInterval, c.pass)
-}
-
-// pass advances the running moves. It reads the declared ones from time to time, and always
-// if that means to await one.
-func (c *Controller) pass(ctx context.Context) {
-	c.passes++
-	if _, held := c.opts.Held(); !held || c.passes%reconcilePasses == 0 || c.awaitsDeclaration() {
-		c.reconcile(ctx)
-		return
-	}
-	for _, m := range c.moves {
-		if m.state.Phase == PhaseRunning {
-			c.tryAdvance(ctx, m.declaration)
-		}
-	}
-}
-
-// awaitsDeclaration reports whether the latest read of the declared moves succeeded and all
-// of them have ended.
-func (c *Controller) awaitsDeclaration() bool {
-	running := c.running.Load()
-	return running != nil && len(*running) == 0 && !c.readFailed
-}
-
 // tryAdvance advances a move and logs a failure.
 func (c *Controller) tryAdvance(ctx context.Context, d Declaration) {
 	if err := c.advance(ctx, d); err != nil {
@@ -139,12 +114,18 @@
 	}
 }
 
-// reconcile advances all declared moves once. Without the duty it discards their
-// records.
+// discard discards the records of all moves.
+func (c *Controller) discard() {
+	clear(c.moves)
+	c.declared = nil
+	c.running.Store(nil)
+}
+
+// reconcile reads the declared moves and advances them once. Without the duty it discards
+// their records.
 func (c *Controller) reconcile(ctx context.Context) {
 	if _, ok := c.opts.Held(); !ok {
-		clear(c.moves)
-		c.running.Store(nil)
+		c.discard()
 		return
 	}
 	declared, err := c.opts.Declarations.Moves(ctx)
@@ -153,15 +134,26 @@
 		c.opts.Logger.Warn("cannot read the declared moves; trying again at the next pass", "error", err)
 		return
 	}
+	c.declared = declared
 	c.recordRunning(declared)
+	c.advanceAll(ctx, true)
+}
+
+// advanceAll advances the declared moves that have not ended: those that are tracked and, if
+// isFull is set, the others, which costs calls of the store. It then also requests the
+// tallies of all daemons.
+func (c *Controller) advanceAll(ctx context.Context, isFull bool) {
 	isRunning := false
-	for _, d := range declared {
-		if !d.Ended {
-			isRunning = true
+	for _, d := range c.declared {
+		if d.Ended {
+			continue
+		}
+		isRunning = true
+		if m := c.moves[d.Service]; isFull || m != nil && m.state.To == d.To {
 			c.tryAdvance(ctx, d)
 		}
 	}
-	if isRunning && c.opts.Collect != nil {
+	if isFull && isRunning && c.opts.Collect != nil {
 		c.opts.Collect()
 	}
 }
@@ -193,25 +185,8 @@
 		return err
 	}
 	m.declaration = d
-	now := c.opts.Now()
-	oldTotal, newTotal := c.opts.Ledger.Total(d.Service, m.state.From), c.opts.Ledger.Total(d.Service, d.To)
-	_, ready := sourceVersion(c.opts.Upstreams(), d.Service, d.To)
-	next := Decide(m.state, Evidence{
-		Old: oldTotal.since(m.oldBaseline), New: newTotal.since(m.newBaseline), Elapsed: m.state.elapsed(now), Within: d.Within,
-		Left: time.UnixMilli(m.state.DeadlineMs).Sub(now) - endMargin, Ready: ready,
-	})
-	if next.Share != m.state.Share {
-		next.ShareSinceMs = now.UnixMilli()
-	}
-	if next != m.state {
-		if err := c.write(ctx, m, next); err != nil {
-			return err
-		}
-		c.opts.Logger.Info("version move changed state", "service", d.Service, "from", next.From, "to", next.To, "phase", next.Phase,
-			"share", next.Share, "reason", next.Reason, "oldAnswers", oldTotal.Answers, "oldFailures", oldTotal.Failures,
-			"newAnswers", newTotal.Answers, "newFailures", newTotal.Failures,
-			"oldFirstMs", oldTotal.meanFirstMs(), "newFirstMs", newTotal.meanFirstMs(), "oldGapMs", oldTotal.typicalGapMs(), "newGapMs", newTotal.typicalGapMs())
-		m.oldBaseline, m.newBaseline = oldTotal, newTotal
+	if err := c.decide(ctx, m); err != nil {
+		return err
 	}
 	if m.reportedPhase != m.state.Phase {
 		if err := c.opts.Declarations.ReportPhase(ctx, d, m.state.Phase); err != nil {
@@ -222,6 +197,44 @@
 	return nil
 }
 
+// decide decides the next state of a move and writes it if it has changed.
+func (c *Controller) decide(ctx context.Context, m *trackedMove) error {
+	d, now := m.declaration, c.opts.Now()
+	oldTotal, newTotal := c.opts.Ledger.Total(d.Service, m.state.From), c.opts.Ledger.Total(d.Service, d.To)
+	evidence := c.evidence(m, now)
+	evidence.Old, evidence.New = oldTotal.since(m.oldBaseline), newTotal.since(m.newBaseline)
+	next, plan := decide(m.state, evidence)
+	m.switchAt = time.UnixMilli(m.state.DeadlineMs).Add(-plan.switchLead)
+	if next == m.state {
+		return nil
+	}
+	isFirstShare := m.state.Share == 0
+	if err := c.write(ctx, m, next); err != nil {
+		return err
+	}
+	c.opts.Logger.Info("version move changed state", "service", d.Service, "from", next.From, "to", next.To, "phase", next.Phase,
+		"share", next.Share, "reason", next.Reason, "leftMs", evidence.Left.Milliseconds(), "switchLeadMs", plan.switchLead.Milliseconds(),
+		"attempts", evidence.Traffic.Total, "newAttempts", evidence.Traffic.New, "perSecond", evidence.Traffic.PerSecond,
+		"oldAnswers", oldTotal.Answers, "oldFailures", oldTotal.Failures, "newAnswers", newTotal.Answers, "newFailures", newTotal.Failures,
+		"oldFirstMs", oldTotal.meanFirstMs(), "newFirstMs", newTotal.meanFirstMs(), "oldGapMs", oldTotal.typicalGapMs(), "newGapMs", newTotal.typicalGapMs())
+	if isFirstShare {
+		m.oldBaseline, m.newBaseline = oldTotal, newTotal
+	}
+	return nil
+}
+
+// evidence returns the evidence about a move except for the results of the versions.
+func (c *Controller) evidence(m *trackedMove, now time.Time) Evidence {
+	_, ready := sourceVersion(c.opts.Upstreams(), m.state.Service, m.state.To)
+	e := Evidence{Within: m.declaration.Within, Left: time.UnixMilli(m.state.DeadlineMs).Sub(now), Ready: ready}
+	isComplete := c.opts.Processes != nil && c.opts.Ledger.HasAll(c.opts.Processes())
+	e.Traffic = m.traffic.update(now, c.opts.Ledger.Processes(), isComplete)
+	if c.opts.Limits != nil {
+		e.Limits = c.opts.Limits()
+	}
+	return e
+}
+
 // loadOrCreate returns the record of a declared move. It continues a move that an
 // earlier holder began, and returns nil while no upstream of another version is
 // known.
@@ -252,6 +265,7 @@
 		}
 	}
 	if m.state.To == d.To {
+		m.traffic = newTrafficCounter(d.Service, d.To, nil)
 		c.moves[d.Service] = m
 		return m, nil
 	}
@@ -264,6 +278,8 @@
 	}); err != nil {
 		return nil, err
 	}
+	m.oldBaseline, m.newBaseline = c.opts.Ledger.Total(d.Service, from), c.opts.Ledger.Total(d.Service, d.To)
+	m.traffic = newTrafficCounter(d.Service, d.To, c.opts.Ledger.Processes())
 	c.moves[d.Service] = m
 	return m, nil
 }
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -30,17 +30,6 @@
 	// minGapAnswers is the same for the times between events. They hardly depend on the
 	// prompt, so that fewer answers tell.
 	minGapAnswers = 15
-	// canaryShare is the share of the traffic that the new version gets until
-	// the move is decided. Operators allow a bad version a tenth of all requests
-	// of the move, so a larger share cannot be risked before.
-	canaryShare = 0.08
-	// canaryTimeShare is the share of a move's time for which the new version
-	// must work before it gets all traffic, because some versions turn bad only
-	// later.
-	canaryTimeShare = 0.4
-	// canaryMinAnswers is the minimum number of answers by the new version for a
-	// move to be completed before its deadline.
-	canaryMinAnswers = 100
 )
 
 // State is the stored state of a move.
@@ -51,11 +40,8 @@
 	Phase   Phase  `json:"phase"`
 	// DeadlineMs is the deadline in Unix milliseconds of the true time.
 	DeadlineMs int64 `json:"byMs"`
-	// Share is the new version's share of the traffic, from 0 to 1, and
-	// ShareSinceMs is when it took effect, in Unix milliseconds of the true
-	// time.
-	Share        float64 `json:"share"`
-	ShareSinceMs int64   `json:"shareSinceMs,omitempty"`
+	// Share is the new version's share of the traffic, from 0 to 1.
+	Share float64 `json:"share"`
 	// Reason describes why the move ended.
 	Reason string `json:"reason,omitempty"`
 	// StartedMs is when the move was first stored, in Unix milliseconds of the true time,
@@ -79,46 +65,44 @@
 
 // Evidence is the input to the decision about a move.
 type Evidence struct {
-	// Old and New are the results of both versions since the holder last changed
-	// the state, or since the counting processes started if it has not changed
-	// it yet.
+	// Old and New are the results of both versions since the new one got a share, or
+	// since the counting processes started if another holder began the move.
 	Old Tally
 	New Tally
-	// Elapsed is the time since the current share took effect, Within is the time
-	// from the declaration to the deadline, and Left is the time that remains for
-	// the decision.
-	Elapsed time.Duration
-	Within  time.Duration
-	Left    time.Duration
+	// Traffic counts the attempts at both versions, and Limits bounds those at the new one.
+	Traffic Traffic
+	Limits  ExposureLimits
+	// Within is the time from the declaration to the deadline, and Left the time that
+	// remains until then.
+	Within time.Duration
+	Left   time.Duration
 	// Ready is true if live upstreams of the new version exist.
 	Ready bool
 }
 
-// Decide returns the next state of a move. A move that has ended stays as it is.
+// Decide returns the next state of a move. A move that has ended stays as it is. A version
+// may turn bad at any time until the deadline, so that a new version without evidence
+// against it gets all traffic only when what is left fits the limits.
 func Decide(s State, e Evidence) State {
+	next, _ := decide(s, e)
+	return next
+}
+
+// decide returns the next state of a move and the plan that it follows from.
+func decide(s State, e Evidence) (State, canaryPlan) {
+	plan := planCanary(s.Share, e)
 	switch {
 	case s.Phase != PhaseRunning:
-		return s
-	case isWorse(e):
-		return s.end(PhaseUndone, 0, "the new version fails more or answers slower")
-	case e.Left <= 0 && e.New.Answers >= minAnswers:
-		return s.end(PhaseDone, 1, "deadline, with no evidence against the new version")
+	case isWorse(e.Old, e.New):
+		s = s.end(PhaseUndone, 0, "the new version fails more or answers slower")
+	case e.Left <= plan.switchLead && e.New.Answers >= minAnswers:
+		s = s.end(PhaseDone, 1, "deadline, with no evidence against the new version")
 	case e.Left <= 0:
-		return s.end(PhaseUndone, 0, "deadline before the new version was seen to work")
-	case s.Share > 0 && e.New.Answers >= canaryMinAnswers && e.Elapsed >= time.Duration(canaryTimeShare*float64(e.Within)):
-		return s.end(PhaseDone, 1, "the new version was seen to work")
-	case s.Share == 0 && e.Ready:
-		s.Share = canaryShare
-	}
-	return s
-}
-
-// elapsed returns the time since the current share took effect, 0 if there is none.
-func (s State) elapsed(now time.Time) time.Duration {
-	if s.ShareSinceMs == 0 {
-		return 0
+		s = s.end(PhaseUndone, 0, "deadline before the new version was seen to work")
+	case e.Ready && e.Left > plan.switchLead && plan.replaces(s.Share):
+		s.Share = roundShare(plan.share)
 	}
-	return now.Sub(time.UnixMilli(s.ShareSinceMs))
+	return s, plan
 }
 
 // loser returns the version that gets no traffic after the end of the move.
@@ -135,15 +119,14 @@
 	return s
 }
 
-// isWorse reports whether the new version fails more often or answers more slowly
-// than tolerated.
-func isWorse(e Evidence) bool {
-	if e.New.Failures >= minFailures && e.New.failureShare() > e.Old.failureShare()+maxFailureExcess {
+// isWorse reports whether the results of the new version are worse than tolerated.
+func isWorse(oldTally, newTally Tally) bool {
+	if newTally.Failures >= minFailures && newTally.failureShare() > oldTally.failureShare()+maxFailureExcess {
 		return true
 	}
-	if e.New.Gaps >= minGapAnswers && e.Old.Gaps >= minAnswers && e.New.typicalGapMs() > slowFactor*e.Old.typicalGapMs() {
+	if newTally.Gaps >= minGapAnswers && oldTally.Gaps >= minAnswers && newTally.typicalGapMs() > slowFactor*oldTally.typicalGapMs() {
 		return true
 	}
-	newMean := e.New.meanFirstMs()
-	return e.New.Answers >= minAnswers && e.Old.Answers >= minAnswers && newMean > minSlowMs && newMean > slowFactor*e.Old.meanFirstMs()
+	newMean := newTally.meanFirstMs()
+	return newTally.Answers >= minAnswers && oldTally.Answers >= minAnswers && newMean > minSlowMs && newMean > slowFactor*oldTally.meanFirstMs()
 }
--- a/internal/versionmove/ledger.go
+++ b/internal/versionmove/ledger.go
@@ -1,6 +1,9 @@
 package versionmove
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Ledger holds the latest tallies of each process of each daemon. It is safe for
 // concurrent use.
@@ -12,15 +15,34 @@
 // NewLedger returns an empty Ledger.
 func NewLedger() *Ledger { return &Ledger{processes: map[string]map[string]Tally{}} }
 
-// Set replaces the tallies of a process. An empty map is ignored. The Ledger retains
+// Set replaces the tallies of a process. An empty map replaces nothing. The Ledger retains
 // tallies, which the caller must not modify afterwards.
 func (l *Ledger) Set(process string, tallies map[string]Tally) {
-	if len(tallies) == 0 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.processes[process]; known && len(tallies) == 0 {
 		return
 	}
+	l.processes[process] = tallies
+}
+
+// Processes returns the latest tallies by process, which the caller must not modify.
+func (l *Ledger) Processes() map[string]map[string]Tally {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.processes[process] = tallies
+	return maps.Clone(l.processes)
+}
+
+// HasAll reports whether all of the named processes have reported tallies.
+func (l *Ledger) HasAll(processes []string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, process := range processes {
+		if _, known := l.processes[process]; !known {
+			return false
+		}
+	}
+	return true
 }
 
 // Total returns the sum of a version's tallies over all processes.
