Judge a version by its latest results too

Cause: the failure share and the latencies were judged over the whole time of the share. After 54 s of sound answers, 3 s in which half fail are 3%, below the tolerated difference of 8%.

Change: recentTallies keeps the results of the latest 4 s, or of the latest 40 attempts at the new version, and either evidence is enough.

Test: TestVersionThatTurnsBadLaterStaysWithinLimits now demands that a version with more than 12 failures before the switch is taken back.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -97,6 +97,7 @@
 	// oldBaseline and newBaseline are the tallies of both versions when this holder created
 	// the move or first gave the new version a share.
 	oldBaseline, newBaseline Tally
+	recent                   recentTallies
 	traffic                  *trafficCounter
 	// switchAt is when the new version is planned to get all traffic.
 	switchAt time.Time
@@ -203,6 +204,7 @@
 	oldTotal, newTotal := c.opts.Ledger.Total(d.Service, m.state.From), c.opts.Ledger.Total(d.Service, d.To)
 	evidence := c.evidence(m, now)
 	evidence.Old, evidence.New = oldTotal.since(m.oldBaseline), newTotal.since(m.newBaseline)
+	evidence.RecentOld, evidence.RecentNew = m.recent.update(now, evidence.Old, evidence.New)
 	next, plan := decide(m.state, evidence)
 	m.switchAt = time.UnixMilli(m.state.DeadlineMs).Add(-plan.switchLead)
 	if next == m.state {
@@ -218,7 +220,7 @@
 		"oldAnswers", oldTotal.Answers, "oldFailures", oldTotal.Failures, "newAnswers", newTotal.Answers, "newFailures", newTotal.Failures,
 		"oldFirstMs", oldTotal.meanFirstMs(), "newFirstMs", newTotal.meanFirstMs(), "oldGapMs", oldTotal.typicalGapMs(), "newGapMs", newTotal.typicalGapMs())
 	if isFirstShare {
-		m.oldBaseline, m.newBaseline = oldTotal, newTotal
+		m.oldBaseline, m.newBaseline, m.recent = oldTotal, newTotal, recentTallies{}
 	}
 	return nil
 }
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -69,6 +69,9 @@
 	// since the counting processes started if another holder began the move.
 	Old Tally
 	New Tally
+	// RecentOld and RecentNew are the recent part of them.
+	RecentOld Tally
+	RecentNew Tally
 	// Traffic counts the attempts at both versions, and Limits bounds those at the new one.
 	Traffic Traffic
 	Limits  ExposureLimits
@@ -93,7 +96,7 @@
 	plan := planCanary(s.Share, e)
 	switch {
 	case s.Phase != PhaseRunning:
-	case isWorse(e.Old, e.New):
+	case e.isWorse():
 		s = s.end(PhaseUndone, 0, "the new version fails more or answers slower")
 	case e.Left <= plan.switchLead && e.New.Answers >= minAnswers:
 		s = s.end(PhaseDone, 1, "deadline, with no evidence against the new version")
@@ -119,6 +122,12 @@
 	return s
 }
 
+// isWorse reports whether the new version fails more often or answers more slowly than
+// tolerated, in all or recently.
+func (e Evidence) isWorse() bool {
+	return isWorse(e.Old, e.New) || isWorse(e.RecentOld, e.RecentNew)
+}
+
 // isWorse reports whether the results of the new version are worse than tolerated.
 func isWorse(oldTally, newTally Tally) bool {
 	if newTally.Failures >= minFailures && newTally.failureShare() > oldTally.failureShare()+maxFailureExcess {
--- a/internal/versionmove/exposure_test.go
+++ b/internal/versionmove/exposure_test.go
@@ -30,7 +30,9 @@
 
 	total, exposed float64
 	tallies        [2]Tally
-	failures       float64
+	// failures counts the failed requests, canaryFailures those before the new version got
+	// all requests.
+	failures, canaryFailures float64
 }
 
 const simulationStep = 50 * time.Millisecond
@@ -43,6 +45,9 @@
 	s.exposed += share * count
 	if time.Since(s.start) >= s.badAfter {
 		s.failures += share * count / 2
+		if share < 1 {
+			s.canaryFailures = s.failures
+		}
 	}
 	answers := s.exposed - s.failures
 	s.ledger.Set("d/p", map[string]Tally{
@@ -78,17 +83,22 @@
 }
 
 // Guards against a version that turns bad at any time until the deadline of its move and has
-// got more requests by then than operators allow.
+// got more requests by then than operators allow, and against one that is not taken back
+// although its failures were enough to notice.
 func TestVersionThatTurnsBadLaterStaysWithinLimits(t *testing.T) {
+	const noticeFailures = 2 * minFailures
 	for _, rate := range []float64{20, 60, 200, 1000} {
 		for _, within := range []time.Duration{8 * time.Second, 12 * time.Second, 16 * time.Second, time.Minute} {
 			for _, badAt := range []float64{0, 0.3, 0.5, 0.8, 0.9, 0.95, 0.99} {
 				t.Run(fmt.Sprintf("%g_%s_%g", rate, within, badAt), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						badAfter := time.Duration(badAt * float64(within))
-						s, _ := playMove(t, rate, within, badAfter)
+						s, phase := playMove(t, rate, within, badAfter)
 						allowed := testShare*s.total + testSlack
 						assert.Assert(t, s.exposed <= allowed, "%.0f of %.0f requests reached the new version, %.0f are allowed", s.exposed, s.total, allowed)
+						if s.canaryFailures > noticeFailures {
+							assert.Equal(t, phase, PhaseUndone)
+						}
 					})
 				})
 			}
