Notice an order at once while another version is moving

Callers would see: the time limit counts from the order, but the holder read the orders once a second while a move was running, so that a sound version became complete up to a second late, or, if the switch allowed for that, a bad one got more requests than the bound.

Change: the holder always has one watch waiting for a change of the orders; it reads them each second only while such a watch fails.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -36,6 +36,9 @@
 type Declarations interface {
 	// Moves returns all declared moves.
 	Moves(ctx context.Context) ([]Declaration, error)
+	// AwaitChange waits some seconds for a change since the latest call of Moves and reports
+	// whether there was one. It may be called concurrently with the other methods.
+	AwaitChange(ctx context.Context) (changed bool, err error)
 	// ReportPhase reports the phase of a move to the operator.
 	ReportPhase(ctx context.Context, d Declaration, phase Phase) error
 }
@@ -81,6 +84,8 @@
 	// declared moves failed.
 	passes     int
 	readFailed bool
+	// isWatching reports whether a change of the declared moves is awaited concurrently.
+	isWatching atomic.Bool
 	// running holds the set of services with a declared move that has not ended.
 	running atomic.Pointer[map[string]bool]
 }
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -21,6 +21,8 @@
 	// reads counts the calls of Moves, which return err if it is set.
 	reads int
 	err   error
+	// changed receives a value for each change. It may be nil.
+	changed chan struct{}
 }
 
 // Moves implements Declarations.
@@ -29,6 +31,16 @@
 	return d.moves, d.err
 }
 
+// AwaitChange implements Declarations.
+func (d *fakeDeclarations) AwaitChange(ctx context.Context) (bool, error) {
+	select {
+	case <-d.changed:
+		return true, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
 // ReportPhase implements Declarations.
 func (d *fakeDeclarations) ReportPhase(_ context.Context, _ Declaration, phase Phase) error {
 	d.reported = append(d.reported, phase)
@@ -169,3 +181,27 @@
 	}
 	assert.Equal(t, declarations.reads, 20/reconcilePasses)
 }
+
+// Guards against a holder that notices an order late because the move of another service is
+// running: the time limit counts from the order.
+func TestOrderIsNoticedDuringOtherMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		declarations := &fakeDeclarations{
+			moves:   []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}},
+			changed: make(chan struct{}),
+		}
+		c := newHolderController(objecttest.New(), NewLedger(), declarations)
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() { _ = c.Run(ctx) }()
+		time.Sleep(2*judgeInterval + time.Millisecond)
+		assert.Assert(t, c.IsRunning("s"))
+		declarations.moves = append(declarations.moves, Declaration{Name: "other", Service: "other", To: "v2", Within: 14 * time.Second})
+		select {
+		case declarations.changed <- struct{}{}:
+		case <-time.After(judgeInterval):
+		}
+		synctest.Wait()
+		assert.Assert(t, c.IsRunning("other"))
+	})
+}
