Take a version back for recent failures only if chance is unlikely

Callers would see (a test of this commit on the judge before): a sound version is taken back for one answer of 9 s among its latest 40, or for 7 failures among them. The latest results are judged four times a second, so that the thresholds of the whole move are met by chance.

Change: recent failures must also be unlikely at the old version's share (Chernoff bound, 1 in 10,000), and recent times to the first answer are compared by their geometric mean. The window is 2 s.

Test: TestRecentResults.

--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -19,7 +19,11 @@
 	// minFailures is the minimum number of failures that can count against a
 	// version.
 	minFailures = 6
-	// The new version is too slow if its mean time to the first answer exceeds
+	// chanceExcess is the difference between the failure shares that may be chance, and
+	// maxChance the largest probability at which recent failures count as chance.
+	chanceExcess = 0.02
+	maxChance    = 1e-4
+	// The new version is too slow if its mean (of recent answers: typical) time to the first answer exceeds
 	// both minSlowMs milliseconds and slowFactor times that of the old version, or its
 	// typical time between two events exceeds slowFactor times that of the old version.
 	slowFactor = 2.5
@@ -125,17 +129,38 @@
 // isWorse reports whether the new version fails more often or answers more slowly than
 // tolerated, in all or recently.
 func (e Evidence) isWorse() bool {
-	return isWorse(e.Old, e.New) || isWorse(e.RecentOld, e.RecentNew)
+	return isWorse(e.Old, e.New) || isWorseRecently(e.RecentOld, e.RecentNew)
 }
 
 // isWorse reports whether the results of the new version are worse than tolerated.
 func isWorse(oldTally, newTally Tally) bool {
-	if newTally.Failures >= minFailures && newTally.failureShare() > oldTally.failureShare()+maxFailureExcess {
+	if failsMore(oldTally, newTally) || hasSlowerGaps(oldTally, newTally) {
 		return true
 	}
-	if newTally.Gaps >= minGapAnswers && oldTally.Gaps >= minAnswers && newTally.typicalGapMs() > slowFactor*oldTally.typicalGapMs() {
+	return isSlower(newTally, oldTally, newTally.meanFirstMs(), oldTally.meanFirstMs())
+}
+
+// isWorseRecently is isWorse for recent results. These are judged again and again, so that a
+// few failures or slow answers must not decide.
+func isWorseRecently(oldTally, newTally Tally) bool {
+	if failsMore(oldTally, newTally) && newTally.isUnlikely(oldTally.failureShare()+chanceExcess) || hasSlowerGaps(oldTally, newTally) {
 		return true
 	}
-	newMean := newTally.meanFirstMs()
-	return newTally.Answers >= minAnswers && oldTally.Answers >= minAnswers && newMean > minSlowMs && newMean > slowFactor*oldTally.meanFirstMs()
+	return isSlower(newTally, oldTally, newTally.typicalFirstMs(), oldTally.typicalFirstMs())
+}
+
+// failsMore reports whether the new version fails more often than tolerated.
+func failsMore(oldTally, newTally Tally) bool {
+	return newTally.Failures >= minFailures && newTally.failureShare() > oldTally.failureShare()+maxFailureExcess
+}
+
+// hasSlowerGaps reports whether the typical time between two events is longer than tolerated.
+func hasSlowerGaps(oldTally, newTally Tally) bool {
+	return newTally.Gaps >= minGapAnswers && oldTally.Gaps >= minAnswers && newTally.typicalGapMs() > slowFactor*oldTally.typicalGapMs()
+}
+
+// isSlower reports whether newMs is longer than tolerated beside oldMs, both times to the
+// first answer in milliseconds, if there are enough answers to tell.
+func isSlower(newTally, oldTally Tally, newMs, oldMs float64) bool {
+	return newTally.Answers >= minAnswers && oldTally.Answers >= minAnswers && newMs > minSlowMs && newMs > slowFactor*oldMs
 }
--- a/internal/versionmove/decide_test.go
+++ b/internal/versionmove/decide_test.go
@@ -1,6 +1,7 @@
 package versionmove
 
 import (
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -103,3 +104,25 @@
 		assert.Equal(t, Decide(running, e).Phase, c.want, name)
 	}
 }
+
+// Guards against a sound version that is taken back for a few failures or slow answers within
+// a short time, as recent results are judged many times during a move, and against one that
+// turned bad and is kept.
+func TestRecentResults(t *testing.T) {
+	sound := Tally{Answers: 900, Failures: 60, FirstMs: 80_000, FirstLogSum: 900 * math.Log(80)}
+	for name, c := range map[string]struct {
+		recent Tally
+		want   Phase
+	}{
+		"as sound as before":        {Tally{Answers: 37, Failures: 3, FirstMs: 37 * 80, FirstLogSum: 37 * math.Log(80)}, PhaseRunning},
+		"some failures by chance":   {Tally{Answers: 33, Failures: 7, FirstMs: 33 * 80, FirstLogSum: 33 * math.Log(80)}, PhaseRunning},
+		"half of the answers fail":  {Tally{Answers: 12, Failures: 12, FirstMs: 12 * 80, FirstLogSum: 12 * math.Log(80)}, PhaseUndone},
+		"all answers fail":          {Tally{Failures: 8}, PhaseUndone},
+		"one very slow answer":      {Tally{Answers: 40, FirstMs: 39*80 + 9000, FirstLogSum: 39*math.Log(80) + math.Log(9000)}, PhaseRunning},
+		"all are four times slower": {Tally{Answers: 40, FirstMs: 40 * 320, FirstLogSum: 40 * math.Log(320)}, PhaseUndone},
+	} {
+		e := evidence(sound)
+		e.RecentOld, e.RecentNew = sound, c.recent
+		assert.Equal(t, Decide(State{Phase: PhaseRunning, Share: 0.044}, e).Phase, c.want, name)
+	}
+}
--- a/internal/versionmove/recent_tallies.go
+++ b/internal/versionmove/recent_tallies.go
@@ -5,7 +5,7 @@
 // Recent results are those of the last recentWindow, or of a longer time if fewer than
 // recentAttempts attempts at the new version ended in it.
 const (
-	recentWindow   = 4 * time.Second
+	recentWindow   = 2 * time.Second
 	recentAttempts = 40
 )
 
--- a/internal/versionmove/tally.go
+++ b/internal/versionmove/tally.go
@@ -9,8 +9,8 @@
 	"rattantide/internal/dispatch"
 )
 
-// minGapMs bounds the logarithm of the time between two events from below.
-const minGapMs = 1.0
+// minLogMs bounds the time from below whose logarithm is summed, in milliseconds.
+const minLogMs = 1.0
 
 // Tally counts the results of a version's attempts. Counts never decrease while a
 // process runs.
@@ -21,8 +21,10 @@
 	// upstream.
 	Answers  int64 `json:"a"`
 	Failures int64 `json:"f"`
-	// FirstMs is the sum of the times to the first answer, in milliseconds.
-	FirstMs int64 `json:"t"`
+	// FirstMs is the sum of the times to the first answer, in milliseconds, and FirstLogSum
+	// that of their natural logarithms.
+	FirstMs     int64   `json:"t"`
+	FirstLogSum float64 `json:"tl,omitempty"`
 	// Gaps counts the answers of several events, and GapLogSum is the sum of the natural
 	// logarithms of their mean times between two events, in milliseconds.
 	Gaps      int64   `json:"g,omitempty"`
@@ -33,7 +35,7 @@
 func (t Tally) add(o Tally) Tally {
 	return Tally{
 		Started: t.Started + o.Started, Answers: t.Answers + o.Answers, Failures: t.Failures + o.Failures, FirstMs: t.FirstMs + o.FirstMs,
-		Gaps: t.Gaps + o.Gaps, GapLogSum: t.GapLogSum + o.GapLogSum,
+		FirstLogSum: t.FirstLogSum + o.FirstLogSum, Gaps: t.Gaps + o.Gaps, GapLogSum: t.GapLogSum + o.GapLogSum,
 	}
 }
 
@@ -41,7 +43,7 @@
 func (t Tally) since(o Tally) Tally {
 	return Tally{
 		Started: t.Started - o.Started, Answers: t.Answers - o.Answers, Failures: t.Failures - o.Failures, FirstMs: t.FirstMs - o.FirstMs,
-		Gaps: t.Gaps - o.Gaps, GapLogSum: t.GapLogSum - o.GapLogSum,
+		FirstLogSum: t.FirstLogSum - o.FirstLogSum, Gaps: t.Gaps - o.Gaps, GapLogSum: t.GapLogSum - o.GapLogSum,
 	}
 }
 
@@ -65,6 +67,29 @@
 	return float64(t.FirstMs) / float64(t.Answers)
 }
 
+// typicalFirstMs returns the geometric mean of the times to the first answer in
+// milliseconds, 0 without answers. A few slow answers change it little.
+func (t Tally) typicalFirstMs() float64 {
+	if t.Answers == 0 {
+		return 0
+	}
+	return math.Exp(t.FirstLogSum / float64(t.Answers))
+}
+
+// isUnlikely reports whether at least so many failures have a probability below maxChance
+// if each attempt fails with the given probability. It uses the Chernoff bound.
+func (t Tally) isUnlikely(probability float64) bool {
+	observed := t.failureShare()
+	if observed <= probability {
+		return false
+	}
+	exponent := observed * math.Log(observed/probability)
+	if observed < 1 {
+		exponent += (1 - observed) * math.Log((1-observed)/(1-probability))
+	}
+	return float64(t.attempts())*exponent > -math.Log(maxChance)
+}
+
 // typicalGapMs returns the geometric mean of the times between two events in milliseconds,
 // 0 without answers of several events. A few slow upstreams change it little.
 func (t Tally) typicalGapMs() float64 {
@@ -74,6 +99,11 @@
 	return math.Exp(t.GapLogSum / float64(t.Gaps))
 }
 
+// logMs returns the natural logarithm of a time in milliseconds.
+func logMs(d time.Duration) float64 {
+	return math.Log(max(minLogMs, float64(d)/float64(time.Millisecond)))
+}
+
 // Key returns the map key of a version of a service.
 func Key(service, version string) string { return service + "/" + version }
 
@@ -96,9 +126,9 @@
 		if first == 0 {
 			first = o.Total
 		}
-		t = Tally{Answers: 1, FirstMs: first.Milliseconds()}
+		t = Tally{Answers: 1, FirstMs: first.Milliseconds(), FirstLogSum: logMs(first)}
 		if o.BetweenTokens > 0 {
-			t.Gaps, t.GapLogSum = 1, math.Log(max(minGapMs, float64(o.BetweenTokens)/float64(time.Millisecond)))
+			t.Gaps, t.GapLogSum = 1, logMs(o.BetweenTokens)
 		}
 	case dispatch.StatusError, dispatch.StatusCrash, dispatch.StatusTimeout:
 		t = Tally{Failures: 1}
