Start each version move from the version that serves

Cause: the stored state of a move is replaced at the next order, and the source of the new one was guessed as the version, other than its target, with the most upstreams; of equal ones the order of a map decided.

Change: a new move starts from the serving version of the state before it (State.serving) and keeps the refused versions. The Follower remembers the states of settled moves, for a store that comes back from a copy. An order of the serving version is a move to itself that completes by its limit.

--- a/internal/membership/instance.go
+++ b/internal/membership/instance.go
@@ -28,3 +28,6 @@
 	// State is StateLive or StateLeaving, as last reported by the list.
 	State string `json:"state,omitempty"`
 }
+
+// IsStaying reports whether the instance is not leaving.
+func (i Instance) IsStaying() bool { return i.State != StateLeaving }
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -90,24 +89,6 @@
 	running atomic.Pointer[map[string]bool]
 }
 
-// trackedMove is the holder's record of a move.
-type trackedMove struct {
-	state State
-	// version is the version of the stored state, 0 before the first write.
-	version objectclient.Revision
-	// reportedPhase is the phase that was last reported to the operator.
-	reportedPhase Phase
-	// declaration is what was read last.
-	declaration Declaration
-	// oldBaseline and newBaseline are the tallies of both versions when this holder created
-	// the move or first gave the new version a share.
-	oldBaseline, newBaseline Tally
-	recent                   recentTallies
-	traffic                  *trafficCounter
-	// switchAt is when the new version is planned to get all traffic.
-	switchAt time.Time
-}
-
 // NewController returns a Controller.
 func NewController(opts ControllerOptions) *Controller {
 	return &Controller{opts: opts, moves: map[string]*trackedMove{}}
@@ -155,7 +136,7 @@
 			continue
 		}
 		isRunning = true
-		if m := c.moves[d.Service]; isFull || m != nil && m.state.To == d.To {
+		if m := c.moves[d.Service]; isFull || m != nil && m.state.isOf(d) {
 			c.tryAdvance(ctx, d)
 		}
 	}
@@ -212,7 +193,7 @@
 	evidence.RecentOld, evidence.RecentNew = m.recent.update(now, evidence.Old, evidence.New)
 	next, plan := decide(m.state, evidence)
 	m.switchAt = time.UnixMilli(m.state.DeadlineMs).Add(-plan.switchLead)
-	if next == m.state {
+	if next.equal(m.state) {
 		return nil
 	}
 	isFirstShare := m.state.Share == 0
@@ -232,7 +213,7 @@
 
 // evidence returns the evidence about a move except for the results of the versions.
 func (c *Controller) evidence(m *trackedMove, now time.Time) Evidence {
-	_, ready := sourceVersion(c.opts.Upstreams(), m.state.Service, m.state.To)
+	ready := liveVersions(c.opts.Upstreams(), m.state.Service)[m.state.To] > 0
 	e := Evidence{Within: m.declaration.Within, Left: time.UnixMilli(m.state.DeadlineMs).Sub(now), Ready: ready}
 	isComplete := c.opts.Processes != nil && c.opts.Ledger.HasAll(c.opts.Processes())
 	e.Traffic = m.traffic.update(now, c.opts.Ledger.Processes(), isComplete)
@@ -241,106 +222,3 @@
 	}
 	return e
 }
-
-// loadOrCreate returns the record of a declared move. It continues a move that an
-// earlier holder began, and returns nil while no upstream of another version is
-// known.
-func (c *Controller) loadOrCreate(ctx context.Context, d Declaration) (*trackedMove, error) {
-	if m := c.moves[d.Service]; m != nil && m.state.To == d.To {
-		return m, nil
-	}
-	now := c.opts.Now()
-	m := &trackedMove{}
-	stored, err := c.opts.Store.Get(ctx, stateKind, d.Service)
-	switch {
-	case err == nil:
-		m.version = stored.Version
-		if err := json.Unmarshal(stored.Value, &m.state); err != nil {
-			c.opts.Logger.Warn("cannot decode the stored state of the version move; replacing it", "service", d.Service, "error", err)
-			m.state = State{}
-		}
-	case !errors.Is(err, objectclient.ErrNotFound):
-		return nil, errors.Trace(err)
-	}
-	if m.state.To != d.To {
-		m.state = State{}
-	}
-	if known, ok := c.known(d); ok && known.isAfter(m.state) {
-		c.opts.Logger.Info("storing the state of the version move again; the store has lost it", "service", d.Service, "to", d.To, "phase", known.Phase, "share", known.Share)
-		if err := c.write(ctx, m, known); err != nil {
-			return nil, err
-		}
-	}
-	if m.state.To == d.To {
-		m.traffic = newTrafficCounter(d.Service, d.To, nil)
-		c.moves[d.Service] = m
-		return m, nil
-	}
-	from, _ := sourceVersion(c.opts.Upstreams(), d.Service, d.To)
-	if from == "" {
-		return nil, nil
-	}
-	if err := c.write(ctx, m, State{
-		Service: d.Service, From: from, To: d.To, Phase: PhaseRunning, DeadlineMs: now.Add(d.Within).UnixMilli(), StartedMs: now.UnixMilli(),
-	}); err != nil {
-		return nil, err
-	}
-	m.oldBaseline, m.newBaseline = c.opts.Ledger.Total(d.Service, from), c.opts.Ledger.Total(d.Service, d.To)
-	m.traffic = newTrafficCounter(d.Service, d.To, c.opts.Ledger.Processes())
-	c.moves[d.Service] = m
-	return m, nil
-}
-
-// known returns the state of a declared move that this daemon knows, if any.
-func (c *Controller) known(d Declaration) (State, bool) {
-	if c.opts.Known == nil {
-		return State{}, false
-	}
-	state, ok := c.opts.Known(d.Service)
-	return state, ok && state.To == d.To
-}
-
-// write stores the next state if the stored object is unchanged.
-func (c *Controller) write(ctx context.Context, m *trackedMove, next State) error {
-	next.Step++
-	value, err := json.Marshal(next)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	version := m.version
-	if version == 0 {
-		version = objectclient.MustNotExist
-	}
-	stored, err := c.opts.Store.Put(ctx, stateKind, next.Service, version, value)
-	if err != nil {
-		// Another holder may have written the state, so the next pass reads it from
-		// the store.
-		delete(c.moves, next.Service)
-		return errors.Trace(err)
-	}
-	m.state, m.version = next, stored.Version
-	if c.opts.OnChange != nil {
-		c.opts.OnChange(next.Service, RevisionedState{State: next, Revision: stored.Version})
-	}
-	return nil
-}
-
-// sourceVersion returns the version, other than to, that most live upstreams of a
-// service have, and whether any live upstream has version to.
-func sourceVersion(upstreams []membership.Instance, service, to string) (from string, ready bool) {
-	counts := map[string]int{}
-	for _, u := range upstreams {
-		if u.Pool != service || u.State != membership.StateLive {
-			continue
-		}
-		if u.Version == to {
-			ready = true
-			continue
-		}
-		counts[u.Version]++
-		if counts[u.Version] > counts[from] || from == "" {
-			from = u.Version
-		}
-	}
-	return from, ready
-}
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -1,6 +1,9 @@
 package versionmove
 
-import "time"
+import (
+	"reflect"
+	"time"
+)
 
 // Phase is the phase of a move.
 type Phase string
@@ -46,6 +49,8 @@
 	DeadlineMs int64 `json:"byMs"`
 	// Share is the new version's share of the traffic, from 0 to 1.
 	Share float64 `json:"share"`
+	// Refused names versions whose moves were undone and that were not ordered again.
+	Refused []string `json:"refused,omitempty"`
 	// Reason describes why the move ended.
 	Reason string `json:"reason,omitempty"`
 	// StartedMs is when the move was first stored, in Unix milliseconds of the true time,
@@ -54,6 +59,9 @@
 	Step      int64 `json:"step,omitempty"`
 }
 
+// equal reports whether both states are the same.
+func (s State) equal(other State) bool { return reflect.DeepEqual(s, other) }
+
 // isAfter reports whether s follows other by what the states themselves tell: it is of a
 // later move, or of the same one and further. A verdict is final, so that it follows every
 // state of a running move.
@@ -98,8 +106,13 @@
 // decide returns the next state of a move and the plan that it follows from.
 func decide(s State, e Evidence) (State, canaryPlan) {
 	plan := planCanary(s.Share, e)
+	if s.isInPlace() {
+		plan = canaryPlan{share: 1, switchLead: maxSwitchLead}
+	}
 	switch {
 	case s.Phase != PhaseRunning:
+	case s.isInPlace() && e.Left <= plan.switchLead:
+		s = s.end(PhaseDone, 1, "the version serves already")
 	case e.isWorse():
 		s = s.end(PhaseUndone, 0, "the new version fails more or answers slower")
 	case e.Left <= plan.switchLead && e.New.Answers >= minAnswers:
--- a/internal/versionmove/decide_test.go
+++ b/internal/versionmove/decide_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 
 	"rattantide/internal/dispatch"
 )
@@ -34,16 +35,16 @@
 	for _, left := range []time.Duration{12 * time.Second, 5 * time.Second, maxSwitchLead} {
 		early := evidence(good)
 		early.Left = left
-		assert.Equal(t, Decide(s, early), s, "some versions turn bad only later")
+		assert.Assert(t, is.DeepEqual(Decide(s, early), s), "some versions turn bad only later")
 	}
 	late := evidence(good)
 	late.Left = minSwitchLead
 	done := Decide(s, late)
 	assert.Equal(t, done.Phase, PhaseDone)
 	assert.Equal(t, done.Share, 1.0)
-	assert.Equal(t, Decide(done, evidence(Tally{Failures: 100})), done, "an ended move must not change")
+	assert.Assert(t, is.DeepEqual(Decide(done, evidence(Tally{Failures: 100})), done), "an ended move must not change")
 	late.New = Tally{Answers: 5}
-	assert.Equal(t, Decide(s, late), s, "five answers are too few for a decision")
+	assert.Assert(t, is.DeepEqual(Decide(s, late), s), "five answers are too few for a decision")
 	late.New, late.Left = Tally{Answers: 40, FirstMs: 4000}, -time.Second
 	assert.Equal(t, Decide(s, late).Phase, PhaseDone, "a new holder must decide the move after the deadline")
 }
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -37,7 +37,7 @@
 // isOlder reports whether r is older than other. Revisions of one era of the store order
 // states; across a restore, the states themselves do.
 func (r RevisionedState) isOlder(other RevisionedState) bool {
-	if r.Revision.Era() != other.Revision.Era() && r.State != other.State {
+	if r.Revision.Era() != other.Revision.Era() && !r.State.equal(other.State) {
 		return other.State.isAfter(r.State)
 	}
 	return r.Revision < other.Revision
@@ -64,6 +64,8 @@
 
 	mu     sync.Mutex
 	states map[string]followedMove
+	// settled holds the latest states of services whose moves have settled.
+	settled map[string]State
 }
 
 // followedMove is a cached state. receivedAt is when a daemon that reads the store last sent
@@ -104,9 +106,8 @@
 }
 
 // Merge applies the states that a daemon has sent. isCurrent reports whether it reads the
-// store, so that there is no newer state. A state of a service without upstreams of two
-// versions is ignored: daemons forget it at different times, and would otherwise bring it
-// back to each other.
+// store, so that there is no newer state. The state of a settled move is only remembered:
+// daemons forget it at different times, and would otherwise bring it back to each other.
 func (f *Follower) Merge(moves map[string]RevisionedState, isCurrent bool) {
 	var receivedAt time.Time
 	if isCurrent {
@@ -115,21 +116,27 @@
 	counts := f.versionCounts()
 	changed := false
 	for service, state := range moves {
-		if len(counts[service]) >= 2 {
-			changed = f.set(service, state, receivedAt) || changed
+		if len(counts[service]) < 2 {
+			f.remember(service, state.State)
+			continue
 		}
+		changed = f.set(service, state, receivedAt) || changed
 	}
 	if changed && f.OnChange != nil {
 		f.OnChange()
 	}
 }
 
-// Known returns the state of a service's move that this daemon knows, if any.
+// Known returns the state of a service's latest move that this daemon knows, if any, also of
+// one that has settled.
 func (f *Follower) Known(service string) (State, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	move, ok := f.states[service]
-	return move.State, ok
+	if move, ok := f.states[service]; ok {
+		return move.State, true
+	}
+	state, ok := f.settled[service]
+	return state, ok
 }
 
 // IsUnsettled reports whether a service has a running move, or one that ended a short time
@@ -149,12 +156,12 @@
 // leaving.
 func (f *Follower) hasLiveUpstreams(service, version string) bool {
 	return slices.ContainsFunc(f.Upstreams(), func(u membership.Instance) bool {
-		return u.Pool == service && u.Version == version && u.State != membership.StateLeaving
+		return u.Pool == service && u.Version == version && u.IsStaying()
 	})
 }
 
-// reconcile drops the moves of services with a single version and refreshes the
-// others from the store where no other daemon has sent a recent state.
+// reconcile forgets the moves that have settled and refreshes the others from the store
+// where no other daemon has sent a recent state.
 func (f *Follower) reconcile(ctx context.Context) {
 	changed, failed := false, false
 	for service, counts := range f.versionCounts() {
@@ -197,17 +204,37 @@
 	return counts
 }
 
-// forget drops the move of a service and reports whether there was one.
+// forget stops following the move of a service, whose state it remembers, and reports whether
+// there was one.
 func (f *Follower) forget(service string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if _, known := f.states[service]; !known {
+	move, known := f.states[service]
+	if !known {
 		return false
 	}
+	f.rememberLocked(service, move.State)
 	delete(f.states, service)
 	return true
 }
 
+// remember keeps the state of a settled move for the next one.
+func (f *Follower) remember(service string, s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rememberLocked(service, s)
+}
+
+// rememberLocked is remember for callers that hold f.mu.
+func (f *Follower) rememberLocked(service string, s State) {
+	if f.settled == nil {
+		f.settled = map[string]State{}
+	}
+	if previous, known := f.settled[service]; !known || s.isAfter(previous) {
+		f.settled[service] = s
+	}
+}
+
 // hasFreshPeerState reports whether another daemon has sent the state of a
 // service's move within peerStateTTL.
 func (f *Follower) hasFreshPeerState(service string) bool {
@@ -232,11 +259,11 @@
 		receivedAt = previous.receivedAt
 	}
 	changedAt := previous.changedAt
-	if next.State != previous.State {
+	if !next.State.equal(previous.State) {
 		changedAt = f.Now()
 	}
 	f.states[service] = followedMove{RevisionedState: next, receivedAt: receivedAt, changedAt: changedAt}
-	if next.State == previous.State {
+	if next.State.equal(previous.State) {
 		return false
 	}
 	s := next.State
