Treat the same version with another time limit as a new order

Callers would see: operators who order a version again that was rolled back, with another time limit, get the old outcome back at once, and the version no requests; one whose move is running keeps the old limit.

Cause: an order was told from the one before by its target alone.

Change: the target and the time limit identify an order. A status that names the same target counts as the outcome of the order before if the state that the holder knows has another limit.

Test: TestNextOrderKeepsServingVersion, the_refused_one_again.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -121,11 +121,22 @@
 		c.opts.Logger.Warn("cannot read the declared moves; trying again at the next pass", "error", err)
 		return
 	}
+	c.markReordered(declared)
 	c.declared = declared
 	c.recordRunning(declared)
 	c.advanceAll(ctx, true)
 }
 
+// markReordered marks the declared moves as not ended whose version was ordered again with
+// another time limit: the reported outcome is that of the order before.
+func (c *Controller) markReordered(declared []Declaration) {
+	for i, d := range declared {
+		if known, ok := c.known(d.Service); d.Ended && ok && known.To == d.To && !known.isOf(d) {
+			declared[i].Ended = false
+		}
+	}
+}
+
 // advanceAll advances the declared moves that have not ended: those that are tracked and, if
 // isFull is set, the others, which costs calls of the store. It then also requests the
 // tallies of all daemons.
--- a/internal/versionmove/serving.go
+++ b/internal/versionmove/serving.go
@@ -22,8 +22,15 @@
 // isInPlace reports whether the version that was ordered serves already.
 func (s State) isInPlace() bool { return s.From != "" && s.From == s.To }
 
-// isOf reports whether s is the state of a declared move.
-func (s State) isOf(d Declaration) bool { return s.To == d.To }
+// isOf reports whether s is the state of a declared move. The same version with another time
+// limit is a new move.
+func (s State) isOf(d Declaration) bool {
+	if s.To != d.To {
+		return false
+	}
+	within := time.Duration(s.DeadlineMs-s.StartedMs) * time.Millisecond
+	return s.StartedMs == 0 || (within-d.Within).Abs() <= time.Millisecond
+}
 
 // next returns the first state of a declared move that follows s, which is the state of the
 // service's previous move or empty. ok is false if no version is known that the service
--- a/internal/versionmove/serving_test.go
+++ b/internal/versionmove/serving_test.go
@@ -170,6 +170,12 @@
 			f.pass(t, int(within/judgeInterval))
 			assert.Equal(t, f.declarations.reported[len(f.declarations.reported)-1], PhaseDone)
 		},
+		"the refused one again": func(t *testing.T, f *orderFixture) {
+			f.undo(t, "v2")
+			f.order(t, "v2", 2*within)
+			f.assertRouted(t, "v1", "v2")
+			assert.Equal(t, f.follower.States()["s"].Phase, PhaseRunning)
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
