Route by what was refused when the serving version has no upstreams left

Cause: a move counted as settled as soon as a service had upstreams of a single version, whichever it was, and requests of a running move could only go to its two versions.

Change: a move is settled when the only version left is the serving one. If the serving version has had no upstreams for 2.5 s (entries that lapse in an outage of the store are back after about 2 s), the new version of a running move gets all requests, or else the most common version that was not refused.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -275,7 +275,7 @@
 func (d *Daemon) buildVersionMoves() {
 	d.versionLedger = versionmove.NewLedger()
 	d.follower = &versionmove.Follower{Store: d.store, Upstreams: d.knownUpstreams, ReadsStore: func() bool { return d.readerRank() == 0 }, Now: bootclock.Now, Logger: d.logger}
-	d.view = &viewSource{holder: d.holder, moves: d.follower.States}
+	d.view = &viewSource{holder: d.holder, moves: d.follower.RoutedStates}
 	d.follower.OnChange = d.applyMoveChange
 }
 
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	// peerStateTTL is how long a state received from another daemon counts as
 	// current. After that the daemon reads the store itself.
 	peerStateTTL = 2500 * time.Millisecond
+	// unservedTolerance is how long a serving version without upstreams keeps the requests:
+	// after an outage of the store, the entries of its upstreams are back within about 2 s.
+	unservedTolerance = 2500 * time.Millisecond
 	// maxSettleTime is how long after the end of a move the upstreams of the losing version
 	// are expected to leave.
 	maxSettleTime = 15 * time.Second
@@ -66,6 +70,10 @@
 	states map[string]followedMove
 	// settled holds the latest states of services whose moves have settled.
 	settled map[string]State
+	// unservedSince is since when the serving version of a service has no upstreams, and
+	// rerouted the set of services for which unservedTolerance has passed since then.
+	unservedSince map[string]time.Time
+	rerouted      map[string]bool
 }
 
 // followedMove is a cached state. receivedAt is when a daemon that reads the store last sent
@@ -94,6 +102,22 @@
 	return out
 }
 
+// RoutedStates returns the states by which requests are routed, by service. They differ from
+// States if the serving version of a service has had no upstreams for some time.
+func (f *Follower) RoutedStates() map[string]State {
+	counts := f.versionCounts(membership.Instance.IsStaying)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]State, len(f.states))
+	for service, s := range f.states {
+		out[service] = s.State
+		if f.rerouted[service] {
+			out[service] = s.State.routed(counts[service])
+		}
+	}
+	return out
+}
+
 // Snapshot returns the states to send to other daemons, by service.
 func (f *Follower) Snapshot() map[string]RevisionedState {
 	f.mu.Lock()
@@ -113,10 +137,10 @@
 	if isCurrent {
 		receivedAt = f.Now()
 	}
-	counts := f.versionCounts()
+	counts := f.versionCounts(isAny)
 	changed := false
 	for service, state := range moves {
-		if len(counts[service]) < 2 {
+		if isSettled(state.State, counts[service]) {
 			f.remember(service, state.State)
 			continue
 		}
@@ -163,9 +187,9 @@
 // reconcile forgets the moves that have settled and refreshes the others from the store
 // where no other daemon has sent a recent state.
 func (f *Follower) reconcile(ctx context.Context) {
-	changed, failed := false, false
-	for service, counts := range f.versionCounts() {
-		if len(counts) < 2 {
+	changed, failed := f.recordUnserved(), false
+	for service, counts := range f.versionCounts(isAny) {
+		if f.isSettled(service, counts) {
 			changed = f.forget(service) || changed
 			continue
 		}
@@ -192,10 +216,57 @@
 	}
 }
 
-// versionCounts returns the number of known upstreams by service and version.
-func (f *Follower) versionCounts() map[string]map[string]int {
+// recordUnserved records the services whose serving version has no upstreams that stay. It
+// reports whether the set of those that have had none for some time has changed.
+func (f *Follower) recordUnserved() bool {
+	counts := f.versionCounts(membership.Instance.IsStaying)
+	now := f.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	unserved, rerouted := map[string]time.Time{}, map[string]bool{}
+	for service, s := range f.states {
+		if counts[service][s.State.serving()] > 0 {
+			continue
+		}
+		since, known := f.unservedSince[service]
+		if !known {
+			since = now
+		}
+		unserved[service] = since
+		if now.Sub(since) >= unservedTolerance {
+			rerouted[service] = true
+		}
+	}
+	changed := !maps.Equal(rerouted, f.rerouted)
+	f.unservedSince, f.rerouted = unserved, rerouted
+	return changed
+}
+
+// isSettled reports whether the move of a service that this daemon knows has settled. counts
+// is the number of its upstreams by version.
+func (f *Follower) isSettled(service string, counts map[string]int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return isSettled(f.states[service].State, counts)
+}
+
+// isSettled reports whether the traffic of a service needs no state of a move: it has
+// upstreams of a single version, and that is the serving one if a move is known.
+func isSettled(s State, counts map[string]int) bool {
+	return len(counts) == 0 || len(counts) == 1 && (s.To == "" || counts[s.serving()] > 0)
+}
+
+// isAny includes all upstreams.
+func isAny(membership.Instance) bool { return true }
+
+// versionCounts returns the number of known upstreams by service and version, of those that
+// are included.
+func (f *Follower) versionCounts(isIncluded func(membership.Instance) bool) map[string]map[string]int {
 	counts := map[string]map[string]int{}
 	for _, u := range f.Upstreams() {
+		if !isIncluded(u) {
+			continue
+		}
 		if counts[u.Pool] == nil {
 			counts[u.Pool] = map[string]int{}
 		}
--- a/internal/versionmove/serving.go
+++ b/internal/versionmove/serving.go
@@ -99,3 +99,21 @@
 	}
 	return counts
 }
+
+// routed returns the state by which requests are routed when the serving version has no
+// upstreams left: the new version of a running move then gets all requests, or else the
+// version that most upstreams have and that was not refused. staying holds the number of
+// upstreams that are not leaving by version.
+func (s State) routed(staying map[string]int) State {
+	if staying[s.serving()] > 0 {
+		return s
+	}
+	if s.Phase == PhaseRunning && staying[s.To] > 0 {
+		s.Share = 1
+		return s
+	}
+	if substitute := mostCommon(staying, s.refusedAfter("")); substitute != "" {
+		s.From = substitute
+	}
+	return s
+}
--- a/internal/versionmove/serving_test.go
+++ b/internal/versionmove/serving_test.go
@@ -61,6 +61,32 @@
 	}
 }
 
+// Guards against refused requests while upstreams of a version that was not refused stand
+// idle, and against a refused version that gets requests because no other is left.
+func TestRoutingWithoutServingVersion(t *testing.T) {
+	running := State{From: "v1", To: "v3", Phase: PhaseRunning, Share: 0.04, Refused: []string{"v2"}}
+	undone := State{From: "v1", To: "v3", Phase: PhaseUndone, Refused: []string{"v2"}}
+	done := State{From: "v1", To: "v3", Phase: PhaseDone, Share: 1, Refused: []string{"v2"}}
+	for name, c := range map[string]struct {
+		state  State
+		counts map[string]int
+		from   string
+		share  float64
+	}{
+		"it is there":                      {running, map[string]int{"v1": 1, "v3": 9}, "v1", 0.04},
+		"the new one takes over":           {running, map[string]int{"v2": 9, "v3": 2}, "v1", 1},
+		"the new one has not started":      {running, map[string]int{"v2": 9, "v0": 1}, "v0", 0.04},
+		"all others were refused":          {undone, map[string]int{"v2": 9, "v3": 2}, "v1", 0},
+		"one was not refused":              {undone, map[string]int{"v2": 9, "v3": 2, "v0": 1}, "v0", 0},
+		"the accepted one has vanished":    {done, map[string]int{"v1": 1, "v2": 3}, "v1", 1},
+		"accepted, a third was not judged": {done, map[string]int{"v2": 3, "v4": 1}, "v4", 1},
+	} {
+		s := c.state.routed(c.counts)
+		assert.Equal(t, s.From, c.from, name)
+		assert.Equal(t, s.Share, c.share, name)
+	}
+}
+
 // orderFixture is a holder whose orders and upstreams tests change.
 type orderFixture struct {
 	store        *objecttest.Store
@@ -117,7 +143,7 @@
 // assertRouted checks which versions the requests go to.
 func (f *orderFixture) assertRouted(t *testing.T, from, to string) {
 	t.Helper()
-	s := f.follower.States()["s"]
+	s := f.follower.RoutedStates()["s"]
 	assert.Equal(t, s.From, from)
 	assert.Equal(t, s.To, to)
 	assert.Assert(t, s.Share < testShare, "share %g", s.Share)
@@ -164,7 +190,7 @@
 		"the serving version again": func(t *testing.T, f *orderFixture) {
 			f.undo(t, "v2")
 			f.order(t, "v1", within)
-			s := f.follower.States()["s"]
+			s := f.follower.RoutedStates()["s"]
 			assert.Equal(t, s.From, "v1")
 			assert.Equal(t, s.To, "v1")
 			f.pass(t, int(within/judgeInterval))
@@ -174,7 +200,7 @@
 			f.undo(t, "v2")
 			f.order(t, "v2", 2*within)
 			f.assertRouted(t, "v1", "v2")
-			assert.Equal(t, f.follower.States()["s"].Phase, PhaseRunning)
+			assert.Equal(t, f.follower.RoutedStates()["s"].Phase, PhaseRunning)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -187,3 +213,22 @@
 		})
 	}
 }
+
+// Guards against a refused version that gets all requests as soon as the serving one has no
+// upstreams left, and against one that is kept away after the serving one is back.
+func TestRefusedVersionStaysAwayAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newOrderFixture()
+		f.order(t, "v2", 12*time.Second)
+		f.undo(t, "v2")
+		delete(f.counts, "v1")
+		f.pass(t, 20)
+		f.assertRouted(t, "v1", "v2")
+		f.counts["v0"] = 1
+		f.pass(t, 20)
+		f.assertRouted(t, "v0", "v2")
+		f.counts["v1"] = 4
+		f.pass(t, 2)
+		f.assertRouted(t, "v1", "v2")
+	})
+}
