Bound what a daemon holds of answers that are not passed on

Other operators reported: a faulty runner sent bytes without end that were no answer; the machine that had called it ran out of memory, and other clients' requests ended with it.

Cause: each stream kept up to 1 MiB of an incomplete event with no bound over all of them, and eventSplitter searched an event from its first byte at each read, at a cost that grows with its square.

Change: the splitter searches each byte once; an event has 64 KiB at most, as on the own interface; answerBudget bounds the bytes that are held of answers, in all and of each upstream; such an attempt is an error of the upstream, not its loss. Plain answers are buffered for a retry as far as the budget allows.

Tests: TestEndlessEventsAreCutOff, TestEventSplitterSearchesBytesOnce, TestAnswerBudget. Before: lines: endless_answer_test.go:86: status 504, 0 bytes one_line: endless_answer_test.go:90: 1049000 bytes were read

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -102,6 +102,8 @@
 type fixture struct {
 	t        *testing.T
 	address  string
+	server   *gateway.Server
+	pools    *upstreamconn.Pools
 	runners  []*runner.Runner
 	chooser  *chooser
 	quota    *unlimitedQuota
@@ -147,13 +149,14 @@
 		})
 	}
 	f.quarantine, f.requests = newQuarantine(quarantine.PromptParts), newQuarantine(quarantine.WholeRequests)
-	pools := &upstreamconn.Pools{}
-	t.Cleanup(pools.Close)
-	s := httptest.NewServer(gateway.New(gateway.Options{
-		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, PromptQuarantine: f.quarantine, RequestQuarantine: f.requests,
+	f.pools = &upstreamconn.Pools{}
+	t.Cleanup(f.pools.Close)
+	f.server = gateway.New(gateway.Options{
+		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: f.pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, PromptQuarantine: f.quarantine, RequestQuarantine: f.requests,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow,
-	}))
+	})
+	s := httptest.NewServer(f.server)
 	t.Cleanup(s.Close)
 	f.address = s.Listener.Addr().String()
 	return f
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -15,18 +15,23 @@
 
 // maxBufferedBytes is the size up to which a response is buffered before any of it
 // is relayed, so that a truncated response can still be replaced by a retry.
-const maxBufferedBytes = 64 << 10
+// The buffer starts with initialBufferBytes.
+const (
+	maxBufferedBytes   = 64 << 10
+	initialBufferBytes = 2 << 10
+)
 
 // relayResponse relays a response that is not a stream of events.
 func (a *upstreamAttempt) relayResponse(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
 	x := a.exchange
 	a.firstEvent = time.Since(a.sentAt)
 	x.recordUsage()
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	held := heldBytes{budget: &x.server.answers, upstream: a.choice.Upstream.Name}
+	defer held.release()
+	buffered, complete, err := readBeginning(response.Body, &held)
 	if err != nil {
 		return a.handleTruncated(ctx, err)
 	}
-	complete := len(buffered) < maxBufferedBytes
 	if complete {
 		a.reportComplete(response)
 	}
@@ -37,9 +42,33 @@
 	if complete {
 		return attemptOutcome{isFinal: true}
 	}
+	held.release()
 	return a.relayRemainder(ctx, response)
 }
 
+// readBeginning reads a body up to maxBufferedBytes, or as far as the budget of held allows,
+// and reports whether that is all of it.
+func readBeginning(body io.Reader, held *heldBytes) (beginning []byte, complete bool, err error) {
+	beginning = make([]byte, 0, initialBufferBytes)
+	for {
+		if len(beginning) == cap(beginning) {
+			next := 2 * cap(beginning)
+			if next > maxBufferedBytes || !held.set(next) {
+				return beginning, false, nil
+			}
+			beginning = append(make([]byte, 0, next), beginning...)
+		}
+		n, err := body.Read(beginning[len(beginning):cap(beginning)])
+		beginning = beginning[:len(beginning)+n]
+		if errors.Is(err, io.EOF) {
+			return beginning, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
 // relayRemainder relays what follows the buffered beginning of a large response.
 func (a *upstreamAttempt) relayRemainder(ctx context.Context, response *upstreamconn.Response) attemptOutcome {
 	x := a.exchange
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -23,13 +23,18 @@
 	x := a.exchange
 	splitter := &eventSplitter{lastID: x.lastEventID}
 	control := http.NewResponseController(x.writer)
+	held := heldBytes{budget: &x.server.answers, upstream: a.choice.Upstream.Name}
+	defer held.release()
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := response.Body.Read(buf)
 		if n > 0 {
 			ready, tooLarge := splitter.add(buf[:n])
 			if tooLarge {
-				return a.handleTruncated(ctx, errors.New("event exceeds the limit of 1 MiB"))
+				return a.handleInvalidResponse(ctx, "event exceeds the limit of 64 KiB")
+			}
+			if !held.set(splitter.heldBytes()) {
+				return a.handleInvalidResponse(ctx, "too many bytes of incomplete events are held")
 			}
 			if len(ready) > 0 {
 				if a.events == 0 && repeatsEvents(ready, x.lastEventID) {
@@ -59,7 +64,7 @@
 	if last == "" {
 		return false
 	}
-	id, ok := eventID(events[:eventSize(events)])
+	id, ok := eventID(events)
 	if !ok {
 		return false
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -33,6 +33,7 @@
 	drain       atomic.Pointer[Drain]
 	running     context.Context
 	endRequests context.CancelFunc
+	answers     answerBudget
 
 	scope        tally.Scope
 	duration     tally.Histogram
