Count only the serving version's upstreams as capacity during a move

Callers would see: while a new version stands beside the one that serves, more requests are admitted than the serving upstreams take.

Cause: admission was told the number of usable upstreams of all versions.

Change: during a move the upstreams of the version that gets most requests count.

Test: TestCapacityIsOfServingVersion. Before: dispatcher_test.go:362: 48 != 24: share 0

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -107,9 +107,19 @@
 }
 
 // reportUpstreams updates admission with the number of usable upstreams of the
-// pool and the load that they report.
+// pool and the load that they report. During a version move, only those of the version
+// that gets most requests count: the others stand there, but take few.
 func (d *Dispatcher) reportUpstreams(pool string) {
 	upstreams := d.opts.Table.Upstreams(pool)
+	if m := d.opts.Config.Snapshot().RunningMove(pool); m != nil {
+		version := m.Spec.From
+		if d.opts.Moves.Share(m) > 0.5 {
+			version = m.Spec.To
+		}
+		if serving := filterByVersion(upstreams, version); len(serving) > 0 {
+			upstreams = serving
+		}
+	}
 	running, waiting := membership.SumLoad(upstreams)
 	d.opts.Admission.SetUpstreams(pool, len(upstreams), running, waiting)
 }
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -344,3 +344,23 @@
 	_, err := f.Choose(t.Context(), f.request("last", 1))
 	assert.NilError(t, err)
 }
+
+// Guards against a limit that counts upstreams of a version that gets few requests as
+// capacity, so that too many requests are sent to the others.
+func TestCapacityIsOfServingVersion(t *testing.T) {
+	limit := func(share float64, without string) int {
+		f := newFixture(t, share)
+		if without != "" {
+			f.table.remove(without)
+		}
+		f.reportUpstreams("p")
+		_, limit, _ := f.opts.Admission.Limit("p")
+		return limit
+	}
+	all := limit(-1, "")
+	for _, share := range []float64{0, 0.05, 1} {
+		assert.Equal(t, limit(share, ""), all/2, "share %g", share)
+	}
+	assert.Equal(t, limit(0.05, "u1"), all/2, "an upstream of the new version")
+	assert.Assert(t, limit(0.05, "u0") < all/2, "one of the serving version")
+}
