Sample and judge each route of a new version by itself

With the share planned until the limit it got no more than the bound, but was still accepted.

Cause: results were counted over all routes, where 0.6 of a twentieth of the requests is 3%; and the share followed the traffic, so that such a route gave some 0.4 requests a second to judge by.

Change: daemons tally by route. Half of the new version's share is divided evenly among the routes (0.25 of a route's requests at most), together no more than the share. Each route's results are judged like the recent ones, by failures that are unlikely to be chance. Only tallies of services with a move are sent.

Tests: TestVersionThatIsBadOnOneRoute, TestRouteShares, TestRouteShareIsEnforced (new fields and functions, so that they do not compile before).

--- a/internal/configsync/move.go
+++ b/internal/configsync/move.go
@@ -12,6 +12,9 @@
 	Spec    *api.VersionMove
 	// Status is nil until a controller has written it for the first time.
 	Status *api.MoveStatus
+	// RouteShares holds the shares of routes that differ from the share in Status while the
+	// move is running, by the name of the route.
+	RouteShares map[string]float64
 }
 
 // Ended reports whether the move is done or undone.
--- a/internal/dispatch/dispatcher_test.go
+++ b/internal/dispatch/dispatcher_test.go
@@ -364,3 +364,27 @@
 	assert.Equal(t, limit(0.05, "u1"), all/2, "an upstream of the new version")
 	assert.Assert(t, limit(0.05, "u0") < all/2, "one of the serving version")
 }
+
+// Guards against a share of a route that is not enforced, and against one that still is after
+// the new version may get nothing.
+func TestRouteShareIsEnforced(t *testing.T) {
+	m := &configsync.Move{
+		Name: "m", Spec: &api.VersionMove{Pool: "p", From: "v1", To: "v2"}, Status: &api.MoveStatus{Phase: api.MoveRunning, Share: 0.05},
+		RouteShares: map[string]float64{"rare": 0.25},
+	}
+	view := &configsync.View{Moves: map[string]*configsync.Move{"m": m}}
+	share := func(route string) float64 {
+		count := 0
+		for i := range 4000 {
+			p := versionPreferenceFor(view, storedShare{}, &Request{ID: fmt.Sprint("r", i), Pool: "p", Route: route})
+			if p.preferred == "v2" {
+				count++
+			}
+		}
+		return float64(count) / 4000
+	}
+	assert.Assert(t, share("rare") > 0.22 && share("rare") < 0.28)
+	assert.Assert(t, share("other") > 0.03 && share("other") < 0.07)
+	m.Status.Share = 0
+	assert.Equal(t, share("rare"), 0.0)
+}
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -95,7 +95,7 @@
 	}
 	d.started.Inc(1)
 	if d.opts.Starts != nil {
-		d.opts.Starts.ObserveStart(r.Pool, a.upstream.Version)
+		d.opts.Starts.ObserveStart(r.Pool, a.upstream.Version, r.Route)
 	}
 	d.attempts.recordStart(r, a.upstream.Name)
 	d.opts.Admission.RecordUpstream(r.ID, a.upstream.Name, a.upstream.Version)
--- a/internal/dispatch/start_observer.go
+++ b/internal/dispatch/start_observer.go
@@ -1,7 +1,8 @@
 package dispatch
 
-// StartObserver is called with the pool and the version of the upstream of every attempt
-// that is started. ObserveStart must be safe for concurrent use and must not block.
+// StartObserver is called for every attempt that is started, with the pool and the version of
+// its upstream and the route of its request. ObserveStart must be safe for concurrent use and
+// must not block.
 type StartObserver interface {
-	ObserveStart(pool, version string)
+	ObserveStart(pool, version, route string)
 }
--- a/internal/dispatch/version.go
+++ b/internal/dispatch/version.go
@@ -51,6 +51,9 @@
 	}
 	share := moves.Share(m)
 	preference := versionPreference{preferred: m.Spec.From, move: m, newVersionAllowed: share > 0}
+	if routeShare, ok := m.RouteShares[r.Route]; ok && preference.newVersionAllowed {
+		share = routeShare
+	}
 	if InShare(m.Name, r.ID, share) {
 		preference.preferred, preference.fallback = m.Spec.To, m.Spec.From
 	} else if share >= 1 {
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -178,8 +178,9 @@
 
 // addCounts adds the counts that the holder of the duties needs from each daemon.
 func (d *Daemon) addCounts(r *peering.Report) {
-	if len(d.follower.States()) > 0 {
-		r.VersionTallies = d.encodePart("versions", d.versionRecorder.Tallies())
+	if moves := d.follower.States(); len(moves) > 0 {
+		isMoving := func(service string) bool { _, ok := moves[service]; return ok }
+		r.VersionTallies = d.encodePart("versions", d.versionRecorder.Tallies(isMoving))
 	}
 	if d.settings.Cloud.OrdersRunners {
 		r.LatencyHistograms = d.encodePart("lateness", d.latencies.histograms())
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -192,7 +192,7 @@
 	d.conns.Sweep(func(address string) bool { return addresses[address] })
 	d.namedLimits.Tick(func(upstream string) bool { return names[upstream] })
 	self := peering.Report{Name: d.settings.Name, Process: d.process}
-	d.versionLedger.Set(self.ProcessName(), d.versionRecorder.Tallies())
+	d.versionLedger.Set(self.ProcessName(), d.versionRecorder.Tallies(nil))
 	d.ledger.Merge(self.ProcessName(), d.counter.Windows(usageWindowsSent))
 }
 
--- a/internal/fleetdaemon/view.go
+++ b/internal/fleetdaemon/view.go
@@ -52,7 +52,7 @@
 	return &configsync.Move{
 		Name:   s.Service + "/" + s.To,
 		Spec:   &api.VersionMove{Pool: s.Service, From: s.From, To: s.To},
-		Status: &api.MoveStatus{Phase: api.MoveRunning, Share: s.Share},
+		Status: &api.MoveStatus{Phase: api.MoveRunning, Share: s.Share}, RouteShares: s.RouteShares,
 	}
 }
 
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -198,10 +198,8 @@
 // decide decides the next state of a move and writes it if it has changed.
 func (c *Controller) decide(ctx context.Context, m *trackedMove) error {
 	d, now := m.declaration, c.opts.Now()
-	oldTotal, newTotal := c.opts.Ledger.Total(d.Service, m.state.From), c.opts.Ledger.Total(d.Service, d.To)
-	evidence := c.evidence(m, now)
-	evidence.Old, evidence.New = oldTotal.since(m.oldBaseline), newTotal.since(m.newBaseline)
-	evidence.RecentOld, evidence.RecentNew = m.recent.update(now, evidence.Old, evidence.New)
+	sums := c.sums(m.state)
+	evidence := c.evidence(m, sums, now)
 	next, plan := decide(m.state, evidence)
 	m.switchAt = time.UnixMilli(m.state.DeadlineMs).Add(-plan.switchLead)
 	if next.equal(m.state) {
@@ -214,18 +212,30 @@
 	c.opts.Logger.Info("version move changed state", "service", d.Service, "from", next.From, "to", next.To, "phase", next.Phase,
 		"share", next.Share, "reason", next.Reason, "leftMs", evidence.Left.Milliseconds(), "switchLeadMs", plan.switchLead.Milliseconds(),
 		"attempts", evidence.Traffic.Total, "newAttempts", evidence.Traffic.New, "perSecond", evidence.Traffic.PerSecond,
-		"oldAnswers", oldTotal.Answers, "oldFailures", oldTotal.Failures, "newAnswers", newTotal.Answers, "newFailures", newTotal.Failures,
-		"oldFirstMs", oldTotal.meanFirstMs(), "newFirstMs", newTotal.meanFirstMs(), "oldGapMs", oldTotal.typicalGapMs(), "newGapMs", newTotal.typicalGapMs())
+		"oldAnswers", evidence.Old.Answers, "oldFailures", evidence.Old.Failures, "newAnswers", evidence.New.Answers, "newFailures", evidence.New.Failures,
+		"oldFirstMs", evidence.Old.meanFirstMs(), "newFirstMs", evidence.New.meanFirstMs(), "oldGapMs", evidence.Old.typicalGapMs(), "newGapMs", evidence.New.typicalGapMs(),
+		"routeShares", next.RouteShares)
 	if isFirstShare {
-		m.oldBaseline, m.newBaseline, m.recent = oldTotal, newTotal, recentTallies{}
+		m.results.reset(sums)
 	}
 	return nil
 }
 
-// evidence returns the evidence about a move except for the results of the versions.
-func (c *Controller) evidence(m *trackedMove, now time.Time) Evidence {
+// sums returns the sums of the tallies of both versions of a move.
+func (c *Controller) sums(s State) moveSums {
+	l := c.opts.Ledger
+	return moveSums{
+		old: l.Total(s.Service, s.From), new: l.Total(s.Service, s.To),
+		oldByRoute: l.Routes(s.Service, s.From), newByRoute: l.Routes(s.Service, s.To),
+	}
+}
+
+// evidence returns the evidence about a move.
+func (c *Controller) evidence(m *trackedMove, sums moveSums, now time.Time) Evidence {
 	ready := liveVersions(c.opts.Upstreams(), m.state.Service)[m.state.To] > 0
 	e := Evidence{Within: m.declaration.Within, Left: time.UnixMilli(m.state.DeadlineMs).Sub(now), Ready: ready}
+	e.Results, e.Routes = m.results.update(now, sums)
+	e.StartedByRoute = sums.startedByRoute()
 	isComplete := c.opts.Processes != nil && c.opts.Ledger.HasAll(c.opts.Processes())
 	e.Traffic = m.traffic.update(now, c.opts.Ledger.Processes(), isComplete)
 	if c.opts.Limits != nil {
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -23,10 +23,10 @@
 	// version.
 	minFailures = 6
 	// chanceExcess is the difference between the failure shares that may be chance, and
-	// maxChance the largest probability at which recent failures count as chance.
+	// maxChance the largest probability at which recent failures, or those on a route, count as chance.
 	chanceExcess = 0.02
 	maxChance    = 1e-4
-	// The new version is too slow if its mean (of recent answers: typical) time to the first answer exceeds
+	// The new version is too slow if its mean (of recent answers and those on a route: typical) time to the first answer exceeds
 	// both minSlowMs milliseconds and slowFactor times that of the old version, or its
 	// typical time between two events exceeds slowFactor times that of the old version.
 	slowFactor = 2.5
@@ -47,8 +47,10 @@
 	Phase   Phase  `json:"phase"`
 	// DeadlineMs is the deadline in Unix milliseconds of the true time.
 	DeadlineMs int64 `json:"byMs"`
-	// Share is the new version's share of the traffic, from 0 to 1.
-	Share float64 `json:"share"`
+	// Share is the new version's share of the traffic, from 0 to 1. While the move is running,
+	// RouteShares names the shares of routes that differ from it, which are Share together.
+	Share       float64            `json:"share"`
+	RouteShares map[string]float64 `json:"routeShares,omitempty"`
 	// Refused names versions whose moves were undone and that were not ordered again.
 	Refused []string `json:"refused,omitempty"`
 	// Reason describes why the move ended.
@@ -77,13 +79,11 @@
 
 // Evidence is the input to the decision about a move.
 type Evidence struct {
-	// Old and New are the results of both versions since the new one got a share, or
-	// since the counting processes started if another holder began the move.
-	Old Tally
-	New Tally
-	// RecentOld and RecentNew are the recent part of them.
-	RecentOld Tally
-	RecentNew Tally
+	// Results are those of all requests, and Routes those of each route.
+	Results
+	Routes map[string]Results
+	// StartedByRoute counts the attempts at both versions by route.
+	StartedByRoute map[string]int64
 	// Traffic counts the attempts at both versions, and Limits bounds those at the new one.
 	Traffic Traffic
 	Limits  ExposureLimits
@@ -121,6 +121,7 @@
 		s = s.end(PhaseUndone, 0, "deadline before the new version was seen to work")
 	case e.Ready && e.Left > plan.switchLead && plan.replaces(s.Share):
 		s.Share = roundShare(plan.share)
+		s.RouteShares = routeShares(s.Share, e.StartedByRoute)
 	}
 	return s, plan
 }
@@ -135,14 +136,22 @@
 
 // end returns the state of a move that ended.
 func (s State) end(phase Phase, share float64, reason string) State {
-	s.Phase, s.Share, s.Reason = phase, share, reason
+	s.Phase, s.Share, s.RouteShares, s.Reason = phase, share, nil, reason
 	return s
 }
 
 // isWorse reports whether the new version fails more often or answers more slowly than
-// tolerated, in all or recently.
+// tolerated, in all or recently, or on a route.
 func (e Evidence) isWorse() bool {
-	return isWorse(e.Old, e.New) || isWorseRecently(e.RecentOld, e.RecentNew)
+	if isWorse(e.Old, e.New) || isSurelyWorse(e.RecentOld, e.RecentNew) {
+		return true
+	}
+	for _, r := range e.Routes {
+		if isSurelyWorse(r.Old, r.New) || isSurelyWorse(r.RecentOld, r.RecentNew) {
+			return true
+		}
+	}
+	return false
 }
 
 // isWorse reports whether the results of the new version are worse than tolerated.
@@ -153,9 +162,9 @@
 	return isSlower(newTally, oldTally, newTally.meanFirstMs(), oldTally.meanFirstMs())
 }
 
-// isWorseRecently is isWorse for recent results. These are judged again and again, so that a
-// few failures or slow answers must not decide.
-func isWorseRecently(oldTally, newTally Tally) bool {
+// isSurelyWorse is isWorse for results of which there are many, recent ones and those of
+// routes, so that a few failures or slow answers must not decide.
+func isSurelyWorse(oldTally, newTally Tally) bool {
 	if failsMore(oldTally, newTally) && newTally.isUnlikely(oldTally.failureShare()+chanceExcess) || hasSlowerGaps(oldTally, newTally) {
 		return true
 	}
--- a/internal/versionmove/decide_test.go
+++ b/internal/versionmove/decide_test.go
@@ -16,8 +16,8 @@
 // mean time to the first answer is 80 ms.
 func evidence(newTally Tally) Evidence {
 	return Evidence{
-		Old: Tally{Answers: 1000, Failures: 70, FirstMs: 80_000}, New: newTally,
-		Limits: ExposureLimits{Share: testShare, Slack: testSlack}, Within: 14 * time.Second, Left: 5 * time.Second, Ready: true,
+		Results: Results{Old: Tally{Answers: 1000, Failures: 70, FirstMs: 80_000}, New: newTally},
+		Limits:  ExposureLimits{Share: testShare, Slack: testSlack}, Within: 14 * time.Second, Left: 5 * time.Second, Ready: true,
 	}
 }
 
@@ -80,7 +80,7 @@
 			BetweenTokens: time.Duration(gap * float64(time.Millisecond)),
 		})
 	}
-	return r.Tallies()[Key("s", "v")]
+	return r.Tallies(nil)[Key("s", "v")]
 }
 
 // Guards against a version whose events are several times slower and that is found late,
@@ -127,3 +127,22 @@
 		assert.Equal(t, Decide(State{Phase: PhaseRunning, Share: 0.044}, e).Phase, c.want, name)
 	}
 }
+
+// Guards against a version that is bad on one route only and is accepted, as few requests use
+// that route, and against a sound one that is taken back for a few failures on one route.
+func TestVersionThatIsBadOnOneRoute(t *testing.T) {
+	sound := Tally{Answers: 300, Failures: 2, FirstMs: 300 * 80, FirstLogSum: 300 * math.Log(80)}
+	for name, c := range map[string]struct {
+		onRoute Tally
+		want    Phase
+	}{
+		"most fail":     {Tally{Answers: 4, Failures: 7, FirstMs: 4 * 80, FirstLogSum: 4 * math.Log(80)}, PhaseUndone},
+		"some fail":     {Tally{Answers: 40, Failures: 6, FirstMs: 40 * 80, FirstLogSum: 40 * math.Log(80)}, PhaseRunning},
+		"all are slow":  {Tally{Answers: 30, FirstMs: 30 * 400, FirstLogSum: 30 * math.Log(400)}, PhaseUndone},
+		"one very slow": {Tally{Answers: 30, FirstMs: 29*80 + 9000, FirstLogSum: 29*math.Log(80) + math.Log(9000)}, PhaseRunning},
+	} {
+		e := evidence(sound)
+		e.Routes = map[string]Results{"main": {Old: sound, New: sound}, "rare": {Old: sound, New: c.onRoute}}
+		assert.Equal(t, Decide(State{Phase: PhaseRunning, Share: 0.044}, e).Phase, c.want, name)
+	}
+}
--- a/internal/versionmove/exposure_test.go
+++ b/internal/versionmove/exposure_test.go
@@ -143,3 +143,21 @@
 		assert.Assert(t, plan.switchLead >= minSwitchLead && plan.switchLead <= c.maxLead, "%s: lead %s", name, plan.switchLead)
 	}
 }
+
+// Guards against routes that get no sample of their own, and against shares of routes that are
+// more than the planned share together.
+func TestRouteShares(t *testing.T) {
+	const share = 0.044
+	started := map[string]int64{"commit": 720, "lookup": 230, "pots": 50, "unused": 0}
+	shares := routeShares(share, started)
+	assert.Assert(t, shares["pots"] > 3*share && shares["pots"] <= maxRouteShare, "%v", shares)
+	assert.Assert(t, shares["commit"] > share/2, "%v", shares)
+	sum := 0.0
+	for route, s := range shares {
+		sum += s * float64(started[route]) / 1000
+	}
+	assert.Assert(t, sum <= share*1.001, "%g", sum)
+	assert.Equal(t, len(shares), 3)
+	assert.Equal(t, len(routeShares(share, map[string]int64{"only": 5})), 0)
+	assert.Equal(t, routeShares(share, map[string]int64{"a": 1000, "b": 1})["b"], maxRouteShare)
+}
--- a/internal/versionmove/ledger.go
+++ b/internal/versionmove/ledger.go
@@ -45,6 +45,21 @@
 	return true
 }
 
+// Routes returns the sums of a version's tallies over all processes by route.
+func (l *Ledger) Routes(service, version string) map[string]Tally {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sums := map[string]Tally{}
+	for _, tallies := range l.processes {
+		for key, t := range tallies {
+			if route, ok := routeOf(service, version, key); ok {
+				sums[route] = sums[route].add(t)
+			}
+		}
+	}
+	return sums
+}
+
 // Total returns the sum of a version's tallies over all processes.
 func (l *Ledger) Total(service, version string) Tally {
 	l.mu.Lock()
--- a/internal/versionmove/tally.go
+++ b/internal/versionmove/tally.go
@@ -2,11 +2,7 @@
 
 import (
 	"math"
-	"strings"
-	"sync"
 	"time"
-
-	"rattantide/internal/dispatch"
 )
 
 // minLogMs bounds the time from below whose logarithm is summed, in milliseconds.
@@ -103,61 +99,3 @@
 func logMs(d time.Duration) float64 {
 	return math.Log(max(minLogMs, float64(d)/float64(time.Millisecond)))
 }
-
-// Key returns the map key of a version of a service.
-func Key(service, version string) string { return service + "/" + version }
-
-// isKeyOf reports whether key is the key of a version of a service.
-func isKeyOf(service, key string) bool { return strings.HasPrefix(key, Key(service, "")) }
-
-// Recorder counts the attempts of this daemon. It implements dispatch.Observer and
-// dispatch.StartObserver and is safe for concurrent use.
-type Recorder struct {
-	mu      sync.Mutex
-	tallies map[string]Tally
-}
-
-// Observe implements dispatch.Observer.
-func (r *Recorder) Observe(o dispatch.Observation) {
-	var t Tally
-	switch o.Outcome {
-	case dispatch.StatusOK:
-		first := o.FirstToken
-		if first == 0 {
-			first = o.Total
-		}
-		t = Tally{Answers: 1, FirstMs: first.Milliseconds(), FirstLogSum: logMs(first)}
-		if o.BetweenTokens > 0 {
-			t.Gaps, t.GapLogSum = 1, logMs(o.BetweenTokens)
-		}
-	case dispatch.StatusError, dispatch.StatusCrash, dispatch.StatusTimeout:
-		t = Tally{Failures: 1}
-	default:
-		return
-	}
-	r.add(Key(o.Pool, o.Version), t)
-}
-
-// ObserveStart implements dispatch.StartObserver.
-func (r *Recorder) ObserveStart(pool, version string) { r.add(Key(pool, version), Tally{Started: 1}) }
-
-// add adds t to a tally.
-func (r *Recorder) add(key string, t Tally) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.tallies == nil {
-		r.tallies = map[string]Tally{}
-	}
-	r.tallies[key] = r.tallies[key].add(t)
-}
-
-// Tallies returns a copy of all tallies by Key.
-func (r *Recorder) Tallies() map[string]Tally {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make(map[string]Tally, len(r.tallies))
-	for key, t := range r.tallies {
-		out[key] = t
-	}
-	return out
-}
--- a/internal/versionmove/tracked_move.go
+++ b/internal/versionmove/tracked_move.go
@@ -19,11 +19,10 @@
 	reportedPhase Phase
 	// declaration is what was read last.
 	declaration Declaration
-	// oldBaseline and newBaseline are the tallies of both versions when this holder created
-	// the move or first gave the new version a share.
-	oldBaseline, newBaseline Tally
-	recent                   recentTallies
-	traffic                  *trafficCounter
+	// results counts from when this holder created the move or first gave the new version a
+	// share.
+	results moveResults
+	traffic *trafficCounter
 	// switchAt is when the new version is planned to get all traffic.
 	switchAt time.Time
 }
@@ -56,7 +55,7 @@
 	if err := c.write(ctx, m, first); err != nil {
 		return nil, err
 	}
-	m.oldBaseline, m.newBaseline = c.opts.Ledger.Total(d.Service, first.From), c.opts.Ledger.Total(d.Service, d.To)
+	m.results.reset(c.sums(first))
 	m.traffic = newTrafficCounter(d.Service, d.To, c.opts.Ledger.Processes())
 	c.moves[d.Service] = m
 	return m, nil
