Accept a sound version of a service with few requests

Callers would see: operators cannot move a service with few requests.

Change: 12 answers are enough if no more of them fail than tolerated.

Test: TestFewAnswers; before, sound: running != done.

--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -32,8 +32,10 @@
 	slowFactor = 2.5
 	minSlowMs  = 60.0
 	// minAnswers is the minimum number of answers of a version for its latency
-	// to be judged, and of the new version for it to be accepted at the deadline.
+	// to be judged, and of the new version for it to be accepted at the deadline. It is
+	// accepted with fewAnswers if no more of them fail than tolerated.
 	minAnswers = 30
+	fewAnswers = 12
 	// minGapAnswers is the same for the times between events. They hardly depend on the
 	// prompt, so that fewer answers tell.
 	minGapAnswers = 15
@@ -115,7 +117,7 @@
 		s = s.end(PhaseDone, 1, "the version serves already")
 	case e.isWorse():
 		s = s.end(PhaseUndone, 0, "the new version fails more or answers slower")
-	case e.Left <= plan.switchLead && e.New.Answers >= minAnswers:
+	case e.Left <= plan.switchLead && e.isSeenToWork():
 		s = s.end(PhaseDone, 1, "deadline, with no evidence against the new version")
 	case e.Left <= 0:
 		s = s.end(PhaseUndone, 0, "deadline before the new version was seen to work")
@@ -154,6 +156,15 @@
 	return false
 }
 
+// isSeenToWork reports whether the new version gave enough answers to be accepted if nothing
+// speaks against it.
+func (e Evidence) isSeenToWork() bool {
+	if e.New.Answers >= minAnswers {
+		return true
+	}
+	return e.New.Answers >= fewAnswers && e.New.failureShare() <= e.Old.failureShare()+maxFailureExcess
+}
+
 // isWorse reports whether the results of the new version are worse than tolerated.
 func isWorse(oldTally, newTally Tally) bool {
 	if failsMore(oldTally, newTally) || hasSlowerGaps(oldTally, newTally) {
--- a/internal/versionmove/decide_test.go
+++ b/internal/versionmove/decide_test.go
@@ -146,3 +146,20 @@
 		assert.Equal(t, Decide(State{Phase: PhaseRunning, Share: 0.044}, e).Phase, c.want, name)
 	}
 }
+
+// Guards against a version of a service with few requests that can never be accepted, and
+// against one that is accepted although many of its few answers fail.
+func TestFewAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		tally Tally
+		want  Phase
+	}{
+		"sound":     {Tally{Answers: fewAnswers, FirstMs: fewAnswers * 80}, PhaseDone},
+		"some fail": {Tally{Answers: fewAnswers, Failures: 5, FirstMs: fewAnswers * 80}, PhaseRunning},
+		"too few":   {Tally{Answers: fewAnswers - 1, FirstMs: fewAnswers * 80}, PhaseRunning},
+	} {
+		e := evidence(c.tally)
+		e.Left = minSwitchLead
+		assert.Equal(t, Decide(State{Phase: PhaseRunning, Share: 0.25}, e).Phase, c.want, name)
+	}
+}
