--- a/internal/versionmove/exposure_test.go
+++ b/internal/versionmove/exposure_test.go
@@ -29,7 +29,6 @@
 	start    time.Time
 
 	total, exposed float64
-	tallies        [2]Tally
 	// failures counts the failed requests, canaryFailures those before the new version got
 	// all requests.
 	failures, canaryFailures float64
