Follow a move to its end although its old upstreams have left

Cause: Merge only remembered a state that is settled for this daemon. When the old upstreams left before the news of the end came, the daemon kept the running state, whose serving version had no upstreams any more.

Change: a daemon that follows a move takes each newer state of it, and forgets the move afterwards.

Test: TestEndOfMoveAfterOldUpstreamsLeft. Before: follower_test.go:143: 0.04 != 1

--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -130,8 +130,9 @@
 }
 
 // Merge applies the states that a daemon has sent. isCurrent reports whether it reads the
-// store, so that there is no newer state. The state of a settled move is only remembered:
-// daemons forget it at different times, and would otherwise bring it back to each other.
+// store, so that there is no newer state. The state of a settled move that this daemon does
+// not follow any more is only remembered: daemons forget it at different times, and would
+// otherwise bring it back to each other.
 func (f *Follower) Merge(moves map[string]RevisionedState, isCurrent bool) {
 	var receivedAt time.Time
 	if isCurrent {
@@ -140,7 +141,7 @@
 	counts := f.versionCounts(isAny)
 	changed := false
 	for service, state := range moves {
-		if isSettled(state.State, counts[service]) {
+		if isSettled(state.State, counts[service]) && !f.isFollowed(service) {
 			f.remember(service, state.State)
 			continue
 		}
@@ -151,6 +152,14 @@
 	}
 }
 
+// isFollowed reports whether this daemon follows the move of a service.
+func (f *Follower) isFollowed(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, followed := f.states[service]
+	return followed
+}
+
 // Known returns the state of a service's latest move that this daemon knows, if any, also of
 // one that has settled.
 func (f *Follower) Known(service string) (State, bool) {
--- a/internal/versionmove/follower_test.go
+++ b/internal/versionmove/follower_test.go
@@ -128,3 +128,21 @@
 	}
 	assert.Assert(t, !f.IsUnsettled("llm"), "the last upstream is leaving")
 }
+
+// Guards against a daemon that hears of the end of a move after the old upstreams have left,
+// and refuses requests because it still waits for them.
+func TestEndOfMoveAfterOldUpstreamsLeft(t *testing.T) {
+	f := newFollower(t)
+	running := State{Service: "llm", From: "v1", To: "v2", Phase: PhaseRunning, Share: 0.04}
+	f.Merge(map[string]RevisionedState{"llm": {State: running, Revision: 7}}, true)
+	f.Upstreams = func() []membership.Instance { return []membership.Instance{{Name: "b", Pool: "llm", Version: "v2"}} }
+	f.reconcile(t.Context())
+	done := running
+	done.Phase, done.Share = PhaseDone, 1
+	f.Merge(map[string]RevisionedState{"llm": {State: done, Revision: 8}}, true)
+	assert.Equal(t, f.RoutedStates()["llm"].Share, 1.0)
+	f.reconcile(t.Context())
+	assert.Equal(t, len(f.States()), 0)
+	f.Merge(map[string]RevisionedState{"llm": {State: done, Revision: 8}}, true)
+	assert.Equal(t, len(f.States()), 0, "another daemon brings it back")
+}
