Report that a move is complete after the daemons have switched

Cause: the report followed the switch at once.

Change: it follows 0.15 s later, or after a third of the time that is left.

Test: TestSwitchIsReportedAfterHandover; without the delay it failed at "0s after the switch". TestNextHolderContinuesMove and TestNextHolderKeepsDeadline make one more pass, still before the deadline.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -186,7 +186,7 @@
 	if err := c.decide(ctx, m); err != nil {
 		return err
 	}
-	if m.reportedPhase != m.state.Phase {
+	if m.reportedPhase != m.state.Phase && !c.opts.Now().Before(m.reportAt) {
 		if err := c.opts.Declarations.ReportPhase(ctx, d, m.state.Phase); err != nil {
 			return errors.Annotate(err, "reporting the phase to the operator")
 		}
@@ -218,6 +218,9 @@
 	if isFirstShare {
 		m.results.reset(sums)
 	}
+	if next.Phase == PhaseDone {
+		m.reportAt = now.Add(max(0, min(handoverTime, evidence.Left/3)))
+	}
 	return nil
 }
 
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -92,6 +92,8 @@
 		second.reconcile(t.Context())
 		time.Sleep(3500 * time.Millisecond)
 		second.reconcile(t.Context())
+		time.Sleep(handoverTime)
+		second.reconcile(t.Context())
 		follower.reconcile(t.Context())
 		assert.Equal(t, follower.States()["s"].Phase, PhaseDone)
 		assert.Equal(t, follower.States()["s"].Share, 1.0)
@@ -116,6 +118,8 @@
 		assert.Equal(t, declarations.reported[len(declarations.reported)-1], PhaseRunning)
 		time.Sleep(7*time.Second - minSwitchLead)
 		second.reconcile(t.Context())
+		time.Sleep(minSwitchLead / 2)
+		second.reconcile(t.Context())
 		assert.Equal(t, declarations.reported[len(declarations.reported)-1], PhaseDone)
 	})
 }
--- a/internal/versionmove/exposure_test.go
+++ b/internal/versionmove/exposure_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// Guards against old upstreams that are stopped while daemons still send requests to them, as
+// the end of the move is reported as soon as it is decided.
+func TestSwitchIsReportedAfterHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
+		c := newHolderController(objecttest.New(), NewLedger(), declarations)
+		c.opts.Ledger.Set("d/p", map[string]Tally{Key("s", "v1"): {Started: 400, Answers: 400}})
+		var switchedAt time.Time
+		c.opts.OnChange = func(_ string, s RevisionedState) {
+			if s.State.Phase == PhaseDone {
+				switchedAt = time.Now()
+			}
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		start := time.Now()
+		go func() { _ = c.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		c.opts.Ledger.Set("d/p", map[string]Tally{Key("s", "v1"): {Started: 800, Answers: 800}, Key("s", "v2"): {Started: 40, Answers: 40}})
+		for declarations.reported[len(declarations.reported)-1] != PhaseDone {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Assert(t, time.Since(switchedAt) >= handoverTime, "%s after the switch", time.Since(switchedAt))
+		assert.Assert(t, time.Since(start) < 14*time.Second)
+	})
+}
+
 // Guards against a plan that uses a slack although the rate of the traffic is not known, and
 // against one that gives a version all traffic long before the deadline.
 func TestPlanCanary(t *testing.T) {
--- a/internal/versionmove/tracked_move.go
+++ b/internal/versionmove/tracked_move.go
@@ -10,6 +10,11 @@
 	"rattantide/internal/objectclient"
 )
 
+// handoverTime is the time between the switch to the new version and the report that the move
+// is complete, at which the old upstreams are stopped. It lets all daemons switch, and short
+// requests end.
+const handoverTime = 150 * time.Millisecond
+
 // trackedMove is the holder's record of a move.
 type trackedMove struct {
 	state State
@@ -25,6 +30,8 @@
 	traffic *trafficCounter
 	// switchAt is when the new version is planned to get all traffic.
 	switchAt time.Time
+	// reportAt is the earliest time to report the phase.
+	reportAt time.Time
 }
 
 // loadOrCreate returns the record of a declared move. It continues a move that an earlier
