--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,9 +22,6 @@
 	// peerStateTTL is how long a state received from another daemon counts as
 	// current. After that the daemon reads the store itself.
 	peerStateTTL = 2500 * time.Millisecond
-	// unservedTolerance is how long a serving version without upstreams keeps the requests:
-	// after an outage of the store, the entries of its upstreams are back within about 2 s.
-	unservedTolerance = 2500 * time.Millisecond
 	// maxSettleTime is how long after the end of a move the upstreams of the losing version
 	// are expected to leave.
 	maxSettleTime = 15 * time.Second
@@ -102,22 +98,6 @@
 	return out
 }
 
-// RoutedStates returns the states by which requests are routed, by service. They differ from
-// States if the serving version of a service has had no upstreams for some time.
-func (f *Follower) RoutedStates() map[string]State {
-	counts := f.versionCounts(membership.Instance.IsStaying)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make(map[string]State, len(f.states))
-	for service, s := range f.states {
-		out[service] = s.State
-		if f.rerouted[service] {
-			out[service] = s.State.routed(counts[service])
-		}
-	}
-	return out
-}
-
 // Snapshot returns the states to send to other daemons, by service.
 func (f *Follower) Snapshot() map[string]RevisionedState {
 	f.mu.Lock()
@@ -225,46 +205,6 @@
 	}
 }
 
-// recordUnserved records the services whose serving version has no upstreams that stay. It
-// reports whether the set of those that have had none for some time has changed.
-func (f *Follower) recordUnserved() bool {
-	counts := f.versionCounts(membership.Instance.IsStaying)
-	now := f.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	unserved, rerouted := map[string]time.Time{}, map[string]bool{}
-	for service, s := range f.states {
-		if counts[service][s.State.serving()] > 0 {
-			continue
-		}
-		since, known := f.unservedSince[service]
-		if !known {
-			since = now
-		}
-		unserved[service] = since
-		if now.Sub(since) >= unservedTolerance {
-			rerouted[service] = true
-		}
-	}
-	changed := !maps.Equal(rerouted, f.rerouted)
-	f.unservedSince, f.rerouted = unserved, rerouted
-	return changed
-}
-
-// isSettled reports whether the move of a service that this daemon knows has settled. counts
-// is the number of its upstreams by version.
-func (f *Follower) isSettled(service string, counts map[string]int) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return isSettled(f.states[service].State, counts)
-}
-
-// isSettled reports whether the traffic of a service needs no state of a move: it has
-// upstreams of a single version, and that is the serving one if a move is known.
-func isSettled(s State, counts map[string]int) bool {
-	return len(counts) == 0 || len(counts) == 1 && (s.To == "" || counts[s.serving()] > 0)
-}
-
 // isAny includes all upstreams.
 func isAny(membership.Instance) bool { return true }
 
@@ -284,37 +224,6 @@
 	return counts
 }
 
-// forget stops following the move of a service, whose state it remembers, and reports whether
-// there was one.
-func (f *Follower) forget(service string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	move, known := f.states[service]
-	if !known {
-		return false
-	}
-	f.rememberLocked(service, move.State)
-	delete(f.states, service)
-	return true
-}
-
-// remember keeps the state of a settled move for the next one.
-func (f *Follower) remember(service string, s State) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.rememberLocked(service, s)
-}
-
-// rememberLocked is remember for callers that hold f.mu.
-func (f *Follower) rememberLocked(service string, s State) {
-	if f.settled == nil {
-		f.settled = map[string]State{}
-	}
-	if previous, known := f.settled[service]; !known || s.isAfter(previous) {
-		f.settled[service] = s
-	}
-}
-
 // hasFreshPeerState reports whether another daemon has sent the state of a
 // service's move within peerStateTTL.
 func (f *Follower) hasFreshPeerState(service string) bool {
