--- a/internal/versionmove/schedule.go
+++ b/internal/versionmove/schedule.go
@@ -78,8 +78,10 @@
 // if it is less than judgeInterval.
 func (c *Controller) passInterval() time.Duration {
 	interval, now := judgeInterval, c.opts.Now()
-	for _, m := range c.moves {
+	for _, d := range c.declared {
+		m := c.moves[d.Service]
 		switch {
+		case d.Ended || m == nil:
 		case m.state.Phase == PhaseRunning:
 			interval = min(interval, m.switchAt.Sub(now))
 		case m.reportedPhase != m.state.Phase:
