Tell a slow version at a smaller share of the traffic

Cause: since the share is about half of what it was, the new version's runners have less load, at which events come faster: 102 ms beside 56 ms of the loaded old ones, where it was 145 beside 45 with a share of 0.08. The factor of 2.5 asks for a comparison at equal load.

Change: events 1.6 times as slow as the old version's are too slow.

Test: TestVersionWithSlowEvents. Its case that keeps a version half as fast contradicts that: at the lesser load of a new version this is one that is several times slower; the case now demands that it is taken back, and another that one a third slower is kept.

--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -23,14 +23,18 @@
 	// version.
 	minFailures = 6
 	// chanceExcess is the difference between the failure shares that may be chance, and
-	// maxChance the largest probability at which recent failures, or those on a route, count as chance.
+	// maxChance the largest probability at which recent failures, or those on a route, count
+	// as chance.
 	chanceExcess = 0.02
 	maxChance    = 1e-4
-	// The new version is too slow if its mean (of recent answers and those on a route: typical) time to the first answer exceeds
-	// both minSlowMs milliseconds and slowFactor times that of the old version, or its
-	// typical time between two events exceeds slowFactor times that of the old version.
-	slowFactor = 2.5
-	minSlowMs  = 60.0
+	// The new version is too slow if its mean time to the first answer (of recent answers and
+	// those on a route: the typical one) exceeds both minSlowMs milliseconds and slowFactor
+	// times that of the old version, or its typical time between two events exceeds
+	// slowGapFactor times that of the old version. The upstreams of a new version have less
+	// load, at which a sound one is not slower, but its prompts are not cached yet.
+	slowFactor    = 2.5
+	slowGapFactor = 1.6
+	minSlowMs     = 60.0
 	// minAnswers is the minimum number of answers of a version for its latency
 	// to be judged, and of the new version for it to be accepted at the deadline. It is
 	// accepted with fewAnswers if no more of them fail than tolerated.
@@ -189,7 +193,7 @@
 
 // hasSlowerGaps reports whether the typical time between two events is longer than tolerated.
 func hasSlowerGaps(oldTally, newTally Tally) bool {
-	return newTally.Gaps >= minGapAnswers && oldTally.Gaps >= minAnswers && newTally.typicalGapMs() > slowFactor*oldTally.typicalGapMs()
+	return newTally.Gaps >= minGapAnswers && oldTally.Gaps >= minAnswers && newTally.typicalGapMs() > slowGapFactor*oldTally.typicalGapMs()
 }
 
 // isSlower reports whether newMs is longer than tolerated beside oldMs, both times to the
--- a/internal/versionmove/decide_test.go
+++ b/internal/versionmove/decide_test.go
@@ -95,7 +95,8 @@
 	}{
 		"several times slower":      {repeat(16, 72), PhaseUndone},
 		"too few answers":           {repeat(10, 72), PhaseRunning},
-		"half as fast":              {repeat(40, 40), PhaseRunning},
+		"half as fast, idle":        {repeat(40, 40), PhaseUndone},
+		"a third slower":            {repeat(40, 30), PhaseRunning},
 		"as fast":                   {repeat(40, 20), PhaseRunning},
 		"one upstream stands still": {append(repeat(37, 22), repeat(3, 2000)...), PhaseRunning},
 		"events arrive together":    {append(repeat(30, 20), repeat(10, 0.01)...), PhaseRunning},
