--- a/internal/fleetdaemon/moves.go
+++ b/internal/fleetdaemon/moves.go
@@ -15,12 +15,6 @@
 	d.announceNews()
 }
 
-// applyWrittenMove applies a state that this daemon has written to the store as the holder
-// of the duties.
-func (d *Daemon) applyWrittenMove(service string, s versionmove.RevisionedState) {
-	d.follower.Merge(map[string]versionmove.RevisionedState{service: s}, true)
-}
-
 // collectTallies requests the tallies of all daemons if regular requests would take long.
 func (d *Daemon) collectTallies() {
 	if d.peers.PeerCount() > regularlyKnownDaemons {
@@ -34,10 +28,15 @@
 	return versionmove.ExposureLimits{Share: b.CanaryShare, Slack: b.CanarySlack}
 }
 
+// processName returns the name of this daemon's process in the ledgers.
+func (d *Daemon) processName() string {
+	self := peering.Report{Name: d.settings.Name, Process: d.process}
+	return self.ProcessName()
+}
+
 // liveProcesses returns the names of the processes of this daemon and of the live others.
 func (d *Daemon) liveProcesses() []string {
-	self := peering.Report{Name: d.settings.Name, Process: d.process}
-	processes := []string{self.ProcessName()}
+	processes := []string{d.processName()}
 	for _, p := range d.peers.Peers() {
 		if p.Alive {
 			processes = append(processes, p.ProcessName())
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -14,7 +14,6 @@
 	"rattantide/internal/bootclock"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
-	"rattantide/internal/peering"
 	"rattantide/internal/periodic"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
@@ -92,7 +91,7 @@
 func (d *Daemon) startDuties(ctx context.Context, group *errgroup.Group) {
 	moves := versionmove.NewController(versionmove.ControllerOptions{
 		Declarations: &platform.Rollouts{Store: d.store, Logger: d.logger}, Store: d.store, Ledger: d.versionLedger,
-		Limits: d.exposureLimits, Processes: d.liveProcesses, Upstreams: d.knownUpstreams, Known: d.follower.Known, OnChange: d.applyWrittenMove, Collect: d.collectTallies, Held: d.fencingToken, Now: d.clock.Now, Logger: d.logger,
+		Limits: d.exposureLimits, Processes: d.liveProcesses, Upstreams: d.knownUpstreams, Known: d.follower.Known, OnChange: d.follower.ApplyWritten, Collect: d.collectTallies, Held: d.fencingToken, Now: d.clock.Now, Logger: d.logger,
 	})
 	group.Go(func() error { return moves.Run(ctx) })
 	group.Go(func() error { return d.follower.Run(ctx) })
@@ -191,9 +190,8 @@
 	}
 	d.conns.Sweep(func(address string) bool { return addresses[address] })
 	d.namedLimits.Tick(func(upstream string) bool { return names[upstream] })
-	self := peering.Report{Name: d.settings.Name, Process: d.process}
-	d.versionLedger.Set(self.ProcessName(), d.versionRecorder.Tallies(nil))
-	d.ledger.Merge(self.ProcessName(), d.counter.Windows(usageWindowsSent))
+	d.versionLedger.Set(d.processName(), d.versionRecorder.Tallies(nil))
+	d.ledger.Merge(d.processName(), d.counter.Windows(usageWindowsSent))
 }
 
 // logReadiness logs each change of the readiness.
--- a/internal/gateway/event_splitter.go
+++ b/internal/gateway/event_splitter.go
@@ -1,11 +1,14 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+
+	"rattantide/internal/relay"
+)
 
 const (
-	// maxEventBytes bounds the size of one event of a stream, as relay.DefaultMaxEventBytes
-	// does for the project's own interface.
-	maxEventBytes = 64 << 10
+	// maxEventBytes bounds the size of one event of a stream.
+	maxEventBytes = relay.DefaultMaxEventBytes
 	// initialEventBytes is the capacity that a splitter starts with and returns to after a
 	// large event.
 	initialEventBytes = 4 << 10
--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -63,6 +63,11 @@
 	}
 }
 
+// newReadingFollower returns a Follower that reads the store, with the real clock.
+func newReadingFollower(store *objecttest.Store, upstreams func() []membership.Instance) *Follower {
+	return &Follower{Store: store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+}
+
 // newHolderController returns the Controller of a daemon that holds the duty.
 func newHolderController(store *objecttest.Store, ledger *Ledger, d *fakeDeclarations) *Controller {
 	return NewController(ControllerOptions{
@@ -79,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, ledger := objecttest.New(), NewLedger()
 		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
-		follower := &Follower{Store: store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+		follower := newReadingFollower(store, upstreams)
 		first := newHolderController(store, ledger, declarations)
 		first.reconcile(t.Context())
 		first.reconcile(t.Context())
@@ -153,11 +158,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		store, ledger := objecttest.New(), NewLedger()
 		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
-		follower := &Follower{Store: store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+		follower := newReadingFollower(store, upstreams)
 		c := newHolderController(store, ledger, declarations)
-		c.opts.OnChange = func(service string, s RevisionedState) {
-			follower.Merge(map[string]RevisionedState{service: s}, true)
-		}
+		c.opts.OnChange = follower.ApplyWritten
 		ctx, stop := context.WithCancel(t.Context())
 		defer stop()
 		go func() { _ = c.Run(ctx) }()
--- a/internal/versionmove/exposure.go
+++ b/internal/versionmove/exposure.go
@@ -30,7 +30,7 @@
 	Slack float64
 }
 
-// canaryPlan is how a new version gets traffic: Share until SwitchLead before the deadline,
+// canaryPlan is how a new version gets traffic: share until switchLead before the deadline,
 // and all of it from then on.
 type canaryPlan struct {
 	share      float64
--- a/internal/versionmove/exposure_test.go
+++ b/internal/versionmove/exposure_test.go
@@ -10,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/objecttest"
-	"rattantide/internal/telemetry"
 )
 
 // The bounds of operators on the requests to a bad version.
@@ -60,11 +59,9 @@
 func playMove(t *testing.T, rate float64, within, badAfter time.Duration) (*simulatedService, Phase) {
 	store, ledger := objecttest.New(), NewLedger()
 	declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: within}}}
-	follower := &Follower{Store: store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+	follower := newReadingFollower(store, upstreams)
 	c := newHolderController(store, ledger, declarations)
-	c.opts.OnChange = func(service string, s RevisionedState) {
-		follower.Merge(map[string]RevisionedState{service: s}, true)
-	}
+	c.opts.OnChange = follower.ApplyWritten
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	s := &simulatedService{follower: follower, ledger: ledger, rate: rate, badAfter: badAfter, start: time.Now()}
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -132,6 +132,12 @@
 	}
 }
 
+// ApplyWritten applies a state that this daemon has written to the store as the holder of the
+// duty.
+func (f *Follower) ApplyWritten(service string, s RevisionedState) {
+	f.Merge(map[string]RevisionedState{service: s}, true)
+}
+
 // isFollowed reports whether this daemon follows the move of a service.
 func (f *Follower) isFollowed(service string) bool {
 	f.mu.Lock()
--- a/internal/versionmove/restore_test.go
+++ b/internal/versionmove/restore_test.go
@@ -8,7 +8,6 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/objecttest"
-	"rattantide/internal/telemetry"
 )
 
 // Guards against a version that was judged bad and gets requests again after the store came
@@ -20,11 +19,9 @@
 				store, ledger := objecttest.New(), NewLedger()
 				backup := store.Backup()
 				declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
-				follower := &Follower{Store: store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+				follower := newReadingFollower(store, upstreams)
 				c := newHolderController(store, ledger, declarations)
-				c.opts.OnChange = func(service string, s RevisionedState) {
-					follower.Merge(map[string]RevisionedState{service: s}, true)
-				}
+				c.opts.OnChange = follower.ApplyWritten
 				c.opts.Known = follower.Known
 				c.reconcile(t.Context())
 				c.reconcile(t.Context())
--- a/internal/versionmove/serving_test.go
+++ b/internal/versionmove/serving_test.go
@@ -11,7 +11,6 @@
 
 	"rattantide/internal/membership"
 	"rattantide/internal/objecttest"
-	"rattantide/internal/telemetry"
 )
 
 // versionedUpstreams returns live upstreams of service s, a count of each version.
@@ -107,12 +106,10 @@
 func (f *orderFixture) restartAll() {
 	f.ledger = NewLedger()
 	upstreams := func() []membership.Instance { return versionedUpstreams(f.counts) }
-	f.follower = &Follower{Store: f.store, Upstreams: upstreams, ReadsStore: func() bool { return true }, Now: time.Now, Logger: telemetry.Discard()}
+	f.follower = newReadingFollower(f.store, upstreams)
 	f.controller = newHolderController(f.store, f.ledger, f.declarations)
 	f.controller.opts.Upstreams, f.controller.opts.Known = upstreams, f.follower.Known
-	f.controller.opts.OnChange = func(service string, s RevisionedState) {
-		f.follower.Merge(map[string]RevisionedState{service: s}, true)
-	}
+	f.controller.opts.OnChange = f.follower.ApplyWritten
 }
 
 // order orders a version, whose upstreams start.
--- a/internal/versionmove/traffic.go
+++ b/internal/versionmove/traffic.go
@@ -23,10 +23,8 @@
 	// newBase holds the attempts at the new version before the move, by process, and
 	// otherBase those at the other versions when the process was first seen.
 	newBase, otherBase map[string]int64
-	// completeSince is when all daemons had reported; zero if some have not. samples holds
-	// the totals since then, of the last rateWindow.
-	completeSince time.Time
-	samples       []trafficSample
+	// samples holds the totals of the last rateWindow, since all daemons have reported.
+	samples []trafficSample
 }
 
 type trafficSample struct {
@@ -66,12 +64,9 @@
 // rate adds a total to the samples and returns the rate over the last rateWindow.
 func (c *trafficCounter) rate(now time.Time, total int64, isComplete bool) (perSecond float64, isKnown bool) {
 	if !isComplete {
-		c.completeSince, c.samples = time.Time{}, nil
+		c.samples = nil
 		return 0, false
 	}
-	if c.completeSince.IsZero() {
-		c.completeSince = now
-	}
 	c.samples = append(c.samples, trafficSample{at: now, total: total})
 	for len(c.samples) > 1 && now.Sub(c.samples[1].at) >= rateWindow {
 		c.samples = c.samples[1:]
