Add binary messages by topic between daemons and a list of terms to Cost

Cause: the state of upstreams and the load of the fleet need small, frequent messages; a field of the JSON report for each would be sent to everyone with every report. The policy needs terms for what an upstream does now and for the delay that a request causes to others. Change: peering.Topic with Subscribe and Publish; a message fits one packet. routing.Candidate and membership.Load get fields for slots, pace and speed, which nothing sets yet; Cost.Score is split into its terms and adds those of a list.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -227,7 +227,7 @@
 func (d *Daemon) buildPeers() error {
 	s := d.settings
 	peers, err := peering.New(peering.Options{
-		IP: s.IP, Port: s.PeerPort, Name: s.Name, SelfReport: d.report, NeedsFull: d.isDutyCandidate, OnReport: d.handleReport, OnRequest: d.handlePeerRequest,
+		IP: s.IP, Port: s.PeerPort, Name: s.Name, Process: d.process, SelfReport: d.report, NeedsFull: d.isDutyCandidate, OnReport: d.handleReport, OnRequest: d.handlePeerRequest,
 		Feed: d.upstreams.Feed, HandleCall: d.handleCall, HasPriority: d.isCriticalPeer, OnChange: d.applyMembers,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -7,6 +7,12 @@
 	// Running and Waiting are numbers of requests.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
+	// Slots is the number of requests that the upstream processes at the same time; 0 if it
+	// is not known.
+	Slots int `json:"slots,omitempty"`
+	// Pace is how long work takes at the upstream at this moment, relative to its usual
+	// duration: 2 means twice as long. 0 means that it is not known.
+	Pace float64 `json:"pace,omitempty"`
 	// KVUsedTokens and KVTotalTokens are the used part and the size of the key-value
 	// cache in tokens.
 	KVUsedTokens  int64 `json:"kvUsedTokens"`
--- a/internal/peering/node.go
+++ b/internal/peering/node.go
@@ -68,6 +68,8 @@
 	peersAdded chan struct{}
 	changed    chan struct{}
 	collecting chan struct{}
+	// topicHandlers is not modified after Run was called.
+	topicHandlers map[Topic]TopicHandler
 
 	mu sync.Mutex
 	// peers holds the other daemons by IP address.
@@ -104,7 +106,11 @@
 	if opts.Port == 0 {
 		opts.Port = conn.LocalAddr().(*net.UDPAddr).Port
 	}
-	return &Node{opts: opts, conn: conn, peersAdded: make(chan struct{}, 1), changed: make(chan struct{}, 1), collecting: make(chan struct{}, 1), peers: map[string]*peer{}, pendingCalls: map[uint64]chan json.RawMessage{}}, nil
+	return &Node{
+		opts: opts, conn: conn,
+		peersAdded: make(chan struct{}, 1), changed: make(chan struct{}, 1), collecting: make(chan struct{}, 1),
+		topicHandlers: map[Topic]TopicHandler{}, peers: map[string]*peer{}, pendingCalls: map[uint64]chan json.RawMessage{},
+	}, nil
 }
 
 // Add adds daemons by the IP addresses of their instances. Addresses that are
--- a/internal/peering/options.go
+++ b/internal/peering/options.go
@@ -20,8 +20,9 @@
 	// chooses a free one.
 	IP   string
 	Port int
-	// Name is the name of this daemon.
-	Name string
+	// Name is the name of this daemon, and Process identifies its process.
+	Name    string
+	Process string
 	// SelfReport returns this daemon's report. A full report also contains the counts
 	// (VersionTallies, LatencyHistograms and RequestCounts), which make up most of its
 	// size and which only a holder of duties needs.
--- a/internal/peering/receive.go
+++ b/internal/peering/receive.go
@@ -17,6 +17,10 @@
 			}
 			continue
 		}
+		if isTopicMessage(buf[:size]) {
+			n.handleTopicMessage(buf[:size])
+			continue
+		}
 		var m message
 		if err := json.Unmarshal(buf[:size], &m); err != nil || m.Report.Name == "" {
 			n.opts.Scope.Counter("peer_bad_messages").Inc(1)
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -209,9 +209,12 @@
 		n.opts.Logger.Error("message to peer could not be encoded or exceeds 60 KiB", "peer", ip, "bytes", len(payload), "error", err)
 		return
 	}
-	_, err = n.conn.WriteToUDP(payload, &net.UDPAddr{IP: net.ParseIP(ip), Port: n.opts.Port})
-	if err != nil {
-		// The request is repeated in the next round.
+	n.write(ip, payload)
+}
+
+// write sends a datagram. A failure is only counted, as messages are repeated in later rounds.
+func (n *Node) write(ip string, datagram []byte) {
+	if _, err := n.conn.WriteToUDP(datagram, &net.UDPAddr{IP: net.ParseIP(ip), Port: n.opts.Port}); err != nil {
 		n.opts.Scope.Counter("peer_send_errors").Inc(1)
 	}
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // Candidate is the state of an upstream that a policy decides on.
 type Candidate struct {
 	Name string
@@ -32,4 +34,26 @@
 	// ReclaimsPerSecond is the estimated rate at which the upstream is
 	// reclaimed.
 	ReclaimsPerSecond float64
+	// Slots is the number of requests that the upstream processes at the same time; 0 if it
+	// is not known.
+	Slots int
+	// Waiting is the estimated number of requests that wait for a slot.
+	Waiting float64
+	// Pace is how long work takes at the upstream at this moment, relative to its usual
+	// duration; 0 if it is not known.
+	Pace float64
+	// Speed is the lasting speed of the upstream relative to its pool: 2 means that work takes
+	// half as long. 0 if it is not known.
+	Speed float64
+	// StateAge is the age of Waiting, Pace and Running as told by the upstream. It is without
+	// meaning while Slots is 0.
+	StateAge time.Duration
+}
+
+// promptRate returns the estimated prompt processing rate in tokens per second.
+func (c *Candidate) promptRate() float64 {
+	if c.TokensPerSecond <= 0 {
+		return DefaultTokensPerSecond
+	}
+	return c.TokensPerSecond
 }
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -43,6 +43,8 @@
 	PriceSeconds      float64
 	SlackSeconds      float64
 	SlackShare        float64
+	// Terms are added to the score in this order.
+	Terms []Term
 }
 
 // NewCost returns a Cost with the defaults.
@@ -55,27 +57,38 @@
 	}
 }
 
-// Score returns the cost of sending req to c, in seconds.
+// Score returns the cost of sending req to c, in seconds: the sum of the terms.
 func (p *Cost) Score(req *Request, c *Candidate) float64 {
-	uncached := max(0, float64(req.PromptTokens)-c.CachedTokens)
-	rate := c.TokensPerSecond
-	if rate <= 0 {
-		rate = DefaultTokensPerSecond
+	score := p.reclaimAndPrice(req, c, p.firstToken(req, c))
+	for _, term := range p.Terms {
+		score += term(req, c)
 	}
+	return score
+}
+
+// firstToken returns the expected time to the first token, in seconds, including the
+// expected cost of a failed attempt.
+func (p *Cost) firstToken(req *Request, c *Candidate) float64 {
+	uncached := max(0, float64(req.PromptTokens)-c.CachedTokens)
 	slowness := c.Slowness
 	if slowness <= 0 {
 		slowness = 1
 	}
-	prefill := (c.BacklogTokens + uncached) / rate
+	prefill := (c.BacklogTokens + uncached) / c.promptRate()
 	first := (prefill + c.Running*p.SecondsPerRunning) * slowness
 	if c.KVShare > kvPressureStart {
 		first += (c.KVShare - kvPressureStart) * kvPressureSeconds
 	}
-	first += c.FailureShare * failureSeconds
+	return first + c.FailureShare*failureSeconds
+}
+
+// reclaimAndPrice returns first, the expected time to the first token, plus the expected
+// cost of a reclaim and the price.
+func (p *Cost) reclaimAndPrice(req *Request, c *Candidate, first float64) float64 {
 	exposure := first + float64(req.MaxTokens)*secondsPerToken
 	// On average, half of the answer exists when the upstream is reclaimed.
 	// Prompt and answer must then be computed again at another one.
-	recompute := (float64(req.PromptTokens) + float64(req.MaxTokens)/2) / rate
+	recompute := (float64(req.PromptTokens) + float64(req.MaxTokens)/2) / c.promptRate()
 	return first + c.ReclaimsPerSecond*exposure*recompute + c.PricePerHour*p.PriceSeconds
 }
 
