--- /dev/null
+++ b/internal/fleetdaemon/collectors.go
@@ -0,0 +1,38 @@
+package fleetdaemon
+
+import (
+	"slices"
+
+	"rattantide/internal/peering"
+)
+
+// collectorCount is the number of daemons that collect and distribute the state of upstreams
+// and the load of the fleet. With two, the loss of one leaves no gap.
+const collectorCount = 2
+
+// chooseCollectors chooses the collectors: the ready daemons with the most cores, as all
+// others send to them several times a second.
+func (d *Daemon) chooseCollectors(peers []peering.Peer) {
+	cores := map[string]float64{}
+	if d.ready() {
+		cores[d.settings.Name] = d.settings.Cores
+	}
+	for _, p := range peers {
+		if p.Serves() {
+			cores[p.Name] = p.Cores
+		}
+	}
+	chosen := preferredByCores("collector", cores, collectorCount)
+	d.collectorNames.Store(&chosen)
+}
+
+// collectors returns the names of the collectors, which may include this daemon's.
+func (d *Daemon) collectors() []string {
+	if chosen := d.collectorNames.Load(); chosen != nil {
+		return *chosen
+	}
+	return nil
+}
+
+// isCollector reports whether this daemon is one of the collectors.
+func (d *Daemon) isCollector() bool { return slices.Contains(d.collectors(), d.settings.Name) }
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -117,6 +117,8 @@
 	// quotaPoolNames are the daemons whose quota pools this daemon may take from, in
 	// order of preference.
 	quotaPoolNames atomic.Pointer[[]string]
+	// collectorNames are the daemons that collect the state of upstreams and of the fleet.
+	collectorNames atomic.Pointer[[]string]
 	// revision is that of the instance list that applyMembers passed to table last.
 	revision atomic.Int64
 
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -63,7 +63,7 @@
 }
 
 // applyMembers updates the membership table with the upstreams and the live daemons,
-// and chooses relays and quota pools among the daemons.
+// and chooses relays, quota pools and collectors among the daemons.
 func (d *Daemon) applyMembers() {
 	list := membership.InstanceList{Revision: d.revision.Add(1)}
 	list.Instances = append(list.Instances, membership.Instance{
@@ -89,6 +89,7 @@
 	d.table.ApplyList(list)
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
+	d.chooseCollectors(peers)
 }
 
 // limitUpstreams updates the limits of the upstreams: of those that have just started, and
