Order what the load needs during a version move and at once after it

Callers saw: while a version move was running, and up to 15 s after its end, a service whose upstreams were reclaimed or whose load rose kept too few of them. Moves last until their limit, so that this is often and long.

Cause: all orders for the service were paused from the declaration until the losing version had no live upstream, as the number of upstreams of both versions does not show the capacity.

Change: the upstreams count by the roles of their versions. What the serving version or, for the switch, the next one lacks is ordered. An order states the number of all upstreams at a place and what is missing, so that it removes none; it waits until the upstreams that start for the move are listed. Ordered upstreams may get either version: what appears decides which shortage is ordered for. Refusals, pending orders and the limits of domains are kept.

Test: TestReclaimedUpstreamsAreReplacedDuringMove and the others of planner_move_test.go, in simulated time, with a cloud that removes the upstreams that started last.

--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -53,15 +53,17 @@
 	Initial int `json:"found"`
 }
 
-// Options configures a Controller. All fields are required.
+// Options configures a Controller. All fields except Move are required.
 type Options struct {
 	Config *fleetconfig.Holder
 	Store  objectclient.Store
 	Sender Sender
-	// IsPaused reports whether nothing may be ordered for a service at present.
-	// During a version move, upstreams of both versions serve, which are more
-	// than are needed.
+	// IsPaused reports whether nothing may be ordered for a service at present, as the
+	// versions of its upstreams have no known roles.
 	IsPaused func(service string) bool
+	// Move returns the version move of a service, the zero value if there is none. It may be
+	// nil.
+	Move func(service string) VersionMove
 	// Upstreams returns all known upstreams, including those that are leaving.
 	Upstreams func() []membership.Instance
 	// IsEvacuated reports whether nothing is sent to the upstreams of a failure domain.
@@ -129,7 +131,7 @@
 			}
 			c.planners[name] = planner
 		}
-		observation := observe(service, upstreams, c.opts.IsEvacuated, c.opts.Now())
+		observation := c.observe(service, upstreams)
 		summary := c.opts.LatencySummary(name)
 		observation.Median, observation.LateShare, observation.Requests = summary.Median, summary.LateShare, summary.Requests
 		for _, order := range planner.Plan(observation) {
@@ -194,17 +196,29 @@
 
 // observe counts the live upstreams of a service by place, without those of evacuated
 // failure domains.
-func observe(service *fleetconfig.Service, upstreams []membership.Instance, isEvacuated func(domain string) bool, now time.Time) *Observation {
-	o := &Observation{Bounds: service.Autoscale.Without(isEvacuated), Live: map[Place]int{}, Now: now}
+func (c *Controller) observe(service *fleetconfig.Service, upstreams []membership.Instance) *Observation {
+	o := &Observation{
+		Bounds: service.Autoscale.Without(c.opts.IsEvacuated), Live: map[Place]int{}, Next: map[Place]int{}, Others: map[Place]int{}, Now: c.opts.Now(),
+	}
+	if c.opts.Move != nil {
+		o.Move = c.opts.Move(service.Name)
+	}
 	for _, u := range upstreams {
-		if u.Pool != service.Name || u.State != membership.StateLive || isEvacuated(u.Domain) {
+		if u.Pool != service.Name || u.State != membership.StateLive || c.opts.IsEvacuated(u.Domain) {
 			continue
 		}
-		kind := OnDemand
+		place := Place{u.Domain, OnDemand}
 		if u.Class == membership.Reclaimable {
-			kind = Reclaimable
+			place.Kind = Reclaimable
+		}
+		if !o.Move.isActive() || u.Version == o.Move.Serving {
+			o.Live[place]++
+			continue
+		}
+		o.Others[place]++
+		if u.Version == o.Move.Next {
+			o.Next[place]++
 		}
-		o.Live[Place{u.Domain, kind}]++
 	}
 	return o
 }
@@ -219,7 +233,7 @@
 	err := c.opts.Sender.OrderUpstreams(ctx, fence, service, order.Domain, order.Count, reclaimable)
 	fields := []any{
 		"service", service, "domain", order.Domain, "count", order.Count, "reclaimable", reclaimable, "fence", fence,
-		"live", o.Live[order.Place], "target", planner.Target(), "median", o.Median, "late", o.LateShare, "requests", o.Requests,
+		"live", o.Live[order.Place], "otherVersions", o.Others[order.Place], "target", planner.Target(), "median", o.Median, "late", o.LateShare, "requests", o.Requests,
 	}
 	if err != nil {
 		planner.RecordRefusal(order, c.opts.Now())
--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -86,6 +86,8 @@
 	// few or with enough upstreams; the other one is zero.
 	shortageSince time.Time
 	enoughSince   time.Time
+	// progress is that of the present part of a version move, if there is one.
+	progress moveProgress
 }
 
 // sentOrder is an order that was sent; its count is -1 if it was refused.
@@ -125,6 +127,12 @@
 		p.shrunkAt = o.Now
 		return nil
 	}
+	if !o.Move.isSame(p.progress.move) {
+		p.beginMove(o)
+	}
+	if o.Move.isActive() {
+		return p.planMove(o, domains)
+	}
 	p.adjustTarget(o, len(domains))
 	reclaimable := p.reclaimableTargets(o, domains)
 	var orders []Order
@@ -134,13 +142,18 @@
 	for domain, count := range p.onDemandTargets(o, domains, reclaimable) {
 		orders = p.appendOrder(orders, o, Place{domain, OnDemand}, count)
 	}
+	sortOrders(orders)
+	return orders
+}
+
+// sortOrders sorts orders: those of reclaimable upstreams come first, as these are cheaper.
+func sortOrders(orders []Order) {
 	sort.Slice(orders, func(i, j int) bool {
 		if orders[i].Kind != orders[j].Kind {
 			return orders[i].Kind > orders[j].Kind
 		}
 		return orders[i].Domain < orders[j].Domain
 	})
-	return orders
 }
 
 // estimateNeed estimates how many upstreams the load needs from the live ones.
@@ -203,7 +216,7 @@
 		// The live upstreams do not suffice, whatever the target was.
 		p.target = max(p.target, min(estimateNeed(o), limit)) + max(1, int(growStep*float64(p.target)))
 		p.grownAt, p.shrunkAt = o.Now, o.Now
-	case o.Median < shrinkMedian && o.LateShare < shrinkLate && o.Now.Sub(p.shrunkAt) > shrinkInterval && o.total() >= p.target:
+	case !o.Move.isActive() && o.Median < shrinkMedian && o.LateShare < shrinkLate && o.Now.Sub(p.shrunkAt) > shrinkInterval && o.total() >= p.target:
 		step := shrinkStep
 		if p.target > p.initial {
 			step = excessShrinkStep
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -107,9 +107,9 @@
 		group.Go(func() error { return reporter.Run(ctx) })
 	}
 	if d.settings.Cloud.OrdersRunners {
-		isPaused := func(service string) bool { return moves.IsRunning(service) || d.follower.IsUnsettled(service) }
+		roles := &moveRoles{moves: moves, follower: d.follower}
 		controller := autoscale.New(autoscale.Options{
-			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: isPaused, Held: d.fencingToken,
+			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: roles.isUnknown, Move: roles.move, Held: d.fencingToken,
 			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 		})
 		group.Go(func() error { return controller.Run(ctx) })
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -132,14 +132,6 @@
 	return s, plan
 }
 
-// loser returns the version that gets no traffic after the end of the move.
-func (s State) loser() string {
-	if s.Phase == PhaseDone {
-		return s.From
-	}
-	return s.To
-}
-
 // end returns the state of a move that ended.
 func (s State) end(phase Phase, share float64, reason string) State {
 	s.Phase, s.Share, s.RouteShares, s.Reason = phase, share, nil, reason
--- a/internal/versionmove/follower.go
+++ b/internal/versionmove/follower.go
@@ -159,8 +159,8 @@
 }
 
 // IsUnsettled reports whether a service has a running move, or one that ended a short time
-// ago and whose losing version still has live upstreams. The number of upstreams then does
-// not show the capacity.
+// ago while live upstreams have other versions than the serving one. The number of upstreams
+// then does not show the capacity.
 func (f *Follower) IsUnsettled(service string) bool {
 	f.mu.Lock()
 	move, known := f.states[service]
@@ -168,14 +168,14 @@
 	if !known || move.State.Phase == PhaseRunning {
 		return known
 	}
-	return f.Now().Sub(move.changedAt) < maxSettleTime && f.hasLiveUpstreams(service, move.State.loser())
+	return f.Now().Sub(move.changedAt) < maxSettleTime && f.hasOtherUpstreams(service, move.State.serving())
 }
 
-// hasLiveUpstreams reports whether a service has upstreams of a version that are not
+// hasOtherUpstreams reports whether a service has upstreams of other versions that are not
 // leaving.
-func (f *Follower) hasLiveUpstreams(service, version string) bool {
+func (f *Follower) hasOtherUpstreams(service, version string) bool {
 	return slices.ContainsFunc(f.Upstreams(), func(u membership.Instance) bool {
-		return u.Pool == service && u.Version == version && u.IsStaying()
+		return u.Pool == service && u.Version != version && u.IsStaying()
 	})
 }
 
