Count a move as ended once its outcome was reported

Callers saw: no upstreams are ordered after the end of a move until the holder of the duties has read the declared moves again, up to 1 s later, as its state is that of an ended move while the declaration still counts as running.

Change: a declared move whose outcome this holder has reported does not count as running any more. All declared moves are then read again at the next pass, as if none was running.

Test: TestMoveIsRunningUntilItsOutcomeIsReported. Before: follower_roles_test.go:81: assertion failed: c.IsRunning("s") is true After: go test ./internal/versionmove passes.

--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -151,16 +151,20 @@
 			c.tryAdvance(ctx, d)
 		}
 	}
+	if isRunning {
+		c.recordRunning(c.declared)
+	}
 	if isFull && isRunning && c.opts.Collect != nil {
 		c.opts.Collect()
 	}
 }
 
-// recordRunning records the services whose moves have not ended.
+// recordRunning records the services whose moves have not ended. A move whose outcome was
+// reported has ended before the declarations are read again.
 func (c *Controller) recordRunning(declared []Declaration) {
 	running := map[string]bool{}
 	for _, d := range declared {
-		if !d.Ended {
+		if m := c.moves[d.Service]; !d.Ended && (m == nil || !m.isReported(d)) {
 			running[d.Service] = true
 		}
 	}
--- a/internal/versionmove/tracked_move.go
+++ b/internal/versionmove/tracked_move.go
@@ -34,6 +34,11 @@
 	reportAt time.Time
 }
 
+// isReported reports whether the outcome of a declared move was reported to the operator.
+func (m *trackedMove) isReported(d Declaration) bool {
+	return m.state.isOf(d) && m.state.Phase != PhaseRunning && m.reportedPhase == m.state.Phase
+}
+
 // loadOrCreate returns the record of a declared move. It continues a move that an earlier
 // holder began, and returns nil while no version is known that the service moves from.
 func (c *Controller) loadOrCreate(ctx context.Context, d Declaration) (*trackedMove, error) {
