Order nothing as a new holder before the declared moves were read

What callers risk: a move that is declared shortly before the holder of the duties is lost fails, as none of its upstreams appears.

Cause: the next holder resumed the numbers of upstreams at once. Until it has read the declared moves, none of them counted as running, and an order for the old number removes the upstreams that the platform starts for the move.

Change: a new holder waits with orders for the first read of the declared moves, for 2 s at most.

Test: TestNothingIsOrderedWhileMovesAreUnknown.

--- a/internal/fleetdaemon/move_roles.go
+++ b/internal/fleetdaemon/move_roles.go
@@ -1,24 +1,52 @@
 package fleetdaemon
 
 import (
+	"time"
+
 	"rattantide/internal/autoscale"
 	"rattantide/internal/versionmove"
 )
 
+// maxUnknownTime is how long a new holder of the duties orders nothing because it has not
+// read the declared moves yet. A holder that gets the duties back may await a change of them
+// for longer.
+const maxUnknownTime = 2 * time.Second
+
+// maxAskGap is the longest time between two questions for a service while this daemon holds
+// the duties, several times the interval of the orders.
+const maxAskGap = 3 * time.Second
+
 // declaredMoves tells which moves are declared. It is implemented by versionmove.Controller.
 type declaredMoves interface {
+	IsKnown() bool
 	IsRunning(service string) bool
 }
 
-// moveRoles tells the holder of the duties which versions of a service count as capacity.
+// moveRoles tells the holder of the duties which versions of a service count as capacity. It
+// is not safe for concurrent use.
 type moveRoles struct {
 	moves    declaredMoves
 	follower *versionmove.Follower
+	now      func() time.Time
+	// unknownSince is since when the declared moves are not known; zero if they are.
+	unknownSince time.Time
+	// askedAt is when isUnknown was called last.
+	askedAt time.Time
 }
 
 // isUnknown reports whether a service may have a move whose versions are not known yet. An
 // order would then remove the upstreams that start for the move.
 func (r *moveRoles) isUnknown(service string) bool {
+	now := r.now()
+	isNewHolder := now.Sub(r.askedAt) > maxAskGap
+	r.askedAt = now
+	if !r.moves.IsKnown() {
+		if r.unknownSince.IsZero() || isNewHolder {
+			r.unknownSince = now
+		}
+		return now.Sub(r.unknownSince) < maxUnknownTime
+	}
+	r.unknownSince = time.Time{}
 	isDeclared := r.moves.IsRunning(service)
 	_, hasRoles := r.follower.Roles(service, isDeclared)
 	return isDeclared && !hasRoles
--- a/internal/fleetdaemon/move_roles_test.go
+++ b/internal/fleetdaemon/move_roles_test.go
@@ -13,13 +13,17 @@
 )
 
 // fakeDeclaredMoves implements declaredMoves for the service "s".
-type fakeDeclaredMoves struct{ isRunning bool }
+type fakeDeclaredMoves struct{ isKnown, isRunning bool }
+
+// IsKnown implements declaredMoves.
+func (m *fakeDeclaredMoves) IsKnown() bool { return m.isKnown }
 
 // IsRunning implements declaredMoves.
 func (m *fakeDeclaredMoves) IsRunning(service string) bool { return m.isRunning && service == "s" }
 
-// Guards against orders by the number of upstreams before the state of a declared move is
-// known, which remove those that start for the move.
+// Guards against a new holder of the duties that orders by the number of upstreams before it
+// knows the moves, which removes those that start for a move, and against one that orders
+// nothing for as long as the store does not answer.
 func TestNothingIsOrderedWhileMovesAreUnknown(t *testing.T) {
 	now := time.Unix(1000, 0)
 	moves := &fakeDeclaredMoves{}
@@ -29,9 +33,14 @@
 			return []membership.Instance{{Pool: "s", Version: "v1", State: membership.StateLive}}
 		},
 	}
-	r := &moveRoles{moves: moves, follower: follower}
+	r := &moveRoles{moves: moves, follower: follower, now: func() time.Time { return now }}
+	assert.Assert(t, r.isUnknown("s"))
+	now = now.Add(maxUnknownTime)
 	assert.Assert(t, !r.isUnknown("s"))
-	moves.isRunning = true
+	now = now.Add(maxAskGap + time.Second)
+	assert.Assert(t, r.isUnknown("s"), "the duties were lost meanwhile")
+
+	moves.isKnown, moves.isRunning = true, true
 	assert.Assert(t, r.isUnknown("s") && !r.isUnknown("other"), "the state of the declared move is not known")
 	running := versionmove.State{Service: "s", From: "v1", To: "v2", Phase: versionmove.PhaseRunning}
 	follower.ApplyWritten("s", versionmove.RevisionedState{State: running, Revision: 1})
@@ -39,4 +48,7 @@
 	assert.Equal(t, r.move("s").Next, "v2")
 	moves.isRunning = false
 	assert.Equal(t, r.move("s").Serving, "")
+
+	moves.isKnown = false
+	assert.Assert(t, r.isUnknown("s"), "the duties were lost and acquired again")
 }
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -107,7 +107,7 @@
 		group.Go(func() error { return reporter.Run(ctx) })
 	}
 	if d.settings.Cloud.OrdersRunners {
-		roles := &moveRoles{moves: moves, follower: d.follower}
+		roles := &moveRoles{moves: moves, follower: d.follower, now: bootclock.Now}
 		controller := autoscale.New(autoscale.Options{
 			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: roles.isUnknown, Move: roles.move, Held: d.fencingToken,
 			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -85,7 +85,8 @@
 	readFailed bool
 	// isWatching reports whether a change of the declared moves is awaited concurrently.
 	isWatching atomic.Bool
-	// running holds the set of services with a declared move that has not ended.
+	// running holds the set of services with a declared move that has not ended. It is nil
+	// until the declared moves were read.
 	running atomic.Pointer[map[string]bool]
 }
 
@@ -179,6 +180,10 @@
 	return running != nil && (*running)[service]
 }
 
+// IsKnown reports whether the declared moves were read since this daemon got the duty. It is
+// safe for concurrent use.
+func (c *Controller) IsKnown() bool { return c.running.Load() != nil }
+
 // advance decides the next state of a move, and writes and reports it if it has
 // changed.
 func (c *Controller) advance(ctx context.Context, d Declaration) error {
--- a/internal/versionmove/follower_roles_test.go
+++ b/internal/versionmove/follower_roles_test.go
@@ -67,17 +67,22 @@
 	}
 }
 
-// Guards against a holder of the duties that orders nothing from the report of the outcome
-// until it has read the declared moves again.
+// Guards against a new holder of the duties that orders upstreams before it has read that a
+// move is declared, and against one that orders nothing from the report of the outcome until
+// it has read the declared moves again.
 func TestMoveIsRunningUntilItsOutcomeIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
 		c := newHolderController(objecttest.New(), NewLedger(), declarations)
+		assert.Assert(t, !c.IsKnown())
 		c.reconcile(t.Context())
-		assert.Assert(t, c.IsRunning("s"))
+		assert.Assert(t, c.IsKnown() && c.IsRunning("s"))
 		c.opts.Ledger.Set("d/p", map[string]Tally{Key("s", "v2"): {Failures: 20}, Key("s", "v1"): {Answers: 400, FirstMs: 20_000}})
 		c.advanceAll(t.Context(), false)
 		assert.Equal(t, declarations.reported[len(declarations.reported)-1], PhaseUndone)
 		assert.Assert(t, !c.IsRunning("s"))
+		c.opts.Held = func() (int64, bool) { return 0, false }
+		c.pass(t.Context())
+		assert.Assert(t, !c.IsKnown())
 	})
 }
