Check the room of the new version before the switch of a move

Callers saw: if the new version had lost upstreams shortly before the switch, all requests went to the few that were left, or to none, while the old version could still have taken them; its upstreams were then stopped.

Cause: the switch followed from the evidence about the version and the time only.

A move whose new version has no live upstream at the deadline is undone, if the old one has some. A later switch means fewer requests to the new version, so that the bound on a bad one holds.

--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -79,8 +80,8 @@
 	Scope  tally.Scope
 }
 
-// Controller orders upstreams while this daemon holds the duty. It is not safe for
-// concurrent use.
+// Controller orders upstreams while this daemon holds the duty. Except for Target, it is not
+// safe for concurrent use.
 type Controller struct {
 	opts  Options
 	fence int64
@@ -91,6 +92,9 @@
 	// stored is the capacity that was last read from or sent to the store, by
 	// service.
 	stored map[string]storedCapacity
+	// targets holds the number of upstreams that each service should have; nil without the
+	// duty.
+	targets atomic.Pointer[map[string]int]
 }
 
 // New returns a Controller.
@@ -107,6 +111,7 @@
 	config, _ := c.opts.Config.Current()
 	if !ok || config == nil {
 		c.isLost = true
+		c.targets.Store(nil)
 		return
 	}
 	now := c.opts.Now()
@@ -139,6 +144,26 @@
 		}
 		c.storeCapacity(ctx, name, planner)
 	}
+	c.recordTargets()
+}
+
+// recordTargets records the targets of all services.
+func (c *Controller) recordTargets() {
+	targets := make(map[string]int, len(c.planners))
+	for service, planner := range c.planners {
+		targets[service] = planner.Target()
+	}
+	c.targets.Store(&targets)
+}
+
+// Target returns the number of upstreams that a service should have, 0 if that is unknown to
+// this daemon. It is safe for concurrent use.
+func (c *Controller) Target(service string) int {
+	targets := c.targets.Load()
+	if targets == nil {
+		return 0
+	}
+	return (*targets)[service]
 }
 
 // isReacquired reports whether this daemon has got the duty again because the store was
--- a/internal/autoscale/controller_move_test.go
+++ b/internal/autoscale/controller_move_test.go
@@ -4,10 +4,13 @@
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/membership"
+	"rattantide/internal/objecttest"
+	"rattantide/internal/telemetry"
 )
 
 // Guards against upstreams that take no requests and are counted as capacity: those of the
@@ -45,3 +48,27 @@
 		assert.Equal(t, o.total(), c.total, name)
 	}
 }
+
+// Guards against a daemon that judges the room at a switch by a need from the time when it held
+// the duty.
+func TestTargetIsKnownWithDutyOnly(t *testing.T) {
+	now, isHeld := time.Unix(1000, 0), true
+	holder := fleetconfig.NewHolder()
+	holder.Apply(&fleetconfig.Config{Version: 1, Services: map[string]*fleetconfig.Service{"s": {Name: "s", Autoscale: bounds}}}, now)
+	c := New(Options{
+		Config: holder, Store: objecttest.New(), Sender: &recordingSender{}, IsPaused: func(string) bool { return false }, IsEvacuated: func(string) bool { return false },
+		Upstreams: func() []membership.Instance {
+			return []membership.Instance{{Name: "u", Pool: "s", Domain: "a", State: membership.StateLive}}
+		},
+		LatencySummary: func(string) LatencySummary { return LatencySummary{} },
+		Held:           func() (int64, bool) { return 1, isHeld }, Now: func() time.Time { return now },
+		Logger: telemetry.Discard(), Scope: tally.NoopScope,
+	})
+	assert.Equal(t, c.Target("s"), 0)
+	c.reconcile(t.Context())
+	assert.Equal(t, c.Target("s"), 1)
+	assert.Equal(t, c.Target("other"), 0)
+	isHeld = false
+	c.reconcile(t.Context())
+	assert.Equal(t, c.Target("s"), 0)
+}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -89,16 +89,28 @@
 // startDuties starts the controllers that act while this daemon holds the lease of
 // the duties, and the follower of version moves, which acts on every daemon.
 func (d *Daemon) startDuties(ctx context.Context, group *errgroup.Group) {
+	var capacity *autoscale.Controller
 	moves := versionmove.NewController(versionmove.ControllerOptions{
 		Declarations: &platform.Rollouts{Store: d.store, Logger: d.logger}, Store: d.store, Ledger: d.versionLedger,
 		Limits: d.exposureLimits, Processes: d.liveProcesses, Upstreams: d.knownUpstreams, Known: d.follower.Known, OnChange: d.follower.ApplyWritten, Collect: d.collectTallies, Held: d.fencingToken, Now: d.clock.Now, Logger: d.logger,
+		Needed: func(service string) int {
+			if capacity == nil {
+				return 0
+			}
+			return capacity.Target(service)
+		},
 	})
+	if d.settings.Cloud.Address != "" && d.settings.Cloud.OrdersRunners {
+		roles := &moveRoles{moves: moves, follower: d.follower, now: bootclock.Now}
+		capacity = autoscale.New(autoscale.Options{
+			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: roles.isUnknown, Move: roles.move, Held: d.fencingToken,
+			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
+		})
+		group.Go(func() error { return capacity.Run(ctx) })
+	}
 	group.Go(func() error { return moves.Run(ctx) })
 	group.Go(func() error { return d.follower.Run(ctx) })
-	if d.settings.Cloud.Address == "" {
-		return
-	}
-	if d.settings.Cloud.ReportsUsage {
+	if d.settings.Cloud.Address != "" && d.settings.Cloud.ReportsUsage {
 		reporter := usage.NewReporter(usage.ReporterOptions{
 			Store: d.store, Sender: d.cloud, Counter: d.counter, Ledger: d.ledger, Finals: d.finals, StoreSince: d.era.knownSince, OnFinal: d.announceNews, Held: d.fencingToken, Now: d.clock.Now,
 			Collect: d.peers.Collect, Logger: d.logger, Scope: d.scope,
@@ -106,14 +118,6 @@
 		})
 		group.Go(func() error { return reporter.Run(ctx) })
 	}
-	if d.settings.Cloud.OrdersRunners {
-		roles := &moveRoles{moves: moves, follower: d.follower, now: bootclock.Now}
-		controller := autoscale.New(autoscale.Options{
-			Config: d.holder, Store: d.store, Sender: d.cloud, Upstreams: d.knownUpstreams, IsEvacuated: d.isEvacuated, LatencySummary: d.latencies.ForService, IsPaused: roles.isUnknown, Move: roles.move, Held: d.fencingToken,
-			Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
-		})
-		group.Go(func() error { return controller.Run(ctx) })
-	}
 }
 
 // fencingToken returns the fencing token of the duties and whether this daemon holds
--- a/internal/versionmove/controller.go
+++ b/internal/versionmove/controller.go
@@ -42,8 +42,8 @@
 	ReportPhase(ctx context.Context, d Declaration, phase Phase) error
 }
 
-// ControllerOptions configures a Controller. All fields except Limits, Processes, Known,
-// OnChange and Collect are required.
+// ControllerOptions configures a Controller. All fields except Limits, Processes, Needed,
+// Known, OnChange and Collect are required.
 type ControllerOptions struct {
 	Declarations Declarations
 	Store        objectclient.Store
@@ -56,6 +56,9 @@
 	Processes func() []string
 	// Upstreams returns all known upstreams.
 	Upstreams func() []membership.Instance
+	// Needed returns the number of upstreams that the load of a service needs, 0 if that is
+	// unknown. It may be nil.
+	Needed func(service string) int
 	// Known returns what this daemon knows of a service's move. It may be further than the
 	// stored state after the store was restored from a copy. It may be nil.
 	Known func(service string) (State, bool)
@@ -221,6 +224,7 @@
 	c.opts.Logger.Info("version move changed state", "service", d.Service, "from", next.From, "to", next.To, "phase", next.Phase,
 		"share", next.Share, "reason", next.Reason, "leftMs", evidence.Left.Milliseconds(), "switchLeadMs", plan.switchLead.Milliseconds(),
 		"attempts", evidence.Traffic.Total, "newAttempts", evidence.Traffic.New, "perSecond", evidence.Traffic.PerSecond,
+		"oldUpstreams", evidence.Room.Old, "newUpstreams", evidence.Room.New, "neededUpstreams", evidence.Room.Needed,
 		"oldAnswers", evidence.Old.Answers, "oldFailures", evidence.Old.Failures, "newAnswers", evidence.New.Answers, "newFailures", evidence.New.Failures,
 		"oldFirstMs", evidence.Old.meanFirstMs(), "newFirstMs", evidence.New.meanFirstMs(), "oldGapMs", evidence.Old.typicalGapMs(), "newGapMs", evidence.New.typicalGapMs(),
 		"routeShares", next.RouteShares)
@@ -244,8 +248,12 @@
 
 // evidence returns the evidence about a move.
 func (c *Controller) evidence(m *trackedMove, sums moveSums, now time.Time) Evidence {
-	ready := liveVersions(c.opts.Upstreams(), m.state.Service)[m.state.To] > 0
-	e := Evidence{Within: m.declaration.Within, Left: time.UnixMilli(m.state.DeadlineMs).Sub(now), Ready: ready}
+	live := liveVersions(c.opts.Upstreams(), m.state.Service)
+	e := Evidence{Within: m.declaration.Within, Left: time.UnixMilli(m.state.DeadlineMs).Sub(now), Ready: live[m.state.To] > 0}
+	e.Room = Room{New: live[m.state.To], Old: live[m.state.From]}
+	if c.opts.Needed != nil {
+		e.Room.Needed = c.opts.Needed(m.state.Service)
+	}
 	e.Results, e.Routes = m.results.update(now, sums)
 	e.StartedByRoute = sums.startedByRoute()
 	isComplete := c.opts.Processes != nil && c.opts.Ledger.HasAll(c.opts.Processes())
--- a/internal/versionmove/decide.go
+++ b/internal/versionmove/decide.go
@@ -99,6 +99,8 @@
 	Left   time.Duration
 	// Ready is true if live upstreams of the new version exist.
 	Ready bool
+	// Room compares the live upstreams of the new version with those that it needs.
+	Room Room
 }
 
 // Decide returns the next state of a move. A move that has ended stays as it is. A version
@@ -115,14 +117,17 @@
 	if s.isInPlace() {
 		plan = canaryPlan{share: 1, switchLead: maxSwitchLead}
 	}
+	isDue := e.Left <= e.Room.switchLead(plan)
 	switch {
 	case s.Phase != PhaseRunning:
 	case s.isInPlace() && e.Left <= plan.switchLead:
 		s = s.end(PhaseDone, 1, "the version serves already")
 	case e.isWorse():
 		s = s.end(PhaseUndone, 0, "the new version fails more or answers slower")
-	case e.Left <= plan.switchLead && e.isSeenToWork():
+	case isDue && e.isSeenToWork() && !e.Room.isLost():
 		s = s.end(PhaseDone, 1, "deadline, with no evidence against the new version")
+	case e.Left <= 0 && e.Room.isLost():
+		s = s.end(PhaseUndone, 0, "deadline, and no upstream of the new version is live")
 	case e.Left <= 0:
 		s = s.end(PhaseUndone, 0, "deadline before the new version was seen to work")
 	case e.Ready && e.Left > plan.switchLead && plan.replaces(s.Share):
