--- a/internal/autoscale/move_cloud_test.go
+++ b/internal/autoscale/move_cloud_test.go
@@ -41,6 +41,8 @@
 	upstreams          []cloudUpstream
 	noReclaimableUntil time.Time
 	median, lateShare  float64
+	// burstUntil is the end of a burst, in which most requests are late.
+	burstUntil time.Time
 	// removed counts the upstreams that orders removed during a move, and orders all orders.
 	removed, orders int
 }
@@ -73,38 +75,52 @@
 	return n
 }
 
-// beginMove orders a move to v2: as many on-demand upstreams start, which the list shows
-// after a while.
-func (c *moveCloud) beginMove() {
-	c.move = VersionMove{Serving: "v1", Next: "v2"}
-	places := threePerDomain()
-	missing := c.live("v1")
-	for missing > 0 {
-		for place := range places {
-			if missing > 0 {
-				c.start(place, 1, "v2", c.now.Add(300*time.Millisecond))
-				missing--
-			}
+// beginMove orders a move to v2.
+func (c *moveCloud) beginMove() { c.beginMoveTo("v2") }
+
+// beginMoveTo orders a move: as many on-demand upstreams start as serve, which the list shows
+// after a while. The upstreams of a move that was in progress leave after 3 s.
+func (c *moveCloud) beginMoveTo(version string) {
+	c.leave(c.move.Next)
+	c.move = VersionMove{Serving: "v1", Next: version}
+	domains := []string{"a", "b", "c"}
+	for i := range c.live("v1") {
+		c.start(Place{domains[i%3], OnDemand}, 1, version, c.now.Add(300*time.Millisecond))
+	}
+}
+
+// leave makes the upstreams of a version leave after 3 s.
+func (c *moveCloud) leave(version string) {
+	for i := range c.upstreams {
+		if c.upstreams[i].version == version {
+			c.upstreams[i].leavesAt = c.now.Add(3 * time.Second)
 		}
 	}
 }
 
 // complete ends the move with the new version: the upstreams of the other stop at once.
 func (c *moveCloud) complete() {
-	c.move = VersionMove{Serving: "v2", IsSwitched: true, EndedAt: c.now}
-	c.upstreams = slices.DeleteFunc(c.upstreams, func(u cloudUpstream) bool { return u.version != "v2" })
+	next := c.move.Next
+	c.move = VersionMove{Serving: next, IsSwitched: true, EndedAt: c.now}
+	c.upstreams = slices.DeleteFunc(c.upstreams, func(u cloudUpstream) bool { return u.version != next })
 }
 
-// rollBack ends the move with the old version: the upstreams of the new one leave after 3 s.
-func (c *moveCloud) rollBack() {
-	c.move = VersionMove{Serving: "v1", EndedAt: c.now}
+// showStopped makes the list show stopped upstreams for 10 s longer.
+func (c *moveCloud) showStopped(count int) {
+	c.start(Place{"a", OnDemand}, count, "v1", c.now)
 	for i := range c.upstreams {
-		if c.upstreams[i].version == "v2" {
-			c.upstreams[i].leavesAt = c.now.Add(3 * time.Second)
+		if c.upstreams[i].version == "v1" {
+			c.upstreams[i].leavesAt = c.now.Add(10 * time.Second)
 		}
 	}
 }
 
+// rollBack ends the move with the old version: the upstreams of the new one leave after 3 s.
+func (c *moveCloud) rollBack() {
+	c.leave(c.move.Next)
+	c.move = VersionMove{Serving: "v1", EndedAt: c.now}
+}
+
 // reclaim removes the reclaimable upstreams of a domain and makes all reclaimable ones
 // unavailable for 14 s.
 func (c *moveCloud) reclaim(domain string) {
@@ -138,6 +154,9 @@
 		Bounds: c.bounds, Live: map[Place]int{}, Next: map[Place]int{}, Others: map[Place]int{}, Move: c.move,
 		Median: c.median, LateShare: c.lateShare, Requests: 100, Now: c.now,
 	}
+	if c.now.Before(c.burstUntil) {
+		o.Median, o.LateShare = 0.9, 0.4
+	}
 	for _, u := range c.upstreams {
 		switch {
 		case c.now.Before(u.liveAt):
@@ -188,8 +207,8 @@
 		return c.move.Next
 	case c.move.isActive():
 		return c.move.Serving
-	case c.live("v2") > 0:
-		return "v2"
+	case len(c.upstreams) > 0:
+		return c.upstreams[0].version
 	}
 	return "v1"
 }
--- a/internal/autoscale/planner_move_test.go
+++ b/internal/autoscale/planner_move_test.go
@@ -127,15 +127,9 @@
 		cloud := newMoveCloud(t)
 		cloud.beginMove()
 		cloud.run(14 * time.Second)
-		// The list shows the stopped upstreams for longer than usual.
 		old := cloud.live("v1")
 		cloud.complete()
-		cloud.start(Place{"a", OnDemand}, old, "v1", cloud.now)
-		for i := range cloud.upstreams {
-			if cloud.upstreams[i].version == "v1" {
-				cloud.upstreams[i].leavesAt = cloud.now.Add(10 * time.Second)
-			}
-		}
+		cloud.showStopped(old)
 		before := cloud.live("v2")
 		cloud.median, cloud.lateShare = 0.9, 0.4
 		cloud.run(6 * time.Second)
