Keep the upstreams that a move has left until their replacements can be live

Callers saw: right after the switch of a move a service gives up a third of its upstreams, while the caches of all are empty: the new version's upstreams are on-demand, and those above the target were released after 0.5 s, but the reclaimable ones that replace them are live only after the boot time.

Change: for the boot time and 3 s after the end of a move, on-demand upstreams that cover the shortage stay.

Test: TestSurplusStaysUntilReplacedAfterSwitch.

--- a/internal/autoscale/planner.go
+++ b/internal/autoscale/planner.go
@@ -86,8 +86,10 @@
 	// few or with enough upstreams; the other one is zero.
 	shortageSince time.Time
 	enoughSince   time.Time
-	// progress is that of the present part of a version move, if there is one.
-	progress moveProgress
+	// progress is that of the present part of a version move, if there is one, and
+	// moveEndedAt is when the end of a move was observed last.
+	progress    moveProgress
+	moveEndedAt time.Time
 }
 
 // sentOrder is an order that was sent; its count is -1 if it was refused.
@@ -283,6 +285,9 @@
 		surplus += o.Live[Place{domain, OnDemand}] - counts[domain]
 	}
 	p.recordShortage(shortage, o.Now)
+	if p.isReplacing(o, shortage, surplus) {
+		return nil
+	}
 	switch {
 	case shortage > 0 && o.Now.Sub(p.shortageSince) >= replaceAfter:
 		// Substitutes stay while reclaimable upstreams return one after the other.
--- a/internal/autoscale/planner_move.go
+++ b/internal/autoscale/planner_move.go
@@ -40,6 +40,9 @@
 // beginMove forgets the orders that were sent before the present part of a move: the number
 // of upstreams at a place now has another meaning. Refusals are kept.
 func (p *Planner) beginMove(o *Observation) {
+	if p.progress.move.Next != "" {
+		p.moveEndedAt = o.Now
+	}
 	p.progress = newMoveProgress(o)
 	for place, last := range p.lastOrders {
 		if last.count >= 0 {
@@ -48,6 +51,14 @@
 	}
 }
 
+// isReplacing reports whether the on-demand upstreams that a move has left stay until the
+// reclaimable ones that replace them can be live: right after a switch, the caches of all
+// upstreams are empty, and fewer of them would serve worse. They must cover the shortage.
+func (p *Planner) isReplacing(o *Observation, shortage, surplus int) bool {
+	isRecent := !p.moveEndedAt.IsZero() && o.Now.Sub(p.moveEndedAt) < o.Bounds.BootTime+retryDelay
+	return isRecent && shortage > 0 && surplus >= shortage
+}
+
 // addMissingServing adds the upstreams that the serving version lacks. The failure domains of
 // its on-demand ones are of no importance during a move, only their number.
 func (p *Planner) addMissingServing(a *allocation, o *Observation, domains []string, reclaimable, onDemand map[string]int) {
--- a/internal/autoscale/planner_move_test.go
+++ b/internal/autoscale/planner_move_test.go
@@ -138,6 +138,26 @@
 	})
 }
 
+// Guards against a service that gives up a third of its upstreams right after the switch, when
+// their caches are empty and the reclaimable ones that replace them are not live yet, and
+// against one that pays for them later.
+func TestSurplusStaysUntilReplacedAfterSwitch(t *testing.T) {
+	cloud := newMoveCloud(t)
+	before := cloud.live("v1")
+	cloud.beginMove()
+	cloud.run(10 * time.Second)
+	cloud.complete()
+	for range 20 {
+		cloud.run(500 * time.Millisecond)
+		assert.Assert(t, cloud.live("v2") >= before, "%d upstreams serve, %d before the move", cloud.live("v2"), before)
+		if cloud.live("v2") > before {
+			break
+		}
+	}
+	cloud.run(8 * time.Second)
+	assert.Equal(t, cloud.live("v2"), before)
+}
+
 // Guards against a service that does not grow while its callers wait during a move, and
 // against one that shrinks below what a rollback needs.
 func TestTargetDuringMove(t *testing.T) {
