--- a/internal/autoscale/controller.go
+++ b/internal/autoscale/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -53,15 +54,17 @@
 	Initial int `json:"found"`
 }
 
-// Options configures a Controller. All fields are required.
+// Options configures a Controller. All fields except Move are required.
 type Options struct {
 	Config *fleetconfig.Holder
 	Store  objectclient.Store
 	Sender Sender
-	// IsPaused reports whether nothing may be ordered for a service at present.
-	// During a version move, upstreams of both versions serve, which are more
-	// than are needed.
+	// IsPaused reports whether nothing may be ordered for a service at present, as the
+	// versions of its upstreams have no known roles.
 	IsPaused func(service string) bool
+	// Move returns the version move of a service, the zero value if there is none. It may be
+	// nil.
+	Move func(service string) VersionMove
 	// Upstreams returns all known upstreams, including those that are leaving.
 	Upstreams func() []membership.Instance
 	// IsEvacuated reports whether nothing is sent to the upstreams of a failure domain.
@@ -77,8 +80,8 @@
 	Scope  tally.Scope
 }
 
-// Controller orders upstreams while this daemon holds the duty. It is not safe for
-// concurrent use.
+// Controller orders upstreams while this daemon holds the duty. Except for Target, it is not
+// safe for concurrent use.
 type Controller struct {
 	opts  Options
 	fence int64
@@ -89,6 +92,9 @@
 	// stored is the capacity that was last read from or sent to the store, by
 	// service.
 	stored map[string]storedCapacity
+	// targets holds the number of upstreams that each service should have; nil without the
+	// duty.
+	targets atomic.Pointer[map[string]int]
 }
 
 // New returns a Controller.
@@ -105,6 +111,7 @@
 	config, _ := c.opts.Config.Current()
 	if !ok || config == nil {
 		c.isLost = true
+		c.targets.Store(nil)
 		return
 	}
 	now := c.opts.Now()
@@ -129,7 +136,7 @@
 			}
 			c.planners[name] = planner
 		}
-		observation := observe(service, upstreams, c.opts.IsEvacuated, c.opts.Now())
+		observation := c.observe(service, upstreams)
 		summary := c.opts.LatencySummary(name)
 		observation.Median, observation.LateShare, observation.Requests = summary.Median, summary.LateShare, summary.Requests
 		for _, order := range planner.Plan(observation) {
@@ -137,6 +144,26 @@
 		}
 		c.storeCapacity(ctx, name, planner)
 	}
+	c.recordTargets()
+}
+
+// recordTargets records the targets of all services.
+func (c *Controller) recordTargets() {
+	targets := make(map[string]int, len(c.planners))
+	for service, planner := range c.planners {
+		targets[service] = planner.Target()
+	}
+	c.targets.Store(&targets)
+}
+
+// Target returns the number of upstreams that a service should have, 0 if that is unknown to
+// this daemon. It is safe for concurrent use.
+func (c *Controller) Target(service string) int {
+	targets := c.targets.Load()
+	if targets == nil {
+		return 0
+	}
+	return (*targets)[service]
 }
 
 // isReacquired reports whether this daemon has got the duty again because the store was
@@ -194,17 +221,29 @@
 
 // observe counts the live upstreams of a service by place, without those of evacuated
 // failure domains.
-func observe(service *fleetconfig.Service, upstreams []membership.Instance, isEvacuated func(domain string) bool, now time.Time) *Observation {
-	o := &Observation{Bounds: service.Autoscale.Without(isEvacuated), Live: map[Place]int{}, Now: now}
+func (c *Controller) observe(service *fleetconfig.Service, upstreams []membership.Instance) *Observation {
+	o := &Observation{
+		Bounds: service.Autoscale.Without(c.opts.IsEvacuated), Live: map[Place]int{}, Next: map[Place]int{}, Others: map[Place]int{}, Now: c.opts.Now(),
+	}
+	if c.opts.Move != nil {
+		o.Move = c.opts.Move(service.Name)
+	}
 	for _, u := range upstreams {
-		if u.Pool != service.Name || u.State != membership.StateLive || isEvacuated(u.Domain) {
+		if u.Pool != service.Name || u.State != membership.StateLive || c.opts.IsEvacuated(u.Domain) {
 			continue
 		}
-		kind := OnDemand
+		place := Place{u.Domain, OnDemand}
 		if u.Class == membership.Reclaimable {
-			kind = Reclaimable
+			place.Kind = Reclaimable
+		}
+		if !o.Move.isActive() || u.Version == o.Move.Serving {
+			o.Live[place]++
+			continue
+		}
+		o.Others[place]++
+		if u.Version == o.Move.Next {
+			o.Next[place]++
 		}
-		o.Live[Place{u.Domain, kind}]++
 	}
 	return o
 }
@@ -219,7 +258,7 @@
 	err := c.opts.Sender.OrderUpstreams(ctx, fence, service, order.Domain, order.Count, reclaimable)
 	fields := []any{
 		"service", service, "domain", order.Domain, "count", order.Count, "reclaimable", reclaimable, "fence", fence,
-		"live", o.Live[order.Place], "target", planner.Target(), "median", o.Median, "late", o.LateShare, "requests", o.Requests,
+		"live", o.Live[order.Place], "otherVersions", o.Others[order.Place], "target", planner.Target(), "median", o.Median, "late", o.LateShare, "requests", o.Requests,
 	}
 	if err != nil {
 		planner.RecordRefusal(order, c.opts.Now())
