Bound what the requests and connections of callers hold

A crowd of callers that nobody controls could make the daemon run out of memory or descriptors. Requests now charge the bytes they have received to one budget, with a fair share per address and workspace; a body that makes no progress is terminated with 408, or loses its room to others when that runs short. Connections have a budget of the same kind, the limits of the configuration for headers, header time and idle time are enforced, and writes to callers that do not read end soon after the deadline.

--- /dev/null
+++ b/internal/callerbody/doc.go
@@ -0,0 +1,3 @@
+// Package callerbody reads the bodies of callers' requests within a budget and in time, for
+// all servers of callers.
+package callerbody
--- a/internal/fleetconfig/limits.go
+++ b/internal/fleetconfig/limits.go
@@ -2,8 +2,7 @@
 
 import "time"
 
-// Limits bounds the requests and connections of callers. Only MaxBodyBytes is enforced
-// at present.
+// Limits bounds the requests and connections of callers. 0 means a default.
 type Limits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
--- /dev/null
+++ b/internal/fleetdaemon/caller_conn.go
@@ -0,0 +1,49 @@
+package fleetdaemon
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"rattantide/internal/callerbudget"
+)
+
+const (
+	// silentConnTime is how long a new connection that has sent no request is kept while
+	// connections run short.
+	silentConnTime = time.Second
+	// idleShare is the share of the idle time after which an idle connection may be closed
+	// while connections run short; ordinary callers do not use it any more.
+	idleShare = 0.8
+)
+
+// callerConn is a connection of a caller that is charged to the budget of connections.
+type callerConn struct {
+	*net.TCPConn
+	part *callerbudget.Part
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.once.Do(c.part.Close)
+	return c.TCPConn.Close()
+}
+
+// recordState lets connections be closed for others while they hold no request: those that
+// have not sent any, and those that are idle.
+func (l serverLimits) recordState(c net.Conn, state http.ConnState) {
+	conn, ok := c.(*callerConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateNew:
+		conn.part.Expose(time.Now().Add(silentConnTime))
+	case http.StateIdle:
+		conn.part.Expose(time.Now().Add(time.Duration(idleShare * float64(l.idleTimeout))))
+	case http.StateActive:
+		conn.part.Keep()
+	}
+}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"rattantide/internal/admission"
 	"rattantide/internal/bootclock"
+	"rattantide/internal/callerbudget"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/fleetsync"
@@ -91,8 +92,10 @@
 	follower        *versionmove.Follower
 	view            *viewSource
 	gateway         *gateway.Server
-	config          *fleetsync.ConfigSync
-	upstreams       *fleetsync.UpstreamSync
+	// callerBytes bounds what the requests of callers hold, callerConns their connections.
+	callerBytes, callerConns *callerbudget.Budget
+	config                   *fleetsync.ConfigSync
+	upstreams                *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
 	evacuations *fleetsync.EvacuationSync
 	// upstreamLimit limits the requests to upstreams that have just started, and to those
@@ -298,10 +301,11 @@
 		Config: d.view, Table: d.table, Admission: admitter,
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
+	d.callerBytes, d.callerConns = callerbudget.New(requestBytes(d.settings)), callerbudget.New(maxCallerConns(d.settings))
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
 		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
-		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now,
+		CallerBudget: d.callerBytes, Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now,
 	})
 }
 
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -21,15 +21,14 @@
 )
 
 const (
-	// callerIdleTimeout is how long an idle connection of a caller stays open. It
-	// exceeds the idle timeout that configurations set for callers, so that the daemon
-	// does not close a connection on which a request is in transit.
+	// callerIdleTimeout is how long an idle connection of a caller stays open if the
+	// configuration does not set that.
 	callerIdleTimeout = 60 * time.Second
-	// headerTimeout bounds the time in which a caller must send the request header.
+	// headerTimeout bounds the time in which a caller must send the request header, if the
+	// configuration does not set that.
 	headerTimeout = 5 * time.Second
 	// maxHeaderBytes bounds the header of a caller's request, and of a response of the
-	// platform or of another daemon. The configuration's bound for callers may be lower,
-	// but is not enforced at present.
+	// platform or of another daemon. The configuration's bound for callers may be lower.
 	maxHeaderBytes = 64 << 10
 	// maintenanceInterval is the time between calls of maintain.
 	maintenanceInterval = time.Second
@@ -61,16 +60,17 @@
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
 	d.startDuties(workCtx, group)
-	servers := d.startServers(group)
+	callers, servers := d.startServers(group)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
 		"domain", d.settings.Domain, "seeds", d.settings.Seeds)
 	group.Go(func() error {
 		defer stop()
 		select {
 		case <-ctx.Done():
-			d.drain(servers)
+			d.drain(callers)
 		case <-workCtx.Done():
 		}
+		_ = callers.Close()
 		for _, s := range servers {
 			_ = s.Close()
 		}
@@ -120,7 +120,10 @@
 // them.
 func (d *Daemon) fencingToken() (int64, bool) { return d.leases.Held(dutyLease) }
 
-func (d *Daemon) startServers(group *errgroup.Group) []*http.Server {
+// startServers starts the server of the callers, and the others.
+func (d *Daemon) startServers(group *errgroup.Group) (*callerServers, []*http.Server) {
+	callers := &callerServers{handler: d.gateway, config: d.holder, listener: d.callers, conns: d.callerConns}
+	group.Go(func() error { return errors.Annotate(callers.Serve(), "serve callers") })
 	var servers []*http.Server
 	serve := func(l net.Listener, handler http.Handler) {
 		if l == nil {
@@ -135,19 +138,18 @@
 			return nil
 		})
 	}
-	serve(d.callers, d.gateway)
 	serve(d.readiness, platform.ReadinessHandler(d.ready))
 	serve(d.directory, platform.DirectoryHandler(d.resolve))
 	serve(d.metricsListener, d.metrics)
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+fleetsync.ConfigPath, &fleetsync.ConfigHandler{Source: d.config.Snapshot, BootNow: bootclock.Now})
 	serve(d.peerListener, peerMux)
-	return servers
+	return callers, servers
 }
 
 // drain announces that the daemon is draining, lingers until callers no longer use its
 // address, and waits for the open requests, all within the grace period.
-func (d *Daemon) drain(servers []*http.Server) {
+func (d *Daemon) drain(callers *callerServers) {
 	d.logger.Info("daemon is draining", "daemon", d.settings.Name, "open", d.gateway.OpenRequests())
 	grace := d.settings.Bounds.Grace - shutdownMargin
 	deadline := bootclock.Now().Add(grace)
@@ -160,12 +162,10 @@
 	defer end.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(bootclock.Now()))
 	defer cancel()
-	// The first server is that of the callers; the others, such as the readiness
-	// check of the platform, stay open until it has shut down.
-	if len(servers) > 0 {
-		if err := servers[0].Shutdown(ctx); err != nil {
-			d.logger.Warn("grace period ended with open requests", "open", d.gateway.OpenRequests(), "error", err)
-		}
+	// The other servers, such as the readiness check of the platform, stay open until that
+	// of the callers has shut down.
+	if err := callers.Shutdown(ctx); err != nil {
+		d.logger.Warn("grace period ended with open requests", "open", d.gateway.OpenRequests(), "error", err)
 	}
 }
 
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"rattantide/internal/callerbody"
 	"rattantide/internal/fleetconfig"
 )
 
@@ -25,6 +26,9 @@
 	if config == nil {
 		return newRefusalWithRetry(http.StatusServiceUnavailable, "no configuration yet", startupRetryAfter)
 	}
+	if limit := config.Limits.MaxHeaderBytes; limit > 0 && callerbody.HeaderBytes(x.request) > int64(limit) {
+		return newRefusal(http.StatusRequestHeaderFieldsTooLarge, "header too large")
+	}
 	x.config, x.configAge = config, s.opts.BootNow().Sub(confirmedAt)
 	fresh := x.configAge < s.opts.KeysValidFor()
 	x.route = config.Route(x.request.Host, x.request.URL.Path)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"rattantide/internal/callerbody"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/framing"
@@ -27,6 +28,10 @@
 	deadline time.Time
 	body     []byte
 	hasBody  bool
+	// bodyRead reports whether reading the body was tried, and held is what the request
+	// holds of the budget for callers since then.
+	bodyRead bool
+	held     *callerbody.Body
 	// sharedParts are the parts of the prompt that other prompts may contain too.
 	sharedParts []uint64
 	// key returns the key of the request, which is computed when it is first needed. It is
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"rattantide/internal/callerbody"
 )
 
 // statusClientClosedRequest is the status in logs and metrics of a request whose
@@ -25,6 +27,10 @@
 		return
 	}
 	x.status = r.status
+	if !x.bodyRead {
+		callerbody.LeaveUnread(x.writer, x.request)
+	}
+	x.setWriteDeadline()
 	header := x.writer.Header()
 	x.server.opts.Codec.EncodeRefusal(header, x.call.AttemptID, r.retryAfter)
 	header.Set("Content-Length", "0")
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"rattantide/internal/callerbudget"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/membership"
@@ -66,7 +67,7 @@
 }
 
 // Options configures a Server. All fields except ConnLimit, Usage, Loads,
-// UpstreamStates, UpstreamLimit, LimitRecorder and the quarantines are required.
+// UpstreamStates, UpstreamLimit, LimitRecorder, the quarantines and CallerBudget are required.
 type Options struct {
 	Codec   Codec
 	Config  *fleetconfig.Holder
@@ -90,6 +91,8 @@
 	// KeysValidFor returns how long keys may be accepted after the configuration
 	// was last confirmed to be the newest one.
 	KeysValidFor func() time.Duration
+	// CallerBudget bounds what the requests of callers hold together; nil means a default.
+	CallerBudget *callerbudget.Budget
 	// Logger logs one line for each request.
 	Logger *log.Logger
 	Scope  tally.Scope
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -76,6 +76,7 @@
 	for {
 		n, err := response.Body.Read(buf)
 		if n > 0 {
+			x.renewWriteDeadline()
 			if _, writeErr := x.writer.Write(buf[:n]); writeErr != nil {
 				return a.endDisconnected(false)
 			}
@@ -143,6 +144,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	x.status, x.headSent = response.Status, true
+	x.setWriteDeadline()
 	x.writer.WriteHeader(response.Status)
 }
 
--- a/internal/gateway/relay_stream.go
+++ b/internal/gateway/relay_stream.go
@@ -103,6 +103,7 @@
 	if !x.headSent {
 		x.writeHead(response, false, 0)
 	}
+	x.renewWriteDeadline()
 	if _, err := x.writer.Write(ready); err != nil {
 		return false
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -10,6 +9,8 @@
 	"github.com/juju/errors"
 	"github.com/uber-go/tally/v4"
 
+	"rattantide/internal/callerbody"
+	"rattantide/internal/callerbudget"
 	"rattantide/internal/framing"
 )
 
@@ -23,6 +24,11 @@
 	// unconfirmedRetryAfter is the Retry-After delay while the store does not
 	// confirm the configuration; other daemons may still reach the store.
 	unconfirmedRetryAfter = 300 * time.Millisecond
+	// noRoomRetryAfter is the Retry-After delay while the budget for requests is used up;
+	// bodies that have not arrived within about this time make room for others.
+	noRoomRetryAfter = time.Second
+	// defaultCallerBytes is the budget for requests if none is given.
+	defaultCallerBytes = 64 << 20
 )
 
 // Server is the http.Handler that serves callers. It is safe for concurrent use.
@@ -47,6 +53,9 @@
 
 // New returns a Server.
 func New(opts Options) *Server {
+	if opts.CallerBudget == nil {
+		opts.CallerBudget = callerbudget.New(defaultCallerBytes)
+	}
 	scope := opts.Scope.SubScope("gateway")
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	running, endRequests := context.WithCancel(context.Background())
@@ -68,6 +77,7 @@
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	x := &exchange{server: s, writer: w, request: r, receivedAt: time.Now()}
+	defer x.releaseBody()
 	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
@@ -84,34 +94,37 @@
 	}
 }
 
-// readBody buffers the whole body, so that it can be sent again in a retry.
+// readBody buffers the whole body, so that it can be sent again in a retry. What the request
+// holds is charged until releaseBody.
 func (x *exchange) readBody(limit int64) *refusal {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if x.request.ContentLength > limit {
-		return newRefusal(http.StatusRequestEntityTooLarge, "body too large")
-	}
-	if x.request.Body == nil || x.request.Body == http.NoBody || x.request.ContentLength == 0 {
-		x.hasBody = x.request.Header.Get("Content-Length") != ""
-		return nil
-	}
-	x.hasBody = true
-	reader := io.Reader(http.MaxBytesReader(x.writer, x.request.Body, limit))
-	var err error
-	if length := x.request.ContentLength; length > 0 {
-		x.body = make([]byte, length)
-		_, err = io.ReadFull(reader, x.body)
-	} else {
-		x.body, err = io.ReadAll(reader)
+	caller := callerbudget.Caller{Address: callerbudget.AddressOf(x.request.RemoteAddr)}
+	if x.workspace != nil {
+		caller.Workspace = x.workspace.Name
 	}
-	var tooLarge *http.MaxBytesError
+	x.bodyRead = true
+	held, err := callerbody.Read(x.writer, x.request, callerbody.Options{Budget: x.server.opts.CallerBudget, Caller: caller, Limit: limit, Deadline: x.deadline})
+	x.held, x.body = held, held.Bytes
+	x.hasBody = x.body != nil || x.request.Header.Get("Content-Length") != ""
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &tooLarge):
-		return newRefusal(http.StatusRequestEntityTooLarge, "body too large")
+	case errors.Is(err, callerbody.ErrTooLarge):
+		return newRefusal(http.StatusRequestEntityTooLarge, err.Error())
+	case errors.Is(err, callerbody.ErrNoRoom):
+		return newRefusalWithRetry(http.StatusServiceUnavailable, err.Error(), noRoomRetryAfter)
+	case errors.Is(err, callerbody.ErrTooSlow):
+		return newRefusal(http.StatusRequestTimeout, err.Error())
 	}
 	x.callerDisconnected = x.request.Context().Err() != nil
 	return newRefusal(http.StatusBadRequest, "body could not be read")
 }
+
+// releaseBody ends what the request holds.
+func (x *exchange) releaseBody() {
+	if x.held != nil {
+		x.held.Release()
+	}
+}
