Choose upstreams by the slots and the pace that they report

A plain upstream that turned slow kept its share. A pool whose upstreams report them gets an expected wait from free slots, waiting requests and this daemon's own attempts, and a learned time for which a request holds a slot, scaled by pace and lasting speed. Each figure is discounted by its age towards the mean of the pool; an upstream without a report is a mean one. State belongs to one process and version. Candidate has a new field WaitSeconds; its Pace is the discounted estimate. Result: without pace in the reports the choice is as before.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -60,6 +60,7 @@
 	if a.isSuspect {
 		a.d.suspects.recordEnd(a.upstream.Name)
 	}
+	a.d.failures.record(a.upstream.Name, res.Status, now)
 	a.d.attempts.recordEnd(a.request.ID, a.upstream.Name, a.countsAsFailure(res))
 	// Refresh the reported load here as well: between two arrivals, only the
 	// ends of attempts update it, and a burst would otherwise keep the
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -31,6 +31,7 @@
 	opts     Options
 	attempts attemptTracker
 	suspects suspectTracker
+	failures failureTracker
 	returns  returnOrder
 	buffers  sync.Pool
 
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -72,6 +72,9 @@
 	if suspect {
 		upstreams = d.suspects.withoutSuspects(upstreams)
 	}
+	if r.Attempt > 1 {
+		upstreams = d.failures.withoutAlike(upstreams, r.Exclude, now)
+	}
 	req := &routing.Request{
 		PromptTokens: r.PromptTokens + r.ResumedTokens,
 		MaxTokens:    max(0, r.MaxTokens-r.ResumedTokens),
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -56,6 +56,10 @@
 // that its announcement is to be applied.
 func (r *record) advanceGeneration(generation int64) bool {
 	if generation > r.generation {
+		if r.generation != 0 {
+			// The load is that of the previous process.
+			r.load = nil
+		}
 		r.generation, r.announcedLeaving = generation, false
 		r.drainedUntil, r.backoffUntil = time.Time{}, time.Time{}
 		if !r.underReclaim {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -39,8 +39,8 @@
 	Slots int
 	// Waiting is the estimated number of requests that wait for a slot.
 	Waiting float64
-	// Pace is how long work takes at the upstream at this moment, relative to its usual
-	// duration; 0 if it is not known.
+	// Pace is the estimate of how long work takes at the upstream at this moment, relative to
+	// its usual duration; 0 if it is not known. The reported pace is discounted by its age.
 	Pace float64
 	// Speed is the lasting speed of the upstream relative to its pool: 2 means that work takes
 	// half as long. 0 if it is not known.
@@ -48,6 +48,10 @@
 	// StateAge is the age of Waiting, Pace and Running as told by the upstream. It is without
 	// meaning while Slots is 0.
 	StateAge time.Duration
+	// WaitSeconds is the expected time to the first answer at the usual pace and speed that
+	// does not depend on the prompt: until a slot is free and, for a plain service, the
+	// service time. It is 0 while Slots is 0.
+	WaitSeconds float64
 }
 
 // promptRate returns the estimated prompt processing rate in tokens per second.
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -75,7 +75,10 @@
 		slowness = 1
 	}
 	prefill := (c.BacklogTokens + uncached) / c.promptRate()
-	first := (prefill + c.Running*p.SecondsPerRunning) * slowness
+	if c.Pace > 0 {
+		slowness *= c.Pace
+	}
+	first := (prefill + c.Running*p.SecondsPerRunning + c.WaitSeconds) * slowness
 	if c.KVShare > kvPressureStart {
 		first += (c.KVShare - kvPressureStart) * kvPressureSeconds
 	}
--- a/internal/routing/cost_bench_test.go
+++ b/internal/routing/cost_bench_test.go
@@ -27,6 +27,33 @@
 	}
 }
 
+// BenchmarkChooseWithState140 measures choosing among 140 upstreams that report slots and
+// pace. It must take at most 5 µs and not allocate.
+func BenchmarkChooseWithState140(b *testing.B) {
+	now := time.Unix(1000, 0)
+	tracker, upstreams, blocks := loadedTracker(now)
+	for i := len(upstreams); i < 140; i++ {
+		upstreams = append(upstreams, upstreams[i%100])
+		upstreams[i].Name = fmt.Sprintf("runner-%03d.pool-a", i)
+	}
+	for i := range upstreams {
+		upstreams[i].Load = &membership.Load{
+			Running: i % 16, Waiting: i % 3, Slots: 16, Pace: 1 + float64(i%5)/4, ReceivedAt: now.Add(-time.Duration(i) * time.Millisecond),
+		}
+	}
+	policy := NewCost()
+	req := &Request{PromptTokens: 256 * 16, MaxTokens: 200, Blocks: blocks, Now: now}
+	buffer := make([]Candidate, 0, len(upstreams))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		req.Rand = uint64(i)
+		buffer = tracker.Candidates(req, upstreams, buffer[:0])
+		if policy.Pick(req, buffer) < 0 {
+			b.Fatal("nothing chosen")
+		}
+	}
+}
+
 // loadedTracker returns a Tracker, 100 upstreams with load reports, cached blocks and
 // reclaims, and the blocks of a prompt.
 func loadedTracker(now time.Time) (*Tracker, []membership.Upstream, []uint64) {
--- /dev/null
+++ b/internal/routing/estimator.go
@@ -0,0 +1,68 @@
+package routing
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// horizonFactor is the ratio of the age at which a report is forgotten to that at which it
+	// counts half: its weight is the square of the share of the horizon that is left.
+	horizonFactor = 2 + math.Sqrt2
+	// perPaceHorizon is the reciprocal of the horizon of a reported pace in seconds.
+	perPaceHorizon = 1e9 / (float64(paceHalfAge) * horizonFactor)
+)
+
+// estimator estimates the load and the pace of the upstreams of a pool at one moment.
+type estimator struct {
+	now time.Duration
+	// hold is the time for which a request holds a slot, and service the part of the time to
+	// the first answer that does not depend on the prompt, in seconds at the usual pace.
+	hold, service float64
+	// meanShare and meanPace are those of the pool.
+	meanShare, meanPace float64
+	// perLoadHorizon is the reciprocal of the horizon of a reported load in seconds.
+	perLoadHorizon float64
+	// unknown stands for the report of an upstream without one.
+	unknown toldState
+}
+
+// estimate sets the fields of a candidate that depend on its slots and its pace. It uses few
+// divisions, as it is called for each candidate of each request.
+func (e *estimator) estimate(s *upstreamState, c *Candidate) {
+	told, age, loadWeight, paceWeight := &s.told, time.Duration(math.MaxInt64), 0.0, 0.0
+	if told.slots > 0 {
+		age = e.now - told.takenAt
+		if age < 0 {
+			age = 0
+		}
+		seconds := float64(age) * 1e-9
+		if left := 1 - seconds*e.perLoadHorizon; left > 0 {
+			loadWeight = left * left
+		}
+		if left := 1 - seconds*perPaceHorizon; left > 0 {
+			paceWeight = left * left
+		}
+	} else {
+		told = &e.unknown
+	}
+	slots := told.slots
+	occupancy := e.meanShare * slots
+	occupancy += loadWeight*(told.occupancy-occupancy) + float64(s.told.sentSince)
+	if own := float64(s.inFlight); occupancy < own {
+		occupancy = own
+	}
+	c.Slots, c.StateAge = int(slots+0.5), age
+	c.Pace = e.meanPace + paceWeight*(told.pace-e.meanPace)
+	c.Slowness, c.Speed = s.lastingSlowness(e.now)
+	c.Running, c.Waiting = occupancy, 0
+	if occupancy > slots {
+		c.Running, c.Waiting = slots, occupancy-slots
+	}
+	// The wait of a request that finds n others in excess of the free slots is n times the
+	// time in which a slot becomes free. The square root smooths the start of the wait, as the
+	// number of requests is not known exactly.
+	excess := occupancy + 1 - slots
+	width := sharpWait + (1-loadWeight)*staleWaitShare*slots
+	c.WaitSeconds = e.service + e.hold*told.slotTime*0.5*(excess+math.Sqrt(excess*excess+width*width))
+}
--- a/internal/routing/sent_attempt.go
+++ b/internal/routing/sent_attempt.go
@@ -1,5 +1,7 @@
 package routing
 
+import "time"
+
 // SentAttempt identifies an open attempt for Tracker.RecordFirstToken and
 // Tracker.RecordEnd.
 type SentAttempt struct {
@@ -8,6 +10,11 @@
 	// processed before the request, and uncachedTokens the number of its own.
 	queuedTokens   float64
 	uncachedTokens float64
+	// at is when it was sent, since the tracker's start.
+	at time.Duration
+	// waitSeconds and pace are those of the candidate.
+	waitSeconds float64
+	pace        float64
 }
 
 // UncachedTokens returns the estimated number of prompt tokens that the
--- /dev/null
+++ b/internal/routing/told_state.go
@@ -0,0 +1,33 @@
+package routing
+
+import (
+	"time"
+
+	"rattantide/internal/membership"
+)
+
+// toldState is what an upstream reported of its slots and its pace. It is the zero value,
+// except for sentSince, if the upstream reports no pace.
+type toldState struct {
+	slots float64
+	// slotTime is the mean time between two requests that leave the full upstream, as a share
+	// of the time for which a request holds a slot.
+	slotTime float64
+	// occupancy is the number of running and waiting requests.
+	occupancy float64
+	pace      float64
+	takenAt   time.Duration
+	// sentSince is the number of this daemon's open attempts that were sent after takenAt.
+	sentSince int
+}
+
+// newToldState returns the state in a report that was taken at a time.
+func newToldState(report *membership.Load, takenAt time.Duration, sentSince int) toldState {
+	if report.Pace <= 0 || report.Slots <= 0 {
+		return toldState{sentSince: sentSince}
+	}
+	return toldState{
+		slots: float64(report.Slots), slotTime: 1 / float64(report.Slots), occupancy: float64(report.Running + report.Waiting), pace: report.Pace,
+		takenAt: takenAt, sentSince: sentSince,
+	}
+}
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -25,6 +25,9 @@
 	fixedFirstTokenSeconds = 0.01
 	minSlowness            = 0.5
 	maxSlowness            = 8.0
+	// minToldSlowness is minSlowness for an attempt whose time is compared with the one that
+	// follows from what the upstream told, which may be too long by as much as too short.
+	minToldSlowness = 1 / maxSlowness
 	// stateRetention is how long the state of an upstream without open attempts
 	// is retained after it was last a candidate.
 	stateRetention = time.Minute
@@ -43,6 +46,7 @@
 	// meanTokens is the mean number of uncached prompt tokens per attempt. It
 	// converts the number of requests that wait at an upstream to tokens.
 	meanTokens float64
+	pool       poolState
 	startTime  time.Time
 	sweptAt    time.Duration
 	matched    matchCounts
@@ -78,12 +82,18 @@
 	now := t.since(req.Now)
 	first := len(buffer)
 	buffer = slices.Grow(buffer, len(upstreams))[:first+len(upstreams)]
+	isKnown := t.pool.isKnown(now)
+	var e estimator
+	if isKnown {
+		e = t.pool.newEstimator(now, req.PromptTokens == 0)
+	}
 	for i := range upstreams {
 		u := &upstreams[i]
 		s := t.stateAt(i, u)
 		s.lastCandidateAt = now
-		if u.Load != nil && u.Load.ReceivedAt != s.reportReceivedAt {
-			s.applyReport(u.Load, t.since(u.Load.ReceivedAt), t.meanTokens)
+		// Another process has another report or another generation.
+		if u.Load != s.report || u.Generation != s.process.generation {
+			t.update(s, u)
 		}
 		cached := 0.0
 		if s.slot >= 0 {
@@ -103,6 +113,18 @@
 		c.FailureShare = s.failures.valueAt(now)
 		c.KVShare = s.kvShare
 		c.ReclaimsPerSecond = s.domain.reclaimRate(u.Class, now)
+		if isKnown {
+			e.estimate(s, c)
+		} else {
+			c.Slots, c.Waiting, c.Pace, c.Speed, c.StateAge, c.WaitSeconds = 0, 0, 0, 0, 0, 0
+		}
+	}
+	if !isKnown && t.pool.isKnown(now) {
+		// One of the reports is the first that tells slots and pace.
+		e = t.pool.newEstimator(now, req.PromptTokens == 0)
+		for i := range upstreams {
+			e.estimate(t.byPosition[i], &buffer[first+i])
+		}
 	}
 	if now-t.sweptAt > stateRetention {
 		t.sweep(now)
@@ -110,6 +132,18 @@
 	return buffer
 }
 
+// update applies the load report of an upstream, and discards the state of an earlier process
+// or version.
+func (t *Tracker) update(s *upstreamState, u *membership.Upstream) {
+	if !s.process.matches(u) {
+		s.beginProcess(newUpstreamProcess(u))
+	}
+	if u.Load != nil && u.Load != s.report {
+		s.applyReport(u.Load, t.since(u.Load.ReceivedAt), t.meanTokens)
+		t.pool.observe(&s.told)
+	}
+}
+
 // RecordSent records that an attempt is sent to the candidate. The result is passed
 // to RecordFirstToken and RecordEnd.
 func (t *Tracker) RecordSent(req *Request, c *Candidate) SentAttempt {
@@ -124,7 +158,7 @@
 	if s.slot >= 0 {
 		t.index.RecordSent(s.slot, req.Blocks)
 	}
-	return SentAttempt{name: c.Name, queuedTokens: queued, uncachedTokens: uncached}
+	return SentAttempt{name: c.Name, queuedTokens: queued, uncachedTokens: uncached, at: now, waitSeconds: c.WaitSeconds, pace: c.Pace}
 }
 
 // RecordFirstToken records the first token of an open attempt. Calling it is
@@ -145,8 +179,7 @@
 	if s == nil {
 		return
 	}
-	s.inFlight = max(0, s.inFlight-1)
-	s.running = max(0, s.running-1)
+	s.recordEnd(sent.at)
 	if f.OK || f.Failed {
 		s.failures.observe(f.Failed, t.since(f.Now))
 	}
@@ -158,6 +191,9 @@
 	if f.FirstToken > 0 {
 		t.updateRates(s, sent, f)
 	}
+	if f.OK && sent.pace > 0 && !f.Now.IsZero() {
+		t.pool.observeHold((t.since(f.Now) - sent.at).Seconds(), &sent)
+	}
 }
 
 // updateRates updates the processing rate of the pool and the slowness of the
@@ -169,9 +205,25 @@
 	}
 	work := sent.queuedTokens + uncached
 	seconds := f.FirstToken.Seconds()
-	expected := fixedFirstTokenSeconds + work/t.tokensPerSecond
-	ratio := min(max(seconds/expected, minSlowness), maxSlowness)
+	expected, lowest := fixedFirstTokenSeconds+work/t.tokensPerSecond, minSlowness
+	if sent.pace > 0 {
+		// What the upstream told explains a part of the time. The rest is due to its lasting
+		// speed, also if what it tells is wrong.
+		seconds /= sent.pace
+		lowest = minToldSlowness
+		expected += sent.waitSeconds
+		if work == 0 {
+			expected = sent.waitSeconds
+		}
+	}
+	ratio := min(max(seconds/expected, lowest), maxSlowness)
+	if sent.pace > 0 && !f.Now.IsZero() {
+		s.slowness, _ = s.lastingSlowness(t.since(f.Now))
+		s.slownessAt = t.since(f.Now)
+	}
 	s.slowness += meanWeight * 2 * (ratio - s.slowness)
+	s.lasting = lastingSpeed{}
+	seconds -= sent.waitSeconds
 	if work >= minLearnTokens && seconds > fixedFirstTokenSeconds {
 		rate := min(max(work/(seconds-fixedFirstTokenSeconds), minTokensPerSecond), maxTokensPerSecond)
 		t.tokensPerSecond += meanWeight * (rate - t.tokensPerSecond)
@@ -270,6 +322,7 @@
 		return s
 	}
 	s := t.ensureState(u.Name)
+	t.update(s, u)
 	if s.domain == nil {
 		s.domain = t.reclaimRates.domain(u.Domain)
 	}
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -22,11 +22,18 @@
 // upstreamState is the state of one upstream in a Tracker. Times are durations
 // since the tracker's start, because arithmetic on time.Time takes a third of
 // the time of building candidates.
+//
+// The fields that each decision reads come first, as the states of all candidates exceed the
+// first level of a processor's cache.
 type upstreamState struct {
 	name     string
 	nameHash uint64
-	slot     int
-	inFlight int
+	// process is the process that the state belongs to.
+	process         upstreamProcess
+	lastCandidateAt time.Duration
+	// report is the latest load report, or nil before the first.
+	report *membership.Load
+	slot   int
 	// backlogTokens is the estimated number of waiting prompt tokens at
 	// backlogAt.
 	backlogTokens float64
@@ -35,22 +42,27 @@
 	// that have no first token yet. It does not lag, and it includes requests
 	// that wait for a slot in a full batch.
 	pendingTokens float64
+	reportedLoad  int
+	inFlight      int
 	// running is the batch size in the latest report, plus this daemon's
 	// changes since.
-	running          float64
-	slowness         float64
-	failures         failureShare
-	kvShare          float64
-	reportedLoad     int
-	reportReceivedAt time.Time
-	domain           *domainReclaims
+	running  float64
+	slowness float64
+	failures failureShare
+	kvShare  float64
+	domain   *domainReclaims
+	// told is what the upstream has reported of its slots and its pace.
+	told toldState
+	// lasting is the slowness as discounted by its age.
+	lasting lastingSpeed
+	// slownessAt is the time of the latest measurement if the upstream reports its pace.
+	slownessAt time.Duration
 	// lastEvent is the sequence number of the last cache event; -1 before the
 	// first.
 	lastEvent int64
 	// sends is a ring buffer; unused entries have negative tokens.
-	sends           *[maxSends]sendRecord
-	nextSend        int
-	lastCandidateAt time.Duration
+	sends    *[maxSends]sendRecord
+	nextSend int
 }
 
 func newUpstreamState(name string, slot int) *upstreamState {
@@ -65,18 +77,21 @@
 // applyReport applies a load report. This daemon's sends after the time of the
 // report are not included in it and are added.
 func (s *upstreamState) applyReport(report *membership.Load, receivedAt time.Duration, meanTokens float64) {
-	s.reportReceivedAt = report.ReceivedAt
+	s.report = report
 	takenAt := receivedAt - time.Duration(report.AgeMs)*time.Millisecond
 	s.reportedLoad = report.Running + report.Waiting
 	s.running = float64(report.Running)
 	s.backlogTokens = float64(report.Waiting) * meanTokens
 	s.backlogAt = takenAt
+	sentSince := 0
 	for i := range s.sends {
 		if s.sends[i].tokens >= 0 && s.sends[i].at > takenAt {
 			s.backlogTokens += s.sends[i].tokens
 			s.running++
+			sentSince++
 		}
 	}
+	s.told = newToldState(report, takenAt, min(sentSince, s.inFlight))
 	s.kvShare = 0
 	if report.KVTotalTokens > 0 {
 		s.kvShare = float64(report.KVUsedTokens) / float64(report.KVTotalTokens)
@@ -100,4 +115,38 @@
 	s.pendingTokens += tokens
 	s.inFlight++
 	s.running++
+	s.told.sentSince++
+}
+
+// lastingSlowness returns the slowness, which returns to 1 while nothing is measured, and its
+// reciprocal.
+func (s *upstreamState) lastingSlowness(now time.Duration) (slowness, speed float64) {
+	if !s.lasting.isCurrent(now) {
+		weight := halfWeight((now - s.slownessAt).Seconds(), speedHalfAge.Seconds())
+		s.lasting = lastingSpeed{at: now, slowness: 1 + weight*(s.slowness-1)}
+		s.lasting.speed = 1 / s.lasting.slowness
+	}
+	return s.lasting.slowness, s.lasting.speed
+}
+
+// recordEnd records the end of an attempt that was sent at a time.
+func (s *upstreamState) recordEnd(sentAt time.Duration) {
+	s.inFlight = max(0, s.inFlight-1)
+	s.running = max(0, s.running-1)
+	if sentAt > s.told.takenAt {
+		s.told.sentSince = max(0, s.told.sentSince-1)
+	}
+}
+
+// beginProcess discards what is known of an earlier process under the name.
+func (s *upstreamState) beginProcess(p upstreamProcess) {
+	isFirst := s.process == upstreamProcess{}
+	s.process = p
+	if isFirst {
+		return
+	}
+	s.report, s.reportedLoad, s.kvShare = nil, 0, 0
+	s.slowness, s.slownessAt, s.lasting, s.failures = 1, 0, lastingSpeed{}, failureShare{}
+	s.running, s.backlogTokens = float64(s.inFlight), 0
+	s.told = toldState{sentSince: s.inFlight}
 }
