Exchange the state of upstreams between the daemons

Cause: a single daemon hears from an upstream about once in 12 s, the fleet five times a second, and pace changes within some hundred milliseconds. Change: internal/upstreamstate holds load, pace and lasting speed by process. Each daemon sends its observations to both collectors every 250 ms; each collector sends the news, most informative first, to the half of the daemons that it serves every 125 ms and to the others once a second. Messages carry ages, not times. The choice gets the merged reports through membership.Table.SetLoads, which checks address and generation; a new process starts without the load of the previous one.

--- a/internal/fleetdaemon/collectors.go
+++ b/internal/fleetdaemon/collectors.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"rattantide/internal/peering"
+	"rattantide/internal/upstreamstate"
 )
 
 // collectorCount is the number of daemons that collect and distribute the state of upstreams
@@ -22,14 +23,21 @@
 			cores[p.Name] = p.Cores
 		}
 	}
-	chosen := preferredByCores("collector", cores, collectorCount)
-	d.collectorNames.Store(&chosen)
+	fleet := upstreamstate.Fleet{Self: d.settings.Name, Collectors: preferredByCores("collector", cores, collectorCount)}
+	for _, p := range peers {
+		if p.IsAvailable() {
+			fleet.Daemons = append(fleet.Daemons, p.Name)
+		}
+	}
+	fleet.Daemons = append(fleet.Daemons, d.settings.Name)
+	slices.Sort(fleet.Daemons)
+	d.fleet.Store(&fleet)
 }
 
 // collectors returns the names of the collectors, which may include this daemon's.
 func (d *Daemon) collectors() []string {
-	if chosen := d.collectorNames.Load(); chosen != nil {
-		return *chosen
+	if fleet := d.fleet.Load(); fleet != nil {
+		return fleet.Collectors
 	}
 	return nil
 }
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -24,10 +24,12 @@
 	"rattantide/internal/peering"
 	"rattantide/internal/quarantine"
 	"rattantide/internal/quota"
+	"rattantide/internal/routing"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/truetime"
 	"rattantide/internal/upstreamconn"
 	"rattantide/internal/upstreamlimit"
+	"rattantide/internal/upstreamstate"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
 	"rattantide/platform"
@@ -117,8 +119,11 @@
 	// quotaPoolNames are the daemons whose quota pools this daemon may take from, in
 	// order of preference.
 	quotaPoolNames atomic.Pointer[[]string]
-	// collectorNames are the daemons that collect the state of upstreams and of the fleet.
-	collectorNames atomic.Pointer[[]string]
+	// fleet is the set of daemons and of collectors among them, which collect the state of
+	// upstreams and of the fleet.
+	fleet atomic.Pointer[upstreamstate.Fleet]
+	// upstreamStore is the state of upstreams that the daemons exchange.
+	upstreamStore *upstreamstate.Store
 	// revision is that of the instance list that applyMembers passed to table last.
 	revision atomic.Int64
 
@@ -213,6 +218,7 @@
 		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReaderRank: d.readerRank, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
+	d.upstreamStore = upstreamstate.NewStore()
 	d.upstreamLimit = upstreamlimit.NewLimiter(s.Name, bootclock.Now)
 	d.namedLimits = upstreamlimit.NewNamed(upstreamlimit.NamedOptions{OnChange: d.announceLimits, Now: bootclock.Now, Logger: d.logger})
 	if s.Bounds.EvacuateWithin > 0 {
@@ -237,6 +243,7 @@
 		return errors.Annotate(err, "listen for UDP messages of other daemons")
 	}
 	d.peers = peers
+	peers.Subscribe(peering.TopicUpstreamState, d.handleUpstreamState)
 	d.addSeeds(s.Seeds)
 	d.registrar = &peering.Registrar{
 		Store: d.store, Name: s.Name, IP: s.IP, Add: peers.Add, Logger: d.logger,
@@ -295,12 +302,12 @@
 	}
 	d.versionRecorder = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
-		Config: d.view, Table: d.table, Admission: admitter,
+		Config: d.view, Table: d.table, Admission: admitter, Trackers: &routing.Trackers{OnSlowness: d.recordSlowness},
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
-		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
+		Quota: d.quota, Usage: d.counter, Loads: loadRecorder{d}, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
 		Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now,
 	})
 }
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -38,6 +38,7 @@
 // applyUpstreams replaces the list of upstreams.
 func (d *Daemon) applyUpstreams(instances []membership.Instance) {
 	d.instances.Store(&instances)
+	d.upstreamStore.SetUpstreams(upstreamProcesses(instances))
 	d.upstreamsListed.Store(true)
 	d.applyMembers()
 }
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -58,6 +58,7 @@
 	group.Go(func() error { return d.leases.Run(workCtx) })
 	group.Go(func() error { return d.registrar.Run(workCtx) })
 	group.Go(func() error { return d.spreadNews(workCtx) })
+	group.Go(func() error { return d.exchangeUpstreamStates(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
 	d.startDuties(workCtx, group)
@@ -169,18 +170,24 @@
 	}
 }
 
-// maintain does the periodic work: it logs a change of the readiness, chooses relays and
-// quota pools, closes idle connections that have expired or whose upstream was removed,
+// maintain does the periodic work: it logs a change of the readiness, chooses relays,
+// quota pools and collectors, closes idle connections that have expired or whose upstream was removed,
 // and updates gauges and this daemon's counts in the ledgers.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
 	peers := d.peers.Peers()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
+	d.chooseCollectors(peers)
 	if d.upstreamLimit.EndStarts() {
 		d.applyMembers()
 	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
+	isCollector := 0.0
+	if d.isCollector() {
+		isCollector = 1
+	}
+	d.scope.Gauge("collector").Update(isCollector)
 	d.quotaPool.Tick()
 	d.promptQuarantine.Tick()
 	d.requestQuarantine.Tick()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -172,8 +172,8 @@
 	x.upstreamFraming = response.Framing
 	x.recordUpstreamLimit(a.choice.Upstream.Name, info)
 	x.recordUpstreamState(a.choice.Upstream, info, x.isLate(response, info))
-	if info.Load != nil && x.server.opts.Loads != nil {
-		x.server.opts.Loads.SetLoad(a.choice.Upstream.Name, *info.Load)
+	if info.Load != nil && x.server.opts.Loads != nil && !info.Misdirected {
+		x.server.opts.Loads.RecordLoad(a.choice.Upstream, *info.Load)
 	}
 	switch {
 	case info.NotRun && x.isOwn(response, info):
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -34,7 +34,7 @@
 // LoadRecorder stores the load that an upstream reports in its responses.
 // Implementations are safe for concurrent use.
 type LoadRecorder interface {
-	SetLoad(upstream string, load membership.Load)
+	RecordLoad(u membership.Upstream, load membership.Load)
 }
 
 // UpstreamLimit limits the requests to upstreams that take few of them from all daemons
--- a/internal/membership/load.go
+++ b/internal/membership/load.go
@@ -13,6 +13,9 @@
 	// Pace is how long work takes at the upstream at this moment, relative to its usual
 	// duration: 2 means twice as long. 0 means that it is not known.
 	Pace float64 `json:"pace,omitempty"`
+	// Speed is the lasting speed of the upstream relative to its pool, as the daemons learned
+	// it together: 2 means that work takes half as long. 0 means that it is not known.
+	Speed float64 `json:"-"`
 	// KVUsedTokens and KVTotalTokens are the used part and the size of the key-value
 	// cache in tokens.
 	KVUsedTokens  int64 `json:"kvUsedTokens"`
--- a/internal/peering/rounds.go
+++ b/internal/peering/rounds.go
@@ -42,11 +42,22 @@
 	n.sendRequests(ips)
 }
 
+// maxScannedNames is the number of names up to which addressesOf compares each of them.
+const maxScannedNames = 8
+
 // addressesOf returns the IP addresses of the named daemons. n.mu must be held.
 func (n *Node) addressesOf(names ...string) []string {
 	var ips []string
+	isNamed := func(name string) bool { return slices.Contains(names, name) }
+	if len(names) > maxScannedNames {
+		set := make(map[string]bool, len(names))
+		for _, name := range names {
+			set[name] = true
+		}
+		isNamed = func(name string) bool { return set[name] }
+	}
 	for ip, p := range n.peers {
-		if p.hasReport && slices.Contains(names, p.report.Name) {
+		if p.hasReport && isNamed(p.report.Name) {
 			ips = append(ips, ip)
 		}
 	}
--- a/internal/routing/told_state.go
+++ b/internal/routing/told_state.go
@@ -6,6 +6,13 @@
 	"rattantide/internal/membership"
 )
 
+// minToldPace and maxToldPace bound the pace that an upstream may report, so that a wrong
+// report does not draw all requests of a pool, nor outlast the answers that contradict it.
+const (
+	minToldPace = 0.25
+	maxToldPace = 16.0
+)
+
 // toldState is what an upstream reported of its slots and its pace. It is the zero value,
 // except for sentSince, if the upstream reports no pace.
 type toldState struct {
@@ -27,7 +34,8 @@
 		return toldState{sentSince: sentSince}
 	}
 	return toldState{
-		slots: float64(report.Slots), slotTime: 1 / float64(report.Slots), occupancy: float64(report.Running + report.Waiting), pace: report.Pace,
+		slots: float64(report.Slots), slotTime: 1 / float64(report.Slots), occupancy: float64(report.Running + report.Waiting),
+		pace:    min(max(report.Pace, minToldPace), maxToldPace),
 		takenAt: takenAt, sentSince: sentSince,
 	}
 }
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -47,6 +47,7 @@
 	// converts the number of requests that wait at an upstream to tokens.
 	meanTokens float64
 	pool       poolState
+	onSlowness func(SlownessSample)
 	startTime  time.Time
 	sweptAt    time.Duration
 	matched    matchCounts
@@ -217,6 +218,9 @@
 		}
 	}
 	ratio := min(max(seconds/expected, lowest), maxSlowness)
+	if sent.pace > 0 && t.onSlowness != nil {
+		t.onSlowness(SlownessSample{Upstream: s.name, Address: s.process.address, Generation: s.process.generation, Ratio: ratio})
+	}
 	if sent.pace > 0 && !f.Now.IsZero() {
 		s.slowness, _ = s.lastingSlowness(t.since(f.Now))
 		s.slownessAt = t.since(f.Now)
--- a/internal/routing/trackers.go
+++ b/internal/routing/trackers.go
@@ -11,6 +11,9 @@
 	// IndexBlocks bounds the cache index of each pool. Default:
 	// DefaultIndexBlocks.
 	IndexBlocks int
+	// OnSlowness, when set, is called with each measurement of the lasting slowness of an
+	// upstream. It must return quickly.
+	OnSlowness func(SlownessSample)
 
 	mu    sync.Mutex
 	pools map[string]*Tracker
@@ -26,6 +29,7 @@
 	tracker := t.pools[name]
 	if tracker == nil {
 		tracker = NewTracker(t.IndexBlocks)
+		tracker.onSlowness = t.OnSlowness
 		t.pools[name] = tracker
 	}
 	return tracker
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -91,6 +91,10 @@
 			sentSince++
 		}
 	}
+	if report.Speed > 0 {
+		// All daemons together have measured it more often than this one.
+		s.slowness, s.slownessAt, s.lasting = 1/report.Speed, receivedAt, lastingSpeed{}
+	}
 	s.told = newToldState(report, takenAt, min(sentSince, s.inFlight))
 	s.kvShare = 0
 	if report.KVTotalTokens > 0 {
