Spread requests over upstreams in proportion to their room

Cause: daemons with the same reports all chose the few upstreams that looked best. Change: the requests that daemons send before reports tell of them are distributed up to a common level of the score; a candidate is drawn in proportion to its room below the level. Own attempts count exactly. Cached tokens count at the level. The effect of running requests is learned. If most reports are older than 1 s, the choice is the one without reports. Candidate has three more fields: AddedSeconds, Unreported and OwnUnreported.

--- a/internal/policytest/engine.go
+++ b/internal/policytest/engine.go
@@ -50,7 +50,11 @@
 	running    []*job
 	isStepping bool
 	isDead     bool
-	busyTime   time.Duration
+	// slots bounds the batch; 0 means maxBatchJobs.
+	slots int
+	// slowness, when set, returns how long steps take at a time relative to the usual time.
+	slowness func(at time.Duration) float64
+	busyTime time.Duration
 	// computedTokens counts the prompt tokens that were processed.
 	computedTokens int
 }
@@ -69,7 +73,7 @@
 
 // step admits waiting jobs to the batch and starts the next step.
 func (e *engine) step() {
-	for len(e.waiting) > 0 && len(e.running) < maxBatchJobs {
+	for len(e.waiting) > 0 && len(e.running) < e.maxJobs() {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		j.cachedTokens = min(e.cache.matchLength(j.request.blocks)*blockTokens, j.promptTokens-1)
@@ -97,10 +101,21 @@
 	processed := maxChunkTokens - chunk
 	e.computedTokens += processed
 	duration := stepBase + time.Duration(processed)*stepPerPromptToken + time.Duration(decoding)*stepPerDecoding
+	if e.slowness != nil {
+		duration = time.Duration(float64(duration) * e.slowness(e.events.now))
+	}
 	e.busyTime += duration
 	e.events.scheduleAfter(duration, e.endStep)
 }
 
+// maxJobs returns the largest size of the batch.
+func (e *engine) maxJobs() int {
+	if e.slots > 0 {
+		return e.slots
+	}
+	return maxBatchJobs
+}
+
 // endStep adds the generated tokens to their requests, removes finished jobs and starts
 // the next step.
 func (e *engine) endStep() {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -52,6 +52,14 @@
 	// does not depend on the prompt: until a slot is free and, for a plain service, the
 	// service time. It is 0 while Slots is 0.
 	WaitSeconds float64
+	// AddedSeconds is the growth of the expected time to the first answer with each further
+	// request at the upstream, and Unreported the expected number of requests of all daemons
+	// that arrive there before a report tells of them. Both are 0 while Slots is 0.
+	AddedSeconds float64
+	Unreported   float64
+	// OwnUnreported is the number of this daemon's open attempts that the report does not
+	// include.
+	OwnUnreported int
 }
 
 // promptRate returns the estimated prompt processing rate in tokens per second.
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -118,6 +118,9 @@
 		scores[i] = p.Score(req, &candidates[i])
 		best = min(best, scores[i])
 	}
+	if candidates[0].Slots > 0 {
+		return p.pickByRoom(req, candidates, scores[:len(candidates)])
+	}
 	a, b := p.drawTwo(req, candidates, scores[:len(candidates)], best+p.SlackSeconds+best*p.SlackShare)
 	if b < 0 {
 		return a
@@ -131,6 +134,20 @@
 	return a
 }
 
+// coldKey returns the hash by which a long prompt that no candidate holds is placed, and whether
+// it is one.
+func coldKey(req *Request, candidates []Candidate) (key uint64, isCold bool) {
+	if len(req.Blocks) < minColdBlocks {
+		return 0, false
+	}
+	for i := range candidates {
+		if candidates[i].CachedTokens >= minCachedShare*float64(req.PromptTokens) {
+			return 0, false
+		}
+	}
+	return req.Blocks[min(len(req.Blocks), prefixHashBlocks)-1], true
+}
+
 // drawTwo returns the indices of two candidates whose score is at most limit;
 // the second is -1 when there is only one. The draw is random, except for a
 // long prompt that no candidate holds: it then depends on the prompt's hash, so
@@ -138,14 +155,7 @@
 // same upstreams.
 func (p *Cost) drawTwo(req *Request, candidates []Candidate, scores []float64, limit float64) (int, int) {
 	source := bitSource(req.Rand)
-	cold := len(req.Blocks) >= minColdBlocks
-	for i := 0; cold && i < len(candidates); i++ {
-		cold = candidates[i].CachedTokens < minCachedShare*float64(req.PromptTokens)
-	}
-	key := uint64(0)
-	if cold {
-		key = req.Blocks[min(len(req.Blocks), prefixHashBlocks)-1]
-	}
+	key, cold := coldKey(req, candidates)
 	a, b := -1, -1
 	var weightA, weightB uint64
 	for i := range candidates {
--- a/internal/routing/estimator.go
+++ b/internal/routing/estimator.go
@@ -19,6 +19,13 @@
 	// hold is the time for which a request holds a slot, and service the part of the time to
 	// the first answer that does not depend on the prompt, in seconds at the usual pace.
 	hold, service float64
+	// added is the growth of the time to the first answer with each request that is not yet
+	// reported, without that of the wait for a slot.
+	added float64
+	// running is the growth of the time to the first answer with each running request.
+	running float64
+	// arrivalsPerRunning is the rate at which requests arrive for each that holds a slot.
+	arrivalsPerRunning float64
 	// meanShare and meanPace are those of the pool.
 	meanShare, meanPace float64
 	// perLoadHorizon is the reciprocal of the horizon of a reported load in seconds.
@@ -31,12 +38,16 @@
 // divisions, as it is called for each candidate of each request.
 func (e *estimator) estimate(s *upstreamState, c *Candidate) {
 	told, age, loadWeight, paceWeight := &s.told, time.Duration(math.MaxInt64), 0.0, 0.0
+	unreported := e.hold
 	if told.slots > 0 {
 		age = e.now - told.takenAt
 		if age < 0 {
 			age = 0
 		}
 		seconds := float64(age) * 1e-9
+		if since := seconds + reportDelay.Seconds(); since < unreported {
+			unreported = since
+		}
 		if left := 1 - seconds*e.perLoadHorizon; left > 0 {
 			loadWeight = left * left
 		}
@@ -64,5 +75,13 @@
 	// number of requests is not known exactly.
 	excess := occupancy + 1 - slots
 	width := sharpWait + (1-loadWeight)*staleWaitShare*slots
-	c.WaitSeconds = e.service + e.hold*told.slotTime*0.5*(excess+math.Sqrt(excess*excess+width*width))
+	c.OwnUnreported = s.told.sentSince
+	c.Unreported = c.Running * e.arrivalsPerRunning * unreported
+	root := math.Sqrt(excess*excess + width*width)
+	perSlot := e.hold * told.slotTime
+	c.WaitSeconds = e.service + e.running*c.Running + perSlot*0.5*(excess+root)
+	c.AddedSeconds = e.added + perSlot
+	if e.service == 0 {
+		c.AddedSeconds = e.added + perSlot*0.5*(1+excess/root)
+	}
 }
--- a/internal/routing/pool_state.go
+++ b/internal/routing/pool_state.go
@@ -19,8 +19,16 @@
 	// minHoldShare is the smallest share of the total time of an attempt that is attributed
 	// to the time in a slot.
 	minHoldShare = 0.25
-	// toldRetention is how long the means of a pool are used after its last report.
-	toldRetention = 30 * time.Second
+	// runningStep is the weight of one attempt in the estimate of runningSeconds, and
+	// maxRunningSeconds bounds the estimate.
+	runningStep       = 0.02
+	maxRunningSeconds = 1.0
+	// newReportAge is the age up to which a report counts as new. The exchange tells of most
+	// upstreams within it.
+	newReportAge = time.Second
+	// reportDelay is the mean time from a choice to a report that tells of it at the daemons:
+	// messages go out several times a second and reach daemons through a collector.
+	reportDelay = 200 * time.Millisecond
 	// speedHalfAge is the time without measurements after which a lasting speed counts half.
 	speedHalfAge = 2 * time.Minute
 	// sharpWait is the width, in requests, of the transition between no wait and a wait at a
@@ -41,13 +49,9 @@
 	// holdSeconds is the mean time for which a request holds a slot at the usual pace; 0
 	// before the first measurement.
 	holdSeconds float64
-	// toldAt is the time of the latest report.
-	toldAt time.Duration
-}
-
-// isKnown reports whether an upstream of the pool reported its slots and its pace lately.
-func (p *poolState) isKnown(now time.Duration) bool {
-	return p.meanSlots > 0 && now-p.toldAt < toldRetention
+	// runningSeconds is the mean growth of the time to the first answer with each request at
+	// the upstream, at the usual pace and speed.
+	runningSeconds float64
 }
 
 // observe adds a report to the means.
@@ -58,11 +62,9 @@
 	slots := told.slots
 	share := told.occupancy * told.slotTime
 	if p.meanSlots == 0 {
-		p.toldAt = told.takenAt
 		p.meanShare, p.meanSlots, p.meanPace = share, slots, told.pace
 		return
 	}
-	p.toldAt = max(p.toldAt, told.takenAt)
 	p.meanShare += meanWeight * (share - p.meanShare)
 	p.meanSlots += meanWeight * (slots - p.meanSlots)
 	p.meanPace += meanWeight * (told.pace - p.meanPace)
@@ -86,6 +88,13 @@
 	p.holdSeconds += meanWeight * (sample - p.holdSeconds)
 }
 
+// observeRunning adds the time to the first answer of an attempt beyond the one that is
+// expected without other requests, which found a number of requests.
+func (p *poolState) observeRunning(seconds, requests float64) {
+	step := runningStep * (seconds - p.runningSeconds*requests) * requests / (requests*requests + 1)
+	p.runningSeconds = min(max(0, p.runningSeconds+step), maxRunningSeconds)
+}
+
 func (p *poolState) hold() float64 {
 	if p.holdSeconds == 0 {
 		return defaultHoldSeconds
@@ -101,15 +110,19 @@
 
 // newEstimator returns the part of the estimates that is common to the candidates of a
 // decision.
-func (p *poolState) newEstimator(now time.Duration, isPlain bool) estimator {
+func (p *poolState) newEstimator(now time.Duration, isPlain bool, prefill float64) estimator {
 	hold := p.hold()
 	half := min(max(hold, minLoadHalfAge.Seconds()), maxLoadHalfAge.Seconds())
 	e := estimator{
 		now: now, hold: hold, meanShare: p.meanShare, meanPace: p.meanPace, perLoadHorizon: 1 / (half * horizonFactor),
 		unknown: toldState{slots: p.meanSlots, slotTime: 1 / p.meanSlots, occupancy: p.meanShare * p.meanSlots, pace: p.meanPace},
 	}
+	e.running = p.runningSeconds
+	// Some of the prompts of the requests that are not yet reported are still being processed.
+	e.added = max(e.running, DefaultSecondsPerRunning) + prefill*prefill/(prefill+2*reportDelay.Seconds())
+	e.arrivalsPerRunning = 1 / (hold * p.meanPace)
 	if isPlain {
-		e.service = hold
+		e.service, e.added, e.running = hold, 0, 0
 	}
 	return e
 }
--- /dev/null
+++ b/internal/routing/room.go
@@ -0,0 +1,96 @@
+package routing
+
+import "math"
+
+// maxLevelSteps bounds the steps in which level is determined. Each step but the last excludes
+// at least one candidate; three to five are usual.
+const maxLevelSteps = 8
+
+// maxExactDraws is the number of candidates up to which the draw is exact.
+const maxExactDraws = 16
+
+// pickByRoom picks a candidate at random, with a probability in proportion to its room: the
+// number of requests that bring its score to a common level. The level is the one at which the
+// room of all candidates is the number of requests that daemons send before reports tell of
+// them. So daemons with the same reports fill the best upstreams together up to the level of
+// the next ones, instead of all choosing the best one.
+//
+// What the candidates hold of the prompt does not count for the level, as the other requests
+// are for other prompts. It counts in full at the level: the request goes to the candidates
+// where it is answered first once the others have been sent.
+func (p *Cost) pickByRoom(req *Request, candidates []Candidate, scores []float64) int {
+	// gains are the seconds that the cached tokens save, and slopes the numbers of requests by
+	// which the room grows with each second of the level.
+	var gainArray, slopeArray [maxScored]float64
+	gains, slopes := gainArray[:len(scores)], slopeArray[:len(scores)]
+	unreported, secondsPerToken := 0.0, 1/candidates[0].promptRate()
+	for i := range candidates {
+		c := &candidates[i]
+		pace := c.Slowness * c.Pace
+		gains[i] = min(c.CachedTokens, float64(req.PromptTokens)) * secondsPerToken * pace
+		scores[i] += gains[i]
+		slopes[i] = 1 / (c.AddedSeconds * pace)
+		unreported += c.Unreported
+	}
+	level := roomLevel(scores, slopes, max(unreported, 1))
+	lowest := math.Inf(1)
+	for i, score := range scores {
+		if cost := max(score, level) - gains[i]; cost < lowest {
+			lowest = cost
+		}
+	}
+	limit := lowest + p.SlackSeconds + lowest*p.SlackShare
+	source := bitSource(req.Rand)
+	key, isCold := coldKey(req, candidates)
+	picked, first := 0, math.Inf(1)
+	for i, score := range scores {
+		if cost := max(score, level) - gains[i]; cost > limit || score >= level && gains[i] == 0 {
+			continue
+		}
+		bits := source.next()
+		if isCold {
+			hashed := bitSource(key ^ candidates[i].NameHash)
+			bits = hashed.next()
+		}
+		room := max(level-score, p.SlackSeconds) * slopes[i]
+		// The own attempts count exactly, and no other daemon knows them.
+		draw := (float64(candidates[i].OwnUnreported) + exponential(bits, len(scores))) / room
+		if draw < first {
+			picked, first = i, draw
+		}
+	}
+	return picked
+}
+
+// exponential returns an exponentially distributed number of mean 1 for random bits. The
+// smallest of such numbers, each divided by a weight, has a probability in proportion to its
+// weight. Among many, it is close to 0, where a uniformly distributed number is as good and
+// takes less time.
+func exponential(bits uint64, count int) float64 {
+	uniform := float64(bits>>11) / (1 << 53)
+	if count > maxExactDraws {
+		return uniform
+	}
+	return -math.Log1p(-uniform)
+}
+
+// roomLevel returns the level at which the room of all candidates is a number of requests.
+func roomLevel(scores, slopes []float64, requests float64) float64 {
+	level := 0.0
+	for step := range maxLevelSteps {
+		weight, sum, count := 0.0, requests, 0
+		for i, score := range scores {
+			if step == 0 || score < level {
+				weight += slopes[i]
+				sum += slopes[i] * score
+				count++
+			}
+		}
+		next := sum / weight
+		if count == 0 || step > 0 && next >= level {
+			break
+		}
+		level = next
+	}
+	return level
+}
--- a/internal/routing/sent_attempt.go
+++ b/internal/routing/sent_attempt.go
@@ -15,6 +15,10 @@
 	// waitSeconds and pace are those of the candidate.
 	waitSeconds float64
 	pace        float64
+	// running and slowness are those of the candidate, and runningSeconds is the part of
+	// waitSeconds that is due to running requests.
+	running, slowness float64
+	runningSeconds    float64
 }
 
 // UncachedTokens returns the estimated number of prompt tokens that the
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -47,6 +47,8 @@
 	// converts the number of requests that wait at an upstream to tokens.
 	meanTokens float64
 	pool       poolState
+	// isTold reports whether most candidates of the latest decision had new reports.
+	isTold     bool
 	onSlowness func(SlownessSample)
 	startTime  time.Time
 	sweptAt    time.Duration
@@ -83,11 +85,12 @@
 	now := t.since(req.Now)
 	first := len(buffer)
 	buffer = slices.Grow(buffer, len(upstreams))[:first+len(upstreams)]
-	isKnown := t.pool.isKnown(now)
+	isTold := t.isTold
 	var e estimator
-	if isKnown {
-		e = t.pool.newEstimator(now, req.PromptTokens == 0)
+	if isTold {
+		e = t.pool.newEstimator(now, req.PromptTokens == 0, t.meanTokens/t.tokensPerSecond)
 	}
+	newReports := 0
 	for i := range upstreams {
 		u := &upstreams[i]
 		s := t.stateAt(i, u)
@@ -114,15 +117,19 @@
 		c.FailureShare = s.failures.valueAt(now)
 		c.KVShare = s.kvShare
 		c.ReclaimsPerSecond = s.domain.reclaimRate(u.Class, now)
-		if isKnown {
+		if s.told.slots > 0 && now-s.told.takenAt < newReportAge {
+			newReports++
+		}
+		if isTold {
 			e.estimate(s, c)
 		} else {
-			c.Slots, c.Waiting, c.Pace, c.Speed, c.StateAge, c.WaitSeconds = 0, 0, 0, 0, 0, 0
+			s.setUntold(c)
 		}
 	}
-	if !isKnown && t.pool.isKnown(now) {
-		// One of the reports is the first that tells slots and pace.
-		e = t.pool.newEstimator(now, req.PromptTokens == 0)
+	// Without new reports of most candidates, the choice is the one of a daemon that has none:
+	// old ones lead all daemons to the same upstreams.
+	if t.isTold = newReports > 0 && 2*newReports >= len(upstreams); t.isTold && !isTold {
+		e = t.pool.newEstimator(now, req.PromptTokens == 0, t.meanTokens/t.tokensPerSecond)
 		for i := range upstreams {
 			e.estimate(t.byPosition[i], &buffer[first+i])
 		}
@@ -159,7 +166,8 @@
 	if s.slot >= 0 {
 		t.index.RecordSent(s.slot, req.Blocks)
 	}
-	return SentAttempt{name: c.Name, queuedTokens: queued, uncachedTokens: uncached, at: now, waitSeconds: c.WaitSeconds, pace: c.Pace}
+	return SentAttempt{name: c.Name, queuedTokens: queued, uncachedTokens: uncached, at: now, waitSeconds: c.WaitSeconds, pace: c.Pace,
+		running: c.Running, slowness: c.Slowness, runningSeconds: t.pool.runningSeconds * c.Running}
 }
 
 // RecordFirstToken records the first token of an open attempt. Calling it is
@@ -206,34 +214,42 @@
 	}
 	work := sent.queuedTokens + uncached
 	seconds := f.FirstToken.Seconds()
-	expected, lowest := fixedFirstTokenSeconds+work/t.tokensPerSecond, minSlowness
-	if sent.pace > 0 {
-		// What the upstream told explains a part of the time. The rest is due to its lasting
-		// speed, also if what it tells is wrong.
-		seconds /= sent.pace
-		lowest = minToldSlowness
-		expected += sent.waitSeconds
-		if work == 0 {
-			expected = sent.waitSeconds
-		}
-	}
-	ratio := min(max(seconds/expected, lowest), maxSlowness)
-	if sent.pace > 0 && t.onSlowness != nil {
-		t.onSlowness(SlownessSample{Upstream: s.name, Address: s.process.address, Generation: s.process.generation, Ratio: ratio})
-	}
+	expected := fixedFirstTokenSeconds + work/t.tokensPerSecond
+	ratio := min(max(seconds/expected, minSlowness), maxSlowness)
+	s.slowness += meanWeight * 2 * (ratio - s.slowness)
 	if sent.pace > 0 && !f.Now.IsZero() {
-		s.slowness, _ = s.lastingSlowness(t.since(f.Now))
-		s.slownessAt = t.since(f.Now)
+		seconds = t.updateTold(s, sent, seconds, work, t.since(f.Now))
 	}
-	s.slowness += meanWeight * 2 * (ratio - s.slowness)
-	s.lasting = lastingSpeed{}
-	seconds -= sent.waitSeconds
 	if work >= minLearnTokens && seconds > fixedFirstTokenSeconds {
 		rate := min(max(work/(seconds-fixedFirstTokenSeconds), minTokensPerSecond), maxTokensPerSecond)
 		t.tokensPerSecond += meanWeight * (rate - t.tokensPerSecond)
 	}
 }
 
+// updateTold updates the lasting slowness of an upstream that reports its pace, and the effect
+// of running requests. It returns the time that is due to the prompt.
+func (t *Tracker) updateTold(s *upstreamState, sent SentAttempt, seconds, work float64, now time.Duration) float64 {
+	// What the upstream told explains a part of the time. The rest is due to its lasting
+	// speed, also if what it tells is wrong.
+	seconds /= sent.pace
+	expected := sent.waitSeconds
+	if work > 0 {
+		expected += fixedFirstTokenSeconds + work/t.tokensPerSecond
+	}
+	if expected <= 0 {
+		return seconds
+	}
+	ratio := min(max(seconds/expected, minToldSlowness), maxSlowness)
+	s.addToldSlowness(ratio, now)
+	if t.onSlowness != nil {
+		t.onSlowness(SlownessSample{Upstream: s.name, Address: s.process.address, Generation: s.process.generation, Ratio: ratio})
+	}
+	if work > 0 {
+		t.pool.observeRunning(seconds/sent.slowness-expected+sent.runningSeconds, sent.running)
+	}
+	return seconds - sent.waitSeconds
+}
+
 // ApplyCacheEvents applies cache events of an upstream, in order. upTo is the last
 // sequence number that the upstream has issued, even when events is empty.
 func (t *Tracker) ApplyCacheEvents(name string, upTo int64, events []CacheEvent) {
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -55,8 +55,10 @@
 	told toldState
 	// lasting is the slowness as discounted by its age.
 	lasting lastingSpeed
-	// slownessAt is the time of the latest measurement if the upstream reports its pace.
-	slownessAt time.Duration
+	// toldSlowness is the lasting slowness of an upstream that reports its pace, without what
+	// its reports explain, as of toldSlownessAt.
+	toldSlowness   float64
+	toldSlownessAt time.Duration
 	// lastEvent is the sequence number of the last cache event; -1 before the
 	// first.
 	lastEvent int64
@@ -66,7 +68,7 @@
 }
 
 func newUpstreamState(name string, slot int) *upstreamState {
-	s := &upstreamState{name: name, nameHash: xxhash.Sum64String(name), slot: slot, slowness: 1, lastEvent: -1,
+	s := &upstreamState{name: name, nameHash: xxhash.Sum64String(name), slot: slot, slowness: 1, toldSlowness: 1, lastEvent: -1,
 		sends: &[maxSends]sendRecord{}}
 	for i := range s.sends {
 		s.sends[i].tokens = -1
@@ -93,7 +95,7 @@
 	}
 	if report.Speed > 0 {
 		// All daemons together have measured it more often than this one.
-		s.slowness, s.slownessAt, s.lasting = 1/report.Speed, receivedAt, lastingSpeed{}
+		s.toldSlowness, s.toldSlownessAt, s.lasting = 1/report.Speed, receivedAt, lastingSpeed{}
 	}
 	s.told = newToldState(report, takenAt, min(sentSince, s.inFlight))
 	s.kvShare = 0
@@ -122,17 +124,33 @@
 	s.told.sentSince++
 }
 
-// lastingSlowness returns the slowness, which returns to 1 while nothing is measured, and its
+// lastingSlowness returns the lasting slowness, which returns to 1 while nothing is measured, and its
 // reciprocal.
 func (s *upstreamState) lastingSlowness(now time.Duration) (slowness, speed float64) {
 	if !s.lasting.isCurrent(now) {
-		weight := halfWeight((now - s.slownessAt).Seconds(), speedHalfAge.Seconds())
-		s.lasting = lastingSpeed{at: now, slowness: 1 + weight*(s.slowness-1)}
+		weight := halfWeight((now - s.toldSlownessAt).Seconds(), speedHalfAge.Seconds())
+		s.lasting = lastingSpeed{at: now, slowness: 1 + weight*(s.toldSlowness-1)}
 		s.lasting.speed = 1 / s.lasting.slowness
 	}
 	return s.lasting.slowness, s.lasting.speed
 }
 
+// addToldSlowness adds a measurement of the lasting slowness.
+func (s *upstreamState) addToldSlowness(ratio float64, now time.Duration) {
+	known, _ := s.lastingSlowness(now)
+	s.toldSlowness, s.toldSlownessAt, s.lasting = known+meanWeight*2*(ratio-known), now, lastingSpeed{}
+}
+
+// setUntold sets the fields of a candidate that are unknown without new reports of most
+// upstreams. What an old report tells of the load is not used.
+func (s *upstreamState) setUntold(c *Candidate) {
+	c.Slots, c.Waiting, c.Pace, c.Speed, c.StateAge = 0, 0, 0, 0, 0
+	c.WaitSeconds, c.AddedSeconds, c.Unreported, c.OwnUnreported = 0, 0, 0, 0
+	if s.told.slots > 0 {
+		c.Running, c.BacklogTokens = float64(s.inFlight), s.pendingTokens
+	}
+}
+
 // recordEnd records the end of an attempt that was sent at a time.
 func (s *upstreamState) recordEnd(sentAt time.Duration) {
 	s.inFlight = max(0, s.inFlight-1)
@@ -150,7 +168,8 @@
 		return
 	}
 	s.report, s.reportedLoad, s.kvShare = nil, 0, 0
-	s.slowness, s.slownessAt, s.lasting, s.failures = 1, 0, lastingSpeed{}, failureShare{}
+	s.slowness, s.failures = 1, failureShare{}
+	s.toldSlowness, s.toldSlownessAt, s.lasting = 1, 0, lastingSpeed{}
 	s.running, s.backlogTokens = float64(s.inFlight), 0
 	s.told = toldState{sentSince: s.inFlight}
 }
