--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -88,6 +88,9 @@
 // reclaimAndPrice returns first, the expected time to the first token, plus the expected
 // cost of a reclaim and the price.
 func (p *Cost) reclaimAndPrice(req *Request, c *Candidate, first float64) float64 {
+	if c.ReclaimsPerSecond == 0 {
+		return first + c.PricePerHour*p.PriceSeconds
+	}
 	exposure := first + float64(req.MaxTokens)*secondsPerToken
 	// On average, half of the answer exists when the upstream is reclaimed.
 	// Prompt and answer must then be computed again at another one.
@@ -116,7 +119,9 @@
 	best := math.Inf(1)
 	for i := range candidates {
 		scores[i] = p.Score(req, &candidates[i])
-		best = min(best, scores[i])
+		if scores[i] < best {
+			best = scores[i]
+		}
 	}
 	if candidates[0].Slots > 0 {
 		return p.pickByRoom(req, candidates, scores[:len(candidates)])
--- a/internal/routing/estimator.go
+++ b/internal/routing/estimator.go
@@ -71,17 +71,24 @@
 		c.Running, c.Waiting = slots, occupancy-slots
 	}
 	// The wait of a request that finds n others in excess of the free slots is n times the
-	// time in which a slot becomes free. The square root smooths the start of the wait, as the
+	// time in which a slot becomes free. The start of the wait is smoothed over the width, as the
 	// number of requests is not known exactly.
 	excess := occupancy + 1 - slots
 	width := sharpWait + (1-loadWeight)*staleWaitShare*slots
 	c.OwnUnreported = s.told.sentSince
 	c.Unreported = c.Running * e.arrivalsPerRunning * unreported
-	root := math.Sqrt(excess*excess + width*width)
+	distance, ahead, growth := excess, excess, 1.0
+	if excess < 0 {
+		distance, ahead, growth = -excess, 0, 0
+	}
+	half := 0.5 * width
+	near := half / (distance + half)
+	ahead += half * near
 	perSlot := e.hold * told.slotTime
-	c.WaitSeconds = e.service + e.running*c.Running + perSlot*0.5*(excess+root)
+	c.WaitSeconds = e.service + e.running*c.Running + perSlot*ahead
 	c.AddedSeconds = e.added + perSlot
 	if e.service == 0 {
-		c.AddedSeconds = e.added + perSlot*0.5*(1+excess/root)
+		// The growth is 0.5 where the excess is 0.
+		c.AddedSeconds = e.added + perSlot*(growth+(0.5-growth)*near*near)
 	}
 }
--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -21,30 +21,40 @@
 func (p *Cost) pickByRoom(req *Request, candidates []Candidate, scores []float64) int {
 	// gains are the seconds that the cached tokens save, and slopes the numbers of requests by
 	// which the room grows with each second of the level.
-	var gainArray, slopeArray [maxScored]float64
+	var gainArray, slopeArray, costArray [maxScored]float64
 	gains, slopes := gainArray[:len(scores)], slopeArray[:len(scores)]
-	unreported, secondsPerToken := 0.0, 1/candidates[0].promptRate()
+	unreported, secondsPerToken, prompt := 0.0, 1/candidates[0].promptRate(), float64(req.PromptTokens)
 	for i := range candidates {
 		c := &candidates[i]
 		pace := c.Slowness * c.Pace
-		gains[i] = min(c.CachedTokens, float64(req.PromptTokens)) * secondsPerToken * pace
-		scores[i] += gains[i]
+		if cached := c.CachedTokens; cached > 0 {
+			gains[i] = min(cached, prompt) * secondsPerToken * pace
+			scores[i] += gains[i]
+		}
 		slopes[i] = 1 / (c.AddedSeconds * pace)
 		unreported += c.Unreported
 	}
 	level := roomLevel(scores, slopes, max(unreported, 1))
+	// Comparisons stand in place of min and max, which also handle NaN and take longer.
 	lowest := math.Inf(1)
+	costs := &costArray
 	for i, score := range scores {
-		if cost := max(score, level) - gains[i]; cost < lowest {
-			lowest = cost
+		if score < level {
+			score = level
+		}
+		costs[i] = score - gains[i]
+		if costs[i] < lowest {
+			lowest = costs[i]
 		}
 	}
 	limit := lowest + p.SlackSeconds + lowest*p.SlackShare
 	source := bitSource(req.Rand)
 	key, isCold := coldKey(req, candidates)
-	picked, first := 0, math.Inf(1)
+	// The draw of the picked candidate is draw/room.
+	picked, draw, room := 0, math.Inf(1), 1.0
 	for i, score := range scores {
-		if cost := max(score, level) - gains[i]; cost > limit || score >= level && gains[i] == 0 {
+		left := level - score
+		if costs[i] > limit || left <= 0 && gains[i] == 0 {
 			continue
 		}
 		bits := source.next()
@@ -52,11 +62,13 @@
 			hashed := bitSource(key ^ candidates[i].NameHash)
 			bits = hashed.next()
 		}
-		room := max(level-score, p.SlackSeconds) * slopes[i]
+		if left < p.SlackSeconds {
+			left = p.SlackSeconds
+		}
 		// The own attempts count exactly, and no other daemon knows them.
-		draw := (float64(candidates[i].OwnUnreported) + exponential(bits, len(scores))) / room
-		if draw < first {
-			picked, first = i, draw
+		nextDraw, nextRoom := float64(candidates[i].OwnUnreported)+exponential(bits, len(scores)), left*slopes[i]
+		if nextDraw*room < draw*nextRoom {
+			picked, draw, room = i, nextDraw, nextRoom
 		}
 	}
 	return picked
