--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -25,6 +25,9 @@
 	fixedFirstTokenSeconds = 0.01
 	minSlowness            = 0.5
 	maxSlowness            = 8.0
+	// minToldSlowness is minSlowness for an attempt whose time is compared with the one that
+	// follows from what the upstream told, which may be too long by as much as too short.
+	minToldSlowness = 1 / maxSlowness
 	// stateRetention is how long the state of an upstream without open attempts
 	// is retained after it was last a candidate.
 	stateRetention = time.Minute
@@ -43,6 +46,10 @@
 	// meanTokens is the mean number of uncached prompt tokens per attempt. It
 	// converts the number of requests that wait at an upstream to tokens.
 	meanTokens float64
+	pool       poolState
+	// isTold reports whether most candidates of the latest decision had new reports.
+	isTold     bool
+	onSlowness func(SlownessSample)
 	startTime  time.Time
 	sweptAt    time.Duration
 	matched    matchCounts
@@ -78,12 +85,19 @@
 	now := t.since(req.Now)
 	first := len(buffer)
 	buffer = slices.Grow(buffer, len(upstreams))[:first+len(upstreams)]
+	isTold := t.isTold
+	var e estimator
+	if isTold {
+		e = t.pool.newEstimator(now, req.PromptTokens == 0, t.meanTokens/t.tokensPerSecond)
+	}
+	newReports := 0
 	for i := range upstreams {
 		u := &upstreams[i]
 		s := t.stateAt(i, u)
 		s.lastCandidateAt = now
-		if u.Load != nil && u.Load.ReceivedAt != s.reportReceivedAt {
-			s.applyReport(u.Load, t.since(u.Load.ReceivedAt), t.meanTokens)
+		// Another process has another report or another generation.
+		if u.Load != s.report || u.Generation != s.process.generation {
+			t.update(s, u)
 		}
 		cached := 0.0
 		if s.slot >= 0 {
@@ -103,6 +117,22 @@
 		c.FailureShare = s.failures.valueAt(now)
 		c.KVShare = s.kvShare
 		c.ReclaimsPerSecond = s.domain.reclaimRate(u.Class, now)
+		if s.told.slots > 0 && now-s.told.takenAt < newReportAge {
+			newReports++
+		}
+		if isTold {
+			e.estimate(s, c)
+		} else {
+			s.setUntold(c)
+		}
+	}
+	// Without new reports of most candidates, the choice is the one of a daemon that has none:
+	// old ones lead all daemons to the same upstreams.
+	if t.isTold = newReports > 0 && 2*newReports >= len(upstreams); t.isTold && !isTold {
+		e = t.pool.newEstimator(now, req.PromptTokens == 0, t.meanTokens/t.tokensPerSecond)
+		for i := range upstreams {
+			e.estimate(t.byPosition[i], &buffer[first+i])
+		}
 	}
 	if now-t.sweptAt > stateRetention {
 		t.sweep(now)
@@ -110,6 +140,18 @@
 	return buffer
 }
 
+// update applies the load report of an upstream, and discards the state of an earlier process
+// or version.
+func (t *Tracker) update(s *upstreamState, u *membership.Upstream) {
+	if !s.process.matches(u) {
+		s.beginProcess(newUpstreamProcess(u))
+	}
+	if u.Load != nil && u.Load != s.report {
+		s.applyReport(u.Load, t.since(u.Load.ReceivedAt), t.meanTokens)
+		t.pool.observe(&s.told)
+	}
+}
+
 // RecordSent records that an attempt is sent to the candidate. The result is passed
 // to RecordFirstToken and RecordEnd.
 func (t *Tracker) RecordSent(req *Request, c *Candidate) SentAttempt {
@@ -124,7 +166,8 @@
 	if s.slot >= 0 {
 		t.index.RecordSent(s.slot, req.Blocks)
 	}
-	return SentAttempt{name: c.Name, queuedTokens: queued, uncachedTokens: uncached}
+	return SentAttempt{name: c.Name, queuedTokens: queued, uncachedTokens: uncached, at: now, waitSeconds: c.WaitSeconds, pace: c.Pace,
+		running: c.Running, slowness: c.Slowness, runningSeconds: t.pool.runningSeconds * c.Running}
 }
 
 // RecordFirstToken records the first token of an open attempt. Calling it is
@@ -145,8 +188,7 @@
 	if s == nil {
 		return
 	}
-	s.inFlight = max(0, s.inFlight-1)
-	s.running = max(0, s.running-1)
+	s.recordEnd(sent.at)
 	if f.OK || f.Failed {
 		s.failures.observe(f.Failed, t.since(f.Now))
 	}
@@ -158,6 +200,9 @@
 	if f.FirstToken > 0 {
 		t.updateRates(s, sent, f)
 	}
+	if f.OK && sent.pace > 0 && !f.Now.IsZero() {
+		t.pool.observeHold((t.since(f.Now) - sent.at).Seconds(), &sent)
+	}
 }
 
 // updateRates updates the processing rate of the pool and the slowness of the
@@ -172,12 +217,39 @@
 	expected := fixedFirstTokenSeconds + work/t.tokensPerSecond
 	ratio := min(max(seconds/expected, minSlowness), maxSlowness)
 	s.slowness += meanWeight * 2 * (ratio - s.slowness)
+	if sent.pace > 0 && !f.Now.IsZero() {
+		seconds = t.updateTold(s, sent, seconds, work, t.since(f.Now))
+	}
 	if work >= minLearnTokens && seconds > fixedFirstTokenSeconds {
 		rate := min(max(work/(seconds-fixedFirstTokenSeconds), minTokensPerSecond), maxTokensPerSecond)
 		t.tokensPerSecond += meanWeight * (rate - t.tokensPerSecond)
 	}
 }
 
+// updateTold updates the lasting slowness of an upstream that reports its pace, and the effect
+// of running requests. It returns the time that is due to the prompt.
+func (t *Tracker) updateTold(s *upstreamState, sent SentAttempt, seconds, work float64, now time.Duration) float64 {
+	// What the upstream told explains a part of the time. The rest is due to its lasting
+	// speed, also if what it tells is wrong.
+	seconds /= sent.pace
+	expected := sent.waitSeconds
+	if work > 0 {
+		expected += fixedFirstTokenSeconds + work/t.tokensPerSecond
+	}
+	if expected <= 0 {
+		return seconds
+	}
+	ratio := min(max(seconds/expected, minToldSlowness), maxSlowness)
+	s.addToldSlowness(ratio, now)
+	if t.onSlowness != nil {
+		t.onSlowness(SlownessSample{Upstream: s.name, Address: s.process.address, Generation: s.process.generation, Ratio: ratio})
+	}
+	if work > 0 {
+		t.pool.observeRunning(seconds/sent.slowness-expected+sent.runningSeconds, sent.running)
+	}
+	return seconds - sent.waitSeconds
+}
+
 // ApplyCacheEvents applies cache events of an upstream, in order. upTo is the last
 // sequence number that the upstream has issued, even when events is empty.
 func (t *Tracker) ApplyCacheEvents(name string, upTo int64, events []CacheEvent) {
@@ -270,6 +342,7 @@
 		return s
 	}
 	s := t.ensureState(u.Name)
+	t.update(s, u)
 	if s.domain == nil {
 		s.domain = t.reclaimRates.domain(u.Domain)
 	}
