Read bodies in internal/server within the budget for callers, and report the budgets

Both servers of callers read bodies with internal/callerbody. Connections whose body is not complete make room for others too. The gateway reports both budgets in metrics and, while callers exceed them, in the log.

--- a/internal/callerbody/read.go
+++ b/internal/callerbody/read.go
@@ -94,6 +94,10 @@
 	expiry := p.Expiry()
 	_ = control.SetReadDeadline(expiry)
 	b.part.Expose(now.Add(exposeAfter))
+	if conn := connOf(r.Context()); conn != nil {
+		conn.Expose(now.Add(exposeAfter))
+		defer conn.Keep()
+	}
 	if !b.grow(growth(0, r.ContentLength, o.Limit), now) {
 		return ErrNoRoom
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"rattantide/internal/admission"
 	"rattantide/internal/api"
 	"rattantide/internal/burn"
+	"rattantide/internal/callerbudget"
 	"rattantide/internal/configsync"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/engineclient"
@@ -32,6 +33,10 @@
 	"rattantide/internal/upstreamwatch"
 )
 
+// callerShare is the part of the journal's memory that bodies may hold until their requests
+// are accepted, as a divisor.
+const callerShare = 8
+
 // Daemon is a daemon with all its components. Run must be called exactly once.
 type Daemon struct {
 	settings *settings.Settings
@@ -155,9 +160,10 @@
 	d.server = server.New(server.Options{
 		Self: d.table.Self(), Config: d.cache, Members: membersWithSelf{d.table}, Chooser: d.dispatcher,
 		Engine: server.EngineClient{Client: d.engines}, Journal: d.journal, Intents: d.intentLog,
-		Handoff:  d.handoff,
-		Observer: burnObserver{d.burn},
-		Logger:   d.logger, Scope: d.scope, LogShare: s.LogRequestShare,
+		CallerBudget: callerbudget.New(s.MaxJournalBytes / callerShare),
+		Handoff:      d.handoff,
+		Observer:     burnObserver{d.burn},
+		Logger:       d.logger, Scope: d.scope, LogShare: s.LogRequestShare,
 		MaxBodyBytes: s.MaxBodyBytes, MaxEventBytes: s.MaxEventBytes,
 		AbandonGrace: s.AbandonGrace, EntryTTL: s.EntryTTL,
 	})
--- a/internal/fleetdaemon/caller_conn.go
+++ b/internal/fleetdaemon/caller_conn.go
@@ -1,11 +1,13 @@
 package fleetdaemon
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"rattantide/internal/callerbody"
 	"rattantide/internal/callerbudget"
 )
 
@@ -47,3 +49,11 @@
 		conn.part.Keep()
 	}
 }
+
+// withConnPart lets the reader of a body expose the connection while the body is not complete.
+func withConnPart(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := c.(*callerConn); ok {
+		return callerbody.WithConn(ctx, conn.part)
+	}
+	return ctx
+}
--- a/internal/fleetdaemon/caller_servers.go
+++ b/internal/fleetdaemon/caller_servers.go
@@ -77,7 +77,7 @@
 	}
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
-		ConnState: limits.recordState,
+		ConnState: limits.recordState, ConnContext: withConnPart,
 	}
 	if s.current != nil {
 		// Ends Serve of the earlier server, but not its connections.
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -94,6 +94,7 @@
 	gateway         *gateway.Server
 	// callerBytes bounds what the requests of callers hold, callerConns their connections.
 	callerBytes, callerConns *callerbudget.Budget
+	byteReport, connReport   *budgetReport
 	config                   *fleetsync.ConfigSync
 	upstreams                *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
@@ -302,6 +303,8 @@
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
 	d.callerBytes, d.callerConns = callerbudget.New(requestBytes(d.settings)), callerbudget.New(maxCallerConns(d.settings))
+	d.byteReport = newBudgetReport("bytes", d.callerBytes, d.logger, d.scope)
+	d.connReport = newBudgetReport("connections", d.callerConns, d.logger, d.scope)
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
 		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -181,6 +181,8 @@
 		d.applyMembers()
 	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
+	d.byteReport.update()
+	d.connReport.update()
 	d.quotaPool.Tick()
 	d.promptQuarantine.Tick()
 	d.requestQuarantine.Tick()
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -34,7 +34,7 @@
 		s.writeLeaving(w, r, workspaceName, id)
 		return
 	}
-	body, release, p := s.readBody(w, r)
+	body, release, p := s.readBody(w, r, workspaceName, time.Time{})
 	if p != nil {
 		s.refuse(w, p.WithRequestID(id))
 		return
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -7,6 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"rattantide/internal/callerbudget"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/intent"
 	"rattantide/internal/journal"
@@ -14,6 +15,9 @@
 	"rattantide/internal/telemetry"
 )
 
+// defaultCallerBytes is the limit of the budget for callers if none is given.
+const defaultCallerBytes = 64 << 20
+
 // Options are the collaborators and limits of a Server. Config, Members, Chooser,
 // Engine and Journal are required; Logger and Scope may be nil. A limit that is
 // zero or negative takes its default.
@@ -39,6 +43,10 @@
 	// LogShare is the fraction of successful requests that are logged, 0 to 1.
 	LogShare float64
 
+	// CallerBudget bounds what the requests of callers hold until they are accepted. Default:
+	// a budget of 64 MiB.
+	CallerBudget *callerbudget.Budget
+
 	// MaxBodyBytes bounds a caller's body. Default 8 MiB.
 	MaxBodyBytes int64
 	// MaxHeaderValueBytes bounds the Authorization header of a caller. Default
@@ -92,6 +100,9 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
+	if o.CallerBudget == nil {
+		o.CallerBudget = callerbudget.New(defaultCallerBytes)
+	}
 	setDefault(&o.MaxBodyBytes, 8<<20)
 	setDefault(&o.MaxHeaderValueBytes, 1<<10)
 	setDefault(&o.MaxEventBytes, 64<<10)
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -52,7 +52,7 @@
 		s.writeLeaving(w, r, workspace, c.id)
 		return
 	}
-	body, release, p := s.readBody(w, r)
+	body, release, p := s.readBody(w, r, workspace, c.deadline)
 	if p != nil {
 		s.refuse(w, p.WithRequestID(c.id))
 		return
