Bound the heap in the tests of callers, and give requests a quarter of the memory

An eighth would let one caller of a small instance hold only some 50 long prompts freely at the same time. The tests also check the heap in use: memory that is allocated for an announced length is not resident until it is written. Before the budget for callers, TestAnnouncedBodies fails with: heap is >= memoryMB: 205 MB of heap are in use

--- a/internal/fleetdaemon/caller_limits.go
+++ b/internal/fleetdaemon/caller_limits.go
@@ -9,8 +9,9 @@
 
 const (
 	// requestMemoryShare is the share of the instance's memory for what callers' requests
-	// hold. With the garbage of the collector it is twice that.
-	requestMemoryShare = 1.0 / 8
+	// hold. With the garbage of the collector it is up to twice that. One caller may use half
+	// of it freely: at 144 MB, 100 prompts of 180 KB at the same time.
+	requestMemoryShare = 1.0 / 4
 	// connMemoryShare is the share of the instance's memory for callers' connections, each
 	// of which takes connBytes at most: its header, buffers and stack.
 	connMemoryShare = 1.0 / 4
--- a/test/callers/daemon_test.go
+++ b/test/callers/daemon_test.go
@@ -47,6 +47,8 @@
 type daemon struct {
 	t       *testing.T
 	address string
+	// metrics is the address of the daemon's metrics.
+	metrics string
 	process *proc.Process
 	runner  *runner.Runner
 }
@@ -104,6 +106,7 @@
 	})
 	port, dir := freePorts(t), t.TempDir()
 	d.address = "127.0.0.1:" + strconv.Itoa(port)
+	d.metrics = "127.0.0.1:" + strconv.Itoa(port+4)
 	settings := fmt.Sprintf(`
 nodeId = "front-0"
 ip = "127.0.0.1"
@@ -181,11 +184,28 @@
 	resident := d.peakResidentMB()
 	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.process.PID()))
 	assert.NilError(d.t, err)
-	d.t.Logf("%d MB at most, %d descriptors", resident, len(descriptors))
+	heap := d.heapMB()
+	d.t.Logf("%d MB at most, %d MB of heap, %d descriptors", resident, heap, len(descriptors))
+	assert.Check(d.t, heap < memoryMB, "%d MB of heap are in use", heap)
 	assert.Check(d.t, resident < memoryMB, "%d MB were resident", resident)
 	assert.Check(d.t, len(descriptors) < maxDescriptors, "%d descriptors are open", len(descriptors))
 }
 
+// heapMB returns the heap that the process uses, which may not be resident yet.
+func (d *daemon) heapMB() int {
+	d.t.Helper()
+	response, err := http.Get("http://" + d.metrics + "/metrics")
+	assert.NilError(d.t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	assert.NilError(d.t, err)
+	_, rest, _ := strings.Cut(string(text), "\ngo_memstats_heap_inuse_bytes ")
+	line, _, _ := strings.Cut(rest, "\n")
+	bytes, err := strconv.ParseFloat(line, 64)
+	assert.NilError(d.t, err)
+	return int(bytes) >> 20
+}
+
 // peakResidentMB returns the largest resident memory of the process so far.
 func (d *daemon) peakResidentMB() int {
 	d.t.Helper()
