--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -192,6 +192,8 @@
 		isCollector = 1
 	}
 	d.scope.Gauge("collector").Update(isCollector)
+	d.byteReport.update()
+	d.connReport.update()
 	d.quotaPool.Tick()
 	d.promptQuarantine.Tick()
 	d.requestQuarantine.Tick()
