Do not wait for the rest of a body that was rejected unread

The HTTP server reads up to 256 KiB of an unread body before it answers, and waited for them without a bound. A rejected request now keeps its connection only if the rest is small, for a second at most.

--- a/internal/callerbody/close.go
+++ b/internal/callerbody/close.go
@@ -33,3 +33,18 @@
 		CloseAfterAnswer(w)
 	}
 }
+
+// guardTime bounds the arrival of a body that no handler reads.
+const guardTime = 60 * time.Second
+
+// Guard returns a handler that bounds the time in which the body of a request arrives. Read
+// sets a closer bound. Without one, the server waits for ever for the rest of a body that a
+// handler did not read.
+func Guard(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(guardTime))
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/api"
+	"rattantide/internal/callerbody"
 	"rattantide/internal/configsync"
 	"rattantide/internal/journal"
 	"rattantide/internal/problem"
@@ -22,11 +23,13 @@
 	defer s.idle.add(-1)
 	id, p := requestID(r)
 	if p != nil {
+		callerbody.LeaveUnread(w, r)
 		s.refuse(w, p)
 		return
 	}
 	workspaceName, workspace, p := s.authenticateWorkspace(r)
 	if p != nil {
+		callerbody.LeaveUnread(w, r)
 		s.refuse(w, p.WithRequestID(id))
 		return
 	}
--- a/internal/server/drain.go
+++ b/internal/server/drain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"rattantide/internal/callerbody"
 	"rattantide/internal/entry"
 	"rattantide/internal/problem"
 )
@@ -42,6 +43,7 @@
 // writeLeaving answers a call with the refusal of a draining daemon. workspace is the
 // name of the caller's workspace.
 func (s *Server) writeLeaving(w http.ResponseWriter, r *http.Request, workspace, id string) {
+	callerbody.LeaveUnread(w, r)
 	p := problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeLeaving, "this daemon is leaving; use another entry").WithRequestID(id)
 	s.metrics.countRefused(p.Code)
 	body := leavingProblem{Problem: p, Entries: s.entriesFor(r, workspace).Entries}
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/api"
+	"rattantide/internal/callerbody"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/framing"
 	"rattantide/internal/membership"
@@ -45,6 +46,7 @@
 	defer s.idle.add(-1)
 	c, workspace, p := s.newServiceCall(r)
 	if p != nil {
+		callerbody.LeaveUnread(w, r)
 		s.refuse(w, p)
 		return
 	}
