--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -11,6 +11,10 @@
 	Upstream membership.Upstream
 	// Version is the version that serves the attempt.
 	Version string
+	// Pace and Speed are what the choice assumed of the upstream, as in routing.Candidate, and
+	// StateAge is the age of the report; they are 0 if they are not known.
+	Pace, Speed float64
+	StateAge    time.Duration
 	// Priority is passed to the engine, 0 (lowest) to 9.
 	Priority int
 	// FirstToken reports the time from dispatch to the first token. It may be
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -108,6 +108,9 @@
 		Priority: requestPriority(class, r),
 		Done:     a.done,
 	}
+	if picked.Slots > 0 {
+		choice.Pace, choice.Speed, choice.StateAge = picked.Pace, picked.Speed, picked.StateAge
+	}
 	if r.Chat {
 		choice.FirstToken = a.firstToken
 	}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -124,6 +124,8 @@
 	fleet atomic.Pointer[upstreamstate.Fleet]
 	// upstreamStore is the state of upstreams that the daemons exchange.
 	upstreamStore *upstreamstate.Store
+	// slowLogs is what maintain logged of slow upstreams, by pool.
+	slowLogs map[string]slowLog
 	// revision is that of the instance list that applyMembers passed to table last.
 	revision atomic.Int64
 
@@ -218,7 +220,7 @@
 		Store: d.store, Kind: platform.UpstreamKind, Decode: newInstanceDecoder(s.Region), ReaderRank: d.readerRank, Apply: d.applyUpstreams,
 		Now: bootclock.Now, Logger: d.logger, Scope: d.scope,
 	})
-	d.upstreamStore = upstreamstate.NewStore()
+	d.upstreamStore, d.slowLogs = upstreamstate.NewStore(), map[string]slowLog{}
 	d.upstreamLimit = upstreamlimit.NewLimiter(s.Name, bootclock.Now)
 	d.namedLimits = upstreamlimit.NewNamed(upstreamlimit.NamedOptions{OnChange: d.announceLimits, Now: bootclock.Now, Logger: d.logger})
 	if s.Bounds.EvacuateWithin > 0 {
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -38,7 +38,6 @@
 // applyUpstreams replaces the list of upstreams.
 func (d *Daemon) applyUpstreams(instances []membership.Instance) {
 	d.instances.Store(&instances)
-	d.upstreamStore.SetUpstreams(upstreamProcesses(instances))
 	d.upstreamsListed.Store(true)
 	d.applyMembers()
 }
@@ -88,6 +87,7 @@
 		list.Instances = append(list.Instances, u)
 	}
 	d.table.ApplyList(list)
+	d.upstreamStore.SetUpstreams(d.usableProcesses())
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
 	d.chooseCollectors(peers)
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -183,11 +183,7 @@
 		d.applyMembers()
 	}
 	d.scope.Gauge("log_lines_dropped").Update(float64(d.droppedLogLines()))
-	isCollector := 0.0
-	if d.isCollector() {
-		isCollector = 1
-	}
-	d.scope.Gauge("collector").Update(isCollector)
+	d.summarizeUpstreams()
 	d.quotaPool.Tick()
 	d.promptQuarantine.Tick()
 	d.requestQuarantine.Tick()
--- a/internal/fleetdaemon/upstream_exchange.go
+++ b/internal/fleetdaemon/upstream_exchange.go
@@ -29,11 +29,16 @@
 	d.upstreamStore.ObserveSlowness(upstreamstate.Process{Name: s.Upstream, Address: s.Address, Generation: s.Generation}, s.Ratio, bootclock.Now())
 }
 
-// upstreamProcesses returns the processes of the listed upstreams.
-func upstreamProcesses(instances []membership.Instance) []upstreamstate.Process {
-	processes := make([]upstreamstate.Process, len(instances))
-	for i, u := range instances {
-		processes[i] = upstreamstate.Process{Pool: u.Pool, Name: u.Name, Address: u.Address, Version: u.Version, Generation: u.StartedAtMs}
+// usableProcesses returns the processes of the upstreams that may be used: those of which the
+// state is of use and which count for the capacity.
+func (d *Daemon) usableProcesses() []upstreamstate.Process {
+	var processes []upstreamstate.Process
+	for _, u := range d.knownUpstreams() {
+		if u.IsStaying() && !d.isEvacuated(u.Domain) {
+			processes = append(processes, upstreamstate.Process{
+				Pool: u.Pool, Name: u.Name, Address: u.Address, Version: u.Version, Generation: u.StartedAtMs,
+			})
+		}
 	}
 	return processes
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a := &upstreamAttempt{exchange: x, choice: choice, sentAt: time.Now()}
-	x.upstreamName = choice.Upstream.Name
+	x.upstreamName, x.choice = choice.Upstream.Name, choice
 	a.suspicion = x.startSuspicion(choice.Upstream.Name, func() { cancel(errQuarantined) })
 	defer a.suspicion.end()
 	response, err := x.server.opts.Conns.Do(ctx, choice.Upstream.Address, x.upstreamConnLimit(), x.upstreamRequest(choice))
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -47,6 +47,8 @@
 	excluded []string
 	// upstreamName is the upstream of the last attempt.
 	upstreamName string
+	// choice is that of the last attempt; nil before the first.
+	choice *dispatch.Choice
 	// upstreamLimit is the request limit that the upstream of the last response named, or
 	// nil.
 	upstreamLimit *float64
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -57,6 +58,10 @@
 	if x.upstreamLimit != nil {
 		fields = append(fields, "upstreamLimit", *x.upstreamLimit)
 	}
+	if c := x.choice; c != nil && c.Pace > 0 {
+		// The age is that of a report; an upstream without one is taken for a mean one.
+		fields = append(fields, "pace", twoDigits(c.Pace), "speed", twoDigits(c.Speed), "stateAgeMs", min(c.StateAge, time.Minute).Milliseconds())
+	}
 	if x.upstreamLeaving {
 		fields = append(fields, "upstreamLeaving", true)
 	}
@@ -81,3 +86,6 @@
 		s.opts.Logger.Info("request answered", fields...)
 	}
 }
+
+// twoDigits rounds a ratio for the log.
+func twoDigits(ratio float64) float64 { return math.Round(ratio*100) / 100 }
