Determine the level of the room exactly

Cause: the level was bounded by eight steps from the level of all candidates. With scores that differ by orders of magnitude it can end too high, and one that is too high sends requests to the holders of their prompts despite their load. Change: the first step takes a guess of the candidates below the level instead of all of them.

--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -2,9 +2,9 @@
 
 import "math"
 
-// maxLevelSteps bounds the steps in which level is determined. Each step but the last excludes
-// at least one candidate; three to five are usual.
-const maxLevelSteps = 8
+// maxLevelSteps bounds the steps in which the level is determined. Two to four are usual. A
+// level that is too high sends the requests to the holders of their prompts despite their load.
+const maxLevelSteps = 16
 
 // maxExactDraws is the number of candidates up to which the draw is exact.
 const maxExactDraws = 16
@@ -24,6 +24,7 @@
 	var gainArray, slopeArray, costArray [maxScored]float64
 	gains, slopes := gainArray[:len(scores)], slopeArray[:len(scores)]
 	unreported, secondsPerToken, prompt := 0.0, 1/candidates[0].promptRate(), float64(req.PromptTokens)
+	best, slopeSum := math.Inf(1), 0.0
 	for i := range candidates {
 		c := &candidates[i]
 		pace := c.Slowness * c.Pace
@@ -32,9 +33,13 @@
 			scores[i] += gains[i]
 		}
 		slopes[i] = 1 / (c.AddedSeconds * pace)
+		slopeSum += slopes[i]
+		if scores[i] < best {
+			best = scores[i]
+		}
 		unreported += c.Unreported
 	}
-	level := roomLevel(scores, slopes, max(unreported, 1))
+	level := roomLevel(scores, slopes, best, slopeSum, max(unreported, 1))
 	// Comparisons stand in place of min and max, which also handle NaN and take longer.
 	lowest := math.Inf(1)
 	costs := &costArray
@@ -86,23 +91,25 @@
 	return -math.Log1p(-uniform)
 }
 
-// roomLevel returns the level at which the room of all candidates is a number of requests.
-func roomLevel(scores, slopes []float64, requests float64) float64 {
-	level := 0.0
-	for step := range maxLevelSteps {
-		weight, sum, count := 0.0, requests, 0
+// roomLevel returns the level at which the room of all candidates is a number of requests. best
+// is the lowest score, and slopeSum the sum of the slopes.
+func roomLevel(scores, slopes []float64, best, slopeSum, requests float64) float64 {
+	// The level of any part of the candidates is at least the one of all. The first part is a
+	// guess; each step leaves out those above the level of the one before, until none is.
+	level, bound := math.Inf(1), best+2*requests/slopeSum
+	for range maxLevelSteps {
+		weight, sum := 0.0, requests
 		for i, score := range scores {
-			if step == 0 || score < level {
+			if score <= bound {
 				weight += slopes[i]
 				sum += slopes[i] * score
-				count++
 			}
 		}
 		next := sum / weight
-		if count == 0 || step > 0 && next >= level {
+		if next >= level {
 			break
 		}
-		level = next
+		level, bound = next, next
 	}
 	return level
 }
