--- a/internal/policytest/uneven.go
+++ b/internal/policytest/uneven.go
@@ -70,6 +70,8 @@
 	store     *upstreamstate.Store
 	processes []upstreamstate.Process
 	upstreams []membership.Upstream
+	// positions are those in upstreams by name.
+	positions map[string]int
 	// requests are those after the warm-up, and first their times to the first answer.
 	requests      int
 	first         []time.Duration
@@ -88,7 +90,7 @@
 
 // RunUneven simulates a policy. The seed determines all of it.
 func RunUneven(policy routing.Policy, c UnevenCase, seed uint64) UnevenResult {
-	f := &unevenFleet{UnevenCase: c, random: rand.New(rand.NewPCG(seed, 7)), policy: policy, store: upstreamstate.NewStore()}
+	f := &unevenFleet{UnevenCase: c, random: rand.New(rand.NewPCG(seed, 7)), policy: policy, store: upstreamstate.NewStore(), positions: map[string]int{}}
 	f.build()
 	f.schedule(seed)
 	f.events.run(unevenLength + 3*time.Second)
@@ -113,6 +115,7 @@
 		u := membership.Upstream{
 			Name: fmt.Sprintf("u-%03d", i), Address: "a", Generation: 1, Pool: poolName, Domain: fmt.Sprintf("d%d", i%domainCount), PricePerHour: 1,
 		}
+		f.positions[u.Name] = i
 		f.upstreams = append(f.upstreams, u)
 		f.processes = append(f.processes, upstreamstate.Process{Pool: poolName, Name: u.Name, Address: u.Address, Generation: 1})
 		if f.IsPlain {
@@ -206,11 +209,7 @@
 		upstreams[i].Load = &loads[i]
 	}
 	for _, u := range f.store.Updates(f.wallTime(), nil) {
-		for i := range upstreams {
-			if upstreams[i].Name == u.Process.Name {
-				loads[i].Speed = u.Load.Speed
-			}
-		}
+		loads[f.positions[u.Process.Name]].Speed = u.Load.Speed
 	}
 	f.events.scheduleAfter(f.Lag, func() {
 		for i := range loads {
--- a/internal/policytest/uneven_test.go
+++ b/internal/policytest/uneven_test.go
@@ -30,12 +30,15 @@
 	}
 }
 
+// ages are the ages of the state, in the innermost loop of unevenCases.
+var ages = []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second}
+
 // unevenCases are the sizes of fleets and the ages of the state.
 func unevenCases() []UnevenCase {
 	var cases []UnevenCase
 	for _, isPlain := range []bool{false, true} {
 		for _, daemons := range []int{10, 61, 300} {
-			for _, lag := range []time.Duration{50 * time.Millisecond, 500 * time.Millisecond, 5 * time.Second} {
+			for _, lag := range ages {
 				c := UnevenCase{Daemons: daemons, Lag: lag, Blind: 0.1, IsPlain: isPlain, Rate: 550}
 				if isPlain {
 					c.Rate = 200
@@ -59,6 +62,9 @@
 	for i, c := range cases {
 		results[i] = make([]UnevenResult, len(policies))
 		for j, p := range policies {
+			if p.isBlind && c.Lag != ages[0] {
+				continue
+			}
 			group.Go(func() error {
 				c := c
 				if p.isBlind {
@@ -70,6 +76,14 @@
 		}
 	}
 	_ = group.Wait()
+	for i := range cases {
+		for j, p := range policies {
+			if p.isBlind {
+				// The age of the state makes no difference.
+				results[i][j] = results[i-i%len(ages)][j]
+			}
+		}
+	}
 	var out strings.Builder
 	w := tabwriter.NewWriter(&out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "plain\tdaemons\tage\tpolicy\twithin\tp99\tbusiest\tin 1 s\t")
