Send requests with the same shared prefix to the same upstreams

Callers saw: long prompts wait for parts that some upstream has computed before; on a fleet of 61 daemons and 140 upstreams a third of all prompt tokens were computed again. Cause: a daemon knows only where it sent a prefix itself, and gets one of some thousand prefixes rarely. The placement by hash did not apply, as a part that all prompts have is cached everywhere, and its key covered the part of the prompt that no other has. Change: two upstreams per shared prefix, by rendezvous hashing, are expected to hold most of it; load decides against them as before.

--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -20,6 +20,9 @@
 	// Blocks are the hashes of the prompt's prefix blocks. Each hash covers the
 	// prompt from its start to the end of that block.
 	Blocks []uint64
+	// SharedBlocks is the number of leading blocks that other prompts may begin with too; 0 if
+	// that is not known.
+	SharedBlocks int
 	// AcceptedAt and Deadline bound the request; a zero Deadline means none. Both
 	// have a monotonic clock reading.
 	AcceptedAt time.Time
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -79,6 +79,7 @@
 		PromptTokens: r.PromptTokens + r.ResumedTokens,
 		MaxTokens:    max(0, r.MaxTokens-r.ResumedTokens),
 		Blocks:       r.Blocks,
+		SharedBlocks: r.SharedBlocks,
 		Rand:         d.opts.Rand(),
 		Now:          now,
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -186,10 +186,10 @@
 		ID: x.call.AttemptID, Class: x.route.Name, Route: x.route.Name, Pool: x.service.Name,
 		Chat: x.route.Kind == fleetconfig.Stream, Idempotent: x.route.Repeatable(),
 		PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens,
-		Blocks:     promptBlocks(x.call.Model, x.call.Parts),
 		AcceptedAt: x.receivedAt, Deadline: x.deadline, Attempt: x.attempts, ReachedAttempts: x.sends, Exclude: x.excluded,
 		ResumedTokens: x.eventsSent, Priority: &priority,
 	}
+	r.Blocks, r.SharedBlocks = promptBlocks(x.call.Model, x.call.Parts)
 	if l := x.server.opts.UpstreamLimit; l != nil {
 		r.Exclude = append(l.Blocked(), x.excluded...)
 	}
--- a/internal/gateway/prompt_blocks.go
+++ b/internal/gateway/prompt_blocks.go
@@ -16,12 +16,12 @@
 
 // promptBlocks returns cumulative hashes of a prompt's blocks: the hash of a block
 // covers everything before it, as a cached block is usable only if all blocks
-// before it are cached as well.
-func promptBlocks(model string, parts []PromptPart) []uint64 {
+// before it are cached as well. shared is the number of leading blocks that belong to parts
+// which other prompts may contain too.
+func promptBlocks(model string, parts []PromptPart) (blocks []uint64, shared int) {
 	if len(parts) == 0 {
-		return nil
+		return nil, 0
 	}
-	var blocks []uint64
 	digest := xxhash.New()
 	_, _ = digest.WriteString(model)
 	var word [8]byte
@@ -29,12 +29,15 @@
 		binary.LittleEndian.PutUint64(word[:], v)
 		_, _ = digest.Write(word[:])
 	}
-	for _, part := range parts {
+	for i, part := range parts {
+		if i == len(parts)-1 {
+			shared = len(blocks)
+		}
 		add(part.ID)
 		for at := 0; at < part.Tokens && len(blocks) < maxBlocks; at += blockTokens {
 			add(uint64(at))
 			blocks = append(blocks, digest.Sum64())
 		}
 	}
-	return blocks
+	return blocks, shared
 }
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -10,6 +10,9 @@
 	MaxTokens int
 	// Blocks are cumulative hashes of the prompt's prefix blocks.
 	Blocks []uint64
+	// SharedBlocks is the number of leading blocks that other prompts may begin with too; 0 if
+	// that is not known.
+	SharedBlocks int
 	// Rand is the random input of this decision. The same value reproduces the
 	// decision.
 	Rand uint64
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -134,6 +134,7 @@
 			e.estimate(t.byPosition[i], &buffer[first+i])
 		}
 	}
+	applyAffinity(req, buffer[first:])
 	if now-t.sweptAt > stateRetention {
 		t.sweep(now)
 	}
