Divide the work limit of a pool among priorities

Every request was refused once the expected wait exceeded its own target, so classes with short targets lost most in a burst of long prompts. The limit now keeps room free for more urgent arrivals, guarantees a small share to each class and workspace, and reacts to the priority that is closest to its target within some hundred milliseconds. It is in effect only where priorities differ or workspaces have quotas.

--- a/internal/admission/class_queue.go
+++ b/internal/admission/class_queue.go
@@ -54,6 +54,10 @@
 	}
 }
 
+// peek returns the waiter that is the first of the workspace whose turn it is; the queue
+// must not be empty. pop may return one of the next workspace if that costs less.
+func (q *classQueue) peek() *waiter { return q.ring[q.next].waiters[0] }
+
 // remove removes a waiter from the queue at any position. It does nothing when
 // the waiter is no longer queued.
 func (q *classQueue) remove(w *waiter) {
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -145,7 +145,7 @@
 		p.cancelGrant(&w.req, false, now)
 		c.grantWaiting(p)
 	case w.queue.position(w) >= 0:
-		w.retryAfter = p.clampRetryAfter(p.expectedWait(p.class(&w.req), &w.req))
+		w.retryAfter = p.clampRetryAfter(p.expectedWait(p.class(&w.req), &w.req, now))
 		p.remove(w)
 	default:
 		rule = w.refusedBy
@@ -293,7 +293,7 @@
 		p = newPool(c.opts.MaxWaiting, c.opts.MaxPerWorkspace)
 		p.minRetryAfter = c.opts.MinRetryAfter
 		if c.opts.LimitWork {
-			p.workLimit = newWorkLimit()
+			p.workLimit, p.ranks = newWorkLimit(), newRankLimit(c.opts.HasQuotas)
 		}
 		c.pools[name] = p
 	}
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -17,6 +17,10 @@
 	// is for pools that other daemons also use and whose total load is unknown
 	// to this daemon.
 	LimitWork bool
+	// HasQuotas reports whether workspaces have quotas. The division of the work limit
+	// among priorities is then in effect also where priorities do not differ. Default:
+	// none have.
+	HasQuotas func() bool
 	// MinRetryAfter is the minimum of the advised retry delay. Default: 1 s.
 	MinRetryAfter time.Duration
 	// Scope receives the metrics. Default: none.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -35,7 +35,9 @@
 	limit           limit
 	// workLimit limits the work without a first answer; nil unless
 	// Options.LimitWork is set.
-	workLimit     *workLimit
+	workLimit *workLimit
+	// ranks divides workLimit among priorities; nil if workLimit is nil.
+	ranks         *rankLimit
 	minRetryAfter time.Duration
 	// tickScheduled reports whether a call of tick is scheduled.
 	tickScheduled bool
@@ -64,10 +66,11 @@
 	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), serviceTimes: map[string]*durationEstimate{}, minRetryAfter: minRetryAfter}
 }
 
-// class returns the queue of the request's class, which it creates if necessary.
+// class returns the queue of the request's class, which it creates if necessary. Where
+// the work limit is divided among priorities, each priority of a class has its own.
 func (p *pool) class(r *Request) *classQueue {
 	for _, q := range p.classes {
-		if q.name == r.Class {
+		if q.name == r.Class && (p.ranks == nil || q.priority == r.Priority) {
 			return q
 		}
 	}
@@ -78,10 +81,11 @@
 
 // acquire takes a concurrency slot regardless of the limit.
 func (p *pool) acquire(r *Request, now time.Time) {
-	p.inFlight++
 	if p.workLimit != nil {
+		p.recordRankStart(r, now)
 		p.workLimit.recordSent(r.cost(), r.FirstTarget)
 	}
+	p.inFlight++
 	p.unanswered.push(now)
 	p.limit.recordStart(p.inFlight)
 }
@@ -90,9 +94,12 @@
 // and the advised delay. It may displace a waiter, which the caller must then
 // signal.
 func (p *pool) admitOrQueue(r *Request, now time.Time) (w, displaced *waiter, rule Rule, retryAfter time.Duration) {
+	if p.ranks != nil {
+		p.ranks.recordArrival(r, now)
+	}
 	p.tick(now)
 	service := p.expectedServiceTime(r)
-	if p.waiting == 0 && p.hasCapacity() {
+	if p.mayStartAtOnce(r, now) {
 		// A new request may use a free slot regardless of the estimates, so
 		// that wrong estimates are corrected. A request that was accepted more
 		// than limitWindow ago is assumed to have been returned by an upstream,
@@ -104,7 +111,7 @@
 		return nil, nil, RuleAdmitted, 0
 	}
 	q := p.class(r)
-	wait := p.expectedWait(q, r)
+	wait := p.expectedWait(q, r, now)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(wait).After(p.latestStart(r)) {
 		return nil, nil, RuleShed, p.clampRetryAfter(wait)
 	}
@@ -171,8 +178,12 @@
 // may have been lower or not available. The caller must signal all of them.
 func (p *pool) grant(now time.Time) []*waiter {
 	var decided []*waiter
-	for p.waiting > 0 && p.hasCapacity() {
-		w := p.nextClass().pop()
+	for p.waiting > 0 {
+		q := p.nextClass(now)
+		if q == nil {
+			break
+		}
+		w := q.pop()
 		p.waiting--
 		decided = append(decided, w)
 		if missesDeadline(&w.req, p.expectedServiceTime(&w.req), now) || !w.latestStart.IsZero() && now.After(w.latestStart) {
@@ -188,8 +199,14 @@
 
 // nextClass returns the class with the highest priority that has waiting
 // requests, or, once every agedGrantInterval grants, the one with the oldest
-// request.
-func (p *pool) nextClass() *classQueue {
+// request. It returns nil when none may start.
+func (p *pool) nextClass(now time.Time) *classQueue {
+	if p.isRanked(now) {
+		return p.nextRankedClass(now)
+	}
+	if !p.hasCapacity() {
+		return nil
+	}
 	var next *classQueue
 	isAgedGrant := p.grantCount%agedGrantInterval == agedGrantInterval-1
 	for _, q := range p.classes {
--- a/internal/admission/pool_estimate.go
+++ b/internal/admission/pool_estimate.go
@@ -18,7 +18,7 @@
 // expectedWait estimates the time in the queue from the work that starts before
 // the request and the throughput. By Little's law, the throughput is the limit
 // divided by the mean total time.
-func (p *pool) expectedWait(q *classQueue, r *Request) time.Duration {
+func (p *pool) expectedWait(q *classQueue, r *Request, now time.Time) time.Duration {
 	if p.meanTotal == 0 || p.meanCost == 0 {
 		return 0
 	}
@@ -28,6 +28,9 @@
 			before += other.cost()
 		}
 	}
+	if p.isRanked(now) {
+		return p.rankedWait(r, before, now)
+	}
 	return p.waitForWork(before)
 }
 
--- a/internal/admission/pool_limits.go
+++ b/internal/admission/pool_limits.go
@@ -12,6 +12,7 @@
 	p.limit.tick(now)
 	if p.workLimit != nil {
 		p.workLimit.tick(p.unanswered.oldestAge(now), now)
+		p.checkRanks(now)
 	}
 }
 
--- a/internal/admission/pool_record.go
+++ b/internal/admission/pool_record.go
@@ -10,6 +10,7 @@
 		if !o.OK {
 			latency = 0
 		}
+		p.recordRankAnswer(r, latency, now)
 		p.workLimit.recordFirstAnswer(r.cost(), r.FirstTarget, latency, now)
 	}
 	p.release(o.FirstReported)
@@ -37,6 +38,7 @@
 // cancelGrant releases the slot of a request that was granted but not sent.
 func (p *pool) cancelGrant(r *Request, answered bool, now time.Time) {
 	if p.workLimit != nil {
+		p.recordRankAnswer(r, 0, now)
 		p.workLimit.recordFirstAnswer(r.cost(), r.FirstTarget, 0, now)
 	}
 	p.release(answered)
@@ -63,6 +65,7 @@
 func (p *pool) recordFirstToken(r *Request, first time.Duration, now time.Time) {
 	p.unanswered.popOldest()
 	if p.workLimit != nil {
+		p.recordRankAnswer(r, first, now)
 		p.workLimit.recordFirstAnswer(r.cost(), r.FirstTarget, first, now)
 	}
 	p.limit.recordFirst(r, first, p.inFlight, now)
--- /dev/null
+++ b/internal/admission/rank_limit.go
@@ -0,0 +1,293 @@
+package admission
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// rankCount is the number of priorities.
+	rankCount = 10
+	// ranksExpiry is how long a priority counts as present in a pool after its last
+	// request.
+	ranksExpiry = time.Minute
+	// demandTimeConstant is the time constant of the moving average of the demand. It
+	// is longer than that of the throughput, as a daemon receives only some requests
+	// per second of the most urgent class.
+	demandTimeConstant = 2 * time.Second
+	// rankSampleAge bounds the age of the answers that the limit reacts to, and
+	// minRankSamples is the minimum number of them in one priority. 15 answers, as
+	// without ranks, take 1.4 s at 11 requests per second.
+	rankSampleAge  = time.Second
+	minRankSamples = 3
+	// rankOverloadRatio and rankGoalRatio are like overloadRatio and goalRatio, for the
+	// priority that is closest to its target.
+	rankOverloadRatio = 0.5
+	rankGoalRatio     = 0.35
+	// predictionWindow is the time over which the latest throughput is measured, and
+	// predictionShare the share of rankOverloadRatio from which it counts. When load
+	// rises by half, the answers that arrive are early until those that are sent are
+	// late.
+	predictionWindow = 300 * time.Millisecond
+	predictionShare  = 0.6
+	// rankCheckInterval is the minimum time between two evaluations of the samples.
+	rankCheckInterval = 50 * time.Millisecond
+	// drainRatio is the share of its target within which the outstanding work must be
+	// answered for a request to start while work of less urgent priorities, sent before
+	// the limit fell, is still outstanding. The rest is for the request's own work.
+	drainRatio = 0.6
+	// reserveMargin is the factor on the demand of more urgent priorities in the room
+	// that is kept free for them.
+	reserveMargin = 1.2
+)
+
+// openWork is a request that was sent and has no first answer yet.
+type openWork struct {
+	id, class string
+	rank      int
+	cost      float64
+	target    time.Duration
+	sentAt    time.Time
+}
+
+// rankSample is the time to a first answer relative to its target.
+type rankSample struct {
+	rank       int
+	cost       float64
+	ratio      float64
+	sentAt     time.Time
+	answeredAt time.Time
+}
+
+// rankLimit divides the work limit of a pool among priorities: it keeps room free for
+// more urgent requests according to their recent demand, so that less urgent ones are
+// refused first, and guarantees a small share to each class and workspace. It is active
+// only where requests of different priorities use the pool or where workspaces have
+// quotas. It performs no I/O; the controller's lock guards it.
+type rankLimit struct {
+	hasQuotas func() bool
+	lastSeen  [rankCount]time.Time
+	demand    [rankCount]decayingRate
+	// outstanding is the work without a first answer by priority, in tokens.
+	outstanding [rankCount]float64
+	open        []openWork
+	samples     []rankSample
+	ratios      [rankCount][]float64
+	checkedAt   time.Time
+	shares      map[shareKey]*share
+	// shareCounts is the number of shares of each class.
+	shareCounts map[string]int
+	sweptAt     time.Time
+}
+
+func newRankLimit(hasQuotas func() bool) *rankLimit {
+	return &rankLimit{hasQuotas: hasQuotas, shares: map[shareKey]*share{}, shareCounts: map[string]int{}}
+}
+
+func rankOf(r *Request) int { return min(max(r.Priority, 0), rankCount-1) }
+
+// isActive reports whether priorities differ or workspaces have quotas.
+func (l *rankLimit) isActive(now time.Time) bool {
+	present := 0
+	for i := range l.lastSeen {
+		if !l.lastSeen[i].IsZero() && now.Sub(l.lastSeen[i]) < ranksExpiry {
+			present++
+		}
+	}
+	return present > 1 || present > 0 && l.hasQuotas != nil && l.hasQuotas()
+}
+
+// recordArrival adds a request to the demand.
+func (l *rankLimit) recordArrival(r *Request, now time.Time) {
+	rank := rankOf(r)
+	l.lastSeen[rank] = now
+	l.demand[rank].add(r.cost(), demandTimeConstant, now)
+	l.sweep(now)
+	key := shareKey{r.Class, r.Workspace}
+	s := l.shares[key]
+	if s == nil {
+		s = &share{}
+		l.shares[key] = s
+		l.shareCounts[r.Class]++
+	}
+	s.lastSeenAt = now
+}
+
+// sweep removes shares that have expired.
+func (l *rankLimit) sweep(now time.Time) {
+	if now.Sub(l.sweptAt) < time.Second {
+		return
+	}
+	l.sweptAt = now
+	for key, s := range l.shares {
+		if now.Sub(s.lastSeenAt) < shareExpiry {
+			continue
+		}
+		delete(l.shares, key)
+		if l.shareCounts[key.class]--; l.shareCounts[key.class] <= 0 {
+			delete(l.shareCounts, key.class)
+		}
+	}
+}
+
+// urgentDemand returns the demand, in tokens per second, of priorities above rank.
+func (l *rankLimit) urgentDemand(rank int, now time.Time) float64 {
+	sum := 0.0
+	for i := rank + 1; i < rankCount; i++ {
+		sum += l.demand[i].at(demandTimeConstant, now)
+	}
+	return sum
+}
+
+// isLowest reports whether no less urgent priority is present.
+func (l *rankLimit) isLowest(rank int, now time.Time) bool {
+	for i := range rank {
+		if !l.lastSeen[i].IsZero() && now.Sub(l.lastSeen[i]) < ranksExpiry {
+			return false
+		}
+	}
+	return true
+}
+
+// remainingShare returns the share of the pool that is left for a priority when more
+// urgent ones get what they need. capacity is in tokens per second.
+func (l *rankLimit) remainingShare(rank int, capacity float64, now time.Time) float64 {
+	if capacity <= 0 {
+		return 1
+	}
+	return max(0, 1-reserveMargin*l.urgentDemand(rank, now)/capacity)
+}
+
+// lessUrgentOutstanding returns the outstanding work of priorities up to rank.
+func (l *rankLimit) lessUrgentOutstanding(rank int) float64 {
+	sum := 0.0
+	for i := 0; i <= rank; i++ {
+		sum += l.outstanding[i]
+	}
+	return sum
+}
+
+// excess returns the work that must be answered before a request may start; 0 when it
+// may start now.
+func (l *rankLimit) excess(r *Request, w *workLimit, now time.Time) float64 {
+	if w.outstanding == 0 || math.IsInf(w.value, 1) {
+		return 0
+	}
+	rank, bound := rankOf(r), w.value
+	if !l.isLowest(rank, now) {
+		bound = max(bound, drainRatio*r.FirstTarget.Seconds()*w.capacity)
+	}
+	left := bound * l.remainingShare(rank, w.capacity, now)
+	return max(0, w.outstanding-bound, l.lessUrgentOutstanding(rank)-left)
+}
+
+// isGuaranteed reports whether the request may start by its guaranteed share.
+func (l *rankLimit) isGuaranteed(r *Request, w *workLimit, now time.Time) bool {
+	s := l.shares[shareKey{r.Class, r.Workspace}]
+	if s == nil || w.outstanding >= max(w.value, drainRatio*r.FirstTarget.Seconds()*w.capacity) {
+		return false
+	}
+	s.accrue(guaranteedShare*w.capacity/float64(max(1, l.shareCounts[r.Class])), now)
+	return s.credit > 0
+}
+
+// recordStart adds the work of a request that is sent.
+func (l *rankLimit) recordStart(r *Request, isGuaranteed bool, now time.Time) {
+	rank := rankOf(r)
+	l.outstanding[rank] += r.cost()
+	l.open = append(l.open, openWork{r.ID, r.Class, rank, r.cost(), r.FirstTarget, now})
+	if s := l.shares[shareKey{r.Class, r.Workspace}]; s != nil {
+		s.charge(r.cost(), isGuaranteed)
+	}
+}
+
+// recordAnswer removes a request that has its first answer or has ended; latency is 0
+// when there was no answer.
+func (l *rankLimit) recordAnswer(r *Request, latency time.Duration, now time.Time) {
+	i := slices.IndexFunc(l.open, func(o openWork) bool { return o.id == r.ID && o.class == r.Class })
+	if i < 0 {
+		return
+	}
+	o := l.open[i]
+	l.open = slices.Delete(l.open, i, i+1)
+	l.outstanding[o.rank] = max(0, l.outstanding[o.rank]-o.cost)
+	if latency > 0 && o.target > 0 {
+		if len(l.samples) >= 4*workSamples {
+			l.samples = slices.Delete(l.samples, 0, 1)
+		}
+		l.samples = append(l.samples, rankSample{o.rank, o.cost, float64(latency) / float64(o.target), o.sentAt, now})
+	}
+}
+
+// strictestRatio returns the highest median, over the priorities, of the time to the
+// first answer relative to the target. A request without an answer counts with its age
+// once that exceeds overloadRatio: while all of them wait, there are no answers to react
+// to. Requests sent before since are ignored. It returns 0 without enough samples. The
+// median of all requests would hide that short targets are missed while long ones are
+// met.
+func (l *rankLimit) strictestRatio(since, now time.Time) float64 {
+	for i := range l.ratios {
+		l.ratios[i] = l.ratios[i][:0]
+	}
+	for _, s := range l.samples {
+		if now.Sub(s.answeredAt) < rankSampleAge && !s.sentAt.Before(since) {
+			l.ratios[s.rank] = append(l.ratios[s.rank], s.ratio)
+		}
+	}
+	for i := range l.open {
+		o := &l.open[i]
+		if o.target <= 0 || o.sentAt.Before(since) {
+			continue
+		}
+		if ratio := float64(now.Sub(o.sentAt)) / float64(o.target); ratio > rankOverloadRatio {
+			l.ratios[o.rank] = append(l.ratios[o.rank], ratio)
+		}
+	}
+	strictest := 0.0
+	for _, ratios := range l.ratios {
+		if len(ratios) < minRankSamples {
+			continue
+		}
+		slices.Sort(ratios)
+		strictest = max(strictest, ratios[len(ratios)/2])
+	}
+	return strictest
+}
+
+// predictedRatio returns the time that the outstanding work takes at the latest
+// throughput, relative to the shortest target of it.
+func (l *rankLimit) predictedRatio(outstanding float64, now time.Time) float64 {
+	answered, n := 0.0, 0
+	for _, s := range l.samples {
+		if now.Sub(s.answeredAt) < predictionWindow {
+			answered += s.cost
+			n++
+		}
+	}
+	target := time.Duration(0)
+	for i := range l.open {
+		if t := l.open[i].target; t > 0 && (target == 0 || t < target) {
+			target = t
+		}
+	}
+	if n < minRankSamples || target == 0 {
+		return 0
+	}
+	return outstanding / (answered / predictionWindow.Seconds()) / target.Seconds()
+}
+
+// check lowers the work limit when answers are late.
+func (l *rankLimit) check(w *workLimit, now time.Time) {
+	if now.Sub(l.checkedAt) < rankCheckInterval {
+		return
+	}
+	l.checkedAt = now
+	w.strictest = l.strictestRatio(w.loweredAt, now)
+	if w.strictest > predictionShare*rankOverloadRatio {
+		w.strictest = max(w.strictest, min(l.predictedRatio(w.outstanding, now), 2*w.strictest))
+	}
+	if w.strictest > rankOverloadRatio && now.Sub(w.changedAt) >= workLimitInterval {
+		w.lower(w.strictest*goalRatio/rankGoalRatio, now)
+	}
+}
--- a/internal/admission/work_limit.go
+++ b/internal/admission/work_limit.go
@@ -34,6 +34,9 @@
 	// rateTimeConstant is the time constant of the moving average of the
 	// throughput.
 	rateTimeConstant = time.Second
+	// capacityTimeConstant is the time constant with which the capacity falls to the
+	// throughput.
+	capacityTimeConstant = 10 * time.Second
 )
 
 // workLimit bounds the work that was sent to a pool and has no first answer
@@ -59,6 +62,12 @@
 	// rate is the answered work in tokens per second, as of rateUpdatedAt.
 	rate          float64
 	rateUpdatedAt time.Time
+	// capacity is the highest throughput of the recent past, in tokens per second. It
+	// falls towards rate with capacityTimeConstant, as a lower throughput may only mean
+	// that less was sent.
+	capacity float64
+	// strictest is the latest result of rankLimit.strictestRatio; 0 without ranks.
+	strictest float64
 }
 
 func newWorkLimit() *workLimit { return &workLimit{value: math.Inf(1)} }
@@ -98,10 +107,13 @@
 // updateRate adds answered work to the throughput.
 func (l *workLimit) updateRate(cost float64, now time.Time) {
 	if !l.rateUpdatedAt.IsZero() {
-		l.rate *= math.Exp(-now.Sub(l.rateUpdatedAt).Seconds() / rateTimeConstant.Seconds())
+		elapsed := now.Sub(l.rateUpdatedAt).Seconds()
+		l.rate *= math.Exp(-elapsed / rateTimeConstant.Seconds())
+		l.capacity *= math.Exp(-elapsed / capacityTimeConstant.Seconds())
 	}
 	l.rateUpdatedAt = now
 	l.rate += cost / rateTimeConstant.Seconds()
+	l.capacity = max(l.capacity, l.rate)
 }
 
 // tick lowers the limit when the oldest request without an answer is beyond its
@@ -121,7 +133,7 @@
 	if len(l.samples) < minWorkSamples || now.Sub(l.changedAt) < workLimitInterval {
 		return
 	}
-	medianRatio := median(l.samples)
+	medianRatio := max(median(l.samples), l.strictest)
 	switch {
 	case medianRatio > overloadRatio:
 		l.lower(medianRatio, now)
@@ -147,6 +159,7 @@
 func (l *workLimit) setUpstreamCount(n int) {
 	if n > 0 && l.upstreams > 0 && n != l.upstreams {
 		l.value *= float64(n) / float64(l.upstreams)
+		l.capacity *= float64(n) / float64(l.upstreams)
 	}
 	if n > 0 {
 		l.upstreams = n
--- a/internal/fleetconfig/config.go
+++ b/internal/fleetconfig/config.go
@@ -17,6 +17,7 @@
 	routesByName    map[string]*Route
 	routesByHost    map[string][]*Route
 	workspacesByKey map[string]*Workspace
+	hasQuotas       bool
 }
 
 // Index builds the indexes for the lookup methods. It must be called once, before
@@ -33,6 +34,7 @@
 	}
 	c.workspacesByKey = map[string]*Workspace{}
 	for _, w := range c.Workspaces {
+		c.hasQuotas = c.hasQuotas || w.Rate > 0
 		for _, key := range w.Keys {
 			c.workspacesByKey[key] = w
 		}
@@ -72,3 +74,6 @@
 	}
 	return nil
 }
+
+// HasQuotas reports whether any workspace has a quota.
+func (c *Config) HasQuotas() bool { return c.hasQuotas }
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -284,7 +284,7 @@
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
-	admitter := admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, MinRetryAfter: minRetryAfter, Scope: d.scope})
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
 		Window: d.settings.Bounds.RetryWindow, Now: time.Now,
@@ -316,6 +316,12 @@
 // daemonCount returns the number of known daemons, including this one.
 func (d *Daemon) daemonCount() int { return 1 + d.peers.PeerCount() }
 
+// hasQuotas reports whether any workspace has a quota.
+func (d *Daemon) hasQuotas() bool {
+	config, _ := d.holder.Current()
+	return config != nil && config.HasQuotas()
+}
+
 // fleetShare returns this daemon's share of limits that apply to the whole fleet,
 // in (0, 1].
 func (d *Daemon) fleetShare() float64 { return 1 / float64(d.daemonCount()) }
