Sum demand and capacity over the fleet and admit by them

A daemon sees some ten requests per second, too few to notice a burst in time. Daemons now report the load of their pools to two collectors, which send the sums to all. Each daemon applies the same rule to the same figures, for its part of the fleet's limit, and caps workspaces that exceed their fair share. Without fresh figures it decides by its own.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -24,7 +24,7 @@
 	hedges     map[string]*budget
 	quarantine quarantine
 
-	admitted, shed, queueFull, callerGaveUp, repeatsRefused, crashes tally.Counter
+	admitted, shed, overShare, queueFull, callerGaveUp, repeatsRefused, crashes tally.Counter
 }
 
 // New returns a Controller.
@@ -54,6 +54,7 @@
 		hedges:         map[string]*budget{},
 		admitted:       scope.Counter("admitted"),
 		shed:           scope.Counter("shed"),
+		overShare:      scope.Counter("over_share"),
 		queueFull:      scope.Counter("queue_full"),
 		callerGaveUp:   scope.Counter("gave_up"),
 		repeatsRefused: scope.Counter("repeats_refused"),
@@ -316,6 +317,8 @@
 	switch rule {
 	case RuleShed:
 		p.Detail = "the deadline cannot be met at the present load"
+	case RuleFairShare:
+		p.Detail = "the workspace has used up its fair share at the present load"
 	case RuleQueueFull:
 		p.Detail = "the queue is full"
 	default:
--- a/internal/admission/explain.go
+++ b/internal/admission/explain.go
@@ -67,6 +67,9 @@
 	case RuleShed:
 		e.Detail = "refused: the deadline could not be met"
 		c.shed.Inc(1)
+	case RuleFairShare:
+		e.Detail = "refused: the workspace has used up its fair share"
+		c.overShare.Inc(1)
 	case RuleQueueFull:
 		e.Detail = "refused: the queue was full"
 		c.queueFull.Inc(1)
--- a/internal/admission/explanation.go
+++ b/internal/admission/explanation.go
@@ -17,8 +17,10 @@
 	RuleWorkspaceQueue Rule = "own_queue"
 	RuleAdmitted       Rule = "admitted"
 	RuleShed           Rule = "shed_deadline"
-	RuleQueueFull      Rule = "queue_full"
-	RuleCallerGaveUp   Rule = "caller_gave_up"
+	// RuleFairShare: the workspace has used up its fair share of the room of the fleet.
+	RuleFairShare    Rule = "workspace_share"
+	RuleQueueFull    Rule = "queue_full"
+	RuleCallerGaveUp Rule = "caller_gave_up"
 )
 
 // Explanation states why a request waits, or what was decided on it.
--- a/internal/admission/guaranteed_share.go
+++ b/internal/admission/guaranteed_share.go
@@ -27,6 +27,24 @@
 	credit     float64
 	updatedAt  time.Time
 	lastSeenAt time.Time
+	// key is that of the workspace in messages, rank the priority of its latest request
+	// and demand the work that arrives.
+	key    uint32
+	rank   int
+	demand decayingRate
+	// capCredit is the work that the workspace may start while it is capped.
+	capCredit float64
+	cappedAt  time.Time
+}
+
+// accrueCap adds credit at the capped rate in tokens per second.
+func (s *share) accrueCap(rate float64, now time.Time) {
+	if now.Sub(s.cappedAt) > shareExpiry {
+		s.capCredit = rate * capBurst.Seconds()
+	} else {
+		s.capCredit = min(rate*capBurst.Seconds(), s.capCredit+rate*max(0, now.Sub(s.cappedAt).Seconds()))
+	}
+	s.cappedAt = now
 }
 
 // accrue adds credit at a rate in tokens per second.
@@ -45,6 +63,7 @@
 // but does not overdraw it, so that a class that had all of the room has no debt when
 // others need it.
 func (s *share) charge(cost float64, isGuaranteed bool) {
+	s.capCredit -= cost
 	if isGuaranteed {
 		s.credit -= cost
 		return
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -110,6 +110,9 @@
 		p.acquire(r, now)
 		return nil, nil, RuleAdmitted, 0
 	}
+	if p.isCapped(r, now) {
+		return nil, nil, RuleFairShare, p.minRetryAfter
+	}
 	q := p.class(r)
 	wait := p.expectedWait(q, r, now)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(wait).After(p.latestStart(r)) {
--- a/internal/admission/pool_limits.go
+++ b/internal/admission/pool_limits.go
@@ -29,6 +29,9 @@
 func (p *pool) setUpstreamCount(n int) {
 	p.limit.setUpstreamCount(n)
 	if p.workLimit != nil {
+		if p.ranks != nil && n > 0 && p.workLimit.upstreams > 0 && n != p.workLimit.upstreams {
+			p.ranks.fleet.scale(float64(n) / float64(p.workLimit.upstreams))
+		}
 		p.workLimit.setUpstreamCount(n)
 	}
 }
--- a/internal/admission/pool_ranks.go
+++ b/internal/admission/pool_ranks.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"rattantide/internal/fleetload"
+)
 
 // isRanked reports whether the work limit is divided among priorities.
 func (p *pool) isRanked(now time.Time) bool { return p.ranks != nil && p.ranks.isActive(now) }
@@ -20,6 +24,9 @@
 	if !p.isRanked(now) {
 		return p.waiting == 0 && p.hasCapacity()
 	}
+	if p.ranks.isCapped(r, now) {
+		return p.mayStartGuaranteed(r, now)
+	}
 	isFirst := true
 	for _, q := range p.classes {
 		if q.waiting == 0 {
@@ -73,8 +80,9 @@
 		return 0
 	}
 	rank := rankOf(r)
-	left := max(guaranteedShare, p.ranks.remainingShare(rank, p.workLimit.capacity, now))
-	seconds := p.ranks.excess(r, p.workLimit, now)/p.workLimit.capacity + before/(p.workLimit.capacity*left)
+	room := p.ranks.room(p.workLimit, now)
+	left := max(guaranteedShare, p.ranks.remainingShare(rank, &room, now))
+	seconds := p.ranks.excess(r, p.workLimit, now)/room.capacity + before/(room.capacity*left)
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
@@ -93,3 +101,19 @@
 		p.ranks.recordAnswer(r, latency, now)
 	}
 }
+
+// isCapped reports whether the request's workspace has used up its fair share of the room of
+// the fleet.
+func (p *pool) isCapped(r *Request, now time.Time) bool {
+	return p.isRanked(now) && p.ranks.isCapped(r, now)
+}
+
+// applyFleetLoad applies the sums of the figures of all daemons.
+func (p *pool) applyFleetLoad(load *fleetload.Load, daemons int, now time.Time) {
+	if p.ranks == nil {
+		return
+	}
+	fleet := p.ranks.fleet
+	fleet.update(load, daemons, p.ranks.shortestTarget(now), now)
+	fleet.checkOwn(p.workLimit.outstanding, fleet.share(p.ranks.totalDemand(now)), p.ranks.meanCost)
+}
--- a/internal/admission/rank_limit.go
+++ b/internal/admission/rank_limit.go
@@ -1,14 +1,15 @@
 package admission
 
 import (
-	"math"
 	"slices"
 	"time"
+
+	"rattantide/internal/fleetload"
 )
 
 const (
 	// rankCount is the number of priorities.
-	rankCount = 10
+	rankCount = fleetload.RankCount
 	// ranksExpiry is how long a priority counts as present in a pool after its last
 	// request.
 	ranksExpiry = time.Minute
@@ -69,6 +70,14 @@
 	hasQuotas func() bool
 	lastSeen  [rankCount]time.Time
 	demand    [rankCount]decayingRate
+	// targets are the targets of the latest requests.
+	targets [rankCount]time.Duration
+	// meanCost is the running mean of the cost of arrivals.
+	meanCost float64
+	// meanCosts are the same by priority.
+	meanCosts [rankCount]float64
+	fleet     *fleetLimit
+	figures   fleetFigures
 	// outstanding is the work without a first answer by priority, in tokens.
 	outstanding [rankCount]float64
 	open        []openWork
@@ -82,7 +91,7 @@
 }
 
 func newRankLimit(hasQuotas func() bool) *rankLimit {
-	return &rankLimit{hasQuotas: hasQuotas, shares: map[shareKey]*share{}, shareCounts: map[string]int{}}
+	return &rankLimit{hasQuotas: hasQuotas, fleet: newFleetLimit(), shares: map[shareKey]*share{}, shareCounts: map[string]int{}}
 }
 
 func rankOf(r *Request) int { return min(max(r.Priority, 0), rankCount-1) }
@@ -101,17 +110,29 @@
 // recordArrival adds a request to the demand.
 func (l *rankLimit) recordArrival(r *Request, now time.Time) {
 	rank := rankOf(r)
-	l.lastSeen[rank] = now
+	l.lastSeen[rank], l.targets[rank] = now, r.FirstTarget
+	l.meanCost = updateMean(l.meanCost, r.cost())
+	l.meanCosts[rank] = updateMean(l.meanCosts[rank], r.cost())
 	l.demand[rank].add(r.cost(), demandTimeConstant, now)
 	l.sweep(now)
-	key := shareKey{r.Class, r.Workspace}
+	s := l.share(shareKey{r.Class, r.Workspace})
+	s.lastSeenAt, s.rank = now, rank
+	s.demand.add(r.cost(), demandTimeConstant, now)
+	l.share(shareKey{class: r.Class}).lastSeenAt = now
+}
+
+// share returns the share of a workspace in a class, or that of the class if the key has no
+// workspace. It is created if necessary.
+func (l *rankLimit) share(key shareKey) *share {
 	s := l.shares[key]
 	if s == nil {
-		s = &share{}
+		s = &share{key: fleetload.Key(key.workspace)}
 		l.shares[key] = s
-		l.shareCounts[r.Class]++
+		if key.workspace != "" {
+			l.shareCounts[key.class]++
+		}
 	}
-	s.lastSeenAt = now
+	return s
 }
 
 // sweep removes shares that have expired.
@@ -125,21 +146,15 @@
 			continue
 		}
 		delete(l.shares, key)
+		if key.workspace == "" {
+			continue
+		}
 		if l.shareCounts[key.class]--; l.shareCounts[key.class] <= 0 {
 			delete(l.shareCounts, key.class)
 		}
 	}
 }
 
-// urgentDemand returns the demand, in tokens per second, of priorities above rank.
-func (l *rankLimit) urgentDemand(rank int, now time.Time) float64 {
-	sum := 0.0
-	for i := rank + 1; i < rankCount; i++ {
-		sum += l.demand[i].at(demandTimeConstant, now)
-	}
-	return sum
-}
-
 // isLowest reports whether no less urgent priority is present.
 func (l *rankLimit) isLowest(rank int, now time.Time) bool {
 	for i := range rank {
@@ -150,46 +165,39 @@
 	return true
 }
 
-// remainingShare returns the share of the pool that is left for a priority when more
-// urgent ones get what they need. capacity is in tokens per second.
-func (l *rankLimit) remainingShare(rank int, capacity float64, now time.Time) float64 {
-	if capacity <= 0 {
-		return 1
+// isGuaranteed reports whether the request may start by its guaranteed share. The share of
+// the class bounds those of its workspaces together: each of them starts with some credit.
+func (l *rankLimit) isGuaranteed(r *Request, w *workLimit, now time.Time) bool {
+	room := l.room(w, now)
+	if w.outstanding >= max(room.value, drainRatio*r.FirstTarget.Seconds()*room.capacity) {
+		return false
 	}
-	return max(0, 1-reserveMargin*l.urgentDemand(rank, now)/capacity)
-}
-
-// lessUrgentOutstanding returns the outstanding work of priorities up to rank.
-func (l *rankLimit) lessUrgentOutstanding(rank int) float64 {
-	sum := 0.0
-	for i := 0; i <= rank; i++ {
-		sum += l.outstanding[i]
+	rate := guaranteedShare * room.capacity
+	class, own := l.shares[shareKey{class: r.Class}], l.shares[shareKey{r.Class, r.Workspace}]
+	if class == nil || own == nil {
+		return false
 	}
-	return sum
+	class.accrue(rate, now)
+	own.accrue(rate/float64(max(1, l.shareCounts[r.Class])), now)
+	return class.credit > 0 && own.credit > 0
 }
 
-// excess returns the work that must be answered before a request may start; 0 when it
-// may start now.
-func (l *rankLimit) excess(r *Request, w *workLimit, now time.Time) float64 {
-	if w.outstanding == 0 || math.IsInf(w.value, 1) {
-		return 0
-	}
-	rank, bound := rankOf(r), w.value
-	if !l.isLowest(rank, now) {
-		bound = max(bound, drainRatio*r.FirstTarget.Seconds()*w.capacity)
+// isCapped reports whether the request's workspace has used up its fair share of the room of
+// its priority.
+func (l *rankLimit) isCapped(r *Request, now time.Time) bool {
+	if len(l.fleet.caps) == 0 || !l.fleet.isFresh(now) {
+		return false
 	}
-	left := bound * l.remainingShare(rank, w.capacity, now)
-	return max(0, w.outstanding-bound, l.lessUrgentOutstanding(rank)-left)
-}
-
-// isGuaranteed reports whether the request may start by its guaranteed share.
-func (l *rankLimit) isGuaranteed(r *Request, w *workLimit, now time.Time) bool {
 	s := l.shares[shareKey{r.Class, r.Workspace}]
-	if s == nil || w.outstanding >= max(w.value, drainRatio*r.FirstTarget.Seconds()*w.capacity) {
+	if s == nil {
+		return false
+	}
+	limit, ok := l.fleet.caps[workspaceRank{s.key, rankOf(r)}]
+	if !ok {
 		return false
 	}
-	s.accrue(guaranteedShare*w.capacity/float64(max(1, l.shareCounts[r.Class])), now)
-	return s.credit > 0
+	s.accrueCap(limit.rate*min(1, s.demand.at(demandTimeConstant, now)/limit.demand), now)
+	return s.capCredit <= 0
 }
 
 // recordStart adds the work of a request that is sent.
@@ -197,7 +205,10 @@
 	rank := rankOf(r)
 	l.outstanding[rank] += r.cost()
 	l.open = append(l.open, openWork{r.ID, r.Class, rank, r.cost(), r.FirstTarget, now})
-	if s := l.shares[shareKey{r.Class, r.Workspace}]; s != nil {
+	if s := l.shares[shareKey{class: r.Class}]; s != nil {
+		s.charge(r.cost(), isGuaranteed)
+	}
+	if s := l.shares[shareKey{r.Class, r.Workspace}]; s != nil && r.Workspace != "" {
 		s.charge(r.cost(), isGuaranteed)
 	}
 }
@@ -212,7 +223,11 @@
 	o := l.open[i]
 	l.open = slices.Delete(l.open, i, i+1)
 	l.outstanding[o.rank] = max(0, l.outstanding[o.rank]-o.cost)
+	if latency > 0 {
+		l.figures.answered += o.cost
+	}
 	if latency > 0 && o.target > 0 {
+		l.figures.ratios[o.rank].Add(float64(latency) / float64(o.target))
 		if len(l.samples) >= 4*workSamples {
 			l.samples = slices.Delete(l.samples, 0, 1)
 		}
--- a/internal/admission/work_limit.go
+++ b/internal/admission/work_limit.go
@@ -159,7 +159,7 @@
 func (l *workLimit) setUpstreamCount(n int) {
 	if n > 0 && l.upstreams > 0 && n != l.upstreams {
 		l.value *= float64(n) / float64(l.upstreams)
-		l.capacity *= float64(n) / float64(l.upstreams)
+		l.capacity *= min(1, float64(n)/float64(l.upstreams))
 	}
 	if n > 0 {
 		l.upstreams = n
--- a/internal/fleetdaemon/collectors.go
+++ b/internal/fleetdaemon/collectors.go
@@ -24,6 +24,13 @@
 	}
 	chosen := preferredByCores("collector", cores, collectorCount)
 	d.collectorNames.Store(&chosen)
+	others := make([]string, 0, len(peers))
+	for _, p := range peers {
+		if p.Serves() {
+			others = append(others, p.Name)
+		}
+	}
+	d.servingPeers.Store(&others)
 }
 
 // collectors returns the names of the collectors, which may include this daemon's.
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -17,6 +17,7 @@
 	"rattantide/internal/bootclock"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/lease"
@@ -119,6 +120,10 @@
 	quotaPoolNames atomic.Pointer[[]string]
 	// collectorNames are the daemons that collect the state of upstreams and of the fleet.
 	collectorNames atomic.Pointer[[]string]
+	// servingPeers are the names of the other daemons that serve.
+	servingPeers atomic.Pointer[[]string]
+	// fleetLoads exchanges the demand and the capacity with the other daemons.
+	fleetLoads *fleetload.Exchange
 	// revision is that of the instance list that applyMembers passed to table last.
 	revision atomic.Int64
 
@@ -285,6 +290,7 @@
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
 	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	d.buildFleetLoads(admitter)
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
 		Window: d.settings.Bounds.RetryWindow, Now: time.Now,
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -12,6 +12,7 @@
 
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
+	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/periodic"
@@ -60,6 +61,9 @@
 	group.Go(func() error { return d.spreadNews(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
+	group.Go(func() error {
+		return periodic.Every(workCtx, fleetload.TickInterval, func(context.Context) { d.fleetLoads.Tick() })
+	})
 	d.startDuties(workCtx, group)
 	servers := d.startServers(group)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
