Spread refused callers over the time in which room returns

Each daemon places refused callers on its part of the fleet's room, urgent ones first. A caller returns at a moment that follows from the hash of its request, so that any daemon recognizes a caller that returns as told and lets it go before newcomers of its priority.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -41,6 +41,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.FleetNow == nil {
+		opts.FleetNow = opts.Now
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
@@ -146,7 +149,7 @@
 		p.cancelGrant(&w.req, false, now)
 		c.grantWaiting(p)
 	case w.queue.position(w) >= 0:
-		w.retryAfter = p.clampRetryAfter(p.expectedWait(p.class(&w.req), &w.req, now))
+		w.retryAfter = p.returnDelay(&w.req, p.expectedWait(p.class(&w.req), &w.req, now), now)
 		p.remove(w)
 	default:
 		rule = w.refusedBy
@@ -295,6 +298,7 @@
 		p.minRetryAfter = c.opts.MinRetryAfter
 		if c.opts.LimitWork {
 			p.workLimit, p.ranks = newWorkLimit(), newRankLimit(c.opts.HasQuotas)
+			p.ranks.fleetNow = c.opts.FleetNow
 		}
 		c.pools[name] = p
 	}
--- a/internal/admission/load_sim_test.go
+++ b/internal/admission/load_sim_test.go
@@ -4,8 +4,12 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // loadClass is a class of requests in a load test.
@@ -39,6 +43,8 @@
 	// rate is the work per second of one upstream, and live the number of upstreams.
 	rate float64
 	live int
+	// timeout is the time that callers have.
+	timeout time.Duration
 	// measureFrom is the time from which results count.
 	measureFrom                  time.Time
 	byClass, byWorkspace, byNode map[string]*loadCount
@@ -46,6 +52,8 @@
 	onStep func()
 	// onResult is called with each refusal or answer, if it is set.
 	onResult func(daemon int, r *Request, rule Rule, retryAfter time.Duration)
+	// onAnswer is called with each answer, if it is set.
+	onAnswer func(r *Request)
 }
 
 type loadEnd struct {
@@ -68,7 +76,7 @@
 
 func newLoadSim(daemons, upstreams int, capacity float64, isRanked bool) *loadSim {
 	s := &loadSim{
-		random: rand.New(rand.NewPCG(1, 2)), now: testStart, rate: capacity / float64(upstreams), live: upstreams,
+		random: rand.New(rand.NewPCG(1, 2)), now: testStart, timeout: 10 * time.Second, rate: capacity / float64(upstreams), live: upstreams,
 		busyUntil: make([]time.Time, upstreams),
 		byClass:   map[string]*loadCount{}, byWorkspace: map[string]*loadCount{}, byNode: map[string]*loadCount{},
 	}
@@ -149,6 +157,9 @@
 				c.inTime++
 			}
 		})
+		if s.onAnswer != nil {
+			s.onAnswer(e.request)
+		}
 		first := s.now.Sub(e.sent)
 		s.daemons[e.daemon].recordEnd(e.request, Outcome{OK: true, FirstLatency: first, Total: first}, s.now)
 		s.grant(e.daemon)
@@ -182,7 +193,8 @@
 	return &Request{
 		ID: fmt.Sprint(id), Workspace: workspace, Class: c.name, Pool: "p", Priority: c.priority,
 		Cost: c.cost * (0.5 + s.random.Float64()), AcceptedAt: s.now, FirstTarget: c.target,
-		FirstDeadline: s.now.Add(c.target), Within: 0.95, Deadline: s.now.Add(10 * time.Second),
+		FirstDeadline: s.now.Add(c.target), Within: 0.95, Deadline: s.now.Add(s.timeout),
+		Key: sync.OnceValue(func() uint64 { return xxhash.Sum64String(strconv.Itoa(id)) }),
 	}
 }
 
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -21,6 +21,9 @@
 	// among priorities is then in effect also where priorities do not differ. Default:
 	// none have.
 	HasQuotas func() bool
+	// FleetNow is a clock that all daemons of a fleet share, by which callers return. Default:
+	// Now.
+	FleetNow func() time.Time
 	// MinRetryAfter is the minimum of the advised retry delay. Default: 1 s.
 	MinRetryAfter time.Duration
 	// Scope receives the metrics. Default: none.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -105,27 +105,27 @@
 		// than limitWindow ago is assumed to have been returned by an upstream,
 		// and must still be able to meet its deadline.
 		if isReturned := !r.AcceptedAt.IsZero() && now.Sub(r.AcceptedAt) > limitWindow; isReturned && missesDeadline(r, service, now) {
-			return nil, nil, RuleShed, p.minRetryAfter
+			return nil, nil, RuleShed, p.returnDelay(r, 0, now)
 		}
 		p.acquire(r, now)
 		return nil, nil, RuleAdmitted, 0
 	}
 	if p.isCapped(r, now) {
-		return nil, nil, RuleFairShare, p.minRetryAfter
+		return nil, nil, RuleFairShare, p.returnDelay(r, 0, now)
 	}
 	q := p.class(r)
 	wait := p.expectedWait(q, r, now)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(wait).After(p.latestStart(r)) {
-		return nil, nil, RuleShed, p.clampRetryAfter(wait)
+		return nil, nil, RuleShed, p.returnDelay(r, wait, now)
 	}
 	if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace {
-		return nil, nil, RuleQueueFull, p.clampRetryAfter(wait)
+		return nil, nil, RuleQueueFull, p.returnDelay(r, wait, now)
 	}
 	if p.waiting >= p.maxWaiting {
 		if displaced = p.displace(q, r); displaced == nil {
-			return nil, nil, RuleQueueFull, p.clampRetryAfter(wait)
+			return nil, nil, RuleQueueFull, p.returnDelay(r, wait, now)
 		}
-		displaced.refusedBy, displaced.retryAfter = RuleQueueFull, p.clampRetryAfter(wait)
+		displaced.refusedBy, displaced.retryAfter = RuleQueueFull, p.returnDelay(&displaced.req, wait, now)
 	}
 	w = &waiter{req: *r, arrivedAt: now, done: make(chan struct{})}
 	if !r.Deadline.IsZero() {
@@ -190,7 +190,7 @@
 		p.waiting--
 		decided = append(decided, w)
 		if missesDeadline(&w.req, p.expectedServiceTime(&w.req), now) || !w.latestStart.IsZero() && now.After(w.latestStart) {
-			w.refusedBy, w.retryAfter = RuleShed, p.minRetryAfter
+			w.refusedBy, w.retryAfter = RuleShed, p.returnDelay(&w.req, 0, now)
 			continue
 		}
 		p.grantCount++
--- a/internal/admission/pool_estimate.go
+++ b/internal/admission/pool_estimate.go
@@ -22,7 +22,10 @@
 	if p.meanTotal == 0 || p.meanCost == 0 {
 		return 0
 	}
-	before := q.costBefore(r.Workspace, r.cost())
+	before := 0.0
+	if !r.isReturning {
+		before = q.costBefore(r.Workspace, r.cost())
+	}
 	for _, other := range p.classes {
 		if other != q && other.priority > r.Priority {
 			before += other.cost()
--- a/internal/admission/pool_ranks.go
+++ b/internal/admission/pool_ranks.go
@@ -73,8 +73,8 @@
 }
 
 // rankedWait estimates the time in the queue: the excess of outstanding work must be
-// answered, and the work that starts before the request gets what more urgent arrivals
-// leave.
+// answered, and the work that waits before the request must start, with the throughput that
+// more urgent arrivals leave.
 func (p *pool) rankedWait(r *Request, before float64, now time.Time) time.Duration {
 	if p.workLimit.capacity <= 0 {
 		return 0
@@ -82,7 +82,7 @@
 	rank := rankOf(r)
 	room := p.ranks.room(p.workLimit, now)
 	left := max(guaranteedShare, p.ranks.remainingShare(rank, &room, now))
-	seconds := p.ranks.excess(r, p.workLimit, now)/room.capacity + before/(room.capacity*left)
+	seconds := (p.ranks.excess(r, p.workLimit, now) + before) / (room.capacity * left)
 	return time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
 }
 
@@ -117,3 +117,16 @@
 	fleet.update(load, daemons, p.ranks.shortestTarget(now), now)
 	fleet.checkOwn(p.workLimit.outstanding, fleet.share(p.ranks.totalDemand(now)), p.ranks.meanCost)
 }
+
+// returnDelay returns the time after which the caller of a refused request is to return.
+// wait is the expected time until it could start.
+func (p *pool) returnDelay(r *Request, wait time.Duration, now time.Time) time.Duration {
+	wait = p.clampRetryAfter(wait)
+	if !p.isRanked(now) {
+		return wait
+	}
+	l, rank := p.ranks, rankOf(r)
+	room := l.room(p.workLimit, now)
+	rate := room.capacity * max(guaranteedShare, l.remainingShare(rank, &room, now))
+	return l.returns.delay(r, l.returnPeriod(rank, now), wait, rate, l.fleetTime(now), now)
+}
--- a/internal/admission/rank_limit.go
+++ b/internal/admission/rank_limit.go
@@ -77,7 +77,10 @@
 	// meanCosts are the same by priority.
 	meanCosts [rankCount]float64
 	fleet     *fleetLimit
-	figures   fleetFigures
+	returns   returnTimes
+	// fleetNow is a clock that the fleet shares; nil means that there is none.
+	fleetNow func() time.Time
+	figures  fleetFigures
 	// outstanding is the work without a first answer by priority, in tokens.
 	outstanding [rankCount]float64
 	open        []openWork
@@ -114,6 +117,7 @@
 	l.meanCost = updateMean(l.meanCost, r.cost())
 	l.meanCosts[rank] = updateMean(l.meanCosts[rank], r.cost())
 	l.demand[rank].add(r.cost(), demandTimeConstant, now)
+	l.returns.recordArrival(r, l.returnPeriod(rank, now), l.fleetTime(now), now)
 	l.sweep(now)
 	s := l.share(shareKey{r.Class, r.Workspace})
 	s.lastSeenAt, s.rank = now, rank
@@ -135,6 +139,24 @@
 	return s
 }
 
+// returnPeriod returns the period in which callers of a priority return.
+func (l *rankLimit) returnPeriod(rank int, now time.Time) time.Duration {
+	period := returnPeriod
+	for i := rank + 1; i < rankCount && period < maxReturnPeriod; i++ {
+		if !l.lastSeen[i].IsZero() && now.Sub(l.lastSeen[i]) < ranksExpiry {
+			period *= 2
+		}
+	}
+	return period
+}
+
+func (l *rankLimit) fleetTime(now time.Time) time.Time {
+	if l.fleetNow == nil {
+		return now
+	}
+	return l.fleetNow()
+}
+
 // sweep removes shares that have expired.
 func (l *rankLimit) sweep(now time.Time) {
 	if now.Sub(l.sweptAt) < time.Second {
--- a/internal/admission/rank_room.go
+++ b/internal/admission/rank_room.go
@@ -72,6 +72,9 @@
 		bound = max(bound, drainRatio*r.FirstTarget.Seconds()*room.capacity)
 	}
 	left := bound * l.remainingShare(rank, &room, now)
+	if !r.isReturning {
+		left *= 1 - l.returns.reserve(rank, room.capacity, now)
+	}
 	upTo, total := 0.0, 0.0
 	for i := range l.outstanding {
 		outstanding := l.estimatedOutstanding(i, &room)
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -29,6 +29,12 @@
 	GapTarget   time.Duration
 	// Within is the share of requests that must meet the targets.
 	Within float64
+	// Key returns a hash of the content, which is the same when the caller returns after a
+	// refusal. It is called only when it is needed; nil means that there is none.
+	Key func() uint64
+	// isReturning reports whether the request comes at the moment at which callers with its
+	// content are told to return.
+	isReturning bool
 }
 
 // maxCost bounds the cost of a request, so that a wrong estimate cannot block
--- a/internal/admission/shed_late.go
+++ b/internal/admission/shed_late.go
@@ -48,7 +48,7 @@
 			cost := w.req.cost()
 			wait := p.waitForWork(higherPriorityCost + ownCost + shares.costBefore(ws.cost, ownCost+max(cost, quantum)))
 			if missesDeadline(&w.req, wait+p.expectedServiceTime(&w.req), now) {
-				w.refusedBy, w.retryAfter = RuleShed, p.clampRetryAfter(wait)
+				w.refusedBy, w.retryAfter = RuleShed, p.returnDelay(&w.req, wait, now)
 				shed = append(shed, w)
 				continue
 			}
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -23,6 +23,15 @@
 	queue      *workspaceQueue
 }
 
+// goesBefore reports whether the waiter starts before another one of its workspace: callers
+// that return as told go first, then requests in the order of acceptance.
+func (w *waiter) goesBefore(other *waiter) bool {
+	if w.req.isReturning != other.req.isReturning {
+		return w.req.isReturning
+	}
+	return other.req.AcceptedAt.After(w.req.AcceptedAt)
+}
+
 // signal reports that the waiter was granted a slot or refused. The caller
 // holds the controller's lock.
 func (w *waiter) signal() {
--- a/internal/admission/workspace_queue.go
+++ b/internal/admission/workspace_queue.go
@@ -19,7 +19,7 @@
 func (q *workspaceQueue) push(w *waiter) {
 	w.queue = q
 	i := len(q.waiters)
-	for i > 0 && q.waiters[i-1].req.AcceptedAt.After(w.req.AcceptedAt) {
+	for i > 0 && w.goesBefore(q.waiters[i-1]) {
 		i--
 	}
 	q.waiters = slices.Insert(q.waiters, i, w)
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -218,7 +218,7 @@
 		ID: r.ID, Workspace: r.Workspace, Class: r.Class, Pool: r.Pool,
 		Priority: requestPriority(class, r), Cost: float64(r.PromptTokens + r.MaxTokens),
 		AcceptedAt: r.AcceptedAt, Deadline: r.Deadline, FirstTarget: first.AsDuration(), GapTarget: class.Target.BetweenTokens.AsDuration(),
-		Within: within,
+		Within: within, Key: r.Key,
 	}
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -40,6 +40,9 @@
 	// Fingerprint identifies the content, so that a request that crashed
 	// several upstreams is recognized under another request ID.
 	Fingerprint uint64
+	// Key returns a hash of the content, by which admission recognizes a caller that returns.
+	// It may be nil.
+	Key func() uint64
 	// Priority, when not nil, overrides the priority of the class, 0 (lowest)
 	// to 9.
 	Priority *int
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -289,7 +289,7 @@
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
-	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Scope: d.scope})
 	d.buildFleetLoads(admitter)
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -181,7 +181,7 @@
 		PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens,
 		Blocks:     promptBlocks(x.call.Model, x.call.Parts),
 		AcceptedAt: x.receivedAt, Deadline: x.deadline, Attempt: x.attempts, ReachedAttempts: x.sends, Exclude: x.excluded,
-		ResumedTokens: x.eventsSent, Priority: &priority,
+		ResumedTokens: x.eventsSent, Priority: &priority, Key: x.key,
 	}
 	if l := x.server.opts.UpstreamLimit; l != nil {
 		r.Exclude = append(l.Blocked(), x.excluded...)
