--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -23,10 +23,20 @@
 	retries    map[string]*budget
 	hedges     map[string]*budget
 	quarantine quarantine
+	scope      tally.Scope
+	gauges     map[string]*gauges
+	// decisions counts decisions by class and rule.
+	decisions map[classRule]tally.Counter
 
 	admitted, shed, overShare, queueFull, callerGaveUp, repeatsRefused, crashes tally.Counter
 }
 
+// classRule identifies a counter of decisions.
+type classRule struct {
+	class string
+	rule  Rule
+}
+
 // New returns a Controller.
 func New(opts Options) *Controller {
 	if opts.MaxWaiting <= 0 {
@@ -50,6 +60,9 @@
 	scope := opts.Scope.SubScope("admission")
 	return &Controller{
 		opts:           opts,
+		scope:          scope,
+		gauges:         map[string]*gauges{},
+		decisions:      map[classRule]tally.Counter{},
 		pools:          map[string]*pool{},
 		waiters:        map[string]*waiter{},
 		history:        newHistory(),
--- a/internal/admission/explain.go
+++ b/internal/admission/explain.go
@@ -60,6 +60,10 @@
 func (c *Controller) recordDecision(r *Request, rule Rule, arrived, now time.Time) {
 	e := newExplanation(r, arrived, now)
 	e.Rule = rule
+	c.countDecision(r, rule)
+	if p := c.pool(r.Pool); rule != RuleAdmitted && p.isRanked(now) {
+		e.Room = p.explainRoom(r, now)
+	}
 	switch rule {
 	case RuleAdmitted:
 		e.Detail = "admitted"
@@ -80,6 +84,21 @@
 	c.history.put(e)
 }
 
+// countDecision counts a decision where requests of different priorities are told apart.
+// The caller holds c.mu.
+func (c *Controller) countDecision(r *Request, rule Rule) {
+	if !c.opts.LimitWork {
+		return
+	}
+	key := classRule{r.Class, rule}
+	counter := c.decisions[key]
+	if counter == nil {
+		counter = c.scope.Tagged(map[string]string{"class": r.Class, "rule": string(rule)}).Counter("decisions")
+		c.decisions[key] = counter
+	}
+	counter.Inc(1)
+}
+
 // newExplanation returns an Explanation in which Rule and Detail are not set.
 func newExplanation(r *Request, arrived, now time.Time) Explanation {
 	return Explanation{
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 )
 
@@ -26,6 +27,8 @@
 	FleetNow func() time.Time
 	// MinRetryAfter is the minimum of the advised retry delay. Default: 1 s.
 	MinRetryAfter time.Duration
+	// Logger receives a line for each change of the rule. Default: none.
+	Logger *log.Logger
 	// Scope receives the metrics. Default: none.
 	Scope tally.Scope
 	// Now is the clock. Default: time.Now.
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -39,6 +39,8 @@
 	// ranks divides workLimit among priorities; nil if workLimit is nil.
 	ranks         *rankLimit
 	minRetryAfter time.Duration
+	// reported is the state that Controller.Report logged last.
+	reported poolState
 	// tickScheduled reports whether a call of tick is scheduled.
 	tickScheduled bool
 	inFlight      int
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -122,6 +122,8 @@
 	collectorNames atomic.Pointer[[]string]
 	// servingPeers are the names of the other daemons that serve.
 	servingPeers atomic.Pointer[[]string]
+	// reportAdmission updates the metrics of admission and logs changes of its rule.
+	reportAdmission func()
 	// fleetLoads exchanges the demand and the capacity with the other daemons.
 	fleetLoads *fleetload.Exchange
 	// revision is that of the instance list that applyMembers passed to table last.
@@ -289,7 +291,8 @@
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
-	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Logger: d.logger, Scope: d.scope})
+	d.reportAdmission = admitter.Report
 	d.buildFleetLoads(admitter)
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -178,6 +178,7 @@
 // and updates gauges and this daemon's counts in the ledgers.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
+	d.reportAdmission()
 	peers := d.peers.Peers()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
