--- a/internal/admission/pool_state.go
+++ b/internal/admission/pool_state.go
@@ -23,8 +23,6 @@
 	isContradicted bool
 	// isLimited reports whether requests are held back or refused.
 	isLimited bool
-	// capped is the number of workspaces with a cap.
-	capped int
 }
 
 // state returns how the rule applies to the pool.
@@ -35,15 +33,15 @@
 	fleet := p.ranks.fleet
 	s := poolState{source: sourceOwn, isContradicted: fleet.isContradicted}
 	if fleet.isFresh(now) {
-		s.source, s.capped = sourceFleet, len(fleet.caps)
+		s.source = sourceFleet
 	}
-	s.isLimited = p.waiting > 0 || now.Sub(p.ranks.returns.refusedAt) < maintenanceSpan
+	s.isLimited = p.waiting > 0 || now.Sub(p.ranks.returns.refusedAt) < limitedSpan
 	return s
 }
 
-// maintenanceSpan is the time after a refusal in which a pool counts as limited, so that
+// limitedSpan is the time after a refusal in which a pool counts as limited, so that
 // single refusals do not cause a line each.
-const maintenanceSpan = 5 * time.Second
+const limitedSpan = 5 * time.Second
 
 // gauges are the metrics of a pool.
 type gauges struct {
--- a/internal/admission/rank_limit_test.go
+++ b/internal/admission/rank_limit_test.go
@@ -110,8 +110,15 @@
 	assert.Assert(t, after > 0 && after < 700*time.Millisecond, "limited after %s", after)
 }
 
-// Measures a decision with all ranks and many workspaces.
+// Measures a decision with all ranks and many workspaces, by the daemon's own figures and by
+// those of the fleet.
 func BenchmarkRankedDecision(b *testing.B) {
+	for _, hasFleet := range []bool{false, true} {
+		b.Run(fmt.Sprintf("fleet=%t", hasFleet), func(b *testing.B) { measureDecision(b, hasFleet) })
+	}
+}
+
+func measureDecision(b *testing.B, hasFleet bool) {
 	p := newPool(DefaultMaxWaiting, DefaultMaxPerWorkspace)
 	p.workLimit, p.ranks = newWorkLimit(), newRankLimit(nil)
 	now := testStart
@@ -127,6 +134,10 @@
 			p.recordEnd(&requests[(i-32)%len(requests)], Outcome{OK: true, FirstLatency: 32 * time.Millisecond, Total: 32 * time.Millisecond}, now)
 		}
 		p.admitOrQueue(r, now)
+		if hasFleet && i%200 == 100 {
+			load := p.ranks.takeLoad(now)
+			p.applyFleetLoad(&load, 2, now)
+		}
 	}
 }
 
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -24,7 +24,7 @@
 		if c.opts.Logger != nil {
 			room := p.ranks.room(p.workLimit, now)
 			c.opts.Logger.Info("admission rule changed", "pool", name, "figures", state.source, "contradicted", state.isContradicted,
-				"limited", state.isLimited, "cappedWorkspaces", state.capped, "room", int64(min(room.value, maxReportedRoom)), "outstanding", int64(p.workLimit.outstanding),
+				"limited", state.isLimited, "cappedWorkspaces", len(p.ranks.fleet.caps), "room", int64(min(room.value, maxReportedRoom)), "outstanding", int64(p.workLimit.outstanding),
 				"capacity", int64(room.capacity), "fleetDaemons", p.ranks.fleet.daemons)
 		}
 	}
