Do not limit a pool because of a class that is always slow

Answers that are late whatever the load is counted as overload of the whole pool. The lowest recent median of each priority is now subtracted, predictions use only the priorities that are answered early at rest, and the limit of the fleet includes the work that is outstanding because of constant delays.

--- a/internal/admission/fleet_figures.go
+++ b/internal/admission/fleet_figures.go
@@ -8,7 +8,7 @@
 
 // fleetFigures collects what a daemon reports of one pool.
 type fleetFigures struct {
-	answered float64
+	answered [rankCount]float64
 	ratios   [rankCount]fleetload.Ratios
 	takenAt  time.Time
 }
@@ -16,12 +16,14 @@
 // takeLoad returns the load since the last call.
 func (l *rankLimit) takeLoad(now time.Time) fleetload.Load {
 	load := fleetload.Load{}
-	if elapsed := now.Sub(l.figures.takenAt).Seconds(); !l.figures.takenAt.IsZero() && elapsed > 0 {
-		load.Throughput = l.figures.answered / elapsed
-	}
 	for i := range load.Ranks {
 		load.Ranks[i] = fleetload.Rank{Demand: l.demand[i].at(demandTimeConstant, now), Outstanding: l.outstanding[i], Ratios: l.figures.ratios[i]}
 	}
+	if elapsed := now.Sub(l.figures.takenAt).Seconds(); !l.figures.takenAt.IsZero() && elapsed > 0 {
+		for i := range load.Ranks {
+			load.Ranks[i].Throughput = l.figures.answered[i] / elapsed
+		}
+	}
 	for i := range l.open {
 		o := &l.open[i]
 		if o.target <= 0 {
--- a/internal/admission/fleet_limit.go
+++ b/internal/admission/fleet_limit.go
@@ -36,10 +36,18 @@
 	// weight of one sum in these averages, so that they cover about 2 s.
 	maxContradiction    = 4.0
 	contradictionWeight = 0.1
-	// provenMargin is the factor on the outstanding work that was answered in time, for
-	// random variation, and maxUnproven bounds the sums that are remembered until then.
-	provenMargin = 1.5
-	maxUnproven  = 16
+	// provenMargin is the share by which the outstanding work that was answered in time may
+	// be exceeded, for random variation, and maxUnproven bounds the sums that are remembered until then.
+	provenMargin = 0.5
+	// constantMargin is the same for work that is outstanding because of constant delays.
+	constantMargin = 0.35
+	maxUnproven    = 16
+	// earlyRatio is the time to the first answer, relative to the target, that is not counted
+	// as a delay that does not depend on the load.
+	earlyRatio = 0.1
+	// throughputWeight is the weight of one sum in the throughput of a priority, of which a
+	// single sum contains few answers.
+	throughputWeight = 0.1
 	// capBurst is the time for which the capped rate of a workspace may be saved up.
 	capBurst = 250 * time.Millisecond
 )
@@ -55,7 +63,13 @@
 	// late, and capacity the highest throughput of the recent past per second.
 	value, capacity float64
 	strictest       float64
-	changedAt       time.Time
+	baselines       [fleetload.RankCount]ratioBaseline
+	// throughput is the running mean of the throughput by priority.
+	throughput [rankCount]float64
+	// constant is the work that is outstanding because of delays that do not depend on the
+	// load.
+	constant  float64
+	changedAt time.Time
 	// holdUntil is the time until which answers still reflect the limit before the
 	// latest decrease.
 	holdUntil time.Time
@@ -93,27 +107,35 @@
 	return !f.isContradicted && f.daemons > 1 && now.Sub(f.receivedAt) < fleetFreshness && f.capacity > 0
 }
 
-// update applies new sums. target is the shortest target in use.
-func (f *fleetLimit) update(load *fleetload.Load, daemons int, target time.Duration, now time.Time) {
+// update applies new sums. targets are those of the priorities, and target is the shortest one
+// in use.
+func (f *fleetLimit) update(load *fleetload.Load, daemons int, targets *[rankCount]time.Duration, target time.Duration, now time.Time) {
 	elapsed := now.Sub(f.receivedAt)
-	f.capacity = max(load.Throughput, f.capacity*math.Exp(-max(0, elapsed.Seconds())/capacityTimeConstant.Seconds()))
+	f.capacity = max(load.Throughput(), f.capacity*math.Exp(-max(0, elapsed.Seconds())/capacityTimeConstant.Seconds()))
 	f.load, f.daemons, f.receivedAt = *load, daemons, now
 	outstanding := load.Outstanding()
-	f.strictest = 0
+	f.strictest, f.constant = 0, 0
+	early := 0.0
+	for i := range load.Ranks {
+		f.throughput[i] += throughputWeight * (load.Ranks[i].Throughput - f.throughput[i])
+		f.constant += max(0, f.baselines[i].value-earlyRatio) * targets[i].Seconds() * f.throughput[i]
+	}
 	for i := range load.Ranks {
 		if r := &load.Ranks[i].Ratios; r.Count() >= minFleetSamples {
-			f.strictest = max(f.strictest, r.Median())
+			ratio := f.baselines[i].adjust(r.Median(), now)
+			f.strictest = max(f.strictest, ratio)
+			if f.baselines[i].isEarly() {
+				early = max(early, ratio)
+			}
 		}
 	}
-	if f.strictest > predictionShare*rankOverloadRatio && load.Throughput > 0 && target > 0 {
-		f.strictest = max(f.strictest, min(outstanding/load.Throughput/target.Seconds(), 2*f.strictest))
-	}
-	f.prove(outstanding, elapsed, target, now)
+	f.strictest = max(f.strictest, withPrediction(early, f.predictedRatio(target)))
+	f.prove(outstanding, early, elapsed, target, now)
 	switch {
 	case now.Sub(f.changedAt) < workLimitInterval:
 	case f.strictest > rankOverloadRatio && !now.Before(f.holdUntil):
 		share := max(minDecreaseFactor, min(1, rankGoalRatio/f.strictest))
-		f.value = max(min(f.value, outstanding)*share, fleetFloorRatio*target.Seconds()*f.capacity)
+		f.value = max(min(f.value, outstanding)*share, fleetFloorRatio*target.Seconds()*f.capacity+f.constant)
 		f.changedAt = now
 		f.holdUntil = now.Add(time.Duration(f.strictest * float64(target)))
 	case f.strictest <= rankOverloadRatio && outstanding >= workLimitMinUse*f.value:
@@ -123,11 +145,27 @@
 	f.updateCaps()
 }
 
+// predictedRatio is like that of rankLimit.
+func (f *fleetLimit) predictedRatio(target time.Duration) float64 {
+	outstanding, throughput := 0.0, 0.0
+	for i := range f.load.Ranks {
+		if f.baselines[i].isEarly() {
+			outstanding += f.load.Ranks[i].Outstanding
+			throughput += f.load.Ranks[i].Throughput
+		}
+	}
+	if throughput <= 0 || target <= 0 {
+		return 0
+	}
+	return outstanding / throughput / target.Seconds()
+}
+
 // prove records the outstanding work, and takes that of sums which are older than the target
-// as proven: since then all answers have been early.
-func (f *fleetLimit) prove(outstanding float64, elapsed, target time.Duration, now time.Time) {
+// as proven: since then the answers of the priorities that are answered early at rest have been
+// early.
+func (f *fleetLimit) prove(outstanding, early float64, elapsed, target time.Duration, now time.Time) {
 	f.proven *= math.Exp(-max(0, elapsed.Seconds()) / capacityTimeConstant.Seconds())
-	if f.strictest > predictionShare*rankOverloadRatio {
+	if early > predictionShare*rankOverloadRatio {
 		f.unproven = f.unproven[:0]
 		return
 	}
@@ -207,9 +245,9 @@
 func (f *fleetLimit) window(target time.Duration, upstreams int, meanCost float64) float64 {
 	window := f.value
 	if target > 0 {
-		window = min(window, fleetWindowRatio*target.Seconds()*f.capacity)
+		window = min(window, fleetWindowRatio*target.Seconds()*f.capacity+f.constant)
 	}
-	return max(window, minLimitPerUpstream*float64(upstreams)*meanCost, min(provenMargin*f.proven, f.value))
+	return max(window, minLimitPerUpstream*float64(upstreams)*meanCost, min(f.proven+max(provenMargin*(f.proven-f.constant), constantMargin*f.proven), f.value))
 }
 
 // share returns the part of the fleet's figures that belongs to a daemon with this demand.
--- a/internal/admission/fleet_limit_test.go
+++ b/internal/admission/fleet_limit_test.go
@@ -213,3 +213,34 @@
 		}
 	}
 }
+
+// Guards against a pool that stays limited because the answers of one class are slow whatever
+// the load is, and against such slowness that hides an overload.
+func TestSlownessThatDoesNotDependOnTheLoad(t *testing.T) {
+	for _, hasFleet := range []bool{false, true} {
+		for _, factor := range []float64{1, 3} {
+			classes := longBurst(1)
+			classes[2].delay = 800 * time.Millisecond
+			perSecond := classes[2].perSecond(0)
+			classes[2].perSecond = func(at time.Duration) float64 {
+				if at > 32*time.Second {
+					return factor * perSecond
+				}
+				return perSecond
+			}
+			f := newFleetSim(fleetDaemons, simUpstreams, simCapacity)
+			if !hasFleet {
+				f.isLost = func(int, int) bool { return true }
+			}
+			f.measureFrom = testStart.Add(30 * time.Second)
+			f.run(36*time.Second, classes...)
+			f.log(t, fmt.Sprintf("slow class, fleet %t, factor %g", hasFleet, factor))
+			chats, long := f.byClass["chat"], f.byClass["long"]
+			if factor == 1 {
+				assert.Assert(t, chats.lost() < 0.02 && long.lost() < 0.05, "%+v %+v", chats, long)
+				continue
+			}
+			assert.Assert(t, chats.lost() < 0.15 && chats.lost() < long.lost(), "%+v %+v", chats, long)
+		}
+	}
+}
--- a/internal/admission/fleet_sim_test.go
+++ b/internal/admission/fleet_sim_test.go
@@ -79,10 +79,10 @@
 	if f.factor == 0 {
 		return
 	}
-	l.Throughput *= f.factor
 	for i := range l.Ranks {
 		l.Ranks[i].Demand *= f.factor
 		l.Ranks[i].Outstanding *= f.factor
+		l.Ranks[i].Throughput *= f.factor
 	}
 }
 
--- a/internal/admission/load_sim_test.go
+++ b/internal/admission/load_sim_test.go
@@ -21,6 +21,8 @@
 	cost float64
 	// perSecond is the number of arrivals per second at all daemons at a time.
 	perSecond func(at time.Duration) float64
+	// delay is a time that each answer takes regardless of the load.
+	delay time.Duration
 	// workspace returns the workspace of an arrival.
 	workspace func(at time.Duration, random *rand.Rand) string
 }
@@ -43,6 +45,8 @@
 	// rate is the work per second of one upstream, and live the number of upstreams.
 	rate float64
 	live int
+	// delays are the constant delays of the classes.
+	delays map[string]time.Duration
 	// timeout is the time that callers have.
 	timeout time.Duration
 	// measureFrom is the time from which results count.
@@ -125,7 +129,7 @@
 		s.busyUntil[u] = s.now
 	}
 	s.busyUntil[u] = s.busyUntil[u].Add(time.Duration(r.Cost / s.rate * float64(time.Second)))
-	heap.Push(&s.ends, loadEnd{at: s.busyUntil[u].Add(10 * time.Millisecond), sent: s.now, daemon: daemon, request: r})
+	heap.Push(&s.ends, loadEnd{at: s.busyUntil[u].Add(10*time.Millisecond + s.delays[r.Class]), sent: s.now, daemon: daemon, request: r})
 }
 
 func (s *loadSim) refuse(daemon int, r *Request, rule Rule, retryAfter time.Duration) {
@@ -201,6 +205,10 @@
 // run sends the load for a time, with the daemons chosen at random.
 func (s *loadSim) run(duration time.Duration, classes ...loadClass) {
 	const step = 10 * time.Millisecond
+	s.delays = map[string]time.Duration{}
+	for i := range classes {
+		s.delays[classes[i].name] = classes[i].delay
+	}
 	id := 0
 	for at := time.Duration(0); at < duration; at += step {
 		s.advanceTo(testStart.Add(at))
--- a/internal/admission/pool_ranks.go
+++ b/internal/admission/pool_ranks.go
@@ -114,7 +114,7 @@
 		return
 	}
 	fleet := p.ranks.fleet
-	fleet.update(load, daemons, p.ranks.shortestTarget(now), now)
+	fleet.update(load, daemons, &p.ranks.targets, p.ranks.shortestTarget(now), now)
 	fleet.checkOwn(p.workLimit.outstanding, fleet.share(p.ranks.totalDemand(now)), p.ranks.meanCost)
 }
 
--- a/internal/admission/rank_limit.go
+++ b/internal/admission/rank_limit.go
@@ -86,6 +86,7 @@
 	open        []openWork
 	samples     []rankSample
 	ratios      [rankCount][]float64
+	baselines   [rankCount]ratioBaseline
 	checkedAt   time.Time
 	shares      map[shareKey]*share
 	// shareCounts is the number of shares of each class.
@@ -246,7 +247,7 @@
 	l.open = slices.Delete(l.open, i, i+1)
 	l.outstanding[o.rank] = max(0, l.outstanding[o.rank]-o.cost)
 	if latency > 0 {
-		l.figures.answered += o.cost
+		l.figures.answered[o.rank] += o.cost
 	}
 	if latency > 0 && o.target > 0 {
 		l.figures.ratios[o.rank].Add(float64(latency) / float64(o.target))
@@ -262,8 +263,8 @@
 // once that exceeds overloadRatio: while all of them wait, there are no answers to react
 // to. Requests sent before since are ignored. It returns 0 without enough samples. The
 // median of all requests would hide that short targets are missed while long ones are
-// met.
-func (l *rankLimit) strictestRatio(since, now time.Time) float64 {
+// met. early is the same for the priorities that are answered early at rest.
+func (l *rankLimit) strictestRatio(since, now time.Time) (strictest, early float64) {
 	for i := range l.ratios {
 		l.ratios[i] = l.ratios[i][:0]
 	}
@@ -281,36 +282,41 @@
 			l.ratios[o.rank] = append(l.ratios[o.rank], ratio)
 		}
 	}
-	strictest := 0.0
-	for _, ratios := range l.ratios {
+	for i, ratios := range l.ratios {
 		if len(ratios) < minRankSamples {
 			continue
 		}
 		slices.Sort(ratios)
-		strictest = max(strictest, ratios[len(ratios)/2])
+		ratio := l.baselines[i].adjust(ratios[len(ratios)/2], now)
+		strictest = max(strictest, ratio)
+		if l.baselines[i].isEarly() {
+			early = max(early, ratio)
+		}
 	}
-	return strictest
+	return strictest, early
 }
 
-// predictedRatio returns the time that the outstanding work takes at the latest
-// throughput, relative to the shortest target of it.
-func (l *rankLimit) predictedRatio(outstanding float64, now time.Time) float64 {
+// predictedRatio returns the time that the outstanding work takes at the latest throughput,
+// relative to the shortest target, for the priorities that are answered early at rest; 0
+// without enough answers. Others have much work outstanding whatever the load is.
+func (l *rankLimit) predictedRatio(now time.Time) float64 {
 	answered, n := 0.0, 0
 	for _, s := range l.samples {
-		if now.Sub(s.answeredAt) < predictionWindow {
+		if now.Sub(s.answeredAt) < predictionWindow && l.baselines[s.rank].isEarly() {
 			answered += s.cost
 			n++
 		}
 	}
-	target := time.Duration(0)
-	for i := range l.open {
-		if t := l.open[i].target; t > 0 && (target == 0 || t < target) {
-			target = t
-		}
-	}
-	if n < minRankSamples || target == 0 {
+	target := l.shortestTarget(now)
+	if n < minRankSamples || target <= 0 {
 		return 0
 	}
+	outstanding := 0.0
+	for i := range l.outstanding {
+		if l.baselines[i].isEarly() {
+			outstanding += l.outstanding[i]
+		}
+	}
 	return outstanding / (answered / predictionWindow.Seconds()) / target.Seconds()
 }
 
@@ -320,10 +326,8 @@
 		return
 	}
 	l.checkedAt = now
-	w.strictest = l.strictestRatio(w.loweredAt, now)
-	if w.strictest > predictionShare*rankOverloadRatio {
-		w.strictest = max(w.strictest, min(l.predictedRatio(w.outstanding, now), 2*w.strictest))
-	}
+	strictest, early := l.strictestRatio(w.loweredAt, now)
+	w.strictest = max(strictest, withPrediction(early, l.predictedRatio(now)))
 	if w.strictest > rankOverloadRatio && now.Sub(w.changedAt) >= workLimitInterval {
 		w.lower(w.strictest*goalRatio/rankGoalRatio, now)
 	}
--- a/internal/admission/rank_room.go
+++ b/internal/admission/rank_room.go
@@ -16,6 +16,9 @@
 	value, capacity float64
 	// fleetShare is 0 if the daemon's own figures apply.
 	fleetShare float64
+	// constant is the part of value that is outstanding because of delays that do not depend
+	// on the load.
+	constant float64
 	// isQuick reports whether the shortest target is below quickTarget.
 	isQuick bool
 }
@@ -31,12 +34,12 @@
 	window := l.fleet.window(target, w.upstreams, l.meanCost)
 	relief, isQuick := l.fleet.relief(window), target < quickTarget
 	if !isQuick {
-		return rankRoom{value: window * share * relief, capacity: l.fleet.capacity * share, fleetShare: share}
+		return rankRoom{value: window * share * relief, capacity: l.fleet.capacity * share, fleetShare: share, constant: l.fleet.constant * share}
 	}
 	// The part of a daemon may be less than one request. While the fleet has room, each
 	// daemon may have some requests more.
 	value := window*share*math.Sqrt(relief) + (relief-1)*l.meanCost
-	return rankRoom{value: value, capacity: l.fleet.capacity * share, fleetShare: share, isQuick: isQuick}
+	return rankRoom{value: value, capacity: l.fleet.capacity * share, fleetShare: share, constant: l.fleet.constant * share, isQuick: isQuick}
 }
 
 // urgentDemand returns the demand, in tokens per second, of priorities above rank.
@@ -71,7 +74,9 @@
 	if !l.isLowest(rank, now) {
 		bound = max(bound, drainRatio*r.FirstTarget.Seconds()*room.capacity)
 	}
-	left := bound * l.remainingShare(rank, &room, now)
+	// The work that is outstanding because of constant delays is that of slow classes.
+	constant := min(bound, room.constant)
+	left := constant + (bound-constant)*l.remainingShare(rank, &room, now)
 	if !r.isReturning {
 		left *= 1 - l.returns.reserve(rank, room.capacity, now)
 	}
--- a/internal/fleetload/exchange.go
+++ b/internal/fleetload/exchange.go
@@ -1,6 +1,7 @@
 package fleetload
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 	// collector of 300 daemons then receives about 20 KB/s.
 	minReportInterval       = 250 * time.Millisecond
 	smallFleet              = 61
-	reportIntervalPerDaemon = 9 * time.Millisecond
+	reportIntervalPerDaemon = 10 * time.Millisecond
 	// minSumInterval and sumIntervalPerDaemon determine the time between two sums of a
 	// collector.
 	minSumInterval       = 200 * time.Millisecond
@@ -180,7 +181,8 @@
 	e.summedAt = now
 	var sum []Load
 	count := 0
-	for name, r := range e.reports {
+	for _, name := range slices.Sorted(maps.Keys(e.reports)) {
+		r := e.reports[name]
 		if now.Sub(r.receivedAt) > reportExpiry*reportInterval(daemons) {
 			delete(e.reports, name)
 			continue
--- a/internal/fleetload/exchange_test.go
+++ b/internal/fleetload/exchange_test.go
@@ -13,9 +13,9 @@
 
 // testLoad returns a load as one daemon of a large deployment has it.
 func testLoad(pool uint32) Load {
-	l := Load{Pool: pool, Throughput: 90_112}
+	l := Load{Pool: pool}
 	for rank := 7; rank < RankCount; rank++ {
-		l.Ranks[rank] = Rank{Demand: 29_696, Outstanding: 8_192, Ratios: Ratios{1, 2, 1, 0, 1, 0}}
+		l.Ranks[rank] = Rank{Demand: 29_696, Outstanding: 8_192, Throughput: 30_720, Ratios: Ratios{1, 2, 1, 0, 1, 0}}
 	}
 	for i := range maxReportedWorkspaces {
 		l.Workspaces = append(l.Workspaces, Workspace{Key: uint32(i) * 123_456_789, Rank: 7, Demand: 5_120})
@@ -88,13 +88,15 @@
 		f := newTestFleet(daemons)
 		f.run(6 * time.Second)
 		clear(f.received)
-		f.run(10 * time.Second)
-		t.Logf("%d daemons: a daemon receives %d B/s, a collector %d B/s", daemons, f.received[5]/10, f.received[0]/10)
-		assert.Assert(t, f.received[5]/10 < bound, "%d daemons: %d B/s", daemons, f.received[5]/10)
+		// Long enough for several reports of each daemon.
+		const seconds = 30
+		f.run(seconds * time.Second)
+		t.Logf("%d daemons: a daemon receives %d B/s, a collector %d B/s", daemons, f.received[5]/seconds, f.received[0]/seconds)
+		assert.Assert(t, f.received[5]/seconds < bound, "%d daemons: %d B/s", daemons, f.received[5]/seconds)
 		// Half of 40 KB/s; the state of upstreams needs the other half.
-		assert.Assert(t, daemons < 300 || f.received[0]/10 < 20_000, "%d daemons: a collector receives %d B/s", daemons, f.received[0]/10)
+		assert.Assert(t, daemons < 300 || f.received[0]/seconds < 20_000, "%d daemons: a collector receives %d B/s", daemons, f.received[0]/seconds)
 		assert.Equal(t, f.daemons[5], daemons)
-		assert.Equal(t, f.applied[5][0].Throughput, 90_112*float64(daemons))
+		assert.Equal(t, f.applied[5][0].Throughput(), 3*30_720*float64(daemons))
 	}
 }
 
@@ -106,14 +108,14 @@
 	old := f.load
 	f.load = func(i int) []Load {
 		l := old(i)
-		l[0].Throughput = 9_728
+		l[0].Ranks[9].Throughput = 9_728
 		return l
 	}
 	f.run(500 * time.Millisecond)
 	for i := range f.applied {
 		for _, l := range f.applied[i] {
 			if l.Pool == 1 {
-				assert.Equal(t, l.Throughput, 61*9_728.0, "daemon %d", i)
+				assert.Equal(t, l.Ranks[9].Throughput, 61*9_728.0, "daemon %d", i)
 			}
 		}
 	}
@@ -169,11 +171,11 @@
 		_, err := decode(payload[:end])
 		assert.Assert(t, err != nil, "cut at %d", end)
 	}
-	// The throughput of the first pool is too large.
-	faulty := append([]byte{1, 2, 0x92, 1, 12, 0xce, 0xff, 0xff, 0xff, 0xff, 0x90, 0x90}, 2, scaleOffset, 5, 0x90, 0x90)
+	// The demand of the first pool is too large.
+	faulty := append([]byte{1, 2, 0x92, 1, 12, 0x91, 7, 0xce, 0xff, 0xff, 0xff, 0xff, 1, 1, 0, 0, 0, 0, 0, 0, 0x90}, 2, scaleOffset, 0x91, 7, 5, 1, 1, 0, 0, 0, 0, 0, 0, 0x90)
 	m, err = decode(faulty)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, m.Loads, []Load{{Pool: 2, Throughput: 5}})
+	assert.DeepEqual(t, m.Loads, []Load{{Pool: 2, Ranks: [RankCount]Rank{7: {Demand: 5, Outstanding: 1, Throughput: 1}}}})
 	// An array that claims more than a payload can contain, and other garbage.
 	for _, payload := range [][]byte{nil, {0xc1}, {1, 2, 0xdd, 0xff, 0xff, 0xff, 0xff}, {1, 2, 0xc0}, make([]byte, 2000)} {
 		m, err := decode(payload)
@@ -181,11 +183,11 @@
 	}
 
 	// A plain service counts requests.
-	payload, err = encode(1, 0, []Load{{Pool: 3, Throughput: 2.5, Ranks: [RankCount]Rank{7: {Demand: 0.25, Outstanding: 1}}}})
+	payload, err = encode(1, 0, []Load{{Pool: 3, Ranks: [RankCount]Rank{7: {Demand: 0.25, Outstanding: 1, Throughput: 2.5}}}})
 	assert.NilError(t, err)
 	m, err = decode(payload)
 	assert.NilError(t, err)
-	assert.Assert(t, m.Loads[0].Throughput == 2.5 && m.Loads[0].Ranks[7].Demand == 0.25 && m.Loads[0].Ranks[7].Outstanding == 1, "%+v", m.Loads)
+	assert.Assert(t, m.Loads[0].Ranks[7].Throughput == 2.5 && m.Loads[0].Ranks[7].Demand == 0.25 && m.Loads[0].Ranks[7].Outstanding == 1, "%+v", m.Loads)
 
 	f := newTestFleet(3)
 	newer, _ := encode(9, 3, []Load{testLoad(1)})
--- a/internal/fleetload/fuzz_test.go
+++ b/internal/fleetload/fuzz_test.go
@@ -30,7 +30,7 @@
 				t.Fatalf("%d pools", len(loads))
 			}
 			for i := range loads {
-				for _, v := range []float64{loads[i].Throughput, loads[i].Demand(), loads[i].Outstanding()} {
+				for _, v := range []float64{loads[i].Throughput(), loads[i].Demand(), loads[i].Outstanding()} {
 					if math.IsNaN(v) || v < 0 || v > RankCount*maxFigure {
 						t.Fatalf("figure %g", v)
 					}
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -22,10 +22,8 @@
 // Load is the load of one pool, of one daemon or of all daemons together.
 type Load struct {
 	// Pool is the Key of the pool's name.
-	Pool uint32
-	// Throughput is the answered work in tokens per second.
-	Throughput float64
-	Ranks      [RankCount]Rank
+	Pool  uint32
+	Ranks [RankCount]Rank
 	// Workspaces are those with the highest demand.
 	Workspaces []Workspace
 }
@@ -37,11 +35,13 @@
 	Demand float64
 	// Outstanding is the work, in tokens, that was sent and has no first answer yet.
 	Outstanding float64
-	Ratios      Ratios
+	// Throughput is the answered work in tokens per second.
+	Throughput float64
+	Ratios     Ratios
 }
 
 func (r *Rank) isIdle() bool {
-	return r.Demand < MinDemand && r.Outstanding == 0 && r.Ratios.Count() == 0
+	return r.Demand < MinDemand && r.Outstanding == 0 && r.Throughput == 0 && r.Ratios.Count() == 0
 }
 
 // Workspace is the demand of a workspace in one priority.
@@ -82,16 +82,25 @@
 	return sum
 }
 
+// Throughput returns the answered work of all priorities.
+func (l *Load) Throughput() float64 {
+	sum := 0.0
+	for i := range l.Ranks {
+		sum += l.Ranks[i].Throughput
+	}
+	return sum
+}
+
 // IsIdle reports whether there is nothing to tell about the pool.
 func (l *Load) IsIdle() bool {
-	return l.Throughput == 0 && l.Demand() < MinDemand && l.Outstanding() == 0
+	return l.Throughput() == 0 && l.Demand() < MinDemand && l.Outstanding() == 0
 }
 
 // add adds the load of another daemon to the sum.
 func (l *Load) add(other *Load) {
-	l.Throughput += other.Throughput
 	for i := range l.Ranks {
 		l.Ranks[i].Demand += other.Ranks[i].Demand
+		l.Ranks[i].Throughput += other.Ranks[i].Throughput
 		l.Ranks[i].Outstanding += other.Ranks[i].Outstanding
 		l.Ranks[i].Ratios.add(&other.Ranks[i].Ratios)
 	}
--- a/internal/fleetload/message.go
+++ b/internal/fleetload/message.go
@@ -95,9 +95,9 @@
 // scaleOf returns the scale for the figures of a pool: the largest is below 2^exponent, and
 // maxDigits is 2^scaleOffset.
 func scaleOf(l *Load) int {
-	largest := l.Throughput
+	largest := 0.0
 	for i := range l.Ranks {
-		largest = max(largest, l.Ranks[i].Demand, l.Ranks[i].Outstanding)
+		largest = max(largest, l.Ranks[i].Demand, l.Ranks[i].Outstanding, l.Ranks[i].Throughput)
 	}
 	_, exponent := math.Frexp(bounded(largest))
 	return min(max(0, exponent), maxScale)
@@ -107,7 +107,6 @@
 	e.scale = scaleOf(l)
 	e.uint(l.Pool)
 	e.uint(uint32(e.scale))
-	e.figure(l.Throughput)
 	present := 0
 	for i := range l.Ranks {
 		if !l.Ranks[i].isIdle() {
@@ -123,6 +122,7 @@
 		e.uint(uint32(i))
 		e.figure(r.Demand)
 		e.figure(r.Outstanding)
+		e.figure(r.Throughput)
 		for _, count := range r.Ratios {
 			e.uint(min(count, maxCount))
 		}
@@ -216,10 +216,9 @@
 func (d *decoder) load() Load {
 	l := Load{Pool: d.uint()}
 	d.scale = int(d.below(maxScale + 1))
-	l.Throughput = d.figure()
 	for range d.length(RankCount) {
 		rank := &l.Ranks[d.below(RankCount)]
-		rank.Demand, rank.Outstanding = d.figure(), d.figure()
+		rank.Demand, rank.Outstanding, rank.Throughput = d.figure(), d.figure(), d.figure()
 		for i := range rank.Ratios {
 			rank.Ratios[i] = d.below(maxCount + 1)
 		}
