--- a/internal/admission/explanation.go
+++ b/internal/admission/explanation.go
@@ -17,8 +17,10 @@
 	RuleWorkspaceQueue Rule = "own_queue"
 	RuleAdmitted       Rule = "admitted"
 	RuleShed           Rule = "shed_deadline"
-	RuleQueueFull      Rule = "queue_full"
-	RuleCallerGaveUp   Rule = "caller_gave_up"
+	// RuleFairShare: the workspace has used up its fair share of the room of the fleet.
+	RuleFairShare    Rule = "workspace_share"
+	RuleQueueFull    Rule = "queue_full"
+	RuleCallerGaveUp Rule = "caller_gave_up"
 )
 
 // Explanation states why a request waits, or what was decided on it.
@@ -33,6 +35,8 @@
 	Since     time.Time `json:"since"`
 	// Waited is the time spent in the queue, so far or until the decision.
 	Waited time.Duration `json:"waitedNs"`
+	// Room is what a refusal was decided on where priorities are told apart.
+	Room *RoomExplanation `json:"room,omitempty"`
 	// Upstream is the upstream of the latest attempt.
 	Upstream string `json:"upstream,omitempty"`
 	Version  string `json:"version,omitempty"`
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -35,8 +35,12 @@
 	limit           limit
 	// workLimit limits the work without a first answer; nil unless
 	// Options.LimitWork is set.
-	workLimit     *workLimit
+	workLimit *workLimit
+	// ranks divides workLimit among priorities; nil if workLimit is nil.
+	ranks         *rankLimit
 	minRetryAfter time.Duration
+	// reported is the state that Controller.Report logged last.
+	reported poolState
 	// tickScheduled reports whether a call of tick is scheduled.
 	tickScheduled bool
 	inFlight      int
@@ -64,10 +68,11 @@
 	return &pool{maxWaiting: maxWaiting, maxPerWorkspace: maxPerWorkspace, limit: newLimit(), serviceTimes: map[string]*durationEstimate{}, minRetryAfter: minRetryAfter}
 }
 
-// class returns the queue of the request's class, which it creates if necessary.
+// class returns the queue of the request's class, which it creates if necessary. Where
+// the work limit is divided among priorities, each priority of a class has its own.
 func (p *pool) class(r *Request) *classQueue {
 	for _, q := range p.classes {
-		if q.name == r.Class {
+		if q.name == r.Class && (p.ranks == nil || q.priority == r.Priority) {
 			return q
 		}
 	}
@@ -78,10 +83,11 @@
 
 // acquire takes a concurrency slot regardless of the limit.
 func (p *pool) acquire(r *Request, now time.Time) {
-	p.inFlight++
 	if p.workLimit != nil {
+		p.recordRankStart(r, now)
 		p.workLimit.recordSent(r.cost(), r.FirstTarget)
 	}
+	p.inFlight++
 	p.unanswered.push(now)
 	p.limit.recordStart(p.inFlight)
 }
@@ -90,32 +96,38 @@
 // and the advised delay. It may displace a waiter, which the caller must then
 // signal.
 func (p *pool) admitOrQueue(r *Request, now time.Time) (w, displaced *waiter, rule Rule, retryAfter time.Duration) {
+	if p.ranks != nil {
+		p.ranks.recordArrival(r, now)
+	}
 	p.tick(now)
 	service := p.expectedServiceTime(r)
-	if p.waiting == 0 && p.hasCapacity() {
+	if p.mayStartAtOnce(r, now) {
 		// A new request may use a free slot regardless of the estimates, so
 		// that wrong estimates are corrected. A request that was accepted more
 		// than limitWindow ago is assumed to have been returned by an upstream,
 		// and must still be able to meet its deadline.
 		if isReturned := !r.AcceptedAt.IsZero() && now.Sub(r.AcceptedAt) > limitWindow; isReturned && missesDeadline(r, service, now) {
-			return nil, nil, RuleShed, p.minRetryAfter
+			return nil, nil, RuleShed, p.returnDelay(r, 0, now)
 		}
 		p.acquire(r, now)
 		return nil, nil, RuleAdmitted, 0
 	}
+	if p.isCapped(r, now) {
+		return nil, nil, RuleFairShare, p.returnDelay(r, 0, now)
+	}
 	q := p.class(r)
-	wait := p.expectedWait(q, r)
+	wait := p.expectedWait(q, r, now)
 	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(wait).After(p.latestStart(r)) {
-		return nil, nil, RuleShed, p.clampRetryAfter(wait)
+		return nil, nil, RuleShed, p.returnDelay(r, wait, now)
 	}
 	if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace {
-		return nil, nil, RuleQueueFull, p.clampRetryAfter(wait)
+		return nil, nil, RuleQueueFull, p.returnDelay(r, wait, now)
 	}
 	if p.waiting >= p.maxWaiting {
 		if displaced = p.displace(q, r); displaced == nil {
-			return nil, nil, RuleQueueFull, p.clampRetryAfter(wait)
+			return nil, nil, RuleQueueFull, p.returnDelay(r, wait, now)
 		}
-		displaced.refusedBy, displaced.retryAfter = RuleQueueFull, p.clampRetryAfter(wait)
+		displaced.refusedBy, displaced.retryAfter = RuleQueueFull, p.returnDelay(&displaced.req, wait, now)
 	}
 	w = &waiter{req: *r, arrivedAt: now, done: make(chan struct{})}
 	if !r.Deadline.IsZero() {
@@ -171,12 +183,16 @@
 // may have been lower or not available. The caller must signal all of them.
 func (p *pool) grant(now time.Time) []*waiter {
 	var decided []*waiter
-	for p.waiting > 0 && p.hasCapacity() {
-		w := p.nextClass().pop()
+	for p.waiting > 0 {
+		q := p.nextClass(now)
+		if q == nil {
+			break
+		}
+		w := q.pop()
 		p.waiting--
 		decided = append(decided, w)
 		if missesDeadline(&w.req, p.expectedServiceTime(&w.req), now) || !w.latestStart.IsZero() && now.After(w.latestStart) {
-			w.refusedBy, w.retryAfter = RuleShed, p.minRetryAfter
+			w.refusedBy, w.retryAfter = RuleShed, p.returnDelay(&w.req, 0, now)
 			continue
 		}
 		p.grantCount++
@@ -188,8 +204,14 @@
 
 // nextClass returns the class with the highest priority that has waiting
 // requests, or, once every agedGrantInterval grants, the one with the oldest
-// request.
-func (p *pool) nextClass() *classQueue {
+// request. It returns nil when none may start.
+func (p *pool) nextClass(now time.Time) *classQueue {
+	if p.isRanked(now) {
+		return p.nextRankedClass(now)
+	}
+	if !p.hasCapacity() {
+		return nil
+	}
 	var next *classQueue
 	isAgedGrant := p.grantCount%agedGrantInterval == agedGrantInterval-1
 	for _, q := range p.classes {
--- a/internal/admission/pool_limits.go
+++ b/internal/admission/pool_limits.go
@@ -12,6 +12,7 @@
 	p.limit.tick(now)
 	if p.workLimit != nil {
 		p.workLimit.tick(p.unanswered.oldestAge(now), now)
+		p.checkRanks(now)
 	}
 }
 
@@ -28,6 +29,9 @@
 func (p *pool) setUpstreamCount(n int) {
 	p.limit.setUpstreamCount(n)
 	if p.workLimit != nil {
+		if p.ranks != nil && n > 0 && p.workLimit.upstreams > 0 && n != p.workLimit.upstreams {
+			p.ranks.fleet.scale(float64(n) / float64(p.workLimit.upstreams))
+		}
 		p.workLimit.setUpstreamCount(n)
 	}
 }
--- a/internal/fleetdaemon/collectors.go
+++ b/internal/fleetdaemon/collectors.go
@@ -32,6 +32,13 @@
 	fleet.Daemons = append(fleet.Daemons, d.settings.Name)
 	slices.Sort(fleet.Daemons)
 	d.fleet.Store(&fleet)
+	others := make([]string, 0, len(peers))
+	for _, p := range peers {
+		if p.Serves() {
+			others = append(others, p.Name)
+		}
+	}
+	d.servingPeers.Store(&others)
 }
 
 // collectors returns the names of the collectors, which may include this daemon's.
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"rattantide/internal/callerbudget"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/lease"
@@ -130,6 +131,12 @@
 	upstreamStore *upstreamstate.Store
 	// slowLogs is what maintain logged of slow upstreams, by pool.
 	slowLogs map[string]slowLog
+	// servingPeers are the names of the other daemons that serve.
+	servingPeers atomic.Pointer[[]string]
+	// reportAdmission updates the metrics of admission and logs changes of its rule.
+	reportAdmission func()
+	// fleetLoads exchanges the demand and the capacity with the other daemons.
+	fleetLoads *fleetload.Exchange
 	// revision is that of the instance list that applyMembers passed to table last.
 	revision atomic.Int64
 
@@ -297,7 +304,9 @@
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
-	admitter := admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Logger: d.logger, Scope: d.scope})
+	d.reportAdmission = admitter.Report
+	d.buildFleetLoads(admitter)
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
 		Window: d.settings.Bounds.RetryWindow, Now: time.Now,
@@ -332,6 +341,12 @@
 // daemonCount returns the number of known daemons, including this one.
 func (d *Daemon) daemonCount() int { return 1 + d.peers.PeerCount() }
 
+// hasQuotas reports whether any workspace has a quota.
+func (d *Daemon) hasQuotas() bool {
+	config, _ := d.holder.Current()
+	return config != nil && config.HasQuotas()
+}
+
 // fleetShare returns this daemon's share of limits that apply to the whole fleet,
 // in (0, 1].
 func (d *Daemon) fleetShare() float64 { return 1 / float64(d.daemonCount()) }
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -12,6 +12,7 @@
 
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
+	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/periodic"
@@ -60,6 +61,9 @@
 	group.Go(func() error { return d.exchangeUpstreamStates(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
+	group.Go(func() error {
+		return periodic.Every(workCtx, fleetload.TickInterval, func(context.Context) { d.fleetLoads.Tick() })
+	})
 	d.startDuties(workCtx, group)
 	callers, servers := d.startServers(group)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
@@ -179,6 +183,7 @@
 // and updates gauges and this daemon's counts in the ledgers.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
+	d.reportAdmission()
 	peers := d.peers.Peers()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -187,7 +187,7 @@
 		Chat: x.route.Kind == fleetconfig.Stream, Idempotent: x.route.Repeatable(),
 		PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens,
 		AcceptedAt: x.receivedAt, Deadline: x.deadline, Attempt: x.attempts, ReachedAttempts: x.sends, Exclude: x.excluded,
-		ResumedTokens: x.eventsSent, Priority: &priority,
+		ResumedTokens: x.eventsSent, Priority: &priority, Key: x.key,
 	}
 	r.Blocks, r.SharedBlocks = promptBlocks(x.call.Model, x.call.Parts)
 	if l := x.server.opts.UpstreamLimit; l != nil {
