--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -310,7 +310,10 @@
 		p = newPool(c.opts.MaxWaiting, c.opts.MaxPerWorkspace)
 		p.minRetryAfter = c.opts.MinRetryAfter
 		if c.opts.LimitWork {
-			p.workLimit, p.ranks = newWorkLimit(), newRankLimit(c.opts.HasQuotas)
+			p.workLimit = newWorkLimit()
+		}
+		if c.opts.LimitWork && c.opts.DividePriorities {
+			p.ranks = newRankLimit(c.opts.HasQuotas)
 			p.ranks.fleetNow = c.opts.FleetNow
 		}
 		c.pools[name] = p
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -18,6 +18,9 @@
 	// is for pools that other daemons also use and whose total load is unknown
 	// to this daemon.
 	LimitWork bool
+	// DividePriorities divides the work limit among priorities, by the figures of the fleet if
+	// these are known. It has an effect only with LimitWork.
+	DividePriorities bool
 	// HasQuotas reports whether workspaces have quotas. The division of the work limit
 	// among priorities is then in effect also where priorities do not differ. Default:
 	// none have.
--- a/internal/admission/report_test.go
+++ b/internal/admission/report_test.go
@@ -19,7 +19,7 @@
 	var lines bytes.Buffer
 	scope := tally.NewTestScope("", nil)
 	now := testStart
-	c := New(Options{LimitWork: true, Now: func() time.Time { return now }, Logger: log.New(&lines), Scope: scope})
+	c := New(Options{LimitWork: true, DividePriorities: true, Now: func() time.Time { return now }, Logger: log.New(&lines), Scope: scope})
 	request := func(id string, priority int) Request {
 		return Request{ID: id, Class: fmt.Sprint("c", priority), Workspace: "w", Pool: "p", Priority: priority, Cost: 1000, FirstTarget: time.Second, FirstDeadline: now.Add(time.Second), Within: 0.95}
 	}
