Model long prompts that delay others in the comparison of policies

A workload can name its fleet and engine model. Results hold the share within target, the p99 to the first token and the pauses above the target by prompt length.

--- a/internal/policytest/comparison.go
+++ b/internal/policytest/comparison.go
@@ -51,12 +51,12 @@
 		return 0, 0
 	}
 	r := Run(policy, w, low, seed)
-	return low, fleetPrice() * w.Length.Hours() / float64(r.Requests) * 1000
+	return low, fleetPrice(w) * w.Length.Hours() / float64(r.Requests) * 1000
 }
 
-// fleetPrice returns the total price per hour of all engines.
-func fleetPrice() float64 {
-	s := &simulation{engines: map[string]*engine{}}
+// fleetPrice returns the total price per hour of all engines of a workload's fleet.
+func fleetPrice(w Workload) float64 {
+	s := &simulation{fleet: w.fleetOrDefault(), engines: map[string]*engine{}}
 	s.build(0)
 	price := 0.0
 	for _, e := range s.engineList {
--- a/internal/policytest/daemon.go
+++ b/internal/policytest/daemon.go
@@ -11,10 +11,6 @@
 
 const (
 	poolName = "p"
-	// reportInterval is the time between two load reports of an engine to a daemon,
-	// and reportLag the age of a report when it is received.
-	reportInterval = 2 * time.Second
-	reportLag      = 500 * time.Millisecond
 	// eventLag is the delay of cache events, and eventLossShare the fraction of
 	// deliveries from which events are missing.
 	eventLag       = time.Second
@@ -89,9 +85,9 @@
 	})
 }
 
-// receiveLoad applies the load report of an engine, which is reportLag old.
+// receiveLoad applies the load report of an engine, which is fleetModel.reportLag old.
 func (d *daemon) receiveLoad(name string, load membership.Load) {
-	load.AgeMs = reportLag.Milliseconds()
+	load.AgeMs = d.sim.fleet.reportLag.Milliseconds()
 	load.ReceivedAt = d.sim.wallTime(d.sim.events.now)
 	for i := range d.upstreams {
 		if d.upstreams[i].Name == name {
--- a/internal/policytest/engine.go
+++ b/internal/policytest/engine.go
@@ -6,21 +6,8 @@
 	"rattantide/internal/membership"
 )
 
-// Parameters of the engine model, which uses continuous batching. A step processes a
-// chunk of prompt tokens and generates one token for each job that has finished its
-// prompt; its duration grows with both. The values have the magnitude of a mid-size
-// model on one accelerator.
-const (
-	stepBase           = 10 * time.Millisecond
-	stepPerPromptToken = 100 * time.Microsecond
-	stepPerDecoding    = 500 * time.Microsecond
-	maxChunkTokens     = 256
-	maxBatchJobs       = 32
-	blockTokens        = 16
-	// cacheTokens is the capacity of the prefix cache, enough for about a dozen
-	// archive texts.
-	cacheTokens = 40_000
-)
+// blockTokens is the length in tokens of the blocks by which prompts are cached.
+const blockTokens = 16
 
 // job is an attempt to execute a request at an engine.
 type job struct {
@@ -44,6 +31,7 @@
 // engine simulates a model engine.
 type engine struct {
 	upstream   membership.Upstream
+	model      *engineModel
 	events     *eventQueue
 	cache      *prefixCache
 	waiting    []*job
@@ -69,7 +57,7 @@
 
 // step admits waiting jobs to the batch and starts the next step.
 func (e *engine) step() {
-	for len(e.waiting) > 0 && len(e.running) < maxBatchJobs {
+	for len(e.waiting) > 0 && len(e.running) < e.model.maxBatchJobs {
 		j := e.waiting[0]
 		e.waiting = e.waiting[1:]
 		j.cachedTokens = min(e.cache.matchLength(j.request.blocks)*blockTokens, j.promptTokens-1)
@@ -81,7 +69,7 @@
 		return
 	}
 	e.isStepping = true
-	chunk, decoding := maxChunkTokens, 0
+	chunk, decoding := e.model.maxChunkTokens, 0
 	for _, j := range e.running {
 		if j.promptRemaining == 0 {
 			decoding++
@@ -94,9 +82,9 @@
 		// The step that finishes the prompt yields the first token.
 		j.yieldsToken = n > 0 && j.promptRemaining == 0
 	}
-	processed := maxChunkTokens - chunk
+	processed := e.model.maxChunkTokens - chunk
 	e.computedTokens += processed
-	duration := stepBase + time.Duration(processed)*stepPerPromptToken + time.Duration(decoding)*stepPerDecoding
+	duration := e.model.stepBase + time.Duration(processed)*e.model.stepPerPromptToken + time.Duration(decoding)*e.model.stepPerDecoding
 	e.busyTime += duration
 	e.events.scheduleAfter(duration, e.endStep)
 }
@@ -116,6 +104,7 @@
 		}
 		r := j.request
 		r.generatedTokens++
+		r.recordToken(e.events.now)
 		if r.generatedTokens == 1 {
 			r.firstTokenAt = e.events.now
 		}
@@ -152,5 +141,5 @@
 // memory.
 func (e *engine) loadReport() membership.Load {
 	used := int64(e.cache.lru.Len() * blockTokens)
-	return membership.Load{Running: len(e.running), Waiting: len(e.waiting), KVUsedTokens: used / 2, KVTotalTokens: cacheTokens}
+	return membership.Load{Running: len(e.running), Waiting: len(e.waiting), KVUsedTokens: used / 2, KVTotalTokens: int64(e.model.cacheTokens)}
 }
--- a/internal/policytest/request.go
+++ b/internal/policytest/request.go
@@ -20,6 +20,11 @@
 	firstTokenAt    time.Duration
 	endedAt         time.Duration
 	generatedTokens int
+	// lastEventAt is when the latest event of the answer was complete, worstPause the
+	// longest time between two events, and pauses the number of those above the target.
+	lastEventAt time.Duration
+	worstPause  time.Duration
+	pauses      int
 }
 
 // class is a request class with its priority and latency targets.
@@ -29,11 +34,35 @@
 	firstTokenTarget time.Duration
 	gapTarget        time.Duration
 	deadline         time.Duration
+	// pauseTarget is the longest time between two events of an answer, each of which
+	// consists of eventTokens tokens; 0 means that there is no such target. A gapTarget of
+	// 0 means the same for the mean time between tokens.
+	pauseTarget time.Duration
+	eventTokens int
+	// length is one of promptLengths, or empty.
+	length string
 }
 
-// metTargets reports whether the request was completed within both latency targets.
+// metTargets reports whether the request was completed within all targets.
 func (r *request) metTargets() bool {
-	return r.endedAt > 0 && !r.isRefused && r.firstTokenAt-r.arrivedAt <= r.class.firstTokenTarget && r.meanGap() <= r.class.gapTarget
+	return r.endedAt > 0 && !r.isRefused && r.firstTokenAt-r.arrivedAt <= r.class.firstTokenTarget &&
+		(r.class.gapTarget == 0 || r.meanGap() <= r.class.gapTarget) && r.pauses == 0
+}
+
+// recordToken records the time of a generated token, which completes an event if it is the
+// first one or its event has eventTokens tokens.
+func (r *request) recordToken(now time.Duration) {
+	if r.class.pauseTarget == 0 || (r.generatedTokens > 1 && (r.generatedTokens-1)%r.class.eventTokens != 0) {
+		return
+	}
+	if r.generatedTokens > 1 {
+		pause := now - r.lastEventAt
+		r.worstPause = max(r.worstPause, pause)
+		if pause > r.class.pauseTarget {
+			r.pauses++
+		}
+	}
+	r.lastEventAt = now
 }
 
 // meanGap returns the mean time between two tokens of a completed answer, or 0.
--- a/internal/policytest/result.go
+++ b/internal/policytest/result.go
@@ -30,6 +30,8 @@
 	// Imbalance is the coefficient of variation of the busy time over the engines
 	// that were not killed.
 	Imbalance float64
+	// Lengths holds the measurements by prompt length, in the order of promptLengths.
+	Lengths [len(promptLengths)]LengthResult
 }
 
 // result evaluates the requests and engines after the end of the run.
@@ -51,6 +53,7 @@
 			withinByWorkspace[q.workspace]++
 		}
 	}
+	s.addLengths(r)
 	r.WorstWorkspaceWithin = 1
 	for name, n := range totalByWorkspace {
 		r.WorstWorkspaceWithin = min(r.WorstWorkspaceWithin, float64(withinByWorkspace[name])/float64(n))
--- a/internal/policytest/simulation.go
+++ b/internal/policytest/simulation.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	daemonCount = 4
-	engineCount = 12
 	domainCount = 3
 	// noticePeriod is the time between the notice for a failure domain and its end.
 	noticePeriod = 5 * time.Second
@@ -23,6 +21,7 @@
 // simulation is the state of one run of a policy on a workload.
 type simulation struct {
 	events     eventQueue
+	fleet      fleetModel
 	policy     routing.Policy
 	engines    map[string]*engine
 	engineList []*engine
@@ -44,11 +43,11 @@
 // seed determines the requests and all random choices, so all policies get the same
 // requests for the same seed.
 func Run(policy routing.Policy, w Workload, factor float64, seed uint64) *Result {
-	s := &simulation{policy: policy, engines: map[string]*engine{}, bestCachedTokens: map[int]int{}}
+	s := &simulation{fleet: w.fleetOrDefault(), policy: policy, engines: map[string]*engine{}, bestCachedTokens: map[int]int{}}
 	s.requests = w.generate(rand.New(rand.NewPCG(seed, 1)), factor)
 	s.build(seed)
 	for _, r := range s.requests {
-		d := s.daemons[int(hash64(uint64(r.id)^seed)%daemonCount)]
+		d := s.daemons[int(hash64(uint64(r.id)^seed)%uint64(s.fleet.daemons))]
 		s.events.scheduleAt(r.arrivedAt, func() { d.admit(r) })
 	}
 	if w.ReclaimAt > 0 {
@@ -63,7 +62,7 @@
 // build creates the engines and the daemons.
 func (s *simulation) build(seed uint64) {
 	var upstreams []membership.Upstream
-	for i := range engineCount {
+	for i := range s.fleet.engines {
 		u := membership.Upstream{
 			Name: fmt.Sprintf("engine-%02d", i), Domain: fmt.Sprintf("d%d", i%domainCount), Pool: poolName,
 			Class: membership.Reclaimable, PricePerHour: 1,
@@ -73,12 +72,12 @@
 		if i%4 == 3 {
 			u.Class, u.PricePerHour = membership.OnDemand, 2.5
 		}
-		e := &engine{upstream: u, events: &s.events, cache: newPrefixCache(cacheTokens / blockTokens)}
+		e := &engine{upstream: u, model: &s.fleet.engine, events: &s.events, cache: newPrefixCache(s.fleet.engine.cacheTokens / blockTokens)}
 		s.engines[u.Name] = e
 		s.engineList = append(s.engineList, e)
 		upstreams = append(upstreams, u)
 	}
-	for i := range daemonCount {
+	for i := range s.fleet.daemons {
 		d := &daemon{
 			sim: s, random: rand.New(rand.NewPCG(seed, uint64(i)+100)), tracker: routing.NewTracker(0),
 			admission: admission.New(admission.Options{Now: func() time.Time { return s.wallTime(s.events.now) }}),
@@ -94,14 +93,14 @@
 func (s *simulation) scheduleReports(end time.Duration) {
 	for i, d := range s.daemons {
 		for j, e := range s.engineList {
-			offset := reportInterval * time.Duration(i*engineCount+j) / (daemonCount * engineCount)
-			for at := offset; at < end; at += reportInterval {
+			offset := s.fleet.reportInterval * time.Duration(i*s.fleet.engines+j) / time.Duration(s.fleet.daemons*s.fleet.engines)
+			for at := offset; at < end; at += s.fleet.reportInterval {
 				s.events.scheduleAt(at, func() {
 					if e.isDead {
 						return
 					}
 					load, upTo := e.loadReport(), int64(len(e.cache.log))
-					s.events.scheduleAfter(reportLag, func() { d.receiveLoad(e.upstream.Name, load) })
+					s.events.scheduleAfter(s.fleet.reportLag, func() { d.receiveLoad(e.upstream.Name, load) })
 					s.events.scheduleAfter(eventLag, func() { d.receiveCacheEvents(e, upTo) })
 				})
 			}
--- a/internal/policytest/workload.go
+++ b/internal/policytest/workload.go
@@ -14,10 +14,19 @@
 	Length time.Duration
 	// ReclaimAt is the time of a reclaim notice for one failure domain, or 0 for none.
 	ReclaimAt time.Duration
+	// fleet is nil for defaultFleet.
+	fleet *fleetModel
 	// generate returns the requests, with the arrival rate multiplied by factor.
 	generate func(random *rand.Rand, factor float64) []*request
 }
 
+func (w *Workload) fleetOrDefault() fleetModel {
+	if w.fleet == nil {
+		return defaultFleet
+	}
+	return *w.fleet
+}
+
 var (
 	archiveClass  = &class{name: "archive", priority: 5, firstTokenTarget: 1300 * time.Millisecond, gapTarget: 55 * time.Millisecond, deadline: 60 * time.Second}
 	chatClass     = &class{name: "chat", priority: 5, firstTokenTarget: 1300 * time.Millisecond, gapTarget: 55 * time.Millisecond, deadline: 30 * time.Second}
