Count the delay that long prompts cause to others

PromptDelay is a term of the cost of a candidate: the delay of the requests that run and wait there, weighted by the time that they have left, for a long prompt, and the expected delay by long prompts for a short one. Long prompts gather at the upstreams with the lowest hash of their name, as many as their work needs. The term is at most a quarter of the request's own target. It is off unless the classes of a pool differ in prompt length by a factor of 4 and upstreams tell their slots, which no upstream does before its state is known; until then, decisions stay as they are.

--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -25,6 +25,11 @@
 	Trackers *routing.Trackers
 	// Policy selects among candidates. Default: routing.NewCost().
 	Policy routing.Policy
+	// Prompts, when set, learns how the prompts of a pool differ in length, which
+	// routing.PromptDelay needs. PauseTarget returns the longest time between two parts of an
+	// answer of a class, or 0; it is optional.
+	Prompts     *routing.PromptMixes
+	PauseTarget func(class string) time.Duration
 	// Moves enforces version moves. Default: the share in the status of the move
 	// applies, and samples are discarded.
 	Moves Moves
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -82,7 +82,7 @@
 	tracker := d.opts.Trackers.Pool(r.Pool)
 	buffer := d.buffers.Get().(*[]routing.Candidate)
 	*buffer = tracker.Candidates(req, upstreams, (*buffer)[:0])
-	index := d.opts.Policy.Pick(req, *buffer)
+	index := d.pick(class, r, req, *buffer)
 	picked := (*buffer)[index]
 	d.buffers.Put(buffer)
 	a := &attempt{
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -24,6 +24,7 @@
 	"rattantide/internal/peering"
 	"rattantide/internal/quarantine"
 	"rattantide/internal/quota"
+	"rattantide/internal/routing"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/truetime"
 	"rattantide/internal/upstreamconn"
@@ -296,6 +297,7 @@
 	d.versionRecorder = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: d.view, Table: d.table, Admission: admitter,
+		Policy: newPolicy(), Prompts: &routing.PromptMixes{Daemons: d.daemonCount}, PauseTarget: d.pauseTarget,
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
 	d.gateway = gateway.New(gateway.Options{
--- a/internal/policytest/daemon.go
+++ b/internal/policytest/daemon.go
@@ -23,6 +23,7 @@
 	sim        *simulation
 	random     *rand.Rand
 	tracker    *routing.Tracker
+	prompts    routing.PromptMix
 	admission  *admission.Controller
 	upstreams  []membership.Upstream
 	candidates []routing.Candidate
@@ -59,7 +60,19 @@
 		Rand: d.random.Uint64(), Now: d.sim.wallTime(d.sim.events.now),
 	}
 	d.candidates = d.tracker.Candidates(req, d.upstreams, d.candidates[:0])
-	selected := d.candidates[d.sim.policy.Pick(req, d.candidates)]
+	if d.sim.fleet.reportsSlots {
+		for i := range d.candidates {
+			d.candidates[i].Slots = d.sim.fleet.engine.maxBatchJobs
+			if load := d.upstreams[i].Load; load != nil {
+				d.candidates[i].StateAge = req.Now.Sub(load.ReceivedAt) + d.sim.fleet.reportLag
+			}
+		}
+	}
+	promptClass := r.class.promptClass()
+	req.Prompts = d.prompts.View(&promptClass, req, d.candidates)
+	index := d.sim.policy.Pick(req, d.candidates)
+	d.prompts.Observe(&promptClass, req, d.candidates, index)
+	selected := d.candidates[index]
 	attempt := d.tracker.RecordSent(req, &selected)
 	target := d.sim.engines[selected.Name]
 	at := d.sim.events.now
--- a/internal/policytest/fleet_model.go
+++ b/internal/policytest/fleet_model.go
@@ -9,6 +9,10 @@
 	// and reportLag the age of a report when it is received.
 	reportInterval, reportLag time.Duration
 	engine                    engineModel
+	// hasOnePrice is set if all engines are reclaimable and cost the same.
+	hasOnePrice bool
+	// reportsSlots is set if the engines report their slots.
+	reportsSlots bool
 }
 
 // engineModel holds the parameters of an engine, which uses continuous batching. A step
--- a/internal/policytest/prompt_comparison.go
+++ b/internal/policytest/prompt_comparison.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+
+	"rattantide/internal/routing"
 )
 
 // WritePromptTable prints the results of a workload by prompt length. results[i] is the
@@ -22,3 +24,11 @@
 	}
 	_ = t.Flush()
 }
+
+// promptPolicies returns the shipped policy without and with the term for prompts of different
+// length.
+func promptPolicies() []NamedPolicy {
+	with := routing.NewCost()
+	with.Terms = append(with.Terms, routing.PromptDelay)
+	return []NamedPolicy{{"cost", routing.NewCost()}, {"cost, prompt delay", with}}
+}
--- a/internal/policytest/prompt_workloads.go
+++ b/internal/policytest/prompt_workloads.go
@@ -45,13 +45,13 @@
 		promptWorkload("shift to long and back", promptFleet(24, time.Second), 4, longTexts, shift),
 		promptWorkload("all long", promptFleet(24, time.Second), 3, longTexts, all),
 		promptWorkload("one hot shared part", promptFleet(24, time.Second), 4.6, 1, func(time.Duration) (float64, float64) { return 0.2, 0.15 }),
-		promptWorkload("two upstreams", promptFleet(2, time.Second), 4.8, longTexts, few),
+		promptWorkload("two upstreams", promptFleet(2, time.Second), 4.2, longTexts, func(time.Duration) (float64, float64) { return 0.2, 0.15 }),
 	}
 }
 
 // promptFleet returns a fleet whose daemons know load reports that are up to age old.
 func promptFleet(engines int, age time.Duration) *fleetModel {
-	return &fleetModel{daemons: 6, engines: engines, reportInterval: age * 4 / 5, reportLag: age / 5, engine: unevenEngine}
+	return &fleetModel{daemons: min(6, engines), engines: engines, reportInterval: age * 4 / 5, reportLag: age / 5, engine: unevenEngine, hasOnePrice: true, reportsSlots: true}
 }
 
 // promptWorkload returns a workload of perEngine requests per second and engine.
--- a/internal/policytest/request.go
+++ b/internal/policytest/request.go
@@ -1,6 +1,10 @@
 package policytest
 
-import "time"
+import (
+	"time"
+
+	"rattantide/internal/routing"
+)
 
 // request is one generated request and its progress. Times are relative to the start
 // of the simulation.
@@ -43,6 +47,11 @@
 	length string
 }
 
+// promptClass returns the class as the choice sees it.
+func (c *class) promptClass() routing.PromptClass {
+	return routing.PromptClass{Name: c.name, FirstTarget: c.firstTokenTarget, PauseTarget: c.pauseTarget}
+}
+
 // metTargets reports whether the request was completed within all targets.
 func (r *request) metTargets() bool {
 	return r.endedAt > 0 && !r.isRefused && r.firstTokenAt-r.arrivedAt <= r.class.firstTokenTarget &&
--- a/internal/policytest/simulation.go
+++ b/internal/policytest/simulation.go
@@ -69,7 +69,7 @@
 		}
 		// A quarter of the engines are on-demand instances, as in the target
 		// deployment, and cost more.
-		if i%4 == 3 {
+		if i%4 == 3 && !s.fleet.hasOnePrice {
 			u.Class, u.PricePerHour = membership.OnDemand, 2.5
 		}
 		e := &engine{upstream: u, model: &s.fleet.engine, events: &s.events, cache: newPrefixCache(s.fleet.engine.cacheTokens / blockTokens)}
@@ -83,6 +83,7 @@
 			admission: admission.New(admission.Options{Now: func() time.Time { return s.wallTime(s.events.now) }}),
 			upstreams: append([]membership.Upstream(nil), upstreams...),
 		}
+		d.prompts.Daemons = func() int { return s.fleet.daemons }
 		d.admission.SetUpstreams(poolName, len(upstreams), 0, 0)
 		s.daemons = append(s.daemons, d)
 	}
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -14,4 +14,6 @@
 	// decision.
 	Rand uint64
 	Now  time.Time
+	// Prompts is the input of PromptDelay; the zero value switches it off.
+	Prompts PromptView
 }
