Explain what a gateway would do with a request

"rattantide explain route" prints the route, the versions, the admission rule, the candidates with their scores term by term and the age of each input, and the choice. It works on a copy of the tracker's state and changes nothing.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -14,9 +14,11 @@
 	"rattantide/internal/problem"
 )
 
-// explainCommand prints the state of a request and the rule that applies to it.
+// explainCommand prints the state of a request and the rule that applies to it, or what would
+// happen to a request.
 type explainCommand struct {
 	commonFlags
+	route routeFlags
 }
 
 // Name implements subcommands.Command.
@@ -30,17 +32,29 @@
 // Usage implements subcommands.Command.
 func (*explainCommand) Usage() string {
 	return `explain REQUEST-ID [-o table|json]
+explain route -host HOST [-method METHOD] [-path PATH] [-workspace NAME]
+  [-prompt-tokens N] [-max-tokens N] [-o table|json]
 
 Queries each daemon given with -address or RATTANTIDE_ADDRESS for the request
 with this X-Request-Id and prints its state and the rule that applies to it.
 
   rattantide explain 3f0c9a52
 
+"explain route" prints what a rattantide-gateway would do with such a request now:
+the route, the admission rule, the candidates with their scores term by term and
+the age of each input, and the choice. It sends nothing and changes no state.
+RATTANTIDE_ADDRESS then contains the addresses of the daemons' metrics.
+
+  rattantide explain route -host chat.example -path /v1/ -prompt-tokens 9000
+
 `
 }
 
 // SetFlags implements subcommands.Command.
-func (c *explainCommand) SetFlags(f *flag.FlagSet) { c.register(f, "table|json") }
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	c.register(f, "table|json")
+	c.route.register(f)
+}
 
 // Execute implements subcommands.Command.
 func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -56,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if len(args) == 1 && args[0] == "route" {
+		return c.runRoute(ctx)
+	}
 	if len(args) != 1 {
 		return usagef("needs one REQUEST-ID")
 	}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -92,6 +92,7 @@
 	follower        *versionmove.Follower
 	view            *viewSource
 	gateway         *gateway.Server
+	routes          *routeExplainer
 	config          *fleetsync.ConfigSync
 	upstreams       *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
@@ -300,6 +301,7 @@
 		Policy: newPolicy(), Prompts: &routing.PromptMixes{Daemons: d.daemonCount}, PauseTarget: d.pauseTarget,
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
+	d.routes = newRouteExplainer(d.settings.Name, d.holder, dispatcher)
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
 		Quota: d.quota, Usage: d.counter, Loads: d.table, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -10,11 +10,13 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"rattantide/internal/admin"
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/periodic"
+	"rattantide/internal/routeexplain"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
 	"rattantide/platform"
@@ -138,7 +140,10 @@
 	serve(d.callers, d.gateway)
 	serve(d.readiness, platform.ReadinessHandler(d.ready))
 	serve(d.directory, platform.DirectoryHandler(d.resolve))
-	serve(d.metricsListener, d.metrics)
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("/", d.metrics)
+	metricsMux.Handle("GET "+admin.Prefix+routeexplain.Path, d.routes)
+	serve(d.metricsListener, metricsMux)
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+fleetsync.ConfigPath, &fleetsync.ConfigHandler{Source: d.config.Snapshot, BootNow: bootclock.Now})
 	serve(d.peerListener, peerMux)
--- a/internal/routing/prompt_mixes.go
+++ b/internal/routing/prompt_mixes.go
@@ -26,3 +26,10 @@
 	}
 	return mix
 }
+
+// Lookup returns the mix of a pool, or nil if there is none.
+func (m *PromptMixes) Lookup(name string) *PromptMix {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pools[name]
+}
