Keep the gathering set when a request has few candidates

Requests of the other version of a move, and later attempts, have fewer candidates than the pool has upstreams. The set was cut to them until the next request of the whole pool.

--- a/internal/routing/prompt_delay_test.go
+++ b/internal/routing/prompt_delay_test.go
@@ -280,3 +280,20 @@
 	assert.Equal(t, PromptDelay(req, &Candidate{NameHash: 1, Running: 4, Pace: 2.5}), 2.5*usual)
 	assert.Equal(t, PromptDelay(req, &Candidate{NameHash: 1, Running: 3, Waiting: 1}), usual)
 }
+
+// Guards against a gathering set that follows the few candidates of a request of the other version
+// of a move, and against one that does not follow a pool that has shrunk.
+func TestGatheringSetIsThatOfTheWholePool(t *testing.T) {
+	candidates := promptCandidates(40)
+	m, now := mixedPrompts(candidates)
+	limit, size := m.limit, m.gathering
+	req := &Request{PromptTokens: 700, MaxTokens: 300, Now: now.Add(600 * time.Millisecond)}
+	m.Observe(&chatPrompts, req, candidates[:4], 0)
+	assert.Equal(t, m.limit, limit)
+	assert.Equal(t, m.gathering, size)
+	now = observePrompts(m, now, 5, 10, 1, 20_000, candidates[:4])
+	assert.Assert(t, gatheringCount(m, candidates[:4]) > 0)
+	assert.Assert(t, m.gathering <= 4)
+	observePrompts(m, now, 5, 10, 1, 20_000, candidates)
+	assert.Assert(t, m.gathering > 4, "%d", m.gathering)
+}
--- a/internal/routing/prompt_mix.go
+++ b/internal/routing/prompt_mix.go
@@ -31,6 +31,12 @@
 	borderInterval   = 500 * time.Millisecond
 	growHysteresis   = 0.1
 	shrinkHysteresis = 0.4
+	// minPoolShare is the share of the previous number of candidates from which they count as
+	// the whole pool. Requests of the other version of a move, and later attempts, have
+	// fewer. A third of a pool may leave within a second; after poolSizeRetention without
+	// more candidates, the pool has shrunk even further.
+	minPoolShare      = 0.6
+	poolSizeRetention = 3 * time.Second
 	// minObserved is the number of requests with a prompt after which the term has an effect.
 	// The processing rate of Tracker starts at a tenth of that of a fast engine, and has come
 	// to within 5% of it by then.
@@ -51,6 +57,9 @@
 	perToken float64
 	work     longWork
 	borderAt time.Duration
+	// poolSize is the number of candidates when the border was moved last, at poolSizeAt.
+	poolSize   int
+	poolSizeAt time.Duration
 	// gathering is the number of gathering upstreams, and limit the highest NameHash of them.
 	gathering int
 	limit     uint64
@@ -131,6 +140,10 @@
 func (m *PromptMix) moveBorder(candidates []Candidate, now time.Duration) {
 	m.borderAt = now
 	candidates = candidates[:min(len(candidates), maxScored)]
+	if float64(len(candidates)) < minPoolShare*float64(m.poolSize) && now-m.poolSizeAt < poolSizeRetention {
+		return
+	}
+	m.poolSize, m.poolSizeAt = len(candidates), now
 	wanted := m.poolWork() / gatherBusy
 	size := float64(m.gathering)
 	if wanted > size*(1+growHysteresis) || wanted < size-max(1, shrinkHysteresis*size) {
