--- a/internal/policytest/uneven.go
+++ b/internal/policytest/uneven.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		f.engines = append(f.engines, &engine{
-			upstream: u, events: &f.events, cache: newPrefixCache(cacheTokens / blockTokens), slots: 16, slowness: slowness,
+			upstream: u, model: &defaultFleet.engine, events: &f.events, cache: newPrefixCache(defaultFleet.engine.cacheTokens / blockTokens), slots: 16, slowness: slowness,
 		})
 	}
 	f.store.SetUpstreams(f.processes)
--- a/internal/routing/request.go
+++ b/internal/routing/request.go
@@ -17,4 +17,6 @@
 	// decision.
 	Rand uint64
 	Now  time.Time
+	// Prompts is the input of PromptDelay; the zero value switches it off.
+	Prompts PromptView
 }
