Choose by room only where upstreams report their pace

Cause: a candidate with slots but without pace, as in the comparison of prompts, was chosen by a division by zero. Result: go test ./internal/policytest ./internal/routing passes; without the change TestPromptDelayHelps/two_upstreams served 15.4% of the short prompts in time.

--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -123,7 +123,7 @@
 			best = scores[i]
 		}
 	}
-	if candidates[0].Slots > 0 {
+	if candidates[0].Pace > 0 {
 		return p.pickByRoom(req, candidates, scores[:len(candidates)])
 	}
 	a, b := p.drawTwo(req, candidates, scores[:len(candidates)], best+p.SlackSeconds+best*p.SlackShare)
