--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -98,6 +98,7 @@
 	// callerBytes bounds what the requests of callers hold, callerConns their connections.
 	callerBytes, callerConns *callerbudget.Budget
 	byteReport, connReport   *budgetReport
+	routes                   *routeExplainer
 	config                   *fleetsync.ConfigSync
 	upstreams                *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
@@ -318,8 +319,10 @@
 	d.versionRecorder = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: d.view, Table: d.table, Admission: admitter, Trackers: &routing.Trackers{OnSlowness: d.recordSlowness},
+		Policy: newPolicy(), Prompts: &routing.PromptMixes{Daemons: d.daemonCount}, PauseTarget: d.pauseTarget,
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
+	d.routes = newRouteExplainer(d.settings.Name, d.holder, dispatcher)
 	d.callerBytes, d.callerConns = callerbudget.New(requestBytes(d.settings)), callerbudget.New(maxCallerConns(d.settings))
 	d.byteReport = newBudgetReport("bytes", d.callerBytes, d.logger, d.scope)
 	d.connReport = newBudgetReport("connections", d.callerConns, d.logger, d.scope)
