Switch admission by priority and the delay of long prompts on by settings

Change: both are off unless the environment asks for them. Result: the tests of both run with them on.

--- a/internal/admission/preview.go
+++ b/internal/admission/preview.go
@@ -22,7 +22,8 @@
 		return Preview{Rule: RuleAdmitted}
 	}
 	out := Preview{Rule: RuleAdmitted, InFlight: p.inFlight, Limit: p.limit.current(), Waiting: p.waiting}
-	if p.waiting == 0 && p.hasCapacity() {
+	now := c.opts.Now()
+	if p.isRanked(now) && p.hasRankCapacity(&r, now) || !p.isRanked(now) && p.waiting == 0 && p.hasCapacity() {
 		return out
 	}
 	q := &classQueue{name: r.Class, priority: r.Priority}
@@ -31,9 +32,8 @@
 			q = known
 		}
 	}
-	now := c.opts.Now()
 	service := p.expectedServiceTime(&r)
-	out.Rule, out.Wait = RulePoolLimit, p.expectedWait(q, &r)
+	out.Rule, out.Wait = RulePoolLimit, p.expectedWait(q, &r, now)
 	if !r.Deadline.IsZero() && now.Add(out.Wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(out.Wait).After(p.latestStart(&r)) {
 		out.Rule = RuleShed
 	} else if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace || p.waiting >= p.maxWaiting {
--- a/internal/fleetdaemon/choice.go
+++ b/internal/fleetdaemon/choice.go
@@ -8,9 +8,11 @@
 )
 
 // newPolicy returns the policy by which upstreams are chosen.
-func newPolicy() *routing.Cost {
+func newPolicy(f Features) *routing.Cost {
 	policy := routing.NewCost()
-	policy.Terms = append(policy.Terms, routing.PromptDelay)
+	if f.WeighPromptDelay {
+		policy.Terms = append(policy.Terms, routing.PromptDelay)
+	}
 	return policy
 }
 
@@ -27,3 +29,11 @@
 	}
 	return r.GapTarget
 }
+
+// promptMixes returns the state by which long prompts are weighed, or nil if they are not.
+func (d *Daemon) promptMixes() *routing.PromptMixes {
+	if !d.features.WeighPromptDelay {
+		return nil
+	}
+	return &routing.PromptMixes{Daemons: d.daemonCount}
+}
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -59,6 +59,7 @@
 	// settings are those that the daemon was started with; bounds follow changes of
 	// the settings file.
 	settings    *platform.Settings
+	features    Features
 	bounds      atomic.Pointer[platform.Bounds]
 	logger      *log.Logger
 	scope       tally.Scope
@@ -154,6 +155,8 @@
 	Wall func() time.Time
 	// Reloads receives the signals that the settings file has changed.
 	Reloads <-chan os.Signal
+	// Features are the features to switch on.
+	Features Features
 }
 
 // New opens the listeners and builds the components. Nothing runs until Run.
@@ -161,7 +164,7 @@
 	scope, metrics, closer := telemetry.NewScope()
 	s := o.Settings
 	d := &Daemon{
-		settings: s, logger: o.Logger, droppedLogLines: o.DroppedLogLines, wall: o.Wall, reloads: o.Reloads,
+		settings: s, features: o.Features, logger: o.Logger, droppedLogLines: o.DroppedLogLines, wall: o.Wall, reloads: o.Reloads,
 		scope: scope, metrics: metrics, scopeCloser: closer, process: uuid.NewString()[:8],
 	}
 	d.bounds.Store(&s.Bounds)
@@ -305,7 +308,7 @@
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
-	admitter := admission.New(admission.Options{LimitWork: true, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Logger: d.logger, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, DividePriorities: d.features.AdmitByPriority, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Logger: d.logger, Scope: d.scope})
 	d.reportAdmission = admitter.Report
 	d.buildFleetLoads(admitter)
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
@@ -319,7 +322,7 @@
 	d.versionRecorder = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: d.view, Table: d.table, Admission: admitter, Trackers: &routing.Trackers{OnSlowness: d.recordSlowness},
-		Policy: newPolicy(), Prompts: &routing.PromptMixes{Daemons: d.daemonCount}, PauseTarget: d.pauseTarget,
+		Policy: newPolicy(d.features), Prompts: d.promptMixes(), PauseTarget: d.pauseTarget,
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
 	d.routes = newRouteExplainer(d.settings.Name, d.holder, dispatcher)
--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -67,6 +67,10 @@
 }
 
 func startDeployment(t testing.TB, daemons int) *deployment {
+	return startDeploymentWith(t, daemons, Features{})
+}
+
+func startDeploymentWith(t testing.TB, daemons int, features Features) *deployment {
 	s := &deployment{t: t, store: platformstore.New(), cloud: platformcloud.New(), runner: &runner.Runner{ID: "i-1"}}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
@@ -112,7 +116,7 @@
 		settings, err := platform.ParseSettings([]byte(text))
 		assert.NilError(t, err)
 		settings.MetricsPort = 0
-		d, err := New(Options{Settings: settings, Logger: telemetry.Discard(), DroppedLogLines: func() int64 { return 0 }, Wall: time.Now})
+		d, err := New(Options{Settings: settings, Logger: telemetry.Discard(), DroppedLogLines: func() int64 { return 0 }, Wall: time.Now, Features: features})
 		assert.NilError(t, err)
 		// The callers' address is known only once the port is assigned.
 		d.settings.CallerAddress = d.callers.Addr().String()
--- a/internal/fleetdaemon/execute.go
+++ b/internal/fleetdaemon/execute.go
@@ -29,6 +29,11 @@
 		fmt.Fprintf(os.Stderr, "rattantide-gateway: invalid settings:\n%v\n", err)
 		return program.ExitSettings
 	}
+	features, err := FeaturesFromEnvironment(os.LookupEnv)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "rattantide-gateway: invalid environment:\n%v\n", err)
+		return program.ExitSettings
+	}
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(settings.MemoryBytes)))
 	}
@@ -40,6 +45,6 @@
 		return program.ExitSettings
 	}
 	return program.Run(logger, func() (*Daemon, error) {
-		return New(Options{Settings: settings, Logger: logger, DroppedLogLines: lines.Dropped, Wall: wall, Reloads: reloads})
+		return New(Options{Settings: settings, Logger: logger, DroppedLogLines: lines.Dropped, Wall: wall, Reloads: reloads, Features: features})
 	})
 }
--- a/internal/fleetdaemon/explain_route_test.go
+++ b/internal/fleetdaemon/explain_route_test.go
@@ -33,7 +33,7 @@
 	assert.Assert(t, holder.Apply(config, time.Now()))
 	table := membership.NewTable(membership.Daemon{Name: "d"}, membership.Options{})
 	dispatcher := dispatch.New(dispatch.Options{
-		Config: &viewSource{holder: holder, moves: func() map[string]versionmove.State { return nil }}, Table: table, Policy: newPolicy(),
+		Config: &viewSource{holder: holder, moves: func() map[string]versionmove.State { return nil }}, Table: table, Policy: newPolicy(Features{WeighPromptDelay: true}),
 	})
 	explainer := newRouteExplainer("d", holder, dispatcher)
 	get := func(token string, change func(url.Values)) *httptest.ResponseRecorder {
--- a/internal/fleetdaemon/fleet_loads_test.go
+++ b/internal/fleetdaemon/fleet_loads_test.go
@@ -29,7 +29,7 @@
 // also after the loss of a collector.
 func TestFleetLoadsReachAllDaemons(t *testing.T) {
 	const daemons = 3
-	s := startDeployment(t, daemons)
+	s := startDeploymentWith(t, daemons, Features{AdmitByPriority: true})
 	for i := range s.daemons {
 		s.waitFor("readiness", func() bool { return s.isReady(i) && len(s.resolve(i)) == daemons })
 	}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -63,9 +63,11 @@
 	group.Go(func() error { return d.exchangeUpstreamStates(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
-	group.Go(func() error {
-		return periodic.Every(workCtx, fleetload.TickInterval, func(context.Context) { d.fleetLoads.Tick() })
-	})
+	if d.features.AdmitByPriority {
+		group.Go(func() error {
+			return periodic.Every(workCtx, fleetload.TickInterval, func(context.Context) { d.fleetLoads.Tick() })
+		})
+	}
 	d.startDuties(workCtx, group)
 	callers, servers := d.startServers(group)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
