--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -23,8 +23,18 @@
 	retries    map[string]*budget
 	hedges     map[string]*budget
 	quarantine quarantine
+	scope      tally.Scope
+	gauges     map[string]*gauges
+	// decisions counts decisions by class and rule.
+	decisions map[classRule]tally.Counter
 
-	admitted, shed, queueFull, callerGaveUp, repeatsRefused, crashes tally.Counter
+	admitted, shed, overShare, queueFull, callerGaveUp, repeatsRefused, crashes tally.Counter
+}
+
+// classRule identifies a counter of decisions.
+type classRule struct {
+	class string
+	rule  Rule
 }
 
 // New returns a Controller.
@@ -41,12 +51,18 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.FleetNow == nil {
+		opts.FleetNow = opts.Now
+	}
 	if opts.Scope == nil {
 		opts.Scope = tally.NoopScope
 	}
 	scope := opts.Scope.SubScope("admission")
 	return &Controller{
 		opts:           opts,
+		scope:          scope,
+		gauges:         map[string]*gauges{},
+		decisions:      map[classRule]tally.Counter{},
 		pools:          map[string]*pool{},
 		waiters:        map[string]*waiter{},
 		history:        newHistory(),
@@ -54,6 +70,7 @@
 		hedges:         map[string]*budget{},
 		admitted:       scope.Counter("admitted"),
 		shed:           scope.Counter("shed"),
+		overShare:      scope.Counter("over_share"),
 		queueFull:      scope.Counter("queue_full"),
 		callerGaveUp:   scope.Counter("gave_up"),
 		repeatsRefused: scope.Counter("repeats_refused"),
@@ -145,7 +162,7 @@
 		p.cancelGrant(&w.req, false, now)
 		c.grantWaiting(p)
 	case w.queue.position(w) >= 0:
-		w.retryAfter = p.clampRetryAfter(p.expectedWait(p.class(&w.req), &w.req))
+		w.retryAfter = p.returnDelay(&w.req, p.expectedWait(p.class(&w.req), &w.req, now), now)
 		p.remove(w)
 	default:
 		rule = w.refusedBy
@@ -295,6 +312,10 @@
 		if c.opts.LimitWork {
 			p.workLimit = newWorkLimit()
 		}
+		if c.opts.LimitWork && c.opts.DividePriorities {
+			p.ranks = newRankLimit(c.opts.HasQuotas)
+			p.ranks.fleetNow = c.opts.FleetNow
+		}
 		c.pools[name] = p
 	}
 	return p
@@ -316,6 +337,8 @@
 	switch rule {
 	case RuleShed:
 		p.Detail = "the deadline cannot be met at the present load"
+	case RuleFairShare:
+		p.Detail = "the workspace has used up its fair share at the present load"
 	case RuleQueueFull:
 		p.Detail = "the queue is full"
 	default:
--- a/internal/admission/pool_estimate.go
+++ b/internal/admission/pool_estimate.go
@@ -18,16 +18,22 @@
 // expectedWait estimates the time in the queue from the work that starts before
 // the request and the throughput. By Little's law, the throughput is the limit
 // divided by the mean total time.
-func (p *pool) expectedWait(q *classQueue, r *Request) time.Duration {
+func (p *pool) expectedWait(q *classQueue, r *Request, now time.Time) time.Duration {
 	if p.meanTotal == 0 || p.meanCost == 0 {
 		return 0
 	}
-	before := q.costBefore(r.Workspace, r.cost())
+	before := 0.0
+	if !r.isReturning {
+		before = q.costBefore(r.Workspace, r.cost())
+	}
 	for _, other := range p.classes {
 		if other != q && other.priority > r.Priority {
 			before += other.cost()
 		}
 	}
+	if p.isRanked(now) {
+		return p.rankedWait(r, before, now)
+	}
 	return p.waitForWork(before)
 }
 
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -18,6 +18,7 @@
 	"rattantide/internal/callerbudget"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/lease"
@@ -58,6 +59,7 @@
 	// settings are those that the daemon was started with; bounds follow changes of
 	// the settings file.
 	settings    *platform.Settings
+	features    Features
 	bounds      atomic.Pointer[platform.Bounds]
 	logger      *log.Logger
 	scope       tally.Scope
@@ -97,6 +99,7 @@
 	// callerBytes bounds what the requests of callers hold, callerConns their connections.
 	callerBytes, callerConns *callerbudget.Budget
 	byteReport, connReport   *budgetReport
+	routes                   *routeExplainer
 	config                   *fleetsync.ConfigSync
 	upstreams                *fleetsync.UpstreamSync
 	// evacuations is nil if the deployment has none.
@@ -130,6 +133,12 @@
 	upstreamStore *upstreamstate.Store
 	// slowLogs is what maintain logged of slow upstreams, by pool.
 	slowLogs map[string]slowLog
+	// servingPeers are the names of the other daemons that serve.
+	servingPeers atomic.Pointer[[]string]
+	// reportAdmission updates the metrics of admission and logs changes of its rule.
+	reportAdmission func()
+	// fleetLoads exchanges the demand and the capacity with the other daemons.
+	fleetLoads *fleetload.Exchange
 	// revision is that of the instance list that applyMembers passed to table last.
 	revision atomic.Int64
 
@@ -146,6 +155,8 @@
 	Wall func() time.Time
 	// Reloads receives the signals that the settings file has changed.
 	Reloads <-chan os.Signal
+	// Features are the features to switch on.
+	Features Features
 }
 
 // New opens the listeners and builds the components. Nothing runs until Run.
@@ -153,7 +164,7 @@
 	scope, metrics, closer := telemetry.NewScope()
 	s := o.Settings
 	d := &Daemon{
-		settings: s, logger: o.Logger, droppedLogLines: o.DroppedLogLines, wall: o.Wall, reloads: o.Reloads,
+		settings: s, features: o.Features, logger: o.Logger, droppedLogLines: o.DroppedLogLines, wall: o.Wall, reloads: o.Reloads,
 		scope: scope, metrics: metrics, scopeCloser: closer, process: uuid.NewString()[:8],
 	}
 	d.bounds.Store(&s.Bounds)
@@ -297,7 +308,9 @@
 // buildRequestPath builds the components that process a caller's request.
 func (d *Daemon) buildRequestPath() {
 	d.latencies = newLatencyTracker(d.holder, time.Now)
-	admitter := admission.New(admission.Options{LimitWork: true, MinRetryAfter: minRetryAfter, Scope: d.scope})
+	admitter := admission.New(admission.Options{LimitWork: true, DividePriorities: d.features.AdmitByPriority, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Logger: d.logger, Scope: d.scope})
+	d.reportAdmission = admitter.Report
+	d.buildFleetLoads(admitter)
 	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
 		Window: d.settings.Bounds.RetryWindow, Now: time.Now,
@@ -309,8 +322,10 @@
 	d.versionRecorder = &versionmove.Recorder{}
 	dispatcher := dispatch.New(dispatch.Options{
 		Config: d.view, Table: d.table, Admission: admitter, Trackers: &routing.Trackers{OnSlowness: d.recordSlowness},
+		Policy: newPolicy(d.features), Prompts: d.promptMixes(), PauseTarget: d.pauseTarget,
 		Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Observer: multiObserver{d.latencies, d.versionRecorder}, Starts: d.versionRecorder, RepeatBudget: retryBudget, EnforceFirstTarget: true, Scope: d.scope,
 	})
+	d.routes = newRouteExplainer(d.settings.Name, d.holder, dispatcher)
 	d.callerBytes, d.callerConns = callerbudget.New(requestBytes(d.settings)), callerbudget.New(maxCallerConns(d.settings))
 	d.byteReport = newBudgetReport("bytes", d.callerBytes, d.logger, d.scope)
 	d.connReport = newBudgetReport("connections", d.callerConns, d.logger, d.scope)
@@ -332,6 +347,12 @@
 // daemonCount returns the number of known daemons, including this one.
 func (d *Daemon) daemonCount() int { return 1 + d.peers.PeerCount() }
 
+// hasQuotas reports whether any workspace has a quota.
+func (d *Daemon) hasQuotas() bool {
+	config, _ := d.holder.Current()
+	return config != nil && config.HasQuotas()
+}
+
 // fleetShare returns this daemon's share of limits that apply to the whole fleet,
 // in (0, 1].
 func (d *Daemon) fleetShare() float64 { return 1 / float64(d.daemonCount()) }
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -10,11 +10,14 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"rattantide/internal/admin"
 	"rattantide/internal/autoscale"
 	"rattantide/internal/bootclock"
+	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
 	"rattantide/internal/periodic"
+	"rattantide/internal/routeexplain"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
 	"rattantide/platform"
@@ -60,6 +63,11 @@
 	group.Go(func() error { return d.exchangeUpstreamStates(workCtx) })
 	group.Go(func() error { return periodic.Every(workCtx, maintenanceInterval, d.maintain) })
 	group.Go(func() error { return d.followSettings(workCtx) })
+	if d.features.AdmitByPriority {
+		group.Go(func() error {
+			return periodic.Every(workCtx, fleetload.TickInterval, func(context.Context) { d.fleetLoads.Tick() })
+		})
+	}
 	d.startDuties(workCtx, group)
 	callers, servers := d.startServers(group)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
@@ -145,7 +153,10 @@
 	}
 	serve(d.readiness, platform.ReadinessHandler(d.ready))
 	serve(d.directory, platform.DirectoryHandler(d.resolve))
-	serve(d.metricsListener, d.metrics)
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("/", d.metrics)
+	metricsMux.Handle("GET "+admin.Prefix+routeexplain.Path, d.routes)
+	serve(d.metricsListener, metricsMux)
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+fleetsync.ConfigPath, &fleetsync.ConfigHandler{Source: d.config.Snapshot, BootNow: bootclock.Now})
 	serve(d.peerListener, peerMux)
@@ -179,6 +190,7 @@
 // and updates gauges and this daemon's counts in the ledgers.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
+	d.reportAdmission()
 	peers := d.peers.Peers()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
--- a/internal/policytest/engine.go
+++ b/internal/policytest/engine.go
@@ -6,21 +6,8 @@
 	"rattantide/internal/membership"
 )
 
-// Parameters of the engine model, which uses continuous batching. A step processes a
-// chunk of prompt tokens and generates one token for each job that has finished its
-// prompt; its duration grows with both. The values have the magnitude of a mid-size
-// model on one accelerator.
-const (
-	stepBase           = 10 * time.Millisecond
-	stepPerPromptToken = 100 * time.Microsecond
-	stepPerDecoding    = 500 * time.Microsecond
-	maxChunkTokens     = 256
-	maxBatchJobs       = 32
-	blockTokens        = 16
-	// cacheTokens is the capacity of the prefix cache, enough for about a dozen
-	// archive texts.
-	cacheTokens = 40_000
-)
+// blockTokens is the length in tokens of the blocks by which prompts are cached.
+const blockTokens = 16
 
 // job is an attempt to execute a request at an engine.
 type job struct {
@@ -44,13 +31,14 @@
 // engine simulates a model engine.
 type engine struct {
 	upstream   membership.Upstream
+	model      *engineModel
 	events     *eventQueue
 	cache      *prefixCache
 	waiting    []*job
 	running    []*job
 	isStepping bool
 	isDead     bool
-	// slots bounds the batch; 0 means maxBatchJobs.
+	// slots bounds the batch; 0 means that of the model.
 	slots int
 	// slowness, when set, returns how long steps take at a time relative to the usual time.
 	slowness func(at time.Duration) float64
@@ -85,7 +73,7 @@
 		return
 	}
 	e.isStepping = true
-	chunk, decoding := maxChunkTokens, 0
+	chunk, decoding := e.model.maxChunkTokens, 0
 	for _, j := range e.running {
 		if j.promptRemaining == 0 {
 			decoding++
@@ -98,9 +86,9 @@
 		// The step that finishes the prompt yields the first token.
 		j.yieldsToken = n > 0 && j.promptRemaining == 0
 	}
-	processed := maxChunkTokens - chunk
+	processed := e.model.maxChunkTokens - chunk
 	e.computedTokens += processed
-	duration := stepBase + time.Duration(processed)*stepPerPromptToken + time.Duration(decoding)*stepPerDecoding
+	duration := e.model.stepBase + time.Duration(processed)*e.model.stepPerPromptToken + time.Duration(decoding)*e.model.stepPerDecoding
 	if e.slowness != nil {
 		duration = time.Duration(float64(duration) * e.slowness(e.events.now))
 	}
@@ -113,7 +101,7 @@
 	if e.slots > 0 {
 		return e.slots
 	}
-	return maxBatchJobs
+	return e.model.maxBatchJobs
 }
 
 // endStep adds the generated tokens to their requests, removes finished jobs and starts
@@ -131,6 +119,7 @@
 		}
 		r := j.request
 		r.generatedTokens++
+		r.recordToken(e.events.now)
 		if r.generatedTokens == 1 {
 			r.firstTokenAt = e.events.now
 		}
@@ -167,5 +156,5 @@
 // memory.
 func (e *engine) loadReport() membership.Load {
 	used := int64(e.cache.lru.Len() * blockTokens)
-	return membership.Load{Running: len(e.running), Waiting: len(e.waiting), KVUsedTokens: used / 2, KVTotalTokens: cacheTokens}
+	return membership.Load{Running: len(e.running), Waiting: len(e.waiting), KVUsedTokens: used / 2, KVTotalTokens: int64(e.model.cacheTokens)}
 }
