Name reported upstream state by the usual terms in package routing

The types and fields that hold what upstreams report were called told; they are now called reported. pickByRoom is split, its level is determined by commonLevel. No behaviour changes.

--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -5,16 +5,17 @@
 	// directed to the same upstreams. Computing a shorter one again takes less time than the
 	// differences between upstreams.
 	minAffinityTokens = 1024
-	// affinityShare and secondAffinityShare are the shares of a shared prefix that the upstreams preferred for it are
-	// expected to hold beyond what this daemon knows: other daemons send there too. The second
-	// one gets what the first one has no room for.
+	// affinityShare and secondAffinityShare are the shares of a shared prefix that the first
+	// and the second upstream preferred for it are expected to hold beyond what this daemon
+	// knows: other daemons send there too. The second one gets what the first one has no room
+	// for.
 	affinityShare       = 0.7
 	secondAffinityShare = 0.35
 )
 
 // applyAffinity raises the expected cached tokens of the two upstreams that all daemons
 // prefer for the shared prefix of a request, by rendezvous hashing. A daemon of a large fleet
-// rarely gets a prefix twice, so that its own record of what was sent where does not tell
+// rarely gets a prefix twice, so that its own record of what was sent where does not show
 // which upstreams hold it.
 func applyAffinity(req *Request, candidates []Candidate) {
 	if req.SharedBlocks <= 0 || req.SharedBlocks > len(req.Blocks) || len(candidates) < 2 {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -45,8 +45,8 @@
 	// Speed is the lasting speed of the upstream relative to its pool: 2 means that work takes
 	// half as long. 0 if it is not known.
 	Speed float64
-	// StateAge is the age of Waiting, Pace and Running as told by the upstream. It is without
-	// meaning while Slots is 0.
+	// StateAge is the age of Waiting, Pace and Running as reported by the upstream. It is
+	// undefined while Slots is 0.
 	StateAge time.Duration
 	// WaitSeconds is the expected time to the first answer at the usual pace and speed that
 	// does not depend on the prompt: until a slot is free and, for a plain service, the
@@ -54,7 +54,7 @@
 	WaitSeconds float64
 	// AddedSeconds is the growth of the expected time to the first answer with each further
 	// request at the upstream, and Unreported the expected number of requests of all daemons
-	// that arrive there before a report tells of them. Both are 0 while Slots is 0.
+	// that arrive there before a report includes them. Both are 0 while Slots is 0.
 	AddedSeconds float64
 	Unreported   float64
 	// OwnUnreported is the number of this daemon's open attempts that the report does not
--- a/internal/routing/estimator.go
+++ b/internal/routing/estimator.go
@@ -31,16 +31,16 @@
 	// perLoadHorizon is the reciprocal of the horizon of a reported load in seconds.
 	perLoadHorizon float64
 	// unknown stands for the report of an upstream without one.
-	unknown toldState
+	unknown reportedState
 }
 
 // estimate sets the fields of a candidate that depend on its slots and its pace. It uses few
 // divisions, as it is called for each candidate of each request.
 func (e *estimator) estimate(s *upstreamState, c *Candidate) {
-	told, age, loadWeight, paceWeight := &s.told, time.Duration(math.MaxInt64), 0.0, 0.0
+	reported, age, loadWeight, paceWeight := &s.reported, time.Duration(math.MaxInt64), 0.0, 0.0
 	unreported := e.hold
-	if told.slots > 0 {
-		age = e.now - told.takenAt
+	if reported.slots > 0 {
+		age = e.now - reported.takenAt
 		if age < 0 {
 			age = 0
 		}
@@ -55,16 +55,16 @@
 			paceWeight = left * left
 		}
 	} else {
-		told = &e.unknown
+		reported = &e.unknown
 	}
-	slots := told.slots
+	slots := reported.slots
 	occupancy := e.meanShare * slots
-	occupancy += loadWeight*(told.occupancy-occupancy) + float64(s.told.sentSince)
+	occupancy += loadWeight*(reported.occupancy-occupancy) + float64(s.reported.sentSince)
 	if own := float64(s.inFlight); occupancy < own {
 		occupancy = own
 	}
 	c.Slots, c.StateAge = int(slots+0.5), age
-	c.Pace = e.meanPace + paceWeight*(told.pace-e.meanPace)
+	c.Pace = e.meanPace + paceWeight*(reported.pace-e.meanPace)
 	c.Slowness, c.Speed = s.lastingSlowness(e.now)
 	c.Running, c.Waiting = occupancy, 0
 	if occupancy > slots {
@@ -75,7 +75,7 @@
 	// number of requests is not known exactly.
 	excess := occupancy + 1 - slots
 	width := sharpWait + (1-loadWeight)*staleWaitShare*slots
-	c.OwnUnreported = s.told.sentSince
+	c.OwnUnreported = s.reported.sentSince
 	c.Unreported = c.Running * e.arrivalsPerRunning * unreported
 	distance, ahead, growth := excess, excess, 1.0
 	if excess < 0 {
@@ -84,7 +84,7 @@
 	half := 0.5 * width
 	near := half / (distance + half)
 	ahead += half * near
-	perSlot := e.hold * told.slotTime
+	perSlot := e.hold * reported.slotTime
 	c.WaitSeconds = e.service + e.running*c.Running + perSlot*ahead
 	c.AddedSeconds = e.added + perSlot
 	if e.service == 0 {
--- a/internal/routing/long_work.go
+++ b/internal/routing/long_work.go
@@ -34,6 +34,7 @@
 	long, work, squares float64
 }
 
+// observe decays the sums and adds a prompt, which counts only if it is long.
 func (w *promptWindow) observe(tokens float64, isLong bool, now, halfLife time.Duration) {
 	if elapsed := now - w.at; elapsed > 0 {
 		factor := halfLifeFactor(elapsed, halfLife)
@@ -48,6 +49,7 @@
 	}
 }
 
+// observe adds a prompt to both windows and checks whether the mix has shifted.
 func (w *longWork) observe(tokens float64, isLong bool, now time.Duration) {
 	w.slow.observe(tokens, isLong, now, slowHalfLife)
 	w.fast.observe(tokens, isLong, now, fastHalfLife)
--- a/internal/routing/pool_state.go
+++ b/internal/routing/pool_state.go
@@ -23,10 +23,10 @@
 	// maxRunningSeconds bounds the estimate.
 	runningStep       = 0.02
 	maxRunningSeconds = 1.0
-	// newReportAge is the age up to which a report counts as new. The exchange tells of most
-	// upstreams within it.
+	// newReportAge is the age up to which a report counts as new. The exchange delivers
+	// reports of most upstreams within it.
 	newReportAge = time.Second
-	// reportDelay is the mean time from a choice to a report that tells of it at the daemons:
+	// reportDelay is the mean time from a choice to a report that includes it at the daemons:
 	// messages go out several times a second and reach daemons through a collector.
 	reportDelay = 200 * time.Millisecond
 	// speedHalfAge is the time without measurements after which a lasting speed counts half.
@@ -41,7 +41,7 @@
 )
 
 // poolState holds what is common to the upstreams of a pool whose upstreams report slots and
-// pace. An upstream whose own report is old or missing is taken for a mean one.
+// pace. An upstream whose own report is old or missing counts as an average one.
 type poolState struct {
 	// meanShare is the mean number of requests per slot, meanSlots that of slots, and meanPace
 	// that of the pace, in the reports.
@@ -55,19 +55,19 @@
 }
 
 // observe adds a report to the means.
-func (p *poolState) observe(told *toldState) {
-	if told.slots == 0 {
+func (p *poolState) observe(reported *reportedState) {
+	if reported.slots == 0 {
 		return
 	}
-	slots := told.slots
-	share := told.occupancy * told.slotTime
+	slots := reported.slots
+	share := reported.occupancy * reported.slotTime
 	if p.meanSlots == 0 {
-		p.meanShare, p.meanSlots, p.meanPace = share, slots, told.pace
+		p.meanShare, p.meanSlots, p.meanPace = share, slots, reported.pace
 		return
 	}
 	p.meanShare += meanWeight * (share - p.meanShare)
 	p.meanSlots += meanWeight * (slots - p.meanSlots)
-	p.meanPace += meanWeight * (told.pace - p.meanPace)
+	p.meanPace += meanWeight * (reported.pace - p.meanPace)
 }
 
 // observeHold adds the total time of an attempt that was answered.
@@ -95,6 +95,7 @@
 	p.runningSeconds = min(max(0, p.runningSeconds+step), maxRunningSeconds)
 }
 
+// hold returns holdSeconds, or its default before the first measurement.
 func (p *poolState) hold() float64 {
 	if p.holdSeconds == 0 {
 		return defaultHoldSeconds
@@ -115,7 +116,7 @@
 	half := min(max(hold, minLoadHalfAge.Seconds()), maxLoadHalfAge.Seconds())
 	e := estimator{
 		now: now, hold: hold, meanShare: p.meanShare, meanPace: p.meanPace, perLoadHorizon: 1 / (half * horizonFactor),
-		unknown: toldState{slots: p.meanSlots, slotTime: 1 / p.meanSlots, occupancy: p.meanShare * p.meanSlots, pace: p.meanPace},
+		unknown: reportedState{slots: p.meanSlots, slotTime: 1 / p.meanSlots, occupancy: p.meanShare * p.meanSlots, pace: p.meanPace},
 	}
 	e.running = p.runningSeconds
 	// Some of the prompts of the requests that are not yet reported are still being processed.
--- a/internal/routing/prompt_class.go
+++ b/internal/routing/prompt_class.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// PromptClass is what the choice needs to know of the class of a request that has a prompt.
+// PromptClass describes the class of a request that has a prompt, as far as the choice of an
+// upstream depends on it.
 type PromptClass struct {
 	Name string
 	// FirstTarget is the time within which the request must be answered for the first time,
--- a/internal/routing/prompt_classes.go
+++ b/internal/routing/prompt_classes.go
@@ -53,8 +53,8 @@
 	mean.tokens += (tokens - mean.tokens) / min(mean.weight, 1/meanWeight)
 }
 
-// summarize updates what follows from the means, by the classes that were seen recently, and discards the
-// others.
+// summarize updates differ, shortest and tightest from the classes that were seen recently,
+// and discards the others.
 func (p *promptClasses) summarize(now time.Duration) {
 	shortest, longest, tightest := math.Inf(1), 0.0, math.Inf(1)
 	for name, mean := range p.means {
--- a/internal/routing/prompt_delay.go
+++ b/internal/routing/prompt_delay.go
@@ -13,7 +13,7 @@
 	minSlackShare = 0.25
 	// toleratedRequests is the number of requests more than at the best candidate for which a
 	// candidate counts as equal: the random error of the number that runs, of about ten,
-	// since the upstream told it. Without it, the daemons sent their long prompts to the same
+	// since the latest report. Without it, the daemons sent their long prompts to the same
 	// upstream until the next report.
 	toleratedRequests = 3
 )
@@ -68,8 +68,8 @@
 	return delay * weight * weight
 }
 
-// setLeastDelay sets leastDelay for a request, with toleratedRequests. It stays 0 if the prompt is
-// short at any candidate.
+// setLeastDelay sets leastDelay for a request, with toleratedRequests. It stays 0 if the
+// prompt is short at any candidate.
 func (v *PromptView) setLeastDelay(req *Request, candidates []Candidate) {
 	least := math.Inf(1)
 	for i := range candidates {
--- a/internal/routing/prompt_delay_test.go
+++ b/internal/routing/prompt_delay_test.go
@@ -121,7 +121,7 @@
 }
 
 // Guards against an effect where the classes have prompts of about the same length, one class
-// only is used, or upstreams do not tell their slots or told them long ago.
+// only is used, or upstreams do not report their slots or did so long ago.
 func TestPromptDelayIsOffWithoutDifference(t *testing.T) {
 	candidates := promptCandidates(24)
 	for name, c := range map[string]struct {
--- a/internal/routing/prompt_mix.go
+++ b/internal/routing/prompt_mix.go
@@ -14,8 +14,8 @@
 	maxDiversion = 0.25
 	// longShare is the ratio of a prompt's processing time to the tightest target of the pool
 	// from which the prompt counts as long: 6,400 tokens for 40 tokens per millisecond and
-	// a target of 400 ms. Between 0.25 and 0.5, the results differ by less than those of
-	// two seeds. minLongRatio is the minimum ratio of its uncached tokens to the
+	// a target of 400 ms. Between 0.25 and 0.5, the results differ by less than
+	// those of two seeds. minLongRatio is the minimum ratio of its uncached tokens to the
 	// mean prompt of the pool's class with the shortest ones; it bounds the error while the
 	// processing rate has not been learned yet.
 	longShare    = 0.4
@@ -25,9 +25,10 @@
 	gatherBusy = 0.5
 	// borderInterval is the shortest time between two changes of the number of gathering
 	// upstreams. growHysteresis and shrinkHysteresis are the relative differences below which
-	// it stays. Even with slowHalfLife, the estimated work varies by about a quarter at a
-	// daemon that serves one long prompt per second. A set that is too small makes long
-	// prompts delay each other, one that is too large is only less used.
+	// the number does not change. Even with slowHalfLife, the estimated work varies by about a
+	// quarter at a daemon that serves one long prompt per second. The set shrinks less readily,
+	// because a set that is too small makes long prompts delay each other, and one that is too
+	// large is only less used.
 	borderInterval   = 500 * time.Millisecond
 	growHysteresis   = 0.1
 	shrinkHysteresis = 0.4
--- a/internal/routing/prompt_room.go
+++ b/internal/routing/prompt_room.go
@@ -7,23 +7,23 @@
 	// short prompts begin to use the gathering ones too, and at which they use them like the
 	// others.
 	scarceShare, fullShare = 0.75, 0.95
-	// staleAge is the age of the upstreams' state from which prompts of different length are
-	// placed like others: most answers that ran then have ended. Gathering with state of 3 s
-	// filled the slots of the other upstreams in waves, as all daemons moved at once.
+	// staleAge is the age of the upstreams' state from which long prompts are placed like
+	// others: most answers that ran then have ended. With state of that age, all
+	// daemons move at once and fill the slots of the other upstreams in waves.
 	staleAge = 3 * time.Second
 	// roomWeight is the weight of a new value in the running mean of the room, which is
 	// updated each borderInterval. The mean follows within about 2 s; with a weight of 1, it
-	// followed the random number of requests that run.
+	// would follow the random number of running requests.
 	roomWeight = 0.25
 )
 
-// promptRoom estimates whether the upstreams of a pool can bear that long prompts gather.
+// promptRoom estimates whether the upstreams of a pool have room for gathering long prompts.
 type promptRoom struct {
 	// share is the share of the delay by long prompts that short prompts count: 1 while the
 	// upstreams at which long prompts do not gather have free slots, and 0 if they have too few.
 	share float64
 	// freshness falls from 1 to 0 as the mean age of the state rises to staleAge. It is 0 if no
-	// upstream tells its slots. A silent upstream counts with twice staleAge.
+	// upstream reports its slots. A silent upstream counts with twice staleAge.
 	freshness float64
 }
 
--- a/internal/routing/prompt_view.go
+++ b/internal/routing/prompt_view.go
@@ -1,6 +1,6 @@
 package routing
 
-// PromptView is what PromptDelay needs to know of the prompts of a pool, as of one decision.
+// PromptView holds what PromptDelay needs of the PromptMix of a pool, as of one decision.
 // The zero value means that prompts do not differ in length.
 type PromptView struct {
 	// limitSeconds is the largest value of PromptDelay for the request; 0 switches it off.
--- a/internal/routing/told_state.go
+++ b/internal/routing/reported_state.go
@@ -6,16 +6,16 @@
 	"rattantide/internal/membership"
 )
 
-// minToldPace and maxToldPace bound the pace that an upstream may report, so that a wrong
+// minReportedPace and maxReportedPace bound the pace that an upstream may report, so that a wrong
 // report does not draw all requests of a pool, nor outlast the answers that contradict it.
 const (
-	minToldPace = 0.25
-	maxToldPace = 16.0
+	minReportedPace = 0.25
+	maxReportedPace = 16.0
 )
 
-// toldState is what an upstream reported of its slots and its pace. It is the zero value,
+// reportedState is what an upstream reported of its slots and its pace. It is the zero value,
 // except for sentSince, if the upstream reports no pace.
-type toldState struct {
+type reportedState struct {
 	slots float64
 	// slotTime is the mean time between two requests that leave the full upstream, as a share
 	// of the time for which a request holds a slot.
@@ -28,14 +28,14 @@
 	sentSince int
 }
 
-// newToldState returns the state in a report that was taken at a time.
-func newToldState(report *membership.Load, takenAt time.Duration, sentSince int) toldState {
+// newReportedState returns the state in a report that was taken at a time.
+func newReportedState(report *membership.Load, takenAt time.Duration, sentSince int) reportedState {
 	if report.Pace <= 0 || report.Slots <= 0 {
-		return toldState{sentSince: sentSince}
+		return reportedState{sentSince: sentSince}
 	}
-	return toldState{
+	return reportedState{
 		slots: float64(report.Slots), slotTime: 1 / float64(report.Slots), occupancy: float64(report.Running + report.Waiting),
-		pace:    min(max(report.Pace, minToldPace), maxToldPace),
+		pace:    min(max(report.Pace, minReportedPace), maxReportedPace),
 		takenAt: takenAt, sentSince: sentSince,
 	}
 }
--- a/internal/routing/room.go
+++ b/internal/routing/room.go
@@ -11,7 +11,7 @@
 
 // pickByRoom picks a candidate at random, with a probability in proportion to its room: the
 // number of requests that bring its score to a common level. The level is the one at which the
-// room of all candidates is the number of requests that daemons send before reports tell of
+// room of all candidates is the number of requests that daemons send before reports include
 // them. So daemons with the same reports fill the best upstreams together up to the level of
 // the next ones, instead of all choosing the best one.
 //
@@ -19,28 +19,10 @@
 // are for other prompts. It counts in full at the level: the request goes to the candidates
 // where it is answered first once the others have been sent.
 func (p *Cost) pickByRoom(req *Request, candidates []Candidate, scores []float64) int {
-	// gains are the seconds that the cached tokens save, and slopes the numbers of requests by
-	// which the room grows with each second of the level.
 	var gainArray, slopeArray, costArray [maxScored]float64
 	gains, slopes := gainArray[:len(scores)], slopeArray[:len(scores)]
-	unreported, secondsPerToken, prompt := 0.0, 1/candidates[0].promptRate(), float64(req.PromptTokens)
-	best, slopeSum := math.Inf(1), 0.0
-	for i := range candidates {
-		c := &candidates[i]
-		pace := c.Slowness * c.Pace
-		if cached := c.CachedTokens; cached > 0 {
-			gains[i] = min(cached, prompt) * secondsPerToken * pace
-			scores[i] += gains[i]
-		}
-		slopes[i] = 1 / (c.AddedSeconds * pace)
-		slopeSum += slopes[i]
-		if scores[i] < best {
-			best = scores[i]
-		}
-		unreported += c.Unreported
-	}
-	level := roomLevel(scores, slopes, best, slopeSum, max(unreported, 1))
-	// Comparisons stand in place of min and max, which also handle NaN and take longer.
+	level := commonLevel(req, candidates, scores, gains, slopes)
+	// Comparisons are used instead of min and max, which also handle NaN and take longer.
 	lowest := math.Inf(1)
 	costs := &costArray
 	for i, score := range scores {
@@ -79,6 +61,30 @@
 	return picked
 }
 
+// commonLevel returns the level at which the room of all candidates is the number of requests
+// that are not yet reported. It sets gains to the seconds that the cached tokens save, adds
+// these to the scores, and sets slopes to the numbers of requests by which the room grows with
+// each second of the level.
+func commonLevel(req *Request, candidates []Candidate, scores, gains, slopes []float64) float64 {
+	unreported, secondsPerToken, prompt := 0.0, 1/candidates[0].promptRate(), float64(req.PromptTokens)
+	best, slopeSum := math.Inf(1), 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		pace := c.Slowness * c.Pace
+		if cached := c.CachedTokens; cached > 0 {
+			gains[i] = min(cached, prompt) * secondsPerToken * pace
+			scores[i] += gains[i]
+		}
+		slopes[i] = 1 / (c.AddedSeconds * pace)
+		slopeSum += slopes[i]
+		if scores[i] < best {
+			best = scores[i]
+		}
+		unreported += c.Unreported
+	}
+	return roomLevel(scores, slopes, best, slopeSum, max(unreported, 1))
+}
+
 // exponential returns an exponentially distributed number of mean 1 for random bits. The
 // smallest of such numbers, each divided by a weight, has a probability in proportion to its
 // weight. Among many, it is close to 0, where a uniformly distributed number is as good and
--- a/internal/routing/slowness_sample.go
+++ b/internal/routing/slowness_sample.go
@@ -1,7 +1,7 @@
 package routing
 
 // SlownessSample is the ratio of the time to the first answer of one attempt to the time that
-// is usual in the pool for what the upstream told of its load and its pace.
+// is usual in the pool at the load and the pace that the upstream reported.
 type SlownessSample struct {
 	Upstream   string
 	Address    string
--- a/internal/routing/tracker.go
+++ b/internal/routing/tracker.go
@@ -25,9 +25,9 @@
 	fixedFirstTokenSeconds = 0.01
 	minSlowness            = 0.5
 	maxSlowness            = 8.0
-	// minToldSlowness is minSlowness for an attempt whose time is compared with the one that
-	// follows from what the upstream told, which may be too long by as much as too short.
-	minToldSlowness = 1 / maxSlowness
+	// minLastingSlowness is minSlowness for an attempt whose time is compared with the one that
+	// follows from the upstream's report, which may be too long by as much as too short.
+	minLastingSlowness = 1 / maxSlowness
 	// stateRetention is how long the state of an upstream without open attempts
 	// is retained after it was last a candidate.
 	stateRetention = time.Minute
@@ -47,12 +47,13 @@
 	// converts the number of requests that wait at an upstream to tokens.
 	meanTokens float64
 	pool       poolState
-	// isTold reports whether most candidates of the latest decision had new reports.
-	isTold     bool
-	onSlowness func(SlownessSample)
-	startTime  time.Time
-	sweptAt    time.Duration
-	matched    matchCounts
+	// usesReports reports whether most candidates of the latest decision had new reports, so
+	// that the next decision is based on them.
+	usesReports bool
+	onSlowness  func(SlownessSample)
+	startTime   time.Time
+	sweptAt     time.Duration
+	matched     matchCounts
 	// byPosition contains the states of the latest candidates by position,
 	// because the list of upstreams rarely changes between two decisions.
 	byPosition []*upstreamState
@@ -85,9 +86,9 @@
 	now := t.since(req.Now)
 	first := len(buffer)
 	buffer = slices.Grow(buffer, len(upstreams))[:first+len(upstreams)]
-	isTold := t.isTold
+	usesReports := t.usesReports
 	var e estimator
-	if isTold {
+	if usesReports {
 		e = t.pool.newEstimator(now, req.PromptTokens == 0, t.meanTokens/t.tokensPerSecond)
 	}
 	newReports := 0
@@ -117,18 +118,18 @@
 		c.FailureShare = s.failures.valueAt(now)
 		c.KVShare = s.kvShare
 		c.ReclaimsPerSecond = s.domain.reclaimRate(u.Class, now)
-		if s.told.slots > 0 && now-s.told.takenAt < newReportAge {
+		if s.reported.slots > 0 && now-s.reported.takenAt < newReportAge {
 			newReports++
 		}
-		if isTold {
+		if usesReports {
 			e.estimate(s, c)
 		} else {
-			s.setUntold(c)
+			s.clearReportedState(c)
 		}
 	}
-	// Without new reports of most candidates, the choice is the one of a daemon that has none:
-	// old ones lead all daemons to the same upstreams.
-	if t.isTold = newReports > 0 && 2*newReports >= len(upstreams); t.isTold && !isTold {
+	// Without new reports of most candidates, the choice is that of a daemon without any
+	// report: old ones lead all daemons to the same upstreams.
+	if t.usesReports = newReports > 0 && 2*newReports >= len(upstreams); t.usesReports && !usesReports {
 		e = t.pool.newEstimator(now, req.PromptTokens == 0, t.meanTokens/t.tokensPerSecond)
 		for i := range upstreams {
 			e.estimate(t.byPosition[i], &buffer[first+i])
@@ -149,7 +150,7 @@
 	}
 	if u.Load != nil && u.Load != s.report {
 		s.applyReport(u.Load, t.since(u.Load.ReceivedAt), t.meanTokens)
-		t.pool.observe(&s.told)
+		t.pool.observe(&s.reported)
 	}
 }
 
@@ -219,7 +220,7 @@
 	ratio := min(max(seconds/expected, minSlowness), maxSlowness)
 	s.slowness += meanWeight * 2 * (ratio - s.slowness)
 	if sent.pace > 0 && !f.Now.IsZero() {
-		seconds = t.updateTold(s, sent, seconds, work, t.since(f.Now))
+		seconds = t.updateLastingSlowness(s, sent, seconds, work, t.since(f.Now))
 	}
 	if work >= minLearnTokens && seconds > fixedFirstTokenSeconds {
 		rate := min(max(work/(seconds-fixedFirstTokenSeconds), minTokensPerSecond), maxTokensPerSecond)
@@ -227,11 +228,11 @@
 	}
 }
 
-// updateTold updates the lasting slowness of an upstream that reports its pace, and the effect
+// updateLastingSlowness updates the lasting slowness of an upstream that reports its pace, and the effect
 // of running requests. It returns the time that is due to the prompt.
-func (t *Tracker) updateTold(s *upstreamState, sent SentAttempt, seconds, work float64, now time.Duration) float64 {
-	// What the upstream told explains a part of the time. The rest is due to its lasting
-	// speed, also if what it tells is wrong.
+func (t *Tracker) updateLastingSlowness(s *upstreamState, sent SentAttempt, seconds, work float64, now time.Duration) float64 {
+	// The upstream's report explains a part of the time. The rest is due to its lasting
+	// speed, even if the report is wrong.
 	seconds /= sent.pace
 	expected := sent.waitSeconds
 	if work > 0 {
@@ -240,8 +241,8 @@
 	if expected <= 0 {
 		return seconds
 	}
-	ratio := min(max(seconds/expected, minToldSlowness), maxSlowness)
-	s.addToldSlowness(ratio, now)
+	ratio := min(max(seconds/expected, minLastingSlowness), maxSlowness)
+	s.addSlownessSample(ratio, now)
 	if t.onSlowness != nil {
 		t.onSlowness(SlownessSample{Upstream: s.name, Address: s.process.address, Generation: s.process.generation, Ratio: ratio})
 	}
--- a/internal/routing/upstream_state.go
+++ b/internal/routing/upstream_state.go
@@ -24,7 +24,7 @@
 // the time of building candidates.
 //
 // The fields that each decision reads come first, as the states of all candidates exceed the
-// first level of a processor's cache.
+// first-level cache of a processor.
 type upstreamState struct {
 	name     string
 	nameHash uint64
@@ -51,14 +51,14 @@
 	failures failureShare
 	kvShare  float64
 	domain   *domainReclaims
-	// told is what the upstream has reported of its slots and its pace.
-	told toldState
+	// reported is what the upstream has reported of its slots and its pace.
+	reported reportedState
 	// lasting is the slowness as discounted by its age.
 	lasting lastingSpeed
-	// toldSlowness is the lasting slowness of an upstream that reports its pace, without what
-	// its reports explain, as of toldSlownessAt.
-	toldSlowness   float64
-	toldSlownessAt time.Duration
+	// measuredSlowness is the lasting slowness of an upstream that reports its pace, without what
+	// its reports explain, as of measuredSlownessAt.
+	measuredSlowness   float64
+	measuredSlownessAt time.Duration
 	// lastEvent is the sequence number of the last cache event; -1 before the
 	// first.
 	lastEvent int64
@@ -68,7 +68,7 @@
 }
 
 func newUpstreamState(name string, slot int) *upstreamState {
-	s := &upstreamState{name: name, nameHash: xxhash.Sum64String(name), slot: slot, slowness: 1, toldSlowness: 1, lastEvent: -1,
+	s := &upstreamState{name: name, nameHash: xxhash.Sum64String(name), slot: slot, slowness: 1, measuredSlowness: 1, lastEvent: -1,
 		sends: &[maxSends]sendRecord{}}
 	for i := range s.sends {
 		s.sends[i].tokens = -1
@@ -95,9 +95,9 @@
 	}
 	if report.Speed > 0 {
 		// All daemons together have measured it more often than this one.
-		s.toldSlowness, s.toldSlownessAt, s.lasting = 1/report.Speed, receivedAt, lastingSpeed{}
+		s.measuredSlowness, s.measuredSlownessAt, s.lasting = 1/report.Speed, receivedAt, lastingSpeed{}
 	}
-	s.told = newToldState(report, takenAt, min(sentSince, s.inFlight))
+	s.reported = newReportedState(report, takenAt, min(sentSince, s.inFlight))
 	s.kvShare = 0
 	if report.KVTotalTokens > 0 {
 		s.kvShare = float64(report.KVUsedTokens) / float64(report.KVTotalTokens)
@@ -121,32 +121,32 @@
 	s.pendingTokens += tokens
 	s.inFlight++
 	s.running++
-	s.told.sentSince++
+	s.reported.sentSince++
 }
 
-// lastingSlowness returns the lasting slowness, which returns to 1 while nothing is measured, and its
-// reciprocal.
+// lastingSlowness returns the lasting slowness, which decays to 1 while nothing is measured,
+// and its reciprocal.
 func (s *upstreamState) lastingSlowness(now time.Duration) (slowness, speed float64) {
 	if !s.lasting.isCurrent(now) {
-		weight := halfWeight((now - s.toldSlownessAt).Seconds(), speedHalfAge.Seconds())
-		s.lasting = lastingSpeed{at: now, slowness: 1 + weight*(s.toldSlowness-1)}
+		weight := halfWeight((now - s.measuredSlownessAt).Seconds(), speedHalfAge.Seconds())
+		s.lasting = lastingSpeed{at: now, slowness: 1 + weight*(s.measuredSlowness-1)}
 		s.lasting.speed = 1 / s.lasting.slowness
 	}
 	return s.lasting.slowness, s.lasting.speed
 }
 
-// addToldSlowness adds a measurement of the lasting slowness.
-func (s *upstreamState) addToldSlowness(ratio float64, now time.Duration) {
+// addSlownessSample adds a measurement of the lasting slowness.
+func (s *upstreamState) addSlownessSample(ratio float64, now time.Duration) {
 	known, _ := s.lastingSlowness(now)
-	s.toldSlowness, s.toldSlownessAt, s.lasting = known+meanWeight*2*(ratio-known), now, lastingSpeed{}
+	s.measuredSlowness, s.measuredSlownessAt, s.lasting = known+meanWeight*2*(ratio-known), now, lastingSpeed{}
 }
 
-// setUntold sets the fields of a candidate that are unknown without new reports of most
-// upstreams. What an old report tells of the load is not used.
-func (s *upstreamState) setUntold(c *Candidate) {
+// clearReportedState clears the fields of a candidate that are unknown without new reports of
+// most upstreams. The load in an old report is not used.
+func (s *upstreamState) clearReportedState(c *Candidate) {
 	c.Slots, c.Waiting, c.Pace, c.Speed, c.StateAge = 0, 0, 0, 0, 0
 	c.WaitSeconds, c.AddedSeconds, c.Unreported, c.OwnUnreported = 0, 0, 0, 0
-	if s.told.slots > 0 {
+	if s.reported.slots > 0 {
 		c.Running, c.BacklogTokens = float64(s.inFlight), s.pendingTokens
 	}
 }
@@ -155,12 +155,12 @@
 func (s *upstreamState) recordEnd(sentAt time.Duration) {
 	s.inFlight = max(0, s.inFlight-1)
 	s.running = max(0, s.running-1)
-	if sentAt > s.told.takenAt {
-		s.told.sentSince = max(0, s.told.sentSince-1)
+	if sentAt > s.reported.takenAt {
+		s.reported.sentSince = max(0, s.reported.sentSince-1)
 	}
 }
 
-// beginProcess discards what is known of an earlier process under the name.
+// beginProcess discards the state of an earlier process of the same name.
 func (s *upstreamState) beginProcess(p upstreamProcess) {
 	isFirst := s.process == upstreamProcess{}
 	s.process = p
@@ -169,7 +169,7 @@
 	}
 	s.report, s.reportedLoad, s.kvShare = nil, 0, 0
 	s.slowness, s.failures = 1, failureShare{}
-	s.toldSlowness, s.toldSlownessAt, s.lasting = 1, 0, lastingSpeed{}
+	s.measuredSlowness, s.measuredSlownessAt, s.lasting = 1, 0, lastingSpeed{}
 	s.running, s.backlogTokens = float64(s.inFlight), 0
-	s.told = toldState{sentSince: s.inFlight}
+	s.reported = reportedState{sentSince: s.inFlight}
 }
