Name the reservations of callers' budgets by the usual terms

A Part that was exposed and taken back is now a Reservation that is revocable and revoked. callerbody splits the loop that receives a body from the checks before it, which also removes an allocation step that the loop repeated. No behaviour changes; the metric callers_taken_back and the log field takenBack keep their names.

--- a/internal/callerbody/close.go
+++ b/internal/callerbody/close.go
@@ -38,7 +38,7 @@
 const guardTime = 60 * time.Second
 
 // Guard returns a handler that bounds the time in which the body of a request arrives. Read
-// sets a closer bound. Without one, the server waits for ever for the rest of a body that a
+// sets a closer bound. Without one, the server waits forever for the rest of a body that a
 // handler did not read.
 func Guard(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/callerbody/read.go
+++ b/internal/callerbody/read.go
@@ -23,9 +23,9 @@
 const (
 	// initialBytes is the largest buffer that is allocated before any byte has arrived.
 	initialBytes = 4 << 10
-	// exposeAfter is the time from which a body that is not complete may lose its room to
-	// another. Ordinary callers send a body of the largest size in less.
-	exposeAfter = time.Second
+	// revocableAfter is the time after which the reservation of an incomplete body may be
+	// revoked for another. Ordinary callers send a body of the largest size in less.
+	revocableAfter = time.Second
 	// renewInterval is the least time by which the deadline of a read is moved.
 	renewInterval = 250 * time.Millisecond
 )
@@ -46,9 +46,9 @@
 // Body is what a request holds: its header and its body. Release must be called.
 type Body struct {
 	// Bytes is the complete body; nil if the request has none.
-	Bytes []byte
-	part  *callerbudget.Part
-	size  int64
+	Bytes       []byte
+	reservation *callerbudget.Reservation
+	size        int64
 	// reserve is Options.Reserve.
 	reserve func(n int64) bool
 }
@@ -56,8 +56,8 @@
 // Release returns what the request holds to the budget.
 func (b *Body) Release() {
 	b.Bytes = nil
-	if b.part != nil {
-		b.part.Close()
+	if b.reservation != nil {
+		b.reservation.Close()
 	}
 }
 
@@ -70,7 +70,7 @@
 func Read(w http.ResponseWriter, r *http.Request, o Options) (*Body, error) {
 	b := &Body{reserve: o.Reserve}
 	control := http.NewResponseController(w)
-	b.part = o.Budget.Open(o.Caller, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	b.reservation = o.Budget.Open(o.Caller, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	err := b.read(control, w, r, o)
 	if err != nil {
 		b.Bytes = nil
@@ -79,34 +79,46 @@
 	return b, err
 }
 
+// read charges the header and reads the body.
 func (b *Body) read(control *http.ResponseController, w http.ResponseWriter, r *http.Request, o Options) error {
 	if r.ContentLength > o.Limit {
 		return ErrTooLarge
 	}
 	now := time.Now()
-	if !b.part.Grow(HeaderBytes(r), now) {
+	if !b.reservation.Grow(HeaderBytes(r), now) {
 		return ErrNoRoom
 	}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil
 	}
 	p := callerbudget.Progress{StartedAt: now, LastAt: now, Deadline: o.Deadline, Length: r.ContentLength}
-	expiry := p.Expiry()
-	_ = control.SetReadDeadline(expiry)
-	b.part.Expose(now.Add(exposeAfter))
+	// A revocation sets an earlier deadline, so this one is set before.
+	_ = control.SetReadDeadline(p.Expiry())
+	b.reservation.MakeRevocable(now.Add(revocableAfter))
 	if conn := connOf(r.Context()); conn != nil {
-		conn.Expose(now.Add(exposeAfter))
-		defer conn.Keep()
+		conn.MakeRevocable(now.Add(revocableAfter))
+		defer conn.Pin()
+	}
+	if err := b.receive(control, http.MaxBytesReader(w, r.Body, o.Limit), p, o.Limit); err != nil {
+		return err
 	}
-	if !b.grow(growth(0, r.ContentLength, o.Limit), now) {
+	if !b.reservation.Pin() {
 		return ErrNoRoom
 	}
-	limited := http.MaxBytesReader(w, r.Body, o.Limit)
-	for int64(len(b.Bytes)) != r.ContentLength {
-		if len(b.Bytes) == cap(b.Bytes) && !b.grow(growth(cap(b.Bytes), r.ContentLength, o.Limit), p.LastAt) {
+	// The server goes on to read from the connection, to notice that it is closed.
+	_ = control.SetReadDeadline(time.Time{})
+	return nil
+}
+
+// receive reads the body to its end, and moves the read deadline, which is p.Expiry() at
+// first, with its progress.
+func (b *Body) receive(control *http.ResponseController, body io.Reader, p callerbudget.Progress, limit int64) error {
+	expiry := p.Expiry()
+	for int64(len(b.Bytes)) != p.Length {
+		if len(b.Bytes) == cap(b.Bytes) && !b.grow(growth(cap(b.Bytes), p.Length, limit), p.LastAt) {
 			return ErrNoRoom
 		}
-		n, err := limited.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
+		n, err := body.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
 		b.Bytes = b.Bytes[:len(b.Bytes)+n]
 		if errors.Is(err, io.EOF) {
 			break
@@ -114,7 +126,7 @@
 		if err != nil {
 			return b.readError(err)
 		}
-		if int64(len(b.Bytes)) == r.ContentLength {
+		if int64(len(b.Bytes)) == p.Length {
 			break
 		}
 		p.Received, p.LastAt = int64(len(b.Bytes)), time.Now()
@@ -125,24 +137,19 @@
 		if next.Sub(expiry) > renewInterval || expiry.Sub(next) > renewInterval {
 			expiry = next
 			_ = control.SetReadDeadline(expiry)
-			// The part may have been taken back just before.
-			if b.part.IsTaken() {
+			// The reservation may have been revoked just before.
+			if b.reservation.IsRevoked() {
 				return ErrNoRoom
 			}
 		}
 	}
-	if !b.part.Keep() {
-		return ErrNoRoom
-	}
-	// The server goes on to read from the connection, to notice that it is closed.
-	_ = control.SetReadDeadline(time.Time{})
 	return nil
 }
 
 // grow charges and allocates a buffer of the given size.
 func (b *Body) grow(size int, now time.Time) bool {
 	more := int64(size - cap(b.Bytes))
-	if !b.part.Grow(more, now) {
+	if !b.reservation.Grow(more, now) {
 		return false
 	}
 	if b.reserve != nil {
@@ -172,7 +179,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return ErrTooLarge
-	case b.part.IsTaken():
+	case b.reservation.IsRevoked():
 		return ErrNoRoom
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return ErrTooSlow
--- a/internal/callerbody/read_test.go
+++ b/internal/callerbody/read_test.go
@@ -125,7 +125,7 @@
 	address, results := serve(t, o, 0)
 	stalled, next := dial(t, address), dial(t, address)
 	_, _ = fmt.Fprintf(stalled, post+"Content-Length: 30000\r\n\r\n%s", strings.Repeat("x", 29_999))
-	time.Sleep(exposeAfter + 200*time.Millisecond)
+	time.Sleep(revocableAfter + 200*time.Millisecond)
 	_, _ = fmt.Fprintf(next, post+"Content-Length: 30000\r\n\r\n%s", strings.Repeat("y", 30_000))
 	failed, served := <-results, <-results
 	if failed.err == nil {
--- a/internal/callerbudget/budget.go
+++ b/internal/callerbudget/budget.go
@@ -5,10 +5,11 @@
 	"time"
 )
 
-// Budget bounds what the requests of callers hold together. Up to half of the limit anyone
-// may hold. Beyond that, the parts of one address, and those of one workspace, may add up to
-// no more than what is still free, so that one caller gets half of the limit, two callers a
-// third each, and some room is always left for another. It is safe for concurrent use.
+// Budget bounds what the requests of callers hold together. Up to half of the limit,
+// anyone may hold any share. Beyond that, the reservations of one address, and those of one
+// workspace, may add up to no more than what is still free, so that one caller gets half of the
+// limit, two callers a third each, and some room is always left for another. It is safe for
+// concurrent use.
 type Budget struct {
 	mu    sync.Mutex
 	limit int64
@@ -17,41 +18,41 @@
 	peak        int64
 	byAddress   map[string]int64
 	byWorkspace map[string]int64
-	// exposed are the parts that may be taken back at some time.
-	exposed map[*Part]struct{}
-	taken   int64
-	refused int64
+	// revocable is the set of reservations that may be revoked from their revocableFrom on.
+	revocable map[*Reservation]struct{}
+	revoked   int64
+	refused   int64
 }
 
 // New returns a Budget with the given limit.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, byAddress: map[string]int64{}, byWorkspace: map[string]int64{}, exposed: map[*Part]struct{}{}}
+	return &Budget{limit: limit, byAddress: map[string]int64{}, byWorkspace: map[string]int64{}, revocable: map[*Reservation]struct{}{}}
 }
 
 // Stats are the figures of a Budget.
 type Stats struct {
 	Limit, Held, Peak int64
-	// Taken counts the parts that were taken back, and Refused the calls of Grow that were
-	// refused.
-	Taken, Refused int64
+	// Revoked counts the reservations that were revoked, and Refused the calls of Grow that
+	// were refused.
+	Revoked, Refused int64
 }
 
-// Stats returns the present figures.
+// Stats returns the current figures.
 func (b *Budget) Stats() Stats {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return Stats{Limit: b.limit, Held: b.held, Peak: b.peak, Taken: b.taken, Refused: b.refused}
+	return Stats{Limit: b.limit, Held: b.held, Peak: b.peak, Revoked: b.revoked, Refused: b.refused}
 }
 
-// Open returns a part of size 0. takeBack is called, with the budget locked, when the part is
-// taken back for another; it must not block.
-func (b *Budget) Open(c Caller, takeBack func()) *Part {
-	return &Part{budget: b, caller: c, takeBack: takeBack}
+// Open returns a reservation of size 0. onRevoke is called, with the budget locked, when the
+// reservation is revoked for another; it must not block.
+func (b *Budget) Open(c Caller, onRevoke func()) *Reservation {
+	return &Reservation{budget: b, caller: c, onRevoke: onRevoke}
 }
 
-// allows reports whether a part may grow by n.
-func (b *Budget) allows(p *Part, n int64) bool {
-	// A part that is alone always fits: its request is bounded by the limit of a body.
+// allows reports whether a reservation may grow by n.
+func (b *Budget) allows(p *Reservation, n int64) bool {
+	// The only reservation always fits: its request is bounded by the limit of a body.
 	if b.held == p.size {
 		return true
 	}
@@ -65,25 +66,25 @@
 	return b.byAddress[p.caller.Address]+n <= free && b.byWorkspace[p.caller.Workspace]+n <= free
 }
 
-// victim returns the part to take back for p: of those that are exposed at now, one of the
-// address that holds most, and of these the one that was exposed first.
-func (b *Budget) victim(p *Part, now time.Time) *Part {
-	var best *Part
+// victim returns the reservation to revoke for p: of those that are revocable at now, one of
+// the address that holds most, and of these the one that became revocable first.
+func (b *Budget) victim(p *Reservation, now time.Time) *Reservation {
+	var best *Reservation
 	var most int64
-	for v := range b.exposed {
-		if v == p || v.size == 0 || v.exposedFrom.After(now) {
+	for v := range b.revocable {
+		if v == p || v.size == 0 || v.revocableFrom.After(now) {
 			continue
 		}
 		ofAddress := b.byAddress[v.caller.Address]
-		if best == nil || ofAddress > most || ofAddress == most && v.exposedFrom.Before(best.exposedFrom) {
+		if best == nil || ofAddress > most || ofAddress == most && v.revocableFrom.Before(best.revocableFrom) {
 			best, most = v, ofAddress
 		}
 	}
 	return best
 }
 
-// add charges n, which may be negative, to a part.
-func (b *Budget) add(p *Part, n int64) {
+// add charges n, which may be negative, to a reservation.
+func (b *Budget) add(p *Reservation, n int64) {
 	if n == 0 {
 		return
 	}
--- a/internal/callerbudget/budget_test.go
+++ b/internal/callerbudget/budget_test.go
@@ -10,16 +10,16 @@
 
 var start = time.Unix(1000, 0)
 
-// crowdOf opens n parts of a size for one caller, and returns those that were granted.
-func crowdOf(b *Budget, c Caller, n int, size int64) []*Part {
-	var parts []*Part
+// crowdOf opens n reservations of a size for one caller, and returns those that were granted.
+func crowdOf(b *Budget, c Caller, n int, size int64) []*Reservation {
+	var reservations []*Reservation
 	for range n {
 		p := b.Open(c, func() {})
 		if p.Grow(size, start) {
-			parts = append(parts, p)
+			reservations = append(reservations, p)
 		}
 	}
-	return parts
+	return reservations
 }
 
 // Guards against a crowd that uses up what other callers need.
@@ -53,7 +53,7 @@
 }
 
 // Guards against a single request that is refused although nothing else presses.
-func TestSinglePartFits(t *testing.T) {
+func TestSingleReservationFits(t *testing.T) {
 	b := New(10)
 	p := b.Open(Caller{Address: "a"}, func() {})
 	assert.Assert(t, p.Grow(8, start))
@@ -63,63 +63,63 @@
 	assert.Assert(t, b.Open(Caller{Address: "b"}, func() {}).Grow(1, start))
 }
 
-// Guards against stalled parts that keep others out, against parts that are taken back
-// although they must be kept, and against sums that do not return to zero.
-func TestTakeBack(t *testing.T) {
+// Guards against stalled reservations that keep others out, against reservations that are
+// revoked although they must be kept, and against sums that do not return to zero.
+func TestRevocation(t *testing.T) {
 	b := New(1000)
-	var taken []string
-	parts := map[string]*Part{}
+	var revoked []string
+	reservations := map[string]*Reservation{}
 	open := func(name, address string, size int64) {
-		p := b.Open(Caller{Address: address}, func() { taken = append(taken, name) })
+		p := b.Open(Caller{Address: address}, func() { revoked = append(revoked, name) })
 		assert.Assert(t, p.Grow(size, start), name)
-		parts[name] = p
+		reservations[name] = p
 	}
 	open("kept", "a", 100)
 	open("old", "a", 200)
 	open("new", "a", 150)
 	open("light", "b", 50)
 	open("ended", "a", 1)
-	parts["old"].Expose(start.Add(time.Second))
-	parts["new"].Expose(start.Add(2 * time.Second))
-	parts["light"].Expose(start)
-	parts["ended"].Expose(start)
-	assert.Assert(t, parts["ended"].Keep())
+	reservations["old"].MakeRevocable(start.Add(time.Second))
+	reservations["new"].MakeRevocable(start.Add(2 * time.Second))
+	reservations["light"].MakeRevocable(start)
+	reservations["ended"].MakeRevocable(start)
+	assert.Assert(t, reservations["ended"].Pin())
 	next := b.Open(Caller{Address: "a"}, func() {})
 	assert.Assert(t, next.Grow(0, start))
 	assert.Assert(t, !next.Grow(450, start.Add(900*time.Millisecond)), "light alone does not suffice")
-	assert.DeepEqual(t, taken, []string{"light"})
+	assert.DeepEqual(t, revoked, []string{"light"})
 	assert.Assert(t, next.Grow(400, start.Add(3*time.Second)))
-	assert.DeepEqual(t, taken, []string{"light", "old"})
-	assert.Assert(t, !parts["old"].Keep() && parts["old"].IsTaken() && !parts["old"].Grow(1, start))
-	parts["old"].Expose(start)
-	assert.Assert(t, parts["new"].Keep())
+	assert.DeepEqual(t, revoked, []string{"light", "old"})
+	assert.Assert(t, !reservations["old"].Pin() && reservations["old"].IsRevoked() && !reservations["old"].Grow(1, start))
+	reservations["old"].MakeRevocable(start)
+	assert.Assert(t, reservations["new"].Pin())
 	next.Close()
-	for _, p := range parts {
+	for _, p := range reservations {
 		p.Close()
 	}
 	assert.Equal(t, b.Stats().Held, int64(0))
-	assert.Equal(t, len(b.byAddress)+len(b.byWorkspace)+len(b.exposed), 0)
+	assert.Equal(t, len(b.byAddress)+len(b.byWorkspace)+len(b.revocable), 0)
 }
 
-// Guards against a decision whose time grows so much with the number of parts that a crowd
-// uses up the processor.
-func BenchmarkTakeBack(b *testing.B) {
+// Guards against a decision whose time grows so much with the number of reservations
+// that a crowd uses up the processor.
+func BenchmarkRevocation(b *testing.B) {
 	budget := New(1 << 20)
 	for i := range 1000 {
 		p := budget.Open(Caller{Address: strconv.Itoa(i)}, func() {})
 		p.Grow(1000, start)
-		p.Expose(start)
+		p.MakeRevocable(start)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
 		p := budget.Open(Caller{Address: "x"}, func() {})
 		p.Grow(1000, start)
-		p.Expose(start)
+		p.MakeRevocable(start)
 	}
 }
 
-// BenchmarkPart measures what an ordinary request costs.
-func BenchmarkPart(b *testing.B) {
+// BenchmarkReservation measures what an ordinary request costs.
+func BenchmarkReservation(b *testing.B) {
 	budget := New(1 << 20)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/callerbudget/caller.go
+++ b/internal/callerbudget/caller.go
@@ -2,7 +2,7 @@
 
 import "strings"
 
-// Caller names whom a part of the budget is charged to. An empty field is not charged.
+// Caller names whom a reservation is charged to. An empty field is not charged.
 type Caller struct {
 	// Address is the caller's IP address without the port.
 	Address string
--- a/internal/callerbudget/progress.go
+++ b/internal/callerbudget/progress.go
@@ -9,7 +9,8 @@
 	// defaultBodyTime bounds the arrival of a body whose request has no deadline.
 	defaultBodyTime = 60 * time.Second
 	// speedup is by how much the rest of a body may arrive faster than its mean so far. It
-	// is large, so that only bodies without hope are terminated before their deadline.
+	// is large, so that only bodies that cannot be complete in time are terminated before their
+	// deadline.
 	speedup = 16
 	// attainableRate is a rate in bytes per second that a caller may reach after any pause, so
 	// that a small body is waited for nearly until the deadline.
@@ -49,8 +50,8 @@
 	received, length := float64(p.Received), float64(p.Length)
 	t := time.Duration(float64(total) * received * speedup / (length + received*(speedup-1)))
 	atRate := total - time.Duration((length-received)/attainableRate*float64(time.Second))
-	if hopeless := p.StartedAt.Add(max(t, atRate, total/2)); hopeless.Before(expiry) {
-		expiry = hopeless
+	if unattainable := p.StartedAt.Add(max(t, atRate, total/2)); unattainable.Before(expiry) {
+		expiry = unattainable
 	}
 	return expiry
 }
--- a/internal/callerbudget/progress_test.go
+++ b/internal/callerbudget/progress_test.go
@@ -7,8 +7,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against bodies without hope that are kept until their deadline, and against slow
-// ones that are terminated although they will be complete in time.
+// Guards against bodies that cannot be complete in time but are kept until their deadline, and
+// against slow ones that are terminated although they will be complete in time.
 func TestProgressExpiry(t *testing.T) {
 	const s, mib = time.Second, 1 << 20
 	for name, c := range map[string]struct {
--- a/internal/fleetdaemon/budget_report.go
+++ b/internal/fleetdaemon/budget_report.go
@@ -23,17 +23,17 @@
 	}
 }
 
-// update reports the present figures. It logs when parts were refused or taken back since the
-// last call.
+// update reports the current figures. It logs when reservations were refused or revoked since
+// the last call.
 func (r *budgetReport) update() {
 	s := r.budget.Stats()
 	r.scope.Gauge("held").Update(float64(s.Held))
 	r.scope.Gauge("limit").Update(float64(s.Limit))
-	refused, taken := s.Refused-r.last.Refused, s.Taken-r.last.Taken
+	refused, revoked := s.Refused-r.last.Refused, s.Revoked-r.last.Revoked
 	r.last = s
 	r.scope.Counter("refused").Inc(refused)
-	r.scope.Counter("taken_back").Inc(taken)
-	if refused+taken > 0 {
-		r.logger.Warn("callers exceed a budget", "resource", r.resource, "held", s.Held, "limit", s.Limit, "refused", refused, "takenBack", taken)
+	r.scope.Counter("taken_back").Inc(revoked)
+	if refused+revoked > 0 {
+		r.logger.Warn("callers exceed a budget", "resource", r.resource, "held", s.Held, "limit", s.Limit, "refused", refused, "takenBack", revoked)
 	}
 }
--- a/internal/fleetdaemon/caller_conn.go
+++ b/internal/fleetdaemon/caller_conn.go
@@ -23,13 +23,13 @@
 // callerConn is a connection of a caller that is charged to the budget of connections.
 type callerConn struct {
 	*net.TCPConn
-	part *callerbudget.Part
-	once sync.Once
+	reservation *callerbudget.Reservation
+	once        sync.Once
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.once.Do(c.part.Close)
+	c.once.Do(c.reservation.Close)
 	return c.TCPConn.Close()
 }
 
@@ -42,18 +42,19 @@
 	}
 	switch state {
 	case http.StateNew:
-		conn.part.Expose(time.Now().Add(silentConnTime))
+		conn.reservation.MakeRevocable(time.Now().Add(silentConnTime))
 	case http.StateIdle:
-		conn.part.Expose(time.Now().Add(time.Duration(idleShare * float64(l.idleTimeout))))
+		conn.reservation.MakeRevocable(time.Now().Add(time.Duration(idleShare * float64(l.idleTimeout))))
 	case http.StateActive:
-		conn.part.Keep()
+		conn.reservation.Pin()
 	}
 }
 
-// withConnPart lets the reader of a body expose the connection while the body is not complete.
-func withConnPart(ctx context.Context, c net.Conn) context.Context {
+// withConnReservation lets the reader of a body make the connection revocable while the body is
+// not complete.
+func withConnReservation(ctx context.Context, c net.Conn) context.Context {
 	if conn, ok := c.(*callerConn); ok {
-		return callerbody.WithConn(ctx, conn.part)
+		return callerbody.WithConn(ctx, conn.reservation)
 	}
 	return ctx
 }
--- a/internal/fleetdaemon/caller_servers.go
+++ b/internal/fleetdaemon/caller_servers.go
@@ -46,12 +46,12 @@
 		if !ok {
 			return errors.NotSupportedf("connection of type %T", c)
 		}
-		part := s.conns.Open(callerbudget.Caller{Address: callerbudget.AddressOf(c.RemoteAddr().String())}, func() { _ = tcp.Close() })
-		if !part.Grow(1, time.Now()) {
+		reservation := s.conns.Open(callerbudget.Caller{Address: callerbudget.AddressOf(c.RemoteAddr().String())}, func() { _ = tcp.Close() })
+		if !reservation.Grow(1, time.Now()) {
 			_ = tcp.Close()
 			continue
 		}
-		conn := &callerConn{TCPConn: tcp, part: part}
+		conn := &callerConn{TCPConn: tcp, reservation: reservation}
 		if !s.server().hand(conn) {
 			_ = conn.Close()
 		}
@@ -77,7 +77,7 @@
 	}
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
-		ConnState: limits.recordState, ConnContext: withConnPart,
+		ConnState: limits.recordState, ConnContext: withConnReservation,
 	}
 	if s.current != nil {
 		// Ends Serve of the earlier server, but not its connections.
