--- a/internal/upstreamstate/audience.go
+++ b/internal/upstreamstate/audience.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// audience is a group of receivers that get the same news.
+// audience is a group of receivers that get the same messages.
 type audience int
 
 const (
@@ -15,8 +15,8 @@
 	audienceCount
 )
 
-// sentMark is what an audience was last sent of a process.
-type sentMark struct {
+// sentState is the state of a process that was last sent to an audience.
+type sentState struct {
 	takenAt   time.Time
 	pace      float64
 	occupancy int
--- a/internal/upstreamstate/doc.go
+++ b/internal/upstreamstate/doc.go
@@ -3,7 +3,7 @@
 // learned from the answers. A single daemon hears from an upstream rarely, the fleet several
 // times a second.
 //
-// Every daemon sends what it has observed to the collectors, which send the merged news to all
-// daemons. The state is held in memory only and forgotten with age; an upstream without an
+// Every daemon sends what it has observed to the collectors, which send the merged state to all
+// daemons. The state is held in memory only and decays with age; an upstream without an
 // entry is unknown, not idle. All functions take the time as an argument and do no I/O.
 package upstreamstate
--- a/internal/upstreamstate/entry_test.go
+++ b/internal/upstreamstate/entry_test.go
@@ -44,7 +44,7 @@
 // Guards against an odd or huge entry that costs the entries beside it.
 func TestInvalidEntryCostsOnlyItself(t *testing.T) {
 	good := entry{key: 7, pace: 128, running: 1}
-	message := []byte{byte(kindNews)}
+	message := []byte{byte(kindMerged)}
 	message = good.append(message)
 	message = append(message, 1, 0, 0, 0, 0, 5)                                 // Without pace.
 	message = append(message, 1, 0, 0, 0, 128, 0xff, 0xff, 0xff, 1)             // Too many running requests.
--- a/internal/upstreamstate/exchange.go
+++ b/internal/upstreamstate/exchange.go
@@ -69,7 +69,7 @@
 		}
 		*at = now
 		budget = min(maxMessageBytes, budget*interval.Seconds())
-		if payload := x.store.appendNews(to, int(budget), now); payload != nil {
+		if payload := x.store.encodeUnsent(to, int(budget), now); payload != nil {
 			messages = append(messages, Message{Payload: payload, To: names})
 		}
 	}
--- a/internal/upstreamstate/exchange_test.go
+++ b/internal/upstreamstate/exchange_test.go
@@ -74,7 +74,7 @@
 	}
 }
 
-// answer lets a random live daemon hear from an upstream. The waiting requests tell the
+// answer lets a random live daemon hear from an upstream. The waiting requests show the
 // observations of an upstream apart.
 func (f *testFleet) answer(upstream int) {
 	name := f.names[f.random.IntN(len(f.names))]
@@ -131,7 +131,7 @@
 	return f.delays[int(quantile*float64(len(f.delays)-1))]
 }
 
-// Guards against an exchange that costs more than a fleet of this size allows, or that tells
+// Guards against an exchange that costs more than a fleet of this size allows, or that informs
 // the daemons too late.
 func TestExchangeCostAndDelay(t *testing.T) {
 	const upstreams, seconds = 143, 10
@@ -224,7 +224,7 @@
 	assert.Assert(t, f.known(f.names[8], time.Second) >= upstreams*9/10)
 }
 
-// BenchmarkTick measures what a collector of 300 daemons spends on choosing the news.
+// BenchmarkTick measures what a collector of 300 daemons spends on choosing what to send.
 func BenchmarkTick(b *testing.B) {
 	s := newTestStore(143)
 	x := NewExchange(s)
@@ -253,7 +253,7 @@
 		for i := range 40 {
 			a.Observe(testProcess(i), testLoad(i%17, 1), now)
 		}
-		payload := a.appendNews(toFirst, 300, now)
+		payload := a.encodeUnsent(toFirst, 300, now)
 		updates, _, _ = s.Merge(payload, now, updates[:0])
 		now = now.Add(100 * time.Millisecond)
 	}
--- a/internal/upstreamstate/fuzz_test.go
+++ b/internal/upstreamstate/fuzz_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	process := Process{Pool: "p", Name: "a", Address: "a:1", Generation: 1}
 	e := entry{key: process.key(), age: time.Second / 4, pace: 140, running: 15, waiting: 2, hasExtra: true, slots: 16, slowness: 130}
-	f.Add(e.append([]byte{byte(kindNews)}))
+	f.Add(e.append([]byte{byte(kindMerged)}))
 	f.Add(append(e.append([]byte{byte(kindObservations)}), 1, 2, 3, 0xff, 0))
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		s := NewStore()
@@ -30,8 +30,8 @@
 				t.Fatalf("update %+v", u)
 			}
 		}
-		if s.appendNews(toFirst, maxMessageBytes, now) != nil && len(updates) == 0 && len(payload) < 1+keyBytes {
-			t.Fatal("news without an entry")
+		if s.encodeUnsent(toFirst, maxMessageBytes, now) != nil && len(updates) == 0 && len(payload) < 1+keyBytes {
+			t.Fatal("a message without an entry")
 		}
 	})
 }
--- a/internal/upstreamstate/message.go
+++ b/internal/upstreamstate/message.go
@@ -9,8 +9,9 @@
 	// kindObservations is what a daemon observed since its last message; the slowness of an
 	// entry is the mean of the answers since then.
 	kindObservations messageKind = 0x10
-	// kindNews is what a collector knows; the slowness is its estimate from all daemons.
-	kindNews messageKind = 0x11
+	// kindMerged is the state that a collector has merged; the slowness is its estimate from
+	// all daemons.
+	kindMerged messageKind = 0x11
 )
 
 // decodeMessage calls apply for each valid entry of a message and returns the number of
@@ -20,7 +21,7 @@
 		return 0, errors.NotValidf("empty message")
 	}
 	kind := messageKind(payload[0])
-	if kind != kindObservations && kind != kindNews {
+	if kind != kindObservations && kind != kindMerged {
 		return 0, errors.NotValidf("message of kind %d", kind)
 	}
 	for rest := payload[1:]; len(rest) > 0; {
--- a/internal/upstreamstate/pool_summary.go
+++ b/internal/upstreamstate/pool_summary.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	// usualPaceAge is the time in which what a report tells of the pace fades to the usual
-	// pace.
+	// usualPaceAge is the time constant with which a reported pace decays to the usual one.
 	usualPaceAge = 2 * time.Second
-	// slowThreshold is the lasting slowness from which on an upstream is named as slow.
+	// slowThreshold is the lasting slowness from which an upstream counts as slow.
 	slowThreshold = 1.5
 	// minCapacityShare and maxCapacityShare bound the capacity of one upstream in units of a
 	// usual one, so that a wrong report does not count as a whole pool.
--- a/internal/upstreamstate/process.go
+++ b/internal/upstreamstate/process.go
@@ -15,7 +15,7 @@
 	Generation int64
 }
 
-// identity is what tells the processes of upstreams apart.
+// identity distinguishes the processes of upstreams.
 type identity struct {
 	name, address string
 	generation    int64
--- a/internal/upstreamstate/record.go
+++ b/internal/upstreamstate/record.go
@@ -9,10 +9,10 @@
 
 const (
 	// sampleWeight is the weight of one answer in the slowness of an upstream. The fleet gets
-	// some answers per second from each, so a lasting change shows within some ten seconds.
+	// several answers per second from each, so a lasting change shows within about ten seconds.
 	sampleWeight = 0.03
-	// slownessHalfLife is the time without answers in which what is known of the slowness
-	// halves.
+	// slownessHalfLife is the time without answers in which the difference of the slowness
+	// from 1 halves.
 	slownessHalfLife = 2 * time.Minute
 	// minSlowness and maxSlowness bound the slowness of an answer.
 	minSlowness, maxSlowness = 1.0 / 8, 8
@@ -36,7 +36,7 @@
 	// sampleSum and samples are the answers to this daemon since the last message.
 	sampleSum float64
 	samples   int
-	marks     [audienceCount]sentMark
+	lastSent  [audienceCount]sentState
 }
 
 // setReport stores a report that is newer than the stored one, and reports whether it is.
@@ -70,8 +70,8 @@
 	return 1 + (r.slowness-1)*math.Exp2(-float64(age)/float64(slownessHalfLife))
 }
 
-// hasNews reports whether an audience is to be sent the record.
-func (r *record) hasNews(to audience, now time.Time) bool {
+// isUnsent reports whether the record has a report that an audience was not sent yet.
+func (r *record) isUnsent(to audience, now time.Time) bool {
 	at := r.takenAt
 	if to == toCollectors {
 		// Another daemon has already sent what is newer than the own answer.
@@ -79,46 +79,46 @@
 			return false
 		}
 	}
-	return r.load.Pace > 0 && at.After(r.marks[to].takenAt) && now.Sub(at) <= maxAge
+	return r.load.Pace > 0 && at.After(r.lastSent[to].takenAt) && now.Sub(at) <= maxAge
 }
 
-// importance ranks the news for an audience: a change of the pace or of the load changes
-// choices, and what was not sent for long may have changed meanwhile.
+// importance ranks unsent records for an audience: a change of the pace or of the load changes
+// choices, and a record that was not sent for long may have changed meanwhile.
 func (r *record) importance(to audience) float64 {
-	mark := &r.marks[to]
-	if mark.takenAt.IsZero() || mark.pace == 0 {
+	sent := &r.lastSent[to]
+	if sent.takenAt.IsZero() || sent.pace == 0 {
 		return math.MaxFloat64
 	}
-	change := math.Abs(math.Log2(r.load.Pace / mark.pace))
-	occupancy := math.Abs(float64(r.load.Running + r.load.Waiting - mark.occupancy))
+	change := math.Abs(math.Log2(r.load.Pace / sent.pace))
+	occupancy := math.Abs(float64(r.load.Running + r.load.Waiting - sent.occupancy))
 	change += occupancy / float64(max(1, r.load.Slots))
-	return change + r.takenAt.Sub(mark.takenAt).Seconds()
+	return change + r.takenAt.Sub(sent.takenAt).Seconds()
 }
 
-// encode appends the record for an audience and marks it as sent.
+// encode appends the record for an audience and records it as sent.
 func (r *record) encode(dst []byte, to audience, now time.Time) []byte {
 	e := entry{
 		key: r.key, age: max(0, now.Sub(r.takenAt)), pace: newRatioCode(r.load.Pace),
 		running: r.load.Running, waiting: r.load.Waiting, slots: r.load.Slots,
 	}
-	mark := &r.marks[to]
-	*mark = sentMark{takenAt: r.takenAt, pace: r.load.Pace, occupancy: r.load.Running + r.load.Waiting, extraAt: mark.extraAt}
+	sent := &r.lastSent[to]
+	*sent = sentState{takenAt: r.takenAt, pace: r.load.Pace, occupancy: r.load.Running + r.load.Waiting, extraAt: sent.extraAt}
 	if r.samples > 0 && to == toCollectors {
 		e.hasExtra, e.slowness = true, newRatioCode(r.sampleSum/float64(r.samples))
 		r.sampleSum, r.samples = 0, 0
-	} else if mark.extraAt.IsZero() || now.Sub(mark.extraAt) >= extraInterval {
+	} else if sent.extraAt.IsZero() || now.Sub(sent.extraAt) >= extraInterval {
 		e.hasExtra = true
 		if to != toCollectors && r.slowness > 0 {
 			e.slowness = newRatioCode(r.slownessBy(now))
 		}
 	}
 	if e.hasExtra {
-		mark.extraAt = now
+		sent.extraAt = now
 	}
 	return e.append(dst)
 }
 
-// update returns the report as the choice of upstreams needs it.
+// update returns the report with its age and the lasting speed of the process.
 func (r *record) update(now time.Time) Update {
 	load := r.load
 	load.AgeMs = max(0, now.Sub(r.takenAt).Milliseconds())
--- a/internal/upstreamstate/store.go
+++ b/internal/upstreamstate/store.go
@@ -14,7 +14,7 @@
 	known map[identity]*record
 	// byKey has no entry for a key of two processes.
 	byKey map[key]*record
-	// ranked is used by appendNews only.
+	// ranked is a buffer of encodeUnsent.
 	ranked []rankedRecord
 }
 
@@ -41,7 +41,7 @@
 		}
 		r.process = p
 		known[p.identity()] = r
-		if _, isTaken := byKey[r.key]; isTaken {
+		if _, isDuplicate := byKey[r.key]; isDuplicate {
 			byKey[r.key] = nil
 			continue
 		}
@@ -81,7 +81,7 @@
 
 // Merge stores the entries of a message of another daemon that are newer than what is known,
 // and appends them to updates. It returns the number of invalid entries; an error means that
-// the message is none of this package.
+// the message is not one of this package.
 func (s *Store) Merge(payload []byte, now time.Time, updates []Update) ([]Update, int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -103,8 +103,8 @@
 	return updates, invalid, err
 }
 
-// Updates appends the state of all processes with their ages, for a receiver that cannot tell
-// the ages itself.
+// Updates appends the state of all processes with their ages, for a receiver whose
+// clock does not count suspensions.
 func (s *Store) Updates(now time.Time, updates []Update) []Update {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -116,14 +116,14 @@
 	return updates
 }
 
-// appendNews returns a message with what is new to an audience, the most informative entries
-// first, in at most budget bytes; nil if nothing is new.
-func (s *Store) appendNews(to audience, budget int, now time.Time) []byte {
+// encodeUnsent returns a message with the records that are new to an audience, the most
+// important ones first, in at most budget bytes; nil if nothing is new.
+func (s *Store) encodeUnsent(to audience, budget int, now time.Time) []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ranked = s.ranked[:0]
 	for _, r := range s.byKey {
-		if r.hasNews(to, now) {
+		if r.isUnsent(to, now) {
 			s.ranked = append(s.ranked, rankedRecord{r, r.importance(to)})
 		}
 	}
@@ -136,7 +136,7 @@
 		a, b := &s.ranked[i], &s.ranked[j]
 		return a.importance > b.importance || a.importance == b.importance && a.key < b.key
 	})
-	kind := kindNews
+	kind := kindMerged
 	if to == toCollectors {
 		kind = kindObservations
 	}
--- a/internal/upstreamstate/store_test.go
+++ b/internal/upstreamstate/store_test.go
@@ -47,11 +47,11 @@
 func TestMergeByAge(t *testing.T) {
 	a, b := newTestStore(1), newTestStore(1)
 	a.Observe(testProcess(0), testLoad(3, 1), epoch)
-	first := a.appendNews(toCollectors, maxMessageBytes, epoch)
+	first := a.encodeUnsent(toCollectors, maxMessageBytes, epoch)
 	a.Observe(testProcess(0), testLoad(9, 2), epoch.Add(100*time.Millisecond))
 	// Slots are sent with the speed, or once a second.
 	a.ObserveSlowness(testProcess(0), 1, epoch)
-	second := a.appendNews(toCollectors, maxMessageBytes, epoch.Add(100*time.Millisecond))
+	second := a.encodeUnsent(toCollectors, maxMessageBytes, epoch.Add(100*time.Millisecond))
 	updates := mustMerge(t, b, second, epoch.Add(100*time.Millisecond))
 	assert.Equal(t, len(updates), 1)
 	assert.Equal(t, updates[0].Load.Running, 9)
@@ -59,7 +59,7 @@
 	assert.Equal(t, len(mustMerge(t, b, second, epoch.Add(100*time.Millisecond))), 0, "the same message again")
 	// The earlier message is delayed by less than the time between both.
 	assert.Equal(t, len(mustMerge(t, b, first, epoch.Add(90*time.Millisecond))), 0)
-	assert.Assert(t, a.appendNews(toCollectors, maxMessageBytes, epoch.Add(time.Second)) == nil, "nothing is new")
+	assert.Assert(t, a.encodeUnsent(toCollectors, maxMessageBytes, epoch.Add(time.Second)) == nil, "nothing is new")
 }
 
 // Guards against state that passes to another process with the name, the address or both, and
@@ -81,7 +81,7 @@
 	assert.Equal(t, len(s.Updates(epoch, nil)), 0, "a new version")
 	s.SetUpstreams([]Process{testProcess(0), testProcess(0)})
 	s.Observe(testProcess(0), testLoad(3, 2), epoch)
-	assert.Assert(t, s.appendNews(toFirst, maxMessageBytes, epoch) == nil, "two processes have the same key")
+	assert.Assert(t, s.encodeUnsent(toFirst, maxMessageBytes, epoch) == nil, "two processes have the same key")
 }
 
 // Guards against state that is kept although nothing confirms it, and against a speed of one
@@ -99,7 +99,7 @@
 	assert.Assert(t, speed(epoch.Add(slownessHalfLife)) > 0.6)
 	assert.Assert(t, speed(epoch.Add(10*slownessHalfLife)) > 0.99)
 	assert.Equal(t, s.Updates(epoch.Add(time.Minute), nil)[0].Load.AgeMs, int64(60_000))
-	assert.Assert(t, s.appendNews(toFirst, maxMessageBytes, epoch.Add(time.Minute)) == nil, "old state is no news")
+	assert.Assert(t, s.encodeUnsent(toFirst, maxMessageBytes, epoch.Add(time.Minute)) == nil, "old state is not sent")
 }
 
 // Guards against a clock that jumps back: ages must not become negative, and new reports must
@@ -113,7 +113,7 @@
 		assert.Equal(t, u.Load.AgeMs, int64(0))
 		assert.Assert(t, u.Load.Speed > 0.9 && u.Load.Speed < 1)
 	}
-	s.appendNews(toFirst, maxMessageBytes, before)
+	s.encodeUnsent(toFirst, maxMessageBytes, before)
 }
 
 // Guards against the loss of what matters most when a message is too short for all: an
@@ -124,7 +124,7 @@
 	for i := range count {
 		a.Observe(testProcess(i), testLoad(4, 1), epoch)
 	}
-	a.appendNews(toFirst, maxMessageBytes, epoch)
+	a.encodeUnsent(toFirst, maxMessageBytes, epoch)
 	now := epoch.Add(200 * time.Millisecond)
 	for i := range count {
 		pace := 1.0
@@ -134,14 +134,14 @@
 		a.Observe(testProcess(i), testLoad(4, pace), now)
 	}
 	const budget = 1 + 4*maxEntryBytes
-	updates := mustMerge(t, b, a.appendNews(toFirst, budget, now), now)
+	updates := mustMerge(t, b, a.encodeUnsent(toFirst, budget, now), now)
 	assert.Assert(t, len(updates) == 0 || updates[0].Process.Name == testProcess(41).Name)
-	_, invalid, err := b.Merge(a.appendNews(toFirst, budget, now), now, nil)
+	_, invalid, err := b.Merge(a.encodeUnsent(toFirst, budget, now), now, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, invalid, 0)
 	sent := 0
 	for range 2 * count {
-		payload := a.appendNews(toFirst, budget, now)
+		payload := a.encodeUnsent(toFirst, budget, now)
 		assert.Assert(t, len(payload) <= budget)
 		if payload == nil {
 			break
@@ -149,5 +149,5 @@
 		sent++
 	}
 	assert.Assert(t, sent < count, "the others follow")
-	assert.Assert(t, a.appendNews(toFirst, budget, now) == nil)
+	assert.Assert(t, a.encodeUnsent(toFirst, budget, now) == nil)
 }
