--- a/internal/fleetdaemon/caller_servers.go
+++ b/internal/fleetdaemon/caller_servers.go
@@ -14,9 +14,12 @@
 	"rattantide/internal/fleetconfig"
 )
 
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 20 * time.Millisecond
+
 // callerServers serves the callers' listener. The limits of an http.Server cannot change, so
 // that each change of the configuration's limits starts a new one, which gets the connections
-// from then on; earlier ones serve those that they have.
+// accepted from then on; earlier servers keep the connections that they have.
 type callerServers struct {
 	handler  http.Handler
 	config   *fleetconfig.Holder
@@ -52,15 +55,12 @@
 			continue
 		}
 		conn := &callerConn{TCPConn: tcp, reservation: reservation}
-		if !s.server().hand(conn) {
+		if !s.server().deliver(conn) {
 			_ = conn.Close()
 		}
 	}
 }
 
-// acceptRetryInterval is the pause after a connection could not be accepted.
-const acceptRetryInterval = 20 * time.Millisecond
-
 // server returns the listener of the server with the limits in effect.
 func (s *callerServers) server() *handoverListener {
 	config, _ := s.config.Current()
--- a/internal/fleetdaemon/choice.go
+++ b/internal/fleetdaemon/choice.go
@@ -30,7 +30,7 @@
 	return r.GapTarget
 }
 
-// promptMixes returns the state by which long prompts are weighed, or nil if they are not.
+// promptMixes returns the state for routing.PromptDelay, or nil if that is off.
 func (d *Daemon) promptMixes() *routing.PromptMixes {
 	if !d.features.WeighPromptDelay {
 		return nil
--- a/internal/fleetdaemon/collectors.go
+++ b/internal/fleetdaemon/collectors.go
@@ -14,15 +14,7 @@
 // chooseCollectors chooses the collectors: the ready daemons with the most cores, as all
 // others send to them several times a second.
 func (d *Daemon) chooseCollectors(peers []peering.Peer) {
-	cores := map[string]float64{}
-	if d.ready() {
-		cores[d.settings.Name] = d.settings.Cores
-	}
-	for _, p := range peers {
-		if p.Serves() {
-			cores[p.Name] = p.Cores
-		}
-	}
+	cores := d.servingCores(peers)
 	fleet := upstreamstate.Fleet{Self: d.settings.Name, Collectors: preferredByCores("collector", cores, collectorCount)}
 	for _, p := range peers {
 		if p.IsAvailable() {
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -126,12 +126,12 @@
 	// quotaPoolNames are the daemons whose quota pools this daemon may take from, in
 	// order of preference.
 	quotaPoolNames atomic.Pointer[[]string]
-	// fleet is the set of daemons and of collectors among them, which collect the state of
-	// upstreams and of the fleet.
+	// fleet is the set of daemons, with those that collect the state of upstreams and the load
+	// of the fleet.
 	fleet atomic.Pointer[upstreamstate.Fleet]
 	// upstreamStore is the state of upstreams that the daemons exchange.
 	upstreamStore *upstreamstate.Store
-	// slowLogs is what maintain logged of slow upstreams, by pool.
+	// slowLogs holds the latest log line on slow upstreams by pool.
 	slowLogs map[string]slowLog
 	// servingPeers are the names of the other daemons that serve.
 	servingPeers atomic.Pointer[[]string]
--- a/internal/fleetdaemon/explain_route.go
+++ b/internal/fleetdaemon/explain_route.go
@@ -77,6 +77,7 @@
 	return e.token != "" && strings.EqualFold(scheme, "Bearer") && subtle.ConstantTimeCompare(expected[:], presented[:]) == 1
 }
 
+// explain returns the explanation for a query, or the problem with it.
 func (e *routeExplainer) explain(q *routeexplain.Query) (*routeexplain.Explanation, *problem.Problem) {
 	config, confirmedAt := e.holder.Current()
 	if config == nil {
@@ -96,18 +97,10 @@
 			urgency = *workspace.Urgency
 		}
 	}
-	// Of several services, the one that half of the requests are below is explained.
-	service, priority, now := route.ServiceFor(0.5), dispatch.PriorityFromUrgency(urgency), time.Now()
-	request := &dispatch.Request{
-		Class: route.Name, Route: route.Name, Pool: service, Workspace: q.Workspace, Chat: route.Kind == fleetconfig.Stream,
-		Idempotent: route.Repeatable(), PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, AcceptedAt: now, Attempt: 1, Priority: &priority,
-	}
-	if route.Timeout > 0 {
-		request.Deadline = now.Add(route.Timeout)
-	}
+	request := newExplainedRequest(route, q, urgency)
 	found := e.dispatcher.ExplainRoute(request)
 	out := &routeexplain.Explanation{
-		Daemon: e.daemon, Route: route.Name, Service: service, Workspace: q.Workspace, ConfigVersion: config.Version,
+		Daemon: e.daemon, Route: route.Name, Service: request.Pool, Workspace: q.Workspace, ConfigVersion: config.Version,
 		ConfigAgeMs: bootclock.Now().Sub(confirmedAt).Milliseconds(), Versions: found.Versions,
 		Admission: routeexplain.Admission{
 			Rule: string(found.Admission.Rule), WaitMs: found.Admission.Wait.Milliseconds(), InFlight: found.Admission.InFlight,
@@ -124,6 +117,21 @@
 	return out, nil
 }
 
+// newExplainedRequest returns the first attempt of the request that a query describes.
+func newExplainedRequest(route *fleetconfig.Route, q *routeexplain.Query, urgency int) *dispatch.Request {
+	priority, now := dispatch.PriorityFromUrgency(urgency), time.Now()
+	request := &dispatch.Request{
+		// Of several services, the one at the middle of the shares is explained.
+		Class: route.Name, Route: route.Name, Pool: route.ServiceFor(0.5), Workspace: q.Workspace, Chat: route.Kind == fleetconfig.Stream,
+		Idempotent: route.Repeatable(), PromptTokens: q.PromptTokens, MaxTokens: q.MaxTokens, AcceptedAt: now, Attempt: 1, Priority: &priority,
+	}
+	if route.Timeout > 0 {
+		request.Deadline = now.Add(route.Timeout)
+	}
+	return request
+}
+
+// newCandidate converts a candidate of the dispatcher.
 func newCandidate(c *dispatch.ExplainedCandidate) routeexplain.Candidate {
 	out := routeexplain.Candidate{
 		Upstream: c.Candidate.Name, Version: c.Version, Parts: c.Parts, LoadAgeMs: -1, StateAgeMs: -1, Running: c.Candidate.Running,
--- a/internal/fleetdaemon/handover_listener.go
+++ b/internal/fleetdaemon/handover_listener.go
@@ -17,8 +17,8 @@
 	return &handoverListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
 }
 
-// hand passes a connection to Accept. It reports false if the listener is closed.
-func (l *handoverListener) hand(c net.Conn) bool {
+// deliver passes a connection to Accept. It reports false if the listener is closed.
+func (l *handoverListener) deliver(c net.Conn) bool {
 	select {
 	case l.conns <- c:
 		return true
--- a/internal/fleetdaemon/move_roles.go
+++ b/internal/fleetdaemon/move_roles.go
@@ -12,34 +12,34 @@
 // for longer.
 const maxUnknownTime = 2 * time.Second
 
-// maxAskGap is the longest time between two questions for a service while this daemon holds
-// the duties, several times the interval of the orders.
-const maxAskGap = 3 * time.Second
+// maxQueryGap is the longest time between two calls of isUnknown while this daemon holds the
+// duties, several times the interval of the orders.
+const maxQueryGap = 3 * time.Second
 
-// declaredMoves tells which moves are declared. It is implemented by versionmove.Controller.
+// declaredMoves reports which moves are declared. It is implemented by versionmove.Controller.
 type declaredMoves interface {
 	IsKnown() bool
 	IsRunning(service string) bool
 }
 
-// moveRoles tells the holder of the duties which versions of a service count as capacity. It
-// is not safe for concurrent use.
+// moveRoles determines for the holder of the duties which versions of a service count as
+// capacity. It is not safe for concurrent use.
 type moveRoles struct {
 	moves    declaredMoves
 	follower *versionmove.Follower
 	now      func() time.Time
 	// unknownSince is since when the declared moves are not known; zero if they are.
 	unknownSince time.Time
-	// askedAt is when isUnknown was called last.
-	askedAt time.Time
+	// queriedAt is when isUnknown was called last.
+	queriedAt time.Time
 }
 
 // isUnknown reports whether a service may have a move whose versions are not known yet. An
 // order would then remove the upstreams that start for the move.
 func (r *moveRoles) isUnknown(service string) bool {
 	now := r.now()
-	isNewHolder := now.Sub(r.askedAt) > maxAskGap
-	r.askedAt = now
+	isNewHolder := now.Sub(r.queriedAt) > maxQueryGap
+	r.queriedAt = now
 	if !r.moves.IsKnown() {
 		if r.unknownSince.IsZero() || isNewHolder {
 			r.unknownSince = now
--- a/internal/fleetdaemon/move_roles_test.go
+++ b/internal/fleetdaemon/move_roles_test.go
@@ -37,7 +37,7 @@
 	assert.Assert(t, r.isUnknown("s"))
 	now = now.Add(maxUnknownTime)
 	assert.Assert(t, !r.isUnknown("s"))
-	now = now.Add(maxAskGap + time.Second)
+	now = now.Add(maxQueryGap + time.Second)
 	assert.Assert(t, r.isUnknown("s"), "the duties were lost meanwhile")
 
 	moves.isKnown, moves.isRunning = true, true
--- a/internal/fleetdaemon/quotas.go
+++ b/internal/fleetdaemon/quotas.go
@@ -16,16 +16,7 @@
 // chooseQuotaPools chooses the daemons whose quota pools this daemon takes from: the
 // ready daemons with the most cores, as every request of the fleet is checked there.
 func (d *Daemon) chooseQuotaPools(peers []peering.Peer) {
-	cores := map[string]float64{}
-	if d.ready() {
-		cores[d.settings.Name] = d.settings.Cores
-	}
-	for _, p := range peers {
-		if p.Serves() {
-			cores[p.Name] = p.Cores
-		}
-	}
-	chosen := preferredByCores("quota", cores, maxQuotaPools)
+	chosen := preferredByCores("quota", d.servingCores(peers), maxQuotaPools)
 	d.quotaPoolNames.Store(&chosen)
 }
 
--- a/internal/fleetdaemon/relays.go
+++ b/internal/fleetdaemon/relays.go
@@ -44,6 +44,20 @@
 	d.relayNames.Store(&chosen)
 }
 
+// servingCores returns the cores of the daemons that serve, including this one if it is ready.
+func (d *Daemon) servingCores(peers []peering.Peer) map[string]float64 {
+	cores := map[string]float64{}
+	if d.ready() {
+		cores[d.settings.Name] = d.settings.Cores
+	}
+	for _, p := range peers {
+		if p.Serves() {
+			cores[p.Name] = p.Cores
+		}
+	}
+	return cores
+}
+
 // preferredByCores returns the names of at most count daemons, those with the most cores
 // first, as the others send many requests to them. Ties are broken by rendezvous hashing,
 // so that all daemons choose the same.
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -186,8 +186,8 @@
 }
 
 // maintain does the periodic work: it logs a change of the readiness, chooses relays,
-// quota pools and collectors, closes idle connections that have expired or whose upstream was removed,
-// and updates gauges and this daemon's counts in the ledgers.
+// quota pools and collectors, closes idle connections that have expired or whose upstream was
+// removed, and updates gauges and this daemon's counts in the ledgers.
 func (d *Daemon) maintain(context.Context) {
 	d.logReadiness()
 	d.reportAdmission()
--- a/internal/fleetdaemon/upstream_exchange.go
+++ b/internal/fleetdaemon/upstream_exchange.go
@@ -11,8 +11,9 @@
 	"rattantide/internal/upstreamstate"
 )
 
-// suspensionThreshold is the least difference between the clock with suspensions and the one
-// without that is taken for a suspension rather than for the time between two readings.
+// suspensionThreshold is the minimum difference between the clock that counts suspensions and
+// the one that does not for a suspension to be assumed. A smaller one is the time between the
+// two readings.
 const suspensionThreshold = 50 * time.Millisecond
 
 // loadRecorder implements gateway.LoadRecorder.
@@ -29,8 +30,8 @@
 	d.upstreamStore.ObserveSlowness(upstreamstate.Process{Name: s.Upstream, Address: s.Address, Generation: s.Generation}, s.Ratio, bootclock.Now())
 }
 
-// usableProcesses returns the processes of the upstreams that may be used: those of which the
-// state is of use and which count for the capacity.
+// usableProcesses returns the processes of the upstreams that may be used: those whose
+// state is exchanged and which count for the capacity.
 func (d *Daemon) usableProcesses() []upstreamstate.Process {
 	var processes []upstreamstate.Process
 	for _, u := range d.knownUpstreams() {
--- a/internal/fleetdaemon/upstream_summary.go
+++ b/internal/fleetdaemon/upstream_summary.go
@@ -10,7 +10,7 @@
 // slowLogInterval is the minimum time between two log lines on the slow upstreams of a pool.
 const slowLogInterval = 30 * time.Second
 
-// slowLog is what was logged of the slow upstreams of a pool.
+// slowLog is the latest log line on the slow upstreams of a pool.
 type slowLog struct {
 	at    time.Time
 	names []string
--- a/internal/upstreamstate/exchange_test.go
+++ b/internal/upstreamstate/exchange_test.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// answer lets a random live daemon hear from an upstream. The waiting requests show the
-// observations of an upstream apart.
+// answer lets a random live daemon hear from an upstream. The number of waiting
+// requests distinguishes the observations of an upstream.
 func (f *testFleet) answer(upstream int) {
 	name := f.names[f.random.IntN(len(f.names))]
 	if f.isDead[name] {
