--- a/internal/autoscale/move_progress.go
+++ b/internal/autoscale/move_progress.go
@@ -2,18 +2,17 @@
 
 import "time"
 
-const (
-	// listDelay is the time within which the list shows that the platform has stopped the
-	// upstreams of the losing version. An order that still counts these would start as many
-	// too many.
-	listDelay = time.Second
-)
+// listDelay is the time within which the list shows that the platform has stopped the
+// upstreams of the losing version. An order that still counts these would start as many
+// too many.
+const listDelay = time.Second
 
-// startedVersion tells which version the upstreams have that appeared after an order during a
-// move. The platform does not document it.
+// startedVersion is the version of the upstreams that appeared after an order during a move.
+// The platform does not document it.
 type startedVersion int
 
 const (
+	// startedUnknown means that none has appeared yet.
 	startedUnknown startedVersion = iota
 	startedServing
 	startedNext
@@ -42,7 +41,8 @@
 	return moveProgress{move: o.Move, servingAtStart: o.total(), grownAt: o.Now, orders: map[Place]liveAtOrder{}}
 }
 
-// update records an observation.
+// update records how many upstreams an observation has, and which version was started at
+// the places of orders.
 func (m *moveProgress) update(o *Observation) {
 	if next := o.nextTotal(); next > m.next {
 		m.next, m.grownAt = next, o.Now
--- a/internal/autoscale/planner_move.go
+++ b/internal/autoscale/planner_move.go
@@ -1,8 +1,6 @@
 package autoscale
 
-import (
-	"slices"
-)
+import "slices"
 
 // planMove returns the orders to send during a version move. The version that serves must be
 // able to take all requests until the switch, and the next one from then on. Nothing is
@@ -37,7 +35,7 @@
 	return orders
 }
 
-// beginMove forgets the orders that were sent before the present part of a move: the number
+// beginMove discards the orders that were sent before the present part of a move: the number
 // of upstreams at a place now has another meaning. Refusals are kept.
 func (p *Planner) beginMove(o *Observation) {
 	if p.progress.move.Next != "" {
@@ -51,16 +49,16 @@
 	}
 }
 
-// isReplacing reports whether the on-demand upstreams that a move has left stay until the
-// reclaimable ones that replace them can be live: right after a switch, the caches of all
+// isReplacing reports whether the on-demand upstreams that a move has left over are kept until
+// the reclaimable ones that replace them can be live: right after a switch, the caches of all
 // upstreams are empty, and fewer of them would serve worse. They must cover the shortage.
 func (p *Planner) isReplacing(o *Observation, shortage, surplus int) bool {
 	isRecent := !p.moveEndedAt.IsZero() && o.Now.Sub(p.moveEndedAt) < o.Bounds.BootTime+retryDelay
 	return isRecent && shortage > 0 && surplus >= shortage
 }
 
-// addMissingServing adds the upstreams that the serving version lacks. The failure domains of
-// its on-demand ones are of no importance during a move, only their number.
+// addMissingServing adds the upstreams that the serving version lacks. For its
+// on-demand ones, only the total number matters during a move, not the failure domains.
 func (p *Planner) addMissingServing(a *allocation, o *Observation, domains []string, reclaimable, onDemand map[string]int) {
 	lacking := 0
 	var usable []string
--- a/internal/autoscale/state.go
+++ b/internal/autoscale/state.go
@@ -36,7 +36,7 @@
 	Live map[Place]int
 	// Move is the version move of the service, if there is one. Next is the number of live
 	// upstreams of its next version by place, and Others that of all versions but the serving
-	// one. They count for the platform, but take few requests.
+	// one. The platform counts them in orders, but they take few requests.
 	Move   VersionMove
 	Next   map[Place]int
 	Others map[Place]int
--- a/internal/versionmove/room.go
+++ b/internal/versionmove/room.go
@@ -7,10 +7,10 @@
 	// the switch not to wait. A few missing ones are within the reserve of the need.
 	minSwitchRoom = 0.9
 	// unknownNeed replaces the needed upstreams, as a share of the old version's, where
-	// nothing tells how many of these the load needs.
+	// the number that the load needs is unknown.
 	unknownNeed = 0.5
-	// roomSwitchLead is how long before the deadline a switch waits no longer for room: the
-	// handover and the report of the outcome then take their usual time.
+	// roomSwitchLead is the time before the deadline from which a switch no longer waits for
+	// room. It leaves time for the handover and the report of the outcome.
 	roomSwitchLead = 3 * handoverTime
 )
 
@@ -24,7 +24,7 @@
 }
 
 // isEnough reports whether the new version can take all requests as well as the old one does.
-// Without a live upstream of the old version there is nothing to wait with.
+// Without a live upstream of the old version, waiting would serve nothing.
 func (r Room) isEnough() bool {
 	needed := unknownNeed * float64(r.Old)
 	if r.Needed > 0 {
