--- a/internal/fleetload/exchange.go
+++ b/internal/fleetload/exchange.go
@@ -25,7 +25,7 @@
 	minSumInterval       = 200 * time.Millisecond
 	sumIntervalPerDaemon = 1500 * time.Microsecond
 	// secondSumInterval is the number of sum intervals between two sums of a collector that
-	// hears the preferred one. Daemons that do not hear that one still get them.
+	// receives those of the preferred one. Daemons that do not receive these still get them.
 	secondSumInterval = 4
 	// reportExpiry is the number of report intervals after which a daemon no longer
 	// counts in the sum.
@@ -51,8 +51,8 @@
 	// isSumPartial reports whether this collector's latest sum covers less than half of
 	// the daemons, so that it is cut off from others.
 	isSumPartial bool
-	// isIdle and isSumIdle report whether the latest report and sum had nothing to tell.
-	// Those that follow are not sent.
+	// isIdle and isSumIdle report whether the latest report and sum were idle. Further idle
+	// ones are not sent.
 	isIdle, isSumIdle bool
 	reports           map[string]*report
 	sources           map[string]*source
@@ -84,15 +84,17 @@
 	}
 }
 
+// reportInterval returns the time between two reports of a daemon.
 func reportInterval(daemons int) time.Duration {
 	return minReportInterval + time.Duration(max(0, daemons-smallFleet))*reportIntervalPerDaemon
 }
 
+// sumInterval returns the time between two sums of a collector.
 func sumInterval(daemons int) time.Duration {
 	return max(minSumInterval, time.Duration(daemons)*sumIntervalPerDaemon)
 }
 
-// Tick sends what is due.
+// Tick sends the report of this daemon and the sum of a collector if they are due.
 func (e *Exchange) Tick() {
 	now, collectors, daemons := e.opts.Now(), e.opts.Collectors(), e.opts.Daemons()
 	e.sendReport(now, collectors, len(daemons)+1)
@@ -109,13 +111,13 @@
 	}
 }
 
-// usesOwnSum reports whether this collector uses its own sum: not if it hears a preferred
-// collector, as all daemons use that one's.
+// usesOwnSum reports whether this collector uses its own sum: not if it receives the
+// sums of a preferred collector, as all daemons use those.
 func (e *Exchange) usesOwnSum(collectors []string, daemons int, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	rank := max(0, slices.Index(collectors, e.opts.Self.Name))
-	return !e.hearsAny(collectors[:rank], sumInterval(daemons), now)
+	return !e.receivesFromAny(collectors[:rank], sumInterval(daemons), now)
 }
 
 // sendReport sends the load of this daemon to the collectors if it is due.
@@ -146,6 +148,7 @@
 	}
 }
 
+// encode encodes a message with the next number.
 func (e *Exchange) encode(daemons uint32, loads []Load) ([]byte, bool) {
 	e.mu.Lock()
 	e.number++
@@ -172,18 +175,35 @@
 		e.collectsSince = now
 	}
 	interval := sumInterval(daemons)
-	if e.hearsAny(collectors[:rank], interval, now) {
+	if e.receivesFromAny(collectors[:rank], interval, now) {
 		interval *= secondSumInterval
 	}
 	if now.Sub(e.collectsSince) < 2*reportInterval(daemons) || now.Sub(e.summedAt) < interval {
 		return nil, 0
 	}
 	e.summedAt = now
+	sum, count := e.sumReports(now, reportExpiry*reportInterval(daemons))
+	// The daemons then use the sums of the next collector. Where most daemons are idle, each
+	// decides by its own figures.
+	if e.isSumPartial = 2*count < daemons; e.isSumPartial {
+		return nil, 0
+	}
+	wasIdle := e.isSumIdle
+	e.isSumIdle = !slices.ContainsFunc(sum, func(l Load) bool { return !l.IsIdle() })
+	if wasIdle && e.isSumIdle {
+		return nil, 0
+	}
+	return sum, count
+}
+
+// sumReports returns the sum of the reports and their number, and removes those that are older
+// than expiry. e.mu must be held.
+func (e *Exchange) sumReports(now time.Time, expiry time.Duration) ([]Load, int) {
 	var sum []Load
 	count := 0
 	for _, name := range slices.Sorted(maps.Keys(e.reports)) {
 		r := e.reports[name]
-		if now.Sub(r.receivedAt) > reportExpiry*reportInterval(daemons) {
+		if now.Sub(r.receivedAt) > expiry {
 			delete(e.reports, name)
 			continue
 		}
@@ -197,16 +217,6 @@
 			sum[at].add(l)
 		}
 	}
-	// The daemons then use the sums of the next collector. Where most daemons are idle, each
-	// decides by its own figures.
-	if e.isSumPartial = 2*count < daemons; e.isSumPartial {
-		return nil, 0
-	}
-	wasIdle := e.isSumIdle
-	e.isSumIdle = !slices.ContainsFunc(sum, func(l Load) bool { return !l.IsIdle() })
-	if wasIdle && e.isSumIdle {
-		return nil, 0
-	}
 	return sum, count
 }
 
@@ -228,6 +238,7 @@
 	}
 }
 
+// recordReport stores the report of a daemon unless it is older than the stored one.
 func (e *Exchange) recordReport(from peering.Sender, number uint32, loads []Load, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -265,11 +276,11 @@
 	if own := slices.Index(collectors, e.opts.Self.Name); own >= 0 && own < rank && !e.isSumPartial {
 		return false
 	}
-	return !e.hearsAny(collectors[:rank], interval, now)
+	return !e.receivesFromAny(collectors[:rank], interval, now)
 }
 
-// hearsAny reports whether sums of any of the named collectors arrive. e.mu must be held.
-func (e *Exchange) hearsAny(collectors []string, interval time.Duration, now time.Time) bool {
+// receivesFromAny reports whether sums of any of the named collectors arrive. e.mu must be held.
+func (e *Exchange) receivesFromAny(collectors []string, interval time.Duration, now time.Time) bool {
 	return slices.ContainsFunc(collectors, func(name string) bool {
 		s := e.sources[name]
 		return s != nil && now.Sub(s.receivedAt) < collectorExpiry*interval
--- a/internal/fleetload/exchange_test.go
+++ b/internal/fleetload/exchange_test.go
@@ -100,8 +100,7 @@
 	}
 }
 
-// Guards against daemons that learn of a change later than within some 300 ms, or not at
-// all.
+// Guards against daemons that learn of a change after more than about 300 ms, or not at all.
 func TestChangesAreKnownWithinSomeHundredMilliseconds(t *testing.T) {
 	f := newTestFleet(61)
 	f.run(3 * time.Second)
@@ -121,7 +120,7 @@
 	}
 }
 
-// Guards against messages where nothing is to be told.
+// Guards against messages of a fleet that has no load.
 func TestIdleFleetIsSilent(t *testing.T) {
 	f := newTestFleet(5)
 	f.load = func(int) []Load { return nil }
@@ -133,7 +132,7 @@
 	}
 }
 
-// Guards against a new collector that tells of an idle fleet before it has heard from the
+// Guards against a new collector that reports an idle fleet before it has heard from the
 // daemons, and against sums of a former one.
 func TestNewCollectorWaitsForReports(t *testing.T) {
 	f := newTestFleet(20)
@@ -150,7 +149,7 @@
 	assert.Assert(t, f.applied[5] != nil, "the second collector is not heard")
 }
 
-// Guards against a collector that hears only few daemons and believes that these are all.
+// Guards against a collector that receives reports of few daemons only and counts these as all.
 func TestPartialSumOfACollectorIsNotUsedByItself(t *testing.T) {
 	f := newTestFleet(20)
 	f.isLost = func(from, to int) bool { return to == 0 && from != 1 }
--- a/internal/fleetload/load.go
+++ b/internal/fleetload/load.go
@@ -40,6 +40,7 @@
 	Ratios     Ratios
 }
 
+// isIdle reports whether the priority has neither demand nor work.
 func (r *Rank) isIdle() bool {
 	return r.Demand < MinDemand && r.Outstanding == 0 && r.Throughput == 0 && r.Ratios.Count() == 0
 }
@@ -91,7 +92,7 @@
 	return sum
 }
 
-// IsIdle reports whether there is nothing to tell about the pool.
+// IsIdle reports whether the pool has neither demand nor work.
 func (l *Load) IsIdle() bool {
 	return l.Throughput() == 0 && l.Demand() < MinDemand && l.Outstanding() == 0
 }
@@ -120,7 +121,7 @@
 	l.Workspaces = append(l.Workspaces, w)
 }
 
-// KeepBusiest removes the workspaces that a daemon does not report.
+// KeepBusiest removes all but the workspaces with the highest demand, which a daemon reports.
 func (l *Load) KeepBusiest() {
 	slices.SortFunc(l.Workspaces, func(a, b Workspace) int { return cmp.Compare(b.Demand, a.Demand) })
 	l.Workspaces = l.Workspaces[:min(len(l.Workspaces), maxReportedWorkspaces)]
--- a/internal/fleetload/ratios.go
+++ b/internal/fleetload/ratios.go
@@ -49,6 +49,7 @@
 	return lower
 }
 
+// add adds the counts of other.
 func (r *Ratios) add(other *Ratios) {
 	for i := range r {
 		r[i] += other[i]
