--- a/internal/admission/explain.go
+++ b/internal/admission/explain.go
@@ -84,8 +84,8 @@
 	c.history.put(e)
 }
 
-// countDecision counts a decision where requests of different priorities are told apart.
-// The caller holds c.mu.
+// countDecision counts a decision by class and rule where the work limit is used. The caller
+// holds c.mu.
 func (c *Controller) countDecision(r *Request, rule Rule) {
 	if !c.opts.LimitWork {
 		return
--- a/internal/admission/explanation.go
+++ b/internal/admission/explanation.go
@@ -35,7 +35,7 @@
 	Since     time.Time `json:"since"`
 	// Waited is the time spent in the queue, so far or until the decision.
 	Waited time.Duration `json:"waitedNs"`
-	// Room is what a refusal was decided on where priorities are told apart.
+	// Room holds the figures of a refusal where the work limit is divided among priorities.
 	Room *RoomExplanation `json:"room,omitempty"`
 	// Upstream is the upstream of the latest attempt.
 	Upstream string `json:"upstream,omitempty"`
--- a/internal/admission/fleet_limit.go
+++ b/internal/admission/fleet_limit.go
@@ -32,14 +32,15 @@
 	fleetEqualShare = 0.3
 	// maxContradiction is the factor by which the average of a daemon's own outstanding work
 	// may differ from its part of the fleet's, beyond as many requests of the mean cost.
-	// Beyond it the figures of the fleet are taken to be wrong. contradictionWeight is the
+	// Beyond it the figures of the fleet count as wrong. contradictionWeight is the
 	// weight of one sum in these averages, so that they cover about 2 s.
 	maxContradiction    = 4.0
 	contradictionWeight = 0.1
 	// provenMargin is the share by which the outstanding work that was answered in time may
-	// be exceeded, for random variation, and maxUnproven bounds the sums that are remembered until then.
-	provenMargin = 0.5
-	// constantMargin is the same for work that is outstanding because of constant delays.
+	// be exceeded, for random variation, and constantMargin the same for work that is
+	// outstanding because of constant delays. maxUnproven bounds the sums whose answers are
+	// awaited.
+	provenMargin   = 0.5
 	constantMargin = 0.35
 	maxUnproven    = 16
 	// earlyRatio is the time to the first answer, relative to the target, that is not counted
@@ -62,8 +63,10 @@
 	// value is the limit of the outstanding work in tokens, infinite until answers are
 	// late, and capacity the highest throughput of the recent past per second.
 	value, capacity float64
-	strictest       float64
-	baselines       [fleetload.RankCount]ratioBaseline
+	// strictest is the highest median, over the priorities, of the time to the first answer
+	// relative to the target, less its baseline, or a higher prediction.
+	strictest float64
+	baselines [fleetload.RankCount]ratioBaseline
 	// throughput is the running mean of the throughput by priority.
 	throughput [rankCount]float64
 	// constant is the work that is outstanding because of delays that do not depend on the
@@ -114,22 +117,8 @@
 	f.capacity = max(load.Throughput(), f.capacity*math.Exp(-max(0, elapsed.Seconds())/capacityTimeConstant.Seconds()))
 	f.load, f.daemons, f.receivedAt = *load, daemons, now
 	outstanding := load.Outstanding()
-	f.strictest, f.constant = 0, 0
-	early := 0.0
-	for i := range load.Ranks {
-		f.throughput[i] += throughputWeight * (load.Ranks[i].Throughput - f.throughput[i])
-		f.constant += max(0, f.baselines[i].value-earlyRatio) * targets[i].Seconds() * f.throughput[i]
-	}
-	for i := range load.Ranks {
-		if r := &load.Ranks[i].Ratios; r.Count() >= minFleetSamples {
-			ratio := f.baselines[i].adjust(r.Median(), now)
-			f.strictest = max(f.strictest, ratio)
-			if f.baselines[i].isEarly() {
-				early = max(early, ratio)
-			}
-		}
-	}
-	f.strictest = max(f.strictest, withPrediction(early, f.predictedRatio(target)))
+	f.updateConstant(targets)
+	early := f.updateStrictest(target, now)
 	f.prove(outstanding, early, elapsed, target, now)
 	switch {
 	case now.Sub(f.changedAt) < workLimitInterval:
@@ -145,7 +134,34 @@
 	f.updateCaps()
 }
 
-// predictedRatio is like that of rankLimit.
+// updateConstant updates the throughput of the priorities and the work that is outstanding
+// because of constant delays.
+func (f *fleetLimit) updateConstant(targets *[rankCount]time.Duration) {
+	f.constant = 0
+	for i := range f.load.Ranks {
+		f.throughput[i] += throughputWeight * (f.load.Ranks[i].Throughput - f.throughput[i])
+		f.constant += max(0, f.baselines[i].value-earlyRatio) * targets[i].Seconds() * f.throughput[i]
+	}
+}
+
+// updateStrictest updates strictest and the baselines. early is strictest of the priorities
+// that are answered early at rest, without the prediction.
+func (f *fleetLimit) updateStrictest(target time.Duration, now time.Time) (early float64) {
+	f.strictest = 0
+	for i := range f.load.Ranks {
+		if r := &f.load.Ranks[i].Ratios; r.Count() >= minFleetSamples {
+			ratio := f.baselines[i].adjust(r.Median(), now)
+			f.strictest = max(f.strictest, ratio)
+			if f.baselines[i].isEarly() {
+				early = max(early, ratio)
+			}
+		}
+	}
+	f.strictest = max(f.strictest, withPrediction(early, f.predictedRatio(target)))
+	return early
+}
+
+// predictedRatio is rankLimit.predictedRatio for the sums of the fleet.
 func (f *fleetLimit) predictedRatio(target time.Duration) float64 {
 	outstanding, throughput := 0.0, 0.0
 	for i := range f.load.Ranks {
@@ -160,9 +176,8 @@
 	return outstanding / throughput / target.Seconds()
 }
 
-// prove records the outstanding work, and takes that of sums which are older than the target
-// as proven: since then the answers of the priorities that are answered early at rest have been
-// early.
+// prove records the outstanding work. That of sums older than the target becomes proven: since
+// then the answers of the priorities that are answered early at rest have been early.
 func (f *fleetLimit) prove(outstanding, early float64, elapsed, target time.Duration, now time.Time) {
 	f.proven *= math.Exp(-max(0, elapsed.Seconds()) / capacityTimeConstant.Seconds())
 	if early > predictionShare*rankOverloadRatio {
@@ -240,8 +255,9 @@
 }
 
 // window returns the outstanding work that all daemons together may have. Each upstream can
-// have minLimitPerUpstream requests of the mean cost at any time. At a low load the throughput says little
-// about the capacity; what has been answered in time recently may be outstanding again.
+// have minLimitPerUpstream requests of the mean cost at any time. At a low load the throughput
+// says little about the capacity; what has been answered in time recently may be outstanding
+// again.
 func (f *fleetLimit) window(target time.Duration, upstreams int, meanCost float64) float64 {
 	window := f.value
 	if target > 0 {
--- a/internal/admission/load_sim_test.go
+++ b/internal/admission/load_sim_test.go
@@ -239,7 +239,7 @@
 	}
 }
 
-// lose makes upstreams disappear; daemons are told as by the list of upstreams.
+// lose makes upstreams disappear; daemons learn of it as from the list of upstreams.
 func (s *loadSim) lose(n int) {
 	s.live -= n
 	for _, p := range s.daemons {
--- a/internal/admission/pool_ranks.go
+++ b/internal/admission/pool_ranks.go
@@ -96,6 +96,8 @@
 	}
 }
 
+// recordRankAnswer records the first answer or the end of a request; latency is 0 when there
+// was no answer.
 func (p *pool) recordRankAnswer(r *Request, latency time.Duration, now time.Time) {
 	if p.ranks != nil {
 		p.ranks.recordAnswer(r, latency, now)
--- a/internal/admission/pool_state.go
+++ b/internal/admission/pool_state.go
@@ -14,6 +14,14 @@
 	sourceFleet = "fleet"
 )
 
+const (
+	// limitedSpan is the time after a refusal in which a pool counts as limited, so that
+	// single refusals do not cause a log line each.
+	limitedSpan = 5 * time.Second
+	// maxReportedRoom is the room that is reported while there is no limit.
+	maxReportedRoom = 1e9
+)
+
 // poolState is how the rule applies to a pool.
 type poolState struct {
 	// source is sourceOff where priorities do not differ and no workspace has a quota.
@@ -39,10 +47,6 @@
 	return s
 }
 
-// limitedSpan is the time after a refusal in which a pool counts as limited, so that
-// single refusals do not cause a line each.
-const limitedSpan = 5 * time.Second
-
 // gauges are the metrics of a pool.
 type gauges struct {
 	room, outstanding, capacity, fleet tally.Gauge
@@ -77,6 +81,3 @@
 		}
 	}
 }
-
-// maxReportedRoom is the room that is reported while there is no limit.
-const maxReportedRoom = 1e9
--- a/internal/admission/rank_limit.go
+++ b/internal/admission/rank_limit.go
@@ -98,6 +98,7 @@
 	return &rankLimit{hasQuotas: hasQuotas, fleet: newFleetLimit(), shares: map[shareKey]*share{}, shareCounts: map[string]int{}}
 }
 
+// rankOf returns the priority of a request within the range of ranks.
 func rankOf(r *Request) int { return min(max(r.Priority, 0), rankCount-1) }
 
 // isActive reports whether priorities differ or workspaces have quotas.
@@ -151,6 +152,7 @@
 	return period
 }
 
+// fleetTime returns the time of the fleet's clock, or now if there is none.
 func (l *rankLimit) fleetTime(now time.Time) time.Time {
 	if l.fleetNow == nil {
 		return now
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -32,8 +32,8 @@
 	// Key returns a hash of the content, which is the same when the caller returns after a
 	// refusal. It is called only when it is needed; nil means that there is none.
 	Key func() uint64
-	// isReturning reports whether the request comes at the moment at which callers with its
-	// content are told to return.
+	// isReturning reports whether the request comes at the moment to which Retry-After pointed
+	// for its content.
 	isReturning bool
 }
 
--- a/internal/admission/return_times.go
+++ b/internal/admission/return_times.go
@@ -3,18 +3,18 @@
 import "time"
 
 const (
-	// returnPeriod is the period in which each request has one moment at which its caller is
-	// told to return, by the hash of its content: 0.25 s for the most urgent priority, and
+	// returnPeriod is the period in which each request has one moment to which Retry-After
+	// points, determined by the hash of its content: 0.25 s for the most urgent priority, and
 	// twice as long for each less urgent one up to maxReturnPeriod. Callers of the whole
-	// fleet are spread over it without messages, and each daemon can tell who returns when
-	// told.
+	// fleet are spread over it without messages, and each daemon recognizes the callers that
+	// return at their moment.
 	returnPeriod    = 250 * time.Millisecond
 	maxReturnPeriod = time.Second
-	// minReturnDelay is the shortest delay of a caller that is told to return before its turn
-	// because its deadline allows no longer one.
+	// minReturnDelay is the shortest delay of a caller whose deadline does not allow the delay
+	// until its turn.
 	minReturnDelay = 150 * time.Millisecond
 	// returnEarly and returnLate bound the time before and after that moment in which a
-	// request counts as returning as told. Delays are rounded up to 10 ms, and the clocks of
+	// request counts as returning at its moment. Delays are rounded up to 10 ms, and the clocks of
 	// daemons differ by some milliseconds.
 	returnEarly = 10 * time.Millisecond
 	returnLate  = 40 * time.Millisecond
@@ -33,7 +33,7 @@
 	// next is the time at which the room of a priority returns for the next caller.
 	next      [rankCount]time.Time
 	refusedAt time.Time
-	// demand is the work of callers that return as told, by priority.
+	// demand is the work of callers that return at their moment, by priority.
 	demand [rankCount]decayingRate
 }
 
--- a/internal/admission/returns_sim_test.go
+++ b/internal/admission/returns_sim_test.go
@@ -14,7 +14,7 @@
 type simCaller struct {
 	class    string
 	deadline time.Time
-	// isImpatient callers return every 50 ms instead of when they are told.
+	// isImpatient callers return every 50 ms instead of after Retry-After.
 	isImpatient, isServed, isLate bool
 	attempts                      int
 }
--- a/internal/admission/waiter.go
+++ b/internal/admission/waiter.go
@@ -24,7 +24,7 @@
 }
 
 // goesBefore reports whether the waiter starts before another one of its workspace: callers
-// that return as told go first, then requests in the order of acceptance.
+// that return at their moment go first, then requests in the order of acceptance.
 func (w *waiter) goesBefore(other *waiter) bool {
 	if w.req.isReturning != other.req.isReturning {
 		return w.req.isReturning
--- a/internal/dispatch/failure_tracker.go
+++ b/internal/dispatch/failure_tracker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	latest map[string]upstreamFailure
 }
 
+// upstreamFailure is the latest failure of an upstream.
 type upstreamFailure struct {
 	status Status
 	at     time.Time
@@ -61,9 +63,9 @@
 	}
 }
 
-// withoutAlike returns the upstreams without those that have just failed a request in the
+// withoutSimilarFailures returns the upstreams without those that have just failed a request in the
 // same way as one of the failed upstreams, or all of them if none is left.
-func (f *failureTracker) withoutAlike(upstreams []membership.Upstream, failed []string, now time.Time) []membership.Upstream {
+func (f *failureTracker) withoutSimilarFailures(upstreams []membership.Upstream, failed []string, now time.Time) []membership.Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var statuses []Status
@@ -78,7 +80,7 @@
 	remaining := make([]membership.Upstream, 0, len(upstreams))
 	for i := range upstreams {
 		failure, hasFailed := f.latest[upstreams[i].Name]
-		if !hasFailed || now.Sub(failure.at) > failureRetention || !containsStatus(statuses, failure.status) {
+		if !hasFailed || now.Sub(failure.at) > failureRetention || !slices.Contains(statuses, failure.status) {
 			remaining = append(remaining, upstreams[i])
 		}
 	}
@@ -87,12 +89,3 @@
 	}
 	return remaining
 }
-
-func containsStatus(statuses []Status, status Status) bool {
-	for _, s := range statuses {
-		if s == status {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/dispatch/failure_tracker_test.go
+++ b/internal/dispatch/failure_tracker_test.go
@@ -17,7 +17,7 @@
 	upstreams := []membership.Upstream{{Name: "b"}, {Name: "c"}, {Name: "d"}, {Name: "e"}}
 	names := func(failed ...string) string {
 		text := ""
-		for _, u := range f.withoutAlike(upstreams, failed, now) {
+		for _, u := range f.withoutSimilarFailures(upstreams, failed, now) {
 			text += u.Name
 		}
 		return text
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -73,7 +73,7 @@
 		upstreams = d.suspects.withoutSuspects(upstreams)
 	}
 	if r.Attempt > 1 {
-		upstreams = d.failures.withoutAlike(upstreams, r.Exclude, now)
+		upstreams = d.failures.withoutSimilarFailures(upstreams, r.Exclude, now)
 	}
 	req := &routing.Request{
 		PromptTokens: r.PromptTokens + r.ResumedTokens,
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -65,7 +65,7 @@
 		fields = append(fields, "upstreamLimit", *x.upstreamLimit)
 	}
 	if c := x.choice; c != nil && c.Pace > 0 {
-		// The age is that of a report; an upstream without one is taken for a mean one.
+		// The age is that of a report; an upstream without one counts as an average one.
 		fields = append(fields, "pace", twoDigits(c.Pace), "speed", twoDigits(c.Speed), "stateAgeMs", min(c.StateAge, time.Minute).Milliseconds())
 	}
 	if x.upstreamLeaving {
--- a/internal/gateway/write_deadline.go
+++ b/internal/gateway/write_deadline.go
@@ -14,7 +14,7 @@
 )
 
 // setWriteDeadline bounds the writes of the answer, as a caller that does not read would
-// otherwise hold its connection for ever. The server resets it before the next request.
+// otherwise hold its connection forever. The server resets it before the next request.
 func (x *exchange) setWriteDeadline() {
 	deadline := time.Now().Add(writeTimeout)
 	if !x.deadline.IsZero() {
--- a/internal/policytest/uneven.go
+++ b/internal/policytest/uneven.go
@@ -38,7 +38,7 @@
 	Daemons int
 	// Lag is the age of the state of upstreams when daemons receive it.
 	Lag time.Duration
-	// Blind is the share of daemons that receive none.
+	// Blind is the share of daemons that receive no state.
 	Blind float64
 	// IsPlain selects a plain service of three upstreams with 6 slots; it is a model pool of
 	// 140 with 16 slots otherwise.
@@ -49,6 +49,8 @@
 
 // UnevenResult holds the measurements of a policy in an UnevenCase.
 type UnevenResult struct {
+	// Within is the share of the requests that were answered within the target, and P99 the
+	// quantile 0.99 of the time to the first answer.
 	Within float64
 	P99    time.Duration
 	// Busiest is the largest ratio of the share of requests that an upstream got to the one
@@ -97,8 +99,10 @@
 	return f.result()
 }
 
+// wallTime returns the simulated time of day.
 func (f *unevenFleet) wallTime() time.Time { return time.Unix(1_000_000, 0).Add(f.events.now) }
 
+// build creates the upstreams and the daemons.
 func (f *unevenFleet) build() {
 	count := 140
 	if f.IsPlain {
@@ -139,6 +143,7 @@
 	}
 }
 
+// schedule schedules the requests, the reports and the changes of the pace.
 func (f *unevenFleet) schedule(seed uint64) {
 	requests := poissonArrivals(rand.New(rand.NewPCG(seed, 8)), unevenLength, func(time.Duration) float64 { return f.Rate }, f.fill)
 	for _, r := range requests {
@@ -158,9 +163,8 @@
 
 // fill generates chats and middle prompts, or plain requests.
 func (f *unevenFleet) fill(r *request) {
-	r.class = &class{firstTokenTarget: 800 * time.Millisecond}
+	r.class = &class{firstTokenTarget: f.target()}
 	if f.IsPlain {
-		r.class = &class{firstTokenTarget: 150 * time.Millisecond}
 		return
 	}
 	r.promptTokens, r.answerTokens = 715, 56
@@ -171,6 +175,14 @@
 	r.blocks = blockHashes(uint64(r.id%30), shared, uint64(r.id)+1<<32, r.promptTokens)
 }
 
+// target returns the target for the first answer.
+func (f *unevenFleet) target() time.Duration {
+	if f.IsPlain {
+		return 150 * time.Millisecond
+	}
+	return 800 * time.Millisecond
+}
+
 // changePaces makes other upstreams slow: each one changes every slowPeriod on average.
 func (f *unevenFleet) changePaces() {
 	period, factor := slowPeriod, slowFactor
@@ -188,7 +200,7 @@
 	}
 }
 
-// load returns the present report of an upstream.
+// load returns the current report of an upstream.
 func (f *unevenFleet) load(i int) membership.Load {
 	l := membership.Load{Pace: f.paces[i]}
 	if f.IsPlain {
@@ -199,7 +211,7 @@
 	return l
 }
 
-// snapshot gives the daemons the present state of all upstreams after Lag.
+// snapshot delivers the current state of all upstreams to the daemons after Lag.
 func (f *unevenFleet) snapshot() {
 	upstreams := slices.Clone(f.upstreams)
 	loads := make([]membership.Load, len(upstreams))
@@ -223,6 +235,7 @@
 	})
 }
 
+// dispatch sends a request to the upstream that the policy picks for a daemon.
 func (f *unevenFleet) dispatch(d *unevenDaemon, r *request) {
 	req := &routing.Request{PromptTokens: r.promptTokens, MaxTokens: r.answerTokens, Blocks: r.blocks, Rand: f.random.Uint64(), Now: f.wallTime()}
 	tracker := d.trackers.Pool(poolName)
@@ -285,12 +298,9 @@
 	return most
 }
 
+// result evaluates the run.
 func (f *unevenFleet) result() UnevenResult {
-	target := 800 * time.Millisecond
-	if f.IsPlain {
-		target = 150 * time.Millisecond
-	}
-	within := 0
+	target, within := f.target(), 0
 	for _, first := range f.first {
 		if first <= target {
 			within++
--- a/internal/routing/cost_bench_test.go
+++ b/internal/routing/cost_bench_test.go
@@ -14,17 +14,7 @@
 func BenchmarkChoose100(b *testing.B) {
 	now := time.Unix(1000, 0)
 	tracker, upstreams, blocks := loadedTracker(now)
-	policy := NewCost()
-	req := &Request{PromptTokens: 256 * 16, MaxTokens: 200, Blocks: blocks, Now: now}
-	buffer := make([]Candidate, 0, len(upstreams))
-	b.ReportAllocs()
-	for i := 0; b.Loop(); i++ {
-		req.Rand = uint64(i)
-		buffer = tracker.Candidates(req, upstreams, buffer[:0])
-		if policy.Pick(req, buffer) < 0 {
-			b.Fatal("nothing chosen")
-		}
-	}
+	benchmarkChoose(b, tracker, upstreams, blocks, now)
 }
 
 // BenchmarkChooseWithState140 measures choosing among 140 upstreams that report slots and
@@ -41,6 +31,11 @@
 			Running: i % 16, Waiting: i % 3, Slots: 16, Pace: 1 + float64(i%5)/4, ReceivedAt: now.Add(-time.Duration(i) * time.Millisecond),
 		}
 	}
+	benchmarkChoose(b, tracker, upstreams, blocks, now)
+}
+
+// benchmarkChoose measures building the candidates and choosing among them.
+func benchmarkChoose(b *testing.B, tracker *Tracker, upstreams []membership.Upstream, blocks []uint64, now time.Time) {
 	policy := NewCost()
 	req := &Request{PromptTokens: 256 * 16, MaxTokens: 200, Blocks: blocks, Now: now}
 	buffer := make([]Candidate, 0, len(upstreams))
--- a/internal/server/stalled_body_test.go
+++ b/internal/server/stalled_body_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a server that waits for ever for the rest of a body that it has rejected
+// Guards against a server that waits forever for the rest of a body that it has rejected
 // unread.
 func TestStalledBodies(t *testing.T) {
 	h := newHarness(t, &fakePool{}, nil)
