--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -80,7 +80,7 @@
 	Usage     Usage
 	Loads     LoadRecorder
 	// UpstreamStates and UpstreamLimit are asked right before a request is sent.
-	// UpstreamStates and LimitRecorder are told of each response.
+	// UpstreamStates and LimitRecorder receive what each response says.
 	UpstreamStates UpstreamStates
 	UpstreamLimit  UpstreamLimit
 	LimitRecorder  LimitRecorder
--- a/internal/policytest/uneven.go
+++ b/internal/policytest/uneven.go
@@ -38,8 +38,8 @@
 	Daemons int
 	// Lag is the age of the state of upstreams when daemons receive it.
 	Lag time.Duration
-	// Blind is the share of daemons that receive no state.
-	Blind float64
+	// Isolated is the share of daemons that receive no state.
+	Isolated float64
 	// IsPlain selects a plain service of three upstreams with 6 slots; it is a model pool of
 	// 140 with 16 slots otherwise.
 	IsPlain bool
@@ -84,10 +84,10 @@
 
 // unevenDaemon is a daemon with its view of the upstreams.
 type unevenDaemon struct {
-	trackers  *routing.Trackers
-	upstreams []membership.Upstream
-	isBlind   bool
-	buffer    []routing.Candidate
+	trackers   *routing.Trackers
+	upstreams  []membership.Upstream
+	isIsolated bool
+	buffer     []routing.Candidate
 }
 
 // RunUneven simulates a policy. The seed determines all of it.
@@ -132,9 +132,9 @@
 	}
 	f.store.SetUpstreams(f.processes)
 	for i := range f.Daemons {
-		d := &unevenDaemon{upstreams: f.upstreams, isBlind: float64(i) < f.Blind*float64(f.Daemons)}
+		d := &unevenDaemon{upstreams: f.upstreams, isIsolated: float64(i) < f.Isolated*float64(f.Daemons)}
 		d.trackers = &routing.Trackers{}
-		if !d.isBlind {
+		if !d.isIsolated {
 			d.trackers.OnSlowness = func(s routing.SlownessSample) {
 				f.store.ObserveSlowness(upstreamstate.Process{Name: s.Upstream, Address: s.Address, Generation: s.Generation}, s.Ratio, f.wallTime())
 			}
@@ -228,7 +228,7 @@
 			loads[i].AgeMs, loads[i].ReceivedAt = f.Lag.Milliseconds(), f.wallTime()
 		}
 		for _, d := range f.daemons {
-			if !d.isBlind {
+			if !d.isIsolated {
 				d.upstreams = upstreams
 			}
 		}
--- a/internal/policytest/uneven_test.go
+++ b/internal/policytest/uneven_test.go
@@ -17,8 +17,8 @@
 type unevenPolicy struct {
 	name   string
 	policy routing.Policy
-	// isBlind makes all daemons know only their own attempts.
-	isBlind bool
+	// isIsolated makes all daemons know only their own attempts.
+	isIsolated bool
 }
 
 func unevenPolicies() []unevenPolicy {
@@ -39,7 +39,7 @@
 	for _, isPlain := range []bool{false, true} {
 		for _, daemons := range []int{10, 61, 300} {
 			for _, lag := range ages {
-				c := UnevenCase{Daemons: daemons, Lag: lag, Blind: 0.1, IsPlain: isPlain, Rate: 550}
+				c := UnevenCase{Daemons: daemons, Lag: lag, Isolated: 0.1, IsPlain: isPlain, Rate: 550}
 				if isPlain {
 					c.Rate = 200
 				}
@@ -62,13 +62,13 @@
 	for i, c := range cases {
 		results[i] = make([]UnevenResult, len(policies))
 		for j, p := range policies {
-			if p.isBlind && c.Lag != ages[0] {
+			if p.isIsolated && c.Lag != ages[0] {
 				continue
 			}
 			group.Go(func() error {
 				c := c
-				if p.isBlind {
-					c.Blind = 1
+				if p.isIsolated {
+					c.Isolated = 1
 				}
 				results[i][j] = RunUneven(p.policy, c, firstSeed)
 				return nil
@@ -78,7 +78,7 @@
 	_ = group.Wait()
 	for i := range cases {
 		for j, p := range policies {
-			if p.isBlind {
+			if p.isIsolated {
 				// The age of the state makes no difference.
 				results[i][j] = results[i-i%len(ages)][j]
 			}
