--- a/internal/admin/auth.go
+++ b/internal/admin/auth.go
@@ -14,18 +14,14 @@
 
 // RequireToken returns a middleware that responds with 401 unless token is the
 // bearer token of the request. If token is empty, every request is refused.
-// Hashes are compared in constant time, so that response times reveal neither
-// the content nor the length of the token. scope receives the count of refused
-// requests and may be nil.
+// scope receives the count of refused requests and may be nil.
 func RequireToken(token string, scope tally.Scope) iris.Handler {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
 	refused := scope.Counter("unauthorized")
-	expected := sha256.Sum256([]byte(token))
 	return func(c iris.Context) {
-		presented := sha256.Sum256([]byte(bearerToken(c.Request())))
-		if subtle.ConstantTimeCompare(expected[:], presented[:]) != 1 || token == "" {
+		if !HasToken(c.Request(), token) {
 			refused.Inc(1)
 			c.Header("WWW-Authenticate", "Bearer")
 			problem.Write(c.ResponseWriter(), problem.NewNotRun(http.StatusUnauthorized, problem.CodeUnauthorized,
@@ -37,6 +33,15 @@
 	}
 }
 
+// HasToken reports whether token is the bearer token of a request; it is false if token is
+// empty. Hashes are compared in constant time, so that response times reveal neither the
+// content nor the length of the token.
+func HasToken(r *http.Request, token string) bool {
+	expected, presented := sha256.Sum256([]byte(token)), sha256.Sum256([]byte(bearerToken(r)))
+	return token != "" && subtle.ConstantTimeCompare(expected[:], presented[:]) == 1
+}
+
+// bearerToken returns the bearer token of a request, or "" if it has none.
 func bearerToken(r *http.Request) string {
 	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
--- a/internal/fleetdaemon/explain_route.go
+++ b/internal/fleetdaemon/explain_route.go
@@ -1,14 +1,13 @@
 package fleetdaemon
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/json"
 	"net/http"
 	"os"
 	"strings"
 	"time"
 
+	"rattantide/internal/admin"
 	"rattantide/internal/bootclock"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
@@ -42,7 +41,7 @@
 
 // ServeHTTP implements http.Handler.
 func (e *routeExplainer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !e.isAuthorized(r) {
+	if !admin.HasToken(r, e.token) {
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		problem.Write(w, problem.NewNotRun(http.StatusUnauthorized, problem.CodeUnauthorized, "the bearer token is missing or wrong"))
 		return
@@ -69,14 +68,6 @@
 	_ = json.NewEncoder(w).Encode(explanation)
 }
 
-// isAuthorized reports whether a request has the token of operators. Hashes are compared in
-// constant time, as in package admin. Without a configured token, nobody is authorized.
-func (e *routeExplainer) isAuthorized(r *http.Request) bool {
-	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	expected, presented := sha256.Sum256([]byte(e.token)), sha256.Sum256([]byte(strings.TrimSpace(token)))
-	return e.token != "" && strings.EqualFold(scheme, "Bearer") && subtle.ConstantTimeCompare(expected[:], presented[:]) == 1
-}
-
 // explain returns the explanation for a query, or the problem with it.
 func (e *routeExplainer) explain(q *routeexplain.Query) (*routeexplain.Explanation, *problem.Problem) {
 	config, confirmedAt := e.holder.Current()
