--- a/internal/fleetdaemon/caller_servers.go
+++ b/internal/fleetdaemon/caller_servers.go
@@ -14,9 +14,12 @@
 	"rattantide/internal/fleetconfig"
 )
 
+// acceptRetryInterval is the pause after a connection could not be accepted.
+const acceptRetryInterval = 20 * time.Millisecond
+
 // callerServers serves the callers' listener. The limits of an http.Server cannot change, so
 // that each change of the configuration's limits starts a new one, which gets the connections
-// from then on; earlier ones serve those that they have.
+// accepted from then on; earlier servers keep the connections that they have.
 type callerServers struct {
 	handler  http.Handler
 	config   *fleetconfig.Holder
@@ -46,21 +49,18 @@
 		if !ok {
 			return errors.NotSupportedf("connection of type %T", c)
 		}
-		part := s.conns.Open(callerbudget.Caller{Address: callerbudget.AddressOf(c.RemoteAddr().String())}, func() { _ = tcp.Close() })
-		if !part.Grow(1, time.Now()) {
+		reservation := s.conns.Open(callerbudget.Caller{Address: callerbudget.AddressOf(c.RemoteAddr().String())}, func() { _ = tcp.Close() })
+		if !reservation.Grow(1, time.Now()) {
 			_ = tcp.Close()
 			continue
 		}
-		conn := &callerConn{TCPConn: tcp, part: part}
-		if !s.server().hand(conn) {
+		conn := &callerConn{TCPConn: tcp, reservation: reservation}
+		if !s.server().deliver(conn) {
 			_ = conn.Close()
 		}
 	}
 }
 
-// acceptRetryInterval is the pause after a connection could not be accepted.
-const acceptRetryInterval = 20 * time.Millisecond
-
 // server returns the listener of the server with the limits in effect.
 func (s *callerServers) server() *handoverListener {
 	config, _ := s.config.Current()
@@ -77,7 +77,7 @@
 	}
 	server := &http.Server{
 		Handler: s.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
-		ConnState: limits.recordState, ConnContext: withConnPart,
+		ConnState: limits.recordState, ConnContext: withConnReservation,
 	}
 	if s.current != nil {
 		// Ends Serve of the earlier server, but not its connections.
