--- a/internal/dispatch/explain_route.go
+++ b/internal/dispatch/explain_route.go
@@ -60,7 +60,7 @@
 		return out
 	}
 	now := d.opts.Now()
-	req := &routing.Request{PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Blocks: r.Blocks, Rand: r.Fingerprint, Now: now}
+	req := &routing.Request{PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Blocks: r.Blocks, SharedBlocks: r.SharedBlocks, Rand: r.Fingerprint, Now: now}
 	candidates := d.opts.Trackers.Peek(r.Pool, req, upstreams)
 	if d.opts.Prompts != nil && req.PromptTokens > 0 {
 		if mix := d.opts.Prompts.Lookup(r.Pool); mix != nil {
