Use one piece for the two candidates with the highest weights

Cause: applyAffinity wrote again the loop that drawTwo has. Change: heaviest holds the two; both call it. No decision changes. Result: go test ./internal/routing ./internal/policytest passes.

--- a/internal/routing/affinity.go
+++ b/internal/routing/affinity.go
@@ -26,20 +26,13 @@
 		return
 	}
 	key := req.Blocks[req.SharedBlocks-1]
-	first, second := -1, -1
-	var firstWeight, secondWeight uint64
+	preferred := newHeaviest()
 	for i := range candidates {
 		source := bitSource(key ^ candidates[i].NameHash)
-		switch weight := source.next(); {
-		case first < 0 || weight > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = i, weight
-		case second < 0 || weight > secondWeight:
-			second, secondWeight = i, weight
-		}
+		preferred.add(i, source.next())
 	}
-	candidates[first].expectCached(shared, affinityShare)
-	candidates[second].expectCached(shared, secondAffinityShare)
+	candidates[preferred.first].expectCached(shared, affinityShare)
+	candidates[preferred.second].expectCached(shared, secondAffinityShare)
 }
 
 // expectCached adds a share of the tokens of a prefix that are not known to be cached.
--- a/internal/routing/cost.go
+++ b/internal/routing/cost.go
@@ -161,8 +161,7 @@
 func (p *Cost) drawTwo(req *Request, candidates []Candidate, scores []float64, limit float64) (int, int) {
 	source := bitSource(req.Rand)
 	key, cold := coldKey(req, candidates)
-	a, b := -1, -1
-	var weightA, weightB uint64
+	drawn := newHeaviest()
 	for i := range candidates {
 		if scores[i] > limit {
 			continue
@@ -172,13 +171,7 @@
 			hashed := bitSource(key ^ candidates[i].NameHash)
 			weight = hashed.next()
 		}
-		switch {
-		case a < 0 || weight > weightA:
-			b, weightB = a, weightA
-			a, weightA = i, weight
-		case b < 0 || weight > weightB:
-			b, weightB = i, weight
-		}
+		drawn.add(i, weight)
 	}
-	return a, b
+	return drawn.first, drawn.second
 }
