Build requests for admission and policies in one place

Cause: ExplainRoute wrote again how Choose sets the time of the first answer and how startAttempt builds a routing.Request, and had already missed a field of it once. Change: targetedRequest and routingRequest, called by both. Explanations are of first attempts without resumed tokens, for which both forms were equal. Result: go test ./internal/dispatch passes.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -143,10 +143,7 @@
 // budgets. Moved attempts consume no budget. The returned function ends the
 // attempt.
 func (d *Dispatcher) admit(ctx context.Context, class *api.Class, r *Request) (func(admission.Outcome), error) {
-	ar := admissionRequest(class, r)
-	if d.opts.EnforceFirstTarget && ar.FirstTarget > 0 {
-		ar.FirstDeadline = r.AcceptedAt.Add(ar.FirstTarget)
-	}
+	ar := d.targetedRequest(class, r)
 	if r.Attempt <= 1 {
 		if d.opts.RepeatBudget != nil {
 			d.opts.RepeatBudget.RecordFirst(r.Pool)
@@ -223,6 +220,28 @@
 	}
 }
 
+// targetedRequest returns the request as admission needs it, with the time at which the first
+// answer is due if targets are enforced.
+func (d *Dispatcher) targetedRequest(class *api.Class, r *Request) admission.Request {
+	ar := admissionRequest(class, r)
+	if d.opts.EnforceFirstTarget && ar.FirstTarget > 0 {
+		ar.FirstDeadline = r.AcceptedAt.Add(ar.FirstTarget)
+	}
+	return ar
+}
+
+// routingRequest returns the request as policies need it.
+func routingRequest(r *Request, random uint64, now time.Time) *routing.Request {
+	return &routing.Request{
+		PromptTokens: r.PromptTokens + r.ResumedTokens,
+		MaxTokens:    max(0, r.MaxTokens-r.ResumedTokens),
+		Blocks:       r.Blocks,
+		SharedBlocks: r.SharedBlocks,
+		Rand:         random,
+		Now:          now,
+	}
+}
+
 // requestPriority returns the priority of the request, or that of its class
 // when the request has none.
 func requestPriority(class *api.Class, r *Request) int {
--- a/internal/dispatch/explain_route.go
+++ b/internal/dispatch/explain_route.go
@@ -43,11 +43,7 @@
 	if class == nil {
 		class = &api.Class{}
 	}
-	ar := admissionRequest(class, r)
-	if d.opts.EnforceFirstTarget && ar.FirstTarget > 0 {
-		ar.FirstDeadline = r.AcceptedAt.Add(ar.FirstTarget)
-	}
-	out := &RouteExplanation{Admission: d.opts.Admission.Preview(ar), Chosen: -1}
+	out := &RouteExplanation{Admission: d.opts.Admission.Preview(d.targetedRequest(class, r)), Chosen: -1}
 	preference := versionPreferenceFor(view, d.opts.Moves, r)
 	for _, version := range []string{preference.preferred, preference.fallback} {
 		if version != "" {
@@ -60,7 +56,7 @@
 		return out
 	}
 	now := d.opts.Now()
-	req := &routing.Request{PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens, Blocks: r.Blocks, SharedBlocks: r.SharedBlocks, Rand: r.Fingerprint, Now: now}
+	req := routingRequest(r, r.Fingerprint, now)
 	candidates := d.opts.Trackers.Peek(r.Pool, req, upstreams)
 	if d.opts.Prompts != nil && req.PromptTokens > 0 {
 		if mix := d.opts.Prompts.Lookup(r.Pool); mix != nil {
--- a/internal/dispatch/select_upstream.go
+++ b/internal/dispatch/select_upstream.go
@@ -75,14 +75,7 @@
 	if r.Attempt > 1 {
 		upstreams = d.failures.withoutSimilarFailures(upstreams, r.Exclude, now)
 	}
-	req := &routing.Request{
-		PromptTokens: r.PromptTokens + r.ResumedTokens,
-		MaxTokens:    max(0, r.MaxTokens-r.ResumedTokens),
-		Blocks:       r.Blocks,
-		SharedBlocks: r.SharedBlocks,
-		Rand:         d.opts.Rand(),
-		Now:          now,
-	}
+	req := routingRequest(r, d.opts.Rand(), now)
 	tracker := d.opts.Trackers.Pool(r.Pool)
 	buffer := d.buffers.Get().(*[]routing.Candidate)
 	*buffer = tracker.Candidates(req, upstreams, (*buffer)[:0])
