Share the conditions of a refusal between admission and its preview

Cause: Preview had copies of admitOrQueue's conditions and of the search for a class, and its search ignored the priority by which the division among priorities keeps queues. Change: isTooLate, hasFullQueue and findClass, called by both; isTooLate calls missesDeadline, which existed. Admission decides as before. With the division, which is off by default, the preview now looks at the queue that admission would use; otherwise it is as before. What it does not show: caps, guaranteed shares and waiting requests of other classes, as asking for them changes their state.

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -71,14 +71,29 @@
 // class returns the queue of the request's class, which it creates if necessary. Where
 // the work limit is divided among priorities, each priority of a class has its own.
 func (p *pool) class(r *Request) *classQueue {
+	q := p.findClass(r)
+	if q == nil {
+		q = &classQueue{name: r.Class, priority: r.Priority}
+		p.classes = append(p.classes, q)
+	}
+	return q
+}
+
+// findClass returns the queue of the request's class, or nil if there is none.
+func (p *pool) findClass(r *Request) *classQueue {
 	for _, q := range p.classes {
 		if q.name == r.Class && (p.ranks == nil || q.priority == r.Priority) {
 			return q
 		}
 	}
-	q := &classQueue{name: r.Class, priority: r.Priority}
-	p.classes = append(p.classes, q)
-	return q
+	return nil
+}
+
+// hasFullQueue reports whether as many requests of the request's workspace wait in its class as
+// may.
+func (p *pool) hasFullQueue(q *classQueue, r *Request) bool {
+	ws := q.workspace(r.Workspace)
+	return ws != nil && len(ws.waiters) >= p.maxPerWorkspace
 }
 
 // acquire takes a concurrency slot regardless of the limit.
@@ -117,10 +132,10 @@
 	}
 	q := p.class(r)
 	wait := p.expectedWait(q, r, now)
-	if !r.Deadline.IsZero() && now.Add(wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(wait).After(p.latestStart(r)) {
+	if p.isTooLate(r, wait, service, now) {
 		return nil, nil, RuleShed, p.returnDelay(r, wait, now)
 	}
-	if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace {
+	if p.hasFullQueue(q, r) {
 		return nil, nil, RuleQueueFull, p.returnDelay(r, wait, now)
 	}
 	if p.waiting >= p.maxWaiting {
--- a/internal/admission/preview.go
+++ b/internal/admission/preview.go
@@ -26,17 +26,15 @@
 	if p.isRanked(now) && p.hasRankCapacity(&r, now) || !p.isRanked(now) && p.waiting == 0 && p.hasCapacity() {
 		return out
 	}
-	q := &classQueue{name: r.Class, priority: r.Priority}
-	for _, known := range p.classes {
-		if known.name == r.Class {
-			q = known
-		}
+	q := p.findClass(&r)
+	if q == nil {
+		q = &classQueue{name: r.Class, priority: r.Priority}
 	}
-	service := p.expectedServiceTime(&r)
 	out.Rule, out.Wait = RulePoolLimit, p.expectedWait(q, &r, now)
-	if !r.Deadline.IsZero() && now.Add(out.Wait+service).After(r.Deadline) || !r.FirstDeadline.IsZero() && now.Add(out.Wait).After(p.latestStart(&r)) {
+	switch {
+	case p.isTooLate(&r, out.Wait, p.expectedServiceTime(&r), now):
 		out.Rule = RuleShed
-	} else if ws := q.workspace(r.Workspace); ws != nil && len(ws.waiters) >= p.maxPerWorkspace || p.waiting >= p.maxWaiting {
+	case p.hasFullQueue(q, &r) || p.waiting >= p.maxWaiting:
 		out.Rule = RuleQueueFull
 	}
 	return out
--- a/internal/admission/shed_late.go
+++ b/internal/admission/shed_late.go
@@ -8,6 +8,12 @@
 	return !r.Deadline.IsZero() && now.Add(service).After(r.Deadline)
 }
 
+// isTooLate reports whether a request that starts after a wait would miss its deadline, or start
+// too late for its first answer to be in time.
+func (p *pool) isTooLate(r *Request, wait, service time.Duration, now time.Time) bool {
+	return missesDeadline(r, wait+service, now) || !r.FirstDeadline.IsZero() && now.Add(wait).After(p.latestStart(r))
+}
+
 // shedLate removes and returns the waiting requests that will not start in
 // time. It checks at most once per window. The estimates at their arrival may
 // have been too low or not available; refusing the requests now leaves their
