Find free ports for tests in one place

Cause: test/callers, test/soak and the tests of internal/fleetdaemon each had a search of their own; that of the soak took ports that outgoing connections may get before the daemons listen. Change: proc.FreePorts, from the range that the other two used.

--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -48,24 +46,6 @@
 	storeBlocked []atomic.Bool
 }
 
-// freePort returns a port that no process uses on any address, below those that outgoing
-// connections get: another process could get such a one before the daemons listen. The
-// daemons use its number for TCP and for UDP.
-func freePort(t testing.TB) int {
-	const first, count, attempts = 15_000, 15_000, 50
-	for range attempts {
-		port := first + rand.IntN(count)
-		l, err := net.Listen("tcp4", ":"+strconv.Itoa(port))
-		if err != nil {
-			continue
-		}
-		assert.NilError(t, l.Close())
-		return port
-	}
-	t.Fatal("no free port found")
-	return 0
-}
-
 func startDeployment(t testing.TB, daemons int) *deployment {
 	return startDeploymentWith(t, daemons, Features{})
 }
@@ -84,7 +64,9 @@
 		"service": "app", "address": runnerAddress, "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready", "seqNo": 1,
 	})
 	s.store.Set("servers", "odd", "left by another writer")
-	port := freePort(t)
+	// The daemons use its number for TCP and for UDP.
+	port, err := proc.FreePorts("", 1)
+	assert.NilError(t, err)
 	for i := range daemons {
 		ip := fmt.Sprintf("127.0.%d.%d", 1+i/addressesPerNetwork, 1+i%addressesPerNetwork)
 		storeAddress := serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/test/callers/daemon_test.go
+++ b/test/callers/daemon_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -53,30 +52,6 @@
 	runner  *runner.Runner
 }
 
-// freePorts returns the first of five consecutive ports that are free, below those that
-// outgoing connections get: the crowd or a stand-in could get such a one before the daemon
-// listens.
-func freePorts(t *testing.T) int {
-	const first, count, attempts = 15_000, 15_000, 50
-	for range attempts {
-		port := first + rand.IntN(count)
-		free := true
-		for i := range 5 {
-			probe, err := net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(port+i))
-			if err != nil {
-				free = false
-				break
-			}
-			assert.NilError(t, probe.Close())
-		}
-		if free {
-			return port
-		}
-	}
-	t.Fatal("no range of five free ports found in 50 attempts")
-	return 0
-}
-
 func startDaemon(t *testing.T) *daemon {
 	d := &daemon{t: t, runner: &runner.Runner{ID: "i-1"}}
 	streams := &runner.Runner{ID: "s-1", Events: 1 << 20}
@@ -104,7 +79,9 @@
 		"tenants":  []any{map[string]any{"name": "w", "apiKeys": []string{"key"}, "ratePerS": 1e6, "burst": 1e6, "unit": "token_count", "plainTokens": 1}},
 		"limits":   map[string]any{"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 4000, "idleTimeoutMs": 10_000},
 	})
-	port, dir := freePorts(t), t.TempDir()
+	port, err := proc.FreePorts("127.0.0.1", 5)
+	assert.NilError(t, err)
+	dir := t.TempDir()
 	d.address = "127.0.0.1:" + strconv.Itoa(port)
 	d.metrics = "127.0.0.1:" + strconv.Itoa(port+4)
 	settings := fmt.Sprintf(`
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -119,7 +118,10 @@
 	}
 	f.writeRunners()
 	f.writeConfig()
-	f.port = freePortRange(t)
+	// All nodes use the same ports, each on an address of its own.
+	port, err := proc.FreePorts("127.0.3.1", 5)
+	assert.NilError(t, err)
+	f.port = port
 	f.dir = t.TempDir()
 	for i := range nodes {
 		n := &node{name: "front-" + strconv.Itoa(i), ip: "127.0.3." + strconv.Itoa(i+1)}
@@ -143,31 +145,6 @@
 	return f
 }
 
-// freePortRange returns the first of five consecutive ports that are free on the
-// first node's address. Each other node uses the same ports on a different address.
-func freePortRange(t testing.TB) int {
-	for range 50 {
-		l, err := net.Listen("tcp4", "127.0.3.1:0")
-		assert.NilError(t, err)
-		port := l.Addr().(*net.TCPAddr).Port
-		assert.NilError(t, l.Close())
-		isFree := port < 65000
-		for i := range 5 {
-			probe, err := net.Listen("tcp4", "127.0.3.1:"+strconv.Itoa(port+i))
-			if err != nil {
-				isFree = false
-				break
-			}
-			assert.NilError(t, probe.Close())
-		}
-		if isFree {
-			return port
-		}
-	}
-	t.Fatal("no range of five free ports found in 50 attempts")
-	return 0
-}
-
 // startNode starts the process of n. A node with a clock file runs the test binary
 // as a daemon, see TestMain.
 func (f *fleet) startNode(n *node) {
