Simulate connections that fall silent for good, and share the simulated network

The soak's link is now package internal/standin/tcplink, so that tests of daemons can use it as well. The soak silences the open connections of all daemons to the store, of one daemon to the platform, or all to one runner, by random numbers of its own, so that the other faults of each seed stay as they were.

--- a/test/soak/environment_injector_test.go
+++ b/test/soak/environment_injector_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"rattantide/internal/standin/tcplink"
 )
 
 // environmentInjector injects network and clock faults. Its random numbers are
@@ -14,13 +16,13 @@
 }
 
 // linkFaults are the lasting faults of a link by name. Each is ended by setting
-// the zero linkState.
-var linkFaults = map[string]linkState{
-	"requests held": {holdRequests: true},
-	"answers held":  {holdAnswers: true},
-	"silent":        {holdRequests: true, holdAnswers: true},
-	"slow":          {delay: 40 * time.Millisecond},
-	"very slow":     {delay: 400 * time.Millisecond},
+// the zero state.
+var linkFaults = map[string]tcplink.State{
+	"requests held": {HoldRequests: true},
+	"answers held":  {HoldAnswers: true},
+	"silent":        {HoldRequests: true, HoldAnswers: true},
+	"slow":          {Delay: 40 * time.Millisecond},
+	"very slow":     {Delay: 400 * time.Millisecond},
 }
 
 // linkFaultNames are the keys of linkFaults in a fixed order, so that a seed selects
@@ -88,6 +90,6 @@
 	}
 	faultName := linkFaultNames[fault]
 	l.setState(linkFaults[faultName])
-	i.scheduleEnd(i.faultDuration(), func() { l.setState(linkState{}) })
+	i.scheduleEnd(i.faultDuration(), func() { l.setState(tcplink.State{}) })
 	i.log = append(i.log, name+": "+faultName)
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -73,7 +73,7 @@
 // Guards against violated guarantees to callers while daemons are killed, paused,
 // stopped and reloaded, the store fails, runners misbehave, crash by themselves or under a
 // part of some prompts, limit their requests, ask for backoffs and leave, connections are slow,
-// silent, partitioned one way or reset, and a clock jumps. The seed determines the
+// silent for a while or for good, partitioned one way or reset, and a clock jumps. The seed determines the
 // order of the faults.
 func TestSoak(t *testing.T) {
 	dir := t.TempDir()
@@ -98,6 +98,7 @@
 	environment := &environmentInjector{injector: i, random: rand.New(rand.NewPCG(seed, 2))}
 	upstreams := &upstreamInjector{injector: i, random: rand.New(rand.NewPCG(seed, 3))}
 	restores := &restoreInjector{injector: i, random: rand.New(rand.NewPCG(seed, 4))}
+	silences := &silenceInjector{injector: i, random: rand.New(rand.NewPCG(seed, 5))}
 	start := time.Now()
 	var revokedAt time.Time
 	for n := range faultRounds {
@@ -105,6 +106,7 @@
 		environment.inject()
 		upstreams.inject()
 		restores.inject()
+		silences.inject()
 		if n == faultRounds/3 {
 			f.revokeKey()
 			revokedAt = time.Now()
