Show a configuration that is applied late over silent connections to the store

Seven daemons, each behind a TCP link to its store, keep several idle connections; the links silence all open ones for good, and the operator's change follows 0.1, 1 and 2 s later. It must be in force at all seven within configApplyMs (2 s), or contactMs (3 s) after the silence.

--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -20,6 +20,7 @@
 	"rattantide/internal/standin/platformcloud"
 	"rattantide/internal/standin/platformstore"
 	"rattantide/internal/standin/runner"
+	"rattantide/internal/standin/tcplink"
 	"rattantide/internal/telemetry"
 	"rattantide/platform"
 )
@@ -44,6 +45,8 @@
 	done    []chan error
 	// storeBlocked holds, for each daemon, whether the store responds to it with 503.
 	storeBlocked []atomic.Bool
+	// storeLinks carry, for each daemon, its connections to the store.
+	storeLinks []*tcplink.Link
 }
 
 func startDeployment(t testing.TB, daemons int) *deployment {
@@ -76,6 +79,10 @@
 			}
 			s.store.ServeHTTP(w, r)
 		}))
+		storeLink, err := tcplink.Start(storeAddress)
+		assert.NilError(t, err)
+		t.Cleanup(storeLink.Close)
+		s.storeLinks = append(s.storeLinks, storeLink)
 		text := fmt.Sprintf(`
 nodeId = "front-%d"
 ip = %q
@@ -94,7 +101,7 @@
 [cloudApi]
 address = %q
 duties = ["usage_report"]
-`, i, ip, port, port+1, ip, ip, ip, storeAddress, cloudAddress)
+`, i, ip, port, port+1, ip, ip, ip, storeLink.Address(), cloudAddress)
 		settings, err := platform.ParseSettings([]byte(text))
 		assert.NilError(t, err)
 		settings.MetricsPort = 0
