Give up all kept connections to the platform once one of them is silent

Callers saw requests handled by an older version of the configuration later than configApplyMs after the newer one was acknowledged. Cause: a call of the store on a kept connection that had fallen silent ended after storeCallTimeout (1.5 s), and the next call took the next kept connection of the same pool, so that the attempts of one daemon, and of the readers after it, added up. Class of fault: one time-out for two failures, a silent connection and an absent server, and no conclusion from the first of several equal connections for the others.

Package keptconn: a call on a kept connection that is not answered within 350 ms (beyond what a watch may take) makes all later calls use new connections, and a read is sent once more on a new one. A server that is slow or down receives one more call, no matter how many reads it leaves unanswered (TestSlowServerReceivesOneMoreCall: 18 reads, 19 calls); writes are never repeated. Both the store and the cloud API are called that way, each with connections of its own.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -214,11 +214,10 @@
 // configuration, upstreams, clock and usage counts.
 func (d *Daemon) buildState() {
 	s := d.settings
-	client := &http.Client{Transport: newPlatformTransport()}
 	d.store = platform.NewStore(platform.StoreOptions{
-		Address: s.Store.Address, HTTP: client, Logger: d.logger, Scope: d.scope, MaxValueBytes: s.Store.MaxValueBytes,
+		Address: s.Store.Address, HTTP: newPlatformClient(d.scope), Logger: d.logger, Scope: d.scope, MaxValueBytes: s.Store.MaxValueBytes,
 	})
-	d.cloud = &platform.Cloud{Address: s.Cloud.Address, Holder: s.Name, HTTP: client}
+	d.cloud = &platform.Cloud{Address: s.Cloud.Address, Holder: s.Name, HTTP: newPlatformClient(d.scope)}
 	d.holder = fleetconfig.NewHolder()
 	d.clock = truetime.New(bootclock.Now, d.wall)
 	self := membership.Daemon{Name: s.Name, Address: s.CallerAddress, Domain: s.Domain, Region: s.Region}
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
 	"rattantide/internal/admin"
@@ -16,6 +17,7 @@
 	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
 	"rattantide/internal/gateway"
+	"rattantide/internal/keptconn"
 	"rattantide/internal/periodic"
 	"rattantide/internal/routeexplain"
 	"rattantide/internal/usage"
@@ -230,7 +232,12 @@
 	d.logger.Info("readiness changed", fields...)
 }
 
-// newPlatformTransport returns the transport for calls of the platform.
+// newPlatformClient returns a client for the calls of one server of the platform.
+func newPlatformClient(scope tally.Scope) *http.Client {
+	return &http.Client{Transport: keptconn.New(keptconn.Options{New: newPlatformTransport, Scope: scope})}
+}
+
+// newPlatformTransport returns a transport for calls of the platform.
 func newPlatformTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}).DialContext,
