Fetch a newer configuration without waiting for an own read of the store

Class of fault: two ways to one fact, one of which blocks the other. A report of a newer configuration now ends the read.

--- a/internal/fleetsync/config_sync.go
+++ b/internal/fleetsync/config_sync.go
@@ -39,8 +39,13 @@
 	jitterFraction = 0.2
 )
 
-// errOlderConfig means that a configuration is older than the current one.
-const errOlderConfig = errors.ConstError("older than the current configuration")
+const (
+	// errOlderConfig means that a configuration is older than the current one.
+	errOlderConfig = errors.ConstError("older than the current configuration")
+	// errNewerElsewhere means that a read was ended as another daemon has a newer
+	// configuration.
+	errNewerElsewhere = errors.ConstError("another daemon has a newer configuration")
+)
 
 // ConfigOptions configures a ConfigSync. All fields are required.
 type ConfigOptions struct {
@@ -140,6 +145,11 @@
 // step fetches or reads the configuration if necessary and returns the time until
 // the next step.
 func (c *ConfigSync) step(ctx context.Context) time.Duration {
+	// A source that was named before this step must not end its read.
+	select {
+	case <-c.wake:
+	default:
+	}
 	address, _ := c.newerSource.Swap("").(string)
 	if address != "" && c.fetchFromPeer(ctx, address) == nil {
 		return ageCheckInterval
@@ -148,7 +158,10 @@
 		return ageCheckInterval
 	}
 	c.probedAt = c.opts.BootNow()
-	err := c.readStore(ctx)
+	err := c.readStoreUntilWoken(ctx)
+	if errors.Is(err, errNewerElsewhere) {
+		return 0
+	}
 	isAbsent, isOlder := errors.Is(err, objectclient.ErrNotFound), errors.Is(err, errOlderConfig)
 	if err != nil && !isAbsent && !isOlder {
 		c.opts.Scope.Counter("config_read_failed").Inc(1)
@@ -210,6 +223,25 @@
 	return errors.Trace(err)
 }
 
+// readStoreUntilWoken reads the store like readStore. It returns errNewerElsewhere at once if
+// another daemon has a newer configuration meanwhile, as the store may not answer this one.
+func (c *ConfigSync) readStoreUntilWoken(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- c.readStore(ctx) }()
+	select {
+	case err := <-done:
+		return err
+	case <-c.wake:
+		cancel()
+		if err := <-done; err == nil {
+			return nil
+		}
+		return errors.Trace(errNewerElsewhere)
+	}
+}
+
 // readStore reads and applies the configuration in the store.
 func (c *ConfigSync) readStore(ctx context.Context) error {
 	sentAt := c.opts.BootNow()
--- a/internal/fleetsync/config_sync_test.go
+++ b/internal/fleetsync/config_sync_test.go
@@ -1,6 +1,7 @@
 package fleetsync
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -166,3 +167,38 @@
 		assert.Equal(t, reads, want, "rank %d", rank)
 	}
 }
+
+// hangingStore is a store that does not answer reads.
+type hangingStore struct {
+	*objecttest.Store
+	// reading is closed at the first read.
+	reading chan struct{}
+}
+
+func (s hangingStore) Get(ctx context.Context, _, _ string) (*objectclient.Object, error) {
+	close(s.reading)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a daemon that fetches a newer configuration from another daemon only after
+// its own read of a store that does not answer has timed out.
+func TestFetchDoesNotWaitForTheStore(t *testing.T) {
+	source, target := newTestConfigSync(), newTestConfigSync()
+	source.readerRank, target.readerRank = 0, 0
+	source.put(t, "7")
+	source.step(t.Context())
+	store := hangingStore{target.store, make(chan struct{})}
+	target.opts.Store = store
+	address := source.serve(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	go func() {
+		<-store.reading
+		target.RefreshFrom(address)
+	}()
+	assert.Equal(t, target.step(ctx), time.Duration(0))
+	target.step(ctx)
+	assert.NilError(t, ctx.Err())
+	assert.Equal(t, target.version(), int64(7))
+}
