Give up kept connections to the object API once one of them is silent

The same cause in the daemon of the own interface: after all kept connections to the object API fell silent, a read tried one after the other and failed. Watches keep their own idle time-out.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,9 @@
 	closers  []io.Closer
 	listener net.Listener
 
-	httpClient     *http.Client
+	httpClient *http.Client
+	// storeClient makes the calls of the object API.
+	storeClient    *http.Client
 	peers          *peer.Client
 	store          *objectclient.Client
 	cache          *configsync.Cache
@@ -77,7 +79,7 @@
 // New opens the listener and builds all components. Nothing runs until Run is
 // called.
 func New(s *settings.Settings, logger *log.Logger) (*Daemon, error) {
-	client, err := newHTTPClient(s)
+	transport, err := newTransport(s)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -88,7 +90,7 @@
 	scope, metrics, closer := telemetry.NewScope()
 	d := &Daemon{
 		settings: s, logger: logger, scope: scope, metrics: metrics,
-		closers: []io.Closer{closer}, listener: listener, httpClient: client,
+		closers: []io.Closer{closer}, listener: listener, httpClient: &http.Client{Transport: transport}, storeClient: newStoreClient(transport, scope),
 		draining: make(chan struct{}),
 	}
 	d.buildState()
@@ -106,7 +108,7 @@
 		d.peers.Scheme = "https"
 	}
 	d.store = objectclient.New(objectclient.Options{
-		Address: s.ObjectAPIAddress, HTTP: d.httpClient, Logger: d.logger, Scope: d.scope,
+		Address: s.ObjectAPIAddress, HTTP: d.storeClient, Logger: d.logger, Scope: d.scope,
 	})
 	d.cache = configsync.NewCache()
 	self := membership.Daemon{Name: s.Name, Address: s.Advertise, Domain: s.Domain, Region: s.Region}
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -131,7 +131,7 @@
 	} {
 		assert.NilError(t, os.WriteFile(file, pem.EncodeToMemory(block), 0o600))
 	}
-	client, err = newHTTPClient(&settings.Settings{TLSCA: certificate})
+	transport, err := newTransport(&settings.Settings{TLSCA: certificate})
 	assert.NilError(t, err)
-	return certificate, key, client
+	return certificate, key, &http.Client{Transport: transport}
 }
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/uber-go/tally/v4"
 
+	"rattantide/internal/keptconn"
 	"rattantide/internal/settings"
 )
 
@@ -36,9 +38,8 @@
 	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
 }
 
-// newHTTPClient returns the HTTP client for calls to peers and to the
-// platform's APIs.
-func newHTTPClient(s *settings.Settings) (*http.Client, error) {
+// newTransport returns a transport for calls to peers and to the platform's APIs.
+func newTransport(s *settings.Settings) (*http.Transport, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
@@ -56,5 +57,11 @@
 		}
 		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
 	}
-	return &http.Client{Transport: transport}, nil
+	return transport, nil
+}
+
+// newStoreClient returns the HTTP client for calls to the object API, whose connections are
+// set up like those of transport.
+func newStoreClient(transport *http.Transport, scope tally.Scope) *http.Client {
+	return &http.Client{Transport: keptconn.New(keptconn.Options{New: transport.Clone, Scope: scope})}
 }
--- a/internal/objectclient/watch.go
+++ b/internal/objectclient/watch.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"rattantide/internal/keptconn"
 	"rattantide/internal/lenientjson"
 )
 
@@ -30,7 +31,7 @@
 	if len(kinds) > 0 {
 		query.Set("kinds", strings.Join(kinds, ","))
 	}
-	response, era, err := c.do(ctx, request{method: http.MethodGet, path: "/v1/watch?" + query.Encode()})
+	response, era, err := c.do(keptconn.WithWait(ctx, c.options.WatchIdleTimeout), request{method: http.MethodGet, path: "/v1/watch?" + query.Encode()})
 	if err != nil {
 		return watchError(callerCtx, err)
 	}
