--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -21,8 +21,9 @@
 	// ackTimeout is the time after which a connection with unacknowledged sent bytes
 	// is closed.
 	ackTimeout = 2 * time.Second
-	// Keep-alive probes close a connection that waits for a response of a terminated
-	// instance after about keepAliveIdle + 2 keepAliveInterval.
+	// Keep-alive probes close a connection without the peer, idle or waiting for a response,
+	// after about keepAliveIdle + keepAliveInterval: with ackTimeout set, the kernel gives up
+	// at the first probe later than that, whatever the count.
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
