--- a/internal/fleetdaemon/daemon_test.go
+++ b/internal/fleetdaemon/daemon_test.go
@@ -53,7 +53,8 @@
 	return startDeploymentWith(t, daemons, Features{})
 }
 
-func startDeploymentWith(t testing.TB, daemons int, features Features) *deployment {
+// startDeploymentWith starts a deployment. prepare is called with each daemon before it runs.
+func startDeploymentWith(t testing.TB, daemons int, features Features, prepare ...func(i int, d *Daemon)) *deployment {
 	s := &deployment{t: t, store: platformstore.New(), cloud: platformcloud.New(), runner: &runner.Runner{ID: "i-1"}}
 	serve := func(h http.Handler) string {
 		server := httptest.NewServer(h)
@@ -109,6 +110,9 @@
 		assert.NilError(t, err)
 		// The callers' address is known only once the port is assigned.
 		d.settings.CallerAddress = d.callers.Addr().String()
+		for _, f := range prepare {
+			f(i, d)
+		}
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan error, 1)
 		go func() { done <- d.Run(ctx) }()
