Forward requests to other daemons while this one reaches no upstream

Cause: whoever received a request was the only way to an upstream, each request found out anew that there was none, and directories named such daemons all the while. Class of fault: a role that a process fills in only if all of its links are sound, without a way round and without telling anyone.

How a daemon knows (package upstreampath): from the connections of requests. Connecting failed for three upstreams of a pool, with no sign of any other meanwhile; a pool that is silent for 0.4 s although calls wait is probed by connections that later requests use. Anything received ends that, so that what lives is used on, and a sound upstream that is silent for a second changes nothing. While the path is lost one upstream is probed each 250 ms.

What then: requests go to a daemon that says that it reaches the pool, of the own failure domain unless more daemons need help there than can give it, one of two at random with less of this daemon's work; over the port for daemons, once only (a forwarded request goes no further), with the caller's identifier and address, the time that is left, the number of sends for maxAttempts, and the version of the configuration. The helping daemon admits and dispatches it like its own; the quota is charged once, by the first daemon, the usage is counted by the helping one. Idempotent requests and streams that may be resumed do not wait for a lost path. Nobody helps: refused at once with Retry-After. Directories leave such daemons out while a quarter of the fleet remains; they stay ready. Losses while the path is lost say nothing of upstreams, prompts or requests.

--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -31,6 +31,7 @@
 	"rattantide/internal/truetime"
 	"rattantide/internal/upstreamconn"
 	"rattantide/internal/upstreamlimit"
+	"rattantide/internal/upstreampath"
 	"rattantide/internal/upstreamstate"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
@@ -81,14 +82,19 @@
 	registrar *peering.Registrar
 	clock     *truetime.Clock
 	conns     *upstreamconn.Pools
-	quota     *quota.Limiter
-	quotaPool *quota.Pool
-	counter   *usage.Counter
-	ledger    *usage.Ledger
-	finals    *usage.Finals
-	era       *eraTracker
-	leases    *lease.Manager
-	latencies *latencyTracker
+	// paths judges the paths of conns. helpers chooses the daemons to which requests are
+	// forwarded over helperConns.
+	paths       *upstreampath.Monitor
+	helpers     *helpers
+	helperConns *upstreamconn.Pools
+	quota       *quota.Limiter
+	quotaPool   *quota.Pool
+	counter     *usage.Counter
+	ledger      *usage.Ledger
+	finals      *usage.Finals
+	era         *eraTracker
+	leases      *lease.Manager
+	latencies   *latencyTracker
 	// versionRecorder tallies the results of this daemon's requests by version;
 	// versionLedger holds the tallies of all daemons.
 	versionRecorder *versionmove.Recorder
@@ -173,6 +179,7 @@
 	}
 	d.news = make(chan struct{}, 1)
 	d.buildState()
+	d.buildUpstreamPaths()
 	d.buildQuarantines()
 	if err := d.buildPeers(); err != nil {
 		return nil, errors.Trace(err)
@@ -310,7 +317,6 @@
 	admitter := admission.New(admission.Options{LimitWork: true, DividePriorities: d.features.AdmitByPriority, HasQuotas: d.hasQuotas, FleetNow: d.clock.Now, MinRetryAfter: minRetryAfter, Logger: d.logger, Scope: d.scope})
 	d.reportAdmission = admitter.Report
 	d.buildFleetLoads(admitter)
-	d.conns = &upstreamconn.Pools{Scope: d.scope}
 	retryBudget := &admission.RepeatBudget{
 		Window: d.settings.Bounds.RetryWindow, Now: time.Now,
 		Bound: func() (share, fixed float64) {
@@ -331,7 +337,7 @@
 	d.gateway = gateway.New(gateway.Options{
 		Codec: platform.Codec{}, Config: d.holder, Chooser: countingChooser{dispatcher, d.latencies}, Conns: d.conns, ConnLimit: d.connLimit,
 		Quota: d.quota, Usage: d.counter, Loads: loadRecorder{d}, UpstreamStates: upstreamStates{d}, UpstreamLimit: d.upstreamLimit, LimitRecorder: d.namedLimits, PromptQuarantine: d.promptQuarantine, RequestQuarantine: d.requestQuarantine, KeysValidFor: d.keysValidFor,
-		CallerBudget: d.callerBytes, Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now,
+		CallerBudget: d.callerBytes, Paths: d.paths, Forwarder: d.newForwarder(), Logger: d.logger, Scope: d.scope, BootNow: bootclock.Now,
 	})
 }
 
--- a/internal/fleetdaemon/members.go
+++ b/internal/fleetdaemon/members.go
@@ -88,6 +88,7 @@
 	}
 	d.table.ApplyList(list)
 	d.upstreamStore.SetUpstreams(d.usableProcesses())
+	d.setUpstreamPaths()
 	d.chooseRelays(peers)
 	d.chooseQuotaPools(peers)
 	d.chooseCollectors(peers)
@@ -142,6 +143,7 @@
 	r.Era, r.EraSinceMs = era, since.UnixMilli()
 	r.YieldedToken = d.leases.YieldedFence(dutyLease)
 	r.StoreUnavailable = d.config.IsStoreFailing()
+	r.LostPools, r.LacksUpstreams = d.paths.Lost()
 	r.QuotaSource = d.quota.Holder()
 	r.UpstreamAgeMs = -1
 	if revision, age, ok := d.upstreams.Position(); ok {
@@ -237,22 +239,40 @@
 	}
 }
 
+// directoryShare is the least share of the serving daemons that are listed when those that
+// reach no upstream are left out. With fewer, these are listed as well.
+const directoryShare = 0.25
+
 // resolve returns the addresses of the daemons that serve, those in the caller's
-// failure domain first, and how long the caller may use them.
+// failure domain first, and how long the caller may use them. Daemons that reach no
+// upstream are left out while enough others serve.
 func (d *Daemon) resolve(caller platform.CallerLocation) ([]string, time.Duration) {
 	type candidate struct {
 		address    string
 		sameDomain bool
 	}
-	var candidates []candidate
+	var reaching, lacking []candidate
+	add := func(address, domain string, lacksUpstreams bool) {
+		c := candidate{address, domain == caller.Domain}
+		if lacksUpstreams {
+			lacking = append(lacking, c)
+		} else {
+			reaching = append(reaching, c)
+		}
+	}
 	if d.ready() {
-		candidates = append(candidates, candidate{d.settings.CallerAddress, caller.Domain == d.settings.Domain})
+		_, lacksUpstreams := d.paths.Lost()
+		add(d.settings.CallerAddress, d.settings.Domain, lacksUpstreams)
 	}
 	for _, p := range d.peers.Peers() {
 		if p.Serves() {
-			candidates = append(candidates, candidate{p.CallerAddress, p.Domain == caller.Domain})
+			add(p.CallerAddress, p.Domain, p.LacksUpstreams)
 		}
 	}
+	candidates := reaching
+	if float64(len(reaching)) < directoryShare*float64(len(reaching)+len(lacking)) {
+		candidates = append(candidates, lacking...)
+	}
 	sort.SliceStable(candidates, func(i, j int) bool { return candidates[i].sameDomain && !candidates[j].sameDomain })
 	addresses := make([]string, len(candidates))
 	for i, c := range candidates {
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -55,6 +55,7 @@
 	group, workCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return d.config.Run(workCtx) })
 	group.Go(func() error { return d.upstreams.Run(workCtx) })
+	group.Go(func() error { return d.paths.Run(workCtx) })
 	if d.evacuations != nil {
 		group.Go(func() error { return d.evacuations.Run(workCtx) })
 	}
@@ -71,14 +72,14 @@
 		})
 	}
 	d.startDuties(workCtx, group)
-	callers, servers := d.startServers(group)
+	callers, peerServer, servers := d.startServers(group)
 	d.logger.Info("daemon started", "daemon", d.settings.Name, "process", d.process, "address", d.settings.CallerAddress,
 		"domain", d.settings.Domain, "seeds", d.settings.Seeds)
 	group.Go(func() error {
 		defer stop()
 		select {
 		case <-ctx.Done():
-			d.drain(callers)
+			d.drain(callers, peerServer)
 		case <-workCtx.Done():
 		}
 		_ = callers.Close()
@@ -89,6 +90,7 @@
 	})
 	err := group.Wait()
 	d.conns.Close()
+	d.helperConns.Close()
 	d.scopeCloser.Close()
 	d.logger.Info("daemon stopped", "daemon", d.settings.Name, "error", err)
 	if errors.Is(err, context.Canceled) {
@@ -135,14 +137,14 @@
 // them.
 func (d *Daemon) fencingToken() (int64, bool) { return d.leases.Held(dutyLease) }
 
-// startServers starts the server of the callers, and the others.
-func (d *Daemon) startServers(group *errgroup.Group) (*callerServers, []*http.Server) {
-	callers := &callerServers{handler: d.gateway, config: d.holder, listener: d.callers, conns: d.callerConns}
+// startServers starts the server of the callers, that of the other daemons, and the rest;
+// servers holds all but the first.
+func (d *Daemon) startServers(group *errgroup.Group) (callers *callerServers, peerServer *http.Server, servers []*http.Server) {
+	callers = &callerServers{handler: d.gateway, config: d.holder, listener: d.callers, conns: d.callerConns}
 	group.Go(func() error { return errors.Annotate(callers.Serve(), "serve callers") })
-	var servers []*http.Server
-	serve := func(l net.Listener, handler http.Handler) {
+	serve := func(l net.Listener, handler http.Handler) *http.Server {
 		if l == nil {
-			return
+			return nil
 		}
 		s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
 		servers = append(servers, s)
@@ -152,6 +154,7 @@
 			}
 			return nil
 		})
+		return s
 	}
 	serve(d.readiness, platform.ReadinessHandler(d.ready))
 	serve(d.directory, platform.DirectoryHandler(d.resolve))
@@ -161,13 +164,13 @@
 	serve(d.metricsListener, metricsMux)
 	peerMux := http.NewServeMux()
 	peerMux.Handle("GET "+fleetsync.ConfigPath, &fleetsync.ConfigHandler{Source: d.config.Snapshot, BootNow: bootclock.Now})
-	serve(d.peerListener, peerMux)
-	return callers, servers
+	peerServer = serve(d.peerListener, d.servePeer(peerMux))
+	return callers, peerServer, servers
 }
 
 // drain announces that the daemon is draining, lingers until callers no longer use its
 // address, and waits for the open requests, all within the grace period.
-func (d *Daemon) drain(callers *callerServers) {
+func (d *Daemon) drain(callers *callerServers, peerServer *http.Server) {
 	d.logger.Info("daemon is draining", "daemon", d.settings.Name, "open", d.gateway.OpenRequests())
 	grace := d.settings.Bounds.Grace - shutdownMargin
 	deadline := bootclock.Now().Add(grace)
@@ -180,9 +183,13 @@
 	defer end.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(bootclock.Now()))
 	defer cancel()
-	// The other servers, such as the readiness check of the platform, stay open until that
-	// of the callers has shut down.
-	if err := callers.Shutdown(ctx); err != nil {
+	// The other servers, such as the readiness check of the platform, stay open until those
+	// of the callers and of forwarded requests have shut down.
+	err := callers.Shutdown(ctx)
+	if err == nil {
+		err = peerServer.Shutdown(ctx)
+	}
+	if err != nil {
 		d.logger.Warn("grace period ended with open requests", "open", d.gateway.OpenRequests(), "error", err)
 	}
 }
@@ -212,6 +219,7 @@
 		addresses[u.Address], names[u.Name] = true, true
 	}
 	d.conns.Sweep(func(address string) bool { return addresses[address] })
+	d.helperConns.Sweep(func(string) bool { return true })
 	d.namedLimits.Tick(func(upstream string) bool { return names[upstream] })
 	d.versionLedger.Set(d.processName(), d.versionRecorder.Tallies(nil))
 	d.ledger.Merge(d.processName(), d.counter.Windows(usageWindowsSent))
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -24,7 +24,10 @@
 	x.sharedParts = sharedParts(x.call.Parts)
 	config, confirmedAt := s.opts.Config.Current()
 	if config == nil {
-		return newRefusalWithRetry(http.StatusServiceUnavailable, "no configuration yet", startupRetryAfter)
+		return localRefusal("no configuration yet", startupRetryAfter)
+	}
+	if x.forwarded != nil && config.Version < x.forwarded.config {
+		return localRefusal("configuration older than that of the forwarding daemon", startupRetryAfter)
 	}
 	if limit := config.Limits.MaxHeaderBytes; limit > 0 && callerbody.HeaderBytes(x.request) > int64(limit) {
 		return newRefusal(http.StatusRequestHeaderFieldsTooLarge, "header too large")
@@ -34,7 +37,7 @@
 	x.route = config.Route(x.request.Host, x.request.URL.Path)
 	if x.route == nil {
 		if !fresh {
-			return newRefusalWithRetry(http.StatusServiceUnavailable, "configuration not confirmed", unconfirmedRetryAfter)
+			return localRefusal("configuration not confirmed", unconfirmedRetryAfter)
 		}
 		return newRefusal(http.StatusNotFound, "no route")
 	}
@@ -67,7 +70,7 @@
 		return nil
 	}
 	if !fresh {
-		return newRefusalWithRetry(http.StatusServiceUnavailable, "keys not confirmed", unconfirmedRetryAfter)
+		return localRefusal("keys not confirmed", unconfirmedRetryAfter)
 	}
 	x.workspace = config.WorkspaceByKey(x.call.Key)
 	if x.workspace == nil {
@@ -92,7 +95,7 @@
 }
 
 func (x *exchange) takeQuota() *refusal {
-	if x.workspace == nil {
+	if x.workspace == nil || x.forwarded != nil {
 		return nil
 	}
 	x.quotaCost = x.workspace.Cost(x.call.PromptTokens+x.call.MaxTokens, x.call.HasTokens)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,6 +130,10 @@
 // complete, and logs what the request had in common with others that may be lost with it.
 func (a *upstreamAttempt) endLost() attemptOutcome {
 	x := a.exchange
+	if x.wasPathLostSince(a.sentAt) {
+		// The path was lost, so nothing is known of the upstream.
+		return a.endExcluded(dispatch.StatusCanceled)
+	}
 	if a.events < begunEvents {
 		a.suspicion.recordLost()
 	}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -14,6 +14,9 @@
 	// EncodeAttempt changes h, a copy of the caller's headers, to the headers that
 	// are sent to the upstream.
 	EncodeAttempt(h http.Header, a Attempt)
+	// EncodeForward changes h, a copy of the caller's headers, to the headers that are sent to
+	// another daemon. Only the time that is left and the last event of a are used.
+	EncodeForward(h http.Header, a Attempt)
 	// DecodeResponse decodes the headers of an upstream's response.
 	DecodeResponse(status int, h http.Header) ResponseInfo
 	// EncodeRefusal sets the headers of a response that the gateway generates.
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -45,7 +45,7 @@
 	case x.mayHaveRun:
 		return newRefusal(http.StatusBadGateway, errDraining.Error()+"; after "+x.reason)
 	}
-	return newRefusalWithRetry(http.StatusServiceUnavailable, errDraining.Error(), drainRetryAfter)
+	return localRefusal(errDraining.Error(), drainRetryAfter)
 }
 
 // stoppedRefusal returns the refusal of a request that was open when the daemon stopped.
@@ -53,7 +53,7 @@
 	if x.mayHaveRun {
 		return newRefusal(http.StatusBadGateway, errStopping.Error())
 	}
-	return newRefusalWithRetry(http.StatusServiceUnavailable, errStopping.Error(), drainRetryAfter)
+	return localRefusal(errStopping.Error(), drainRetryAfter)
 }
 
 // BeginDrain makes responses close their connections, and refuses requests that might not
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -17,6 +17,8 @@
 	writer     http.ResponseWriter
 	request    *http.Request
 	receivedAt time.Time
+	// forwarded is set if another daemon forwarded the request to this one.
+	forwarded *forwarded
 
 	call      Call
 	config    *fleetconfig.Config
@@ -115,11 +117,10 @@
 			return refusal
 		}
 		x.attempts++
-		choice, err := x.server.opts.Chooser.Choose(ctx, x.dispatchRequest())
+		outcome, err := x.attemptOrForward(ctx)
 		if err != nil {
 			return x.choiceRefusal(err, lastRefusal)
 		}
-		outcome := x.attempt(ctx, choice)
 		if outcome.isFinal {
 			return outcome.refusal
 		}
@@ -131,6 +132,19 @@
 	return lastRefusal
 }
 
+// attemptOrForward sends the request to an upstream, or, if this daemon reaches none, to
+// another daemon. It returns an error if no upstream could be chosen.
+func (x *exchange) attemptOrForward(ctx context.Context) (attemptOutcome, error) {
+	if x.isPathLost() {
+		return x.forward(ctx), nil
+	}
+	choice, err := x.server.opts.Chooser.Choose(ctx, x.dispatchRequest())
+	if err != nil {
+		return attemptOutcome{}, err
+	}
+	return x.attempt(ctx, choice), nil
+}
+
 // choiceRefusal returns the refusal of a request for which no upstream could be
 // chosen: that of the last attempt, or one made from err if there was no attempt. The
 // caller is to return when both allow it.
--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -34,6 +34,9 @@
 	x.setWriteDeadline()
 	header := x.writer.Header()
 	x.server.opts.Codec.EncodeRefusal(header, x.call.AttemptID, r.retryAfter)
+	if x.forwarded != nil && r.isLocal {
+		header.Set(headerNotHelped, "1")
+	}
 	header.Set("Content-Length", "0")
 	x.writer.WriteHeader(r.status)
 }
@@ -55,6 +58,9 @@
 	if x.config != nil {
 		fields = append(fields, "config", x.config.Version)
 	}
+	if x.forwarded != nil {
+		fields = append(fields, "forwardedBy", x.forwarded.by)
+	}
 	if x.route != nil {
 		fields = append(fields, "route", x.route.Name)
 	}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -66,8 +66,18 @@
 	Observe(upstream string, requestsPerSecond *float64)
 }
 
+// Paths tells which upstreams this daemon reaches. Implementations are safe for concurrent
+// use.
+type Paths interface {
+	// IsLost reports whether this daemon reaches no upstream of a service.
+	IsLost(service string) bool
+	// WasLostSince reports the same for any time since at.
+	WasLostSince(service string, at time.Time) bool
+}
+
 // Options configures a Server. All fields except ConnLimit, Usage, Loads,
-// UpstreamStates, UpstreamLimit, LimitRecorder, the quarantines and CallerBudget are required.
+// UpstreamStates, UpstreamLimit, LimitRecorder, the quarantines, CallerBudget, Paths and
+// Forwarder are required.
 type Options struct {
 	Codec   Codec
 	Config  *fleetconfig.Holder
@@ -93,6 +103,10 @@
 	KeysValidFor func() time.Duration
 	// CallerBudget bounds what the requests of callers hold together; nil means a default.
 	CallerBudget *callerbudget.Budget
+	// Paths tells when requests must be forwarded by Forwarder to other daemons; both or
+	// neither must be set.
+	Paths     Paths
+	Forwarder *Forwarder
 	// Logger logs one line for each request.
 	Logger *log.Logger
 	Scope  tally.Scope
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -17,6 +17,8 @@
 	reason string
 	// retryAfter is the Retry-After delay; 0 means that none is sent.
 	retryAfter time.Duration
+	// isLocal reports whether another daemon may serve the request at once.
+	isLocal bool
 }
 
 func newRefusal(status int, reason string) *refusal { return &refusal{status: status, reason: reason} }
@@ -25,6 +27,11 @@
 	return &refusal{status: status, reason: reason, retryAfter: retryAfter}
 }
 
+// localRefusal returns the refusal of a request that another daemon may serve at once.
+func localRefusal(reason string, retryAfter time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter, isLocal: true}
+}
+
 // refusalFromError returns the refusal for an error of the dispatcher.
 func refusalFromError(err error) *refusal {
 	var p *problem.Problem
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -73,10 +73,16 @@
 func (s *Server) OpenRequests() int { return int(s.openRequests.Load()) }
 
 // ServeHTTP implements http.Handler.
-func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.serve(w, r, nil) }
+
+// serve serves a request; f is what the daemon that forwarded it says, or nil.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, f *forwarded) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	x := &exchange{server: s, writer: w, request: r, receivedAt: time.Now()}
+	x := &exchange{server: s, writer: w, request: r, receivedAt: time.Now(), forwarded: f}
+	if f != nil {
+		x.sends = f.sends
+	}
 	defer x.releaseBody()
 	if s.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
@@ -101,6 +107,9 @@
 		limit = defaultMaxBodyBytes
 	}
 	caller := callerbudget.Caller{Address: callerbudget.AddressOf(x.request.RemoteAddr)}
+	if x.forwarded != nil {
+		caller.Address = x.forwarded.caller
+	}
 	if x.workspace != nil {
 		caller.Workspace = x.workspace.Name
 	}
--- a/internal/gateway/upstream_request.go
+++ b/internal/gateway/upstream_request.go
@@ -50,9 +50,16 @@
 	return &upstreamconn.Request{
 		Method: x.request.Method, Target: x.request.RequestURI, Host: x.request.Host,
 		Header: header, Body: x.body, HasBody: x.hasBody, MaySend: func() error { return x.maySend(choice.Upstream) },
+		EndsWithPath: x.endsWithPath(),
 	}
 }
 
+// endsWithPath reports whether the request is given up at its upstream once the path to it is
+// lost, as another daemon can serve it instead.
+func (x *exchange) endsWithPath() bool {
+	return x.forwarded == nil && x.server.opts.Paths != nil && x.route.Repeatable() && x.sends+1 < x.route.MaxAttempts
+}
+
 const (
 	// errUpstreamUnusable means that an upstream may no longer get requests.
 	errUpstreamUnusable = errors.ConstError("upstream is leaving, has asked for a backoff or may not be used any more")
--- a/internal/peering/report.go
+++ b/internal/peering/report.go
@@ -30,6 +30,10 @@
 	WallMs int64 `json:"w"`
 	// StoreUnavailable is set if the daemon's reads of the store fail.
 	StoreUnavailable bool `json:"sa,omitempty"`
+	// LostPools names the pools of which the daemon reaches no upstream, and LacksUpstreams is
+	// set if these are all pools with upstreams.
+	LostPools      []string `json:"lp,omitempty"`
+	LacksUpstreams bool     `json:"lk,omitempty"`
 	// Era is the highest era of the store that the daemon knows of, and EraSinceMs the true
 	// time since which some daemon knows of it, in Unix milliseconds.
 	Era        int64 `json:"e,omitempty"`
--- a/internal/upstreamconn/call.go
+++ b/internal/upstreamconn/call.go
@@ -54,25 +54,47 @@
 			return nil, &Error{Err: err}
 		}
 	}
-	stop := context.AfterFunc(ctx, c.interrupt)
+	ctx, cancel := context.WithCancelCause(ctx)
+	call := p.startCall(address, r, cancel)
+	interrupt := context.AfterFunc(ctx, c.interrupt)
+	stop := func() bool {
+		stopped := interrupt()
+		cancel(nil)
+		call.End()
+		return stopped
+	}
 	if sent, err := c.send(r); err != nil {
+		err = contextCause(ctx, err)
 		stop()
 		p.drop(address, c)
-		return nil, &Error{Sent: sent, Err: contextCause(ctx, err)}
+		return nil, &Error{Sent: sent, Err: err}
 	}
 	response, err := c.readHead(r.Method) //nolint:bodyclose // closed by the caller through Response.Body
 	if err != nil {
+		err = contextCause(ctx, err)
 		stop()
 		p.drop(address, c)
-		return nil, &Error{Sent: true, Err: contextCause(ctx, err)}
+		return nil, &Error{Sent: true, Err: err}
 	}
-	b := &body{ReadCloser: response.Body, pools: p, address: address, conn: c, stop: stop, ctx: ctx, response: response}
+	call.Heard()
+	b := &body{ReadCloser: response.Body, pools: p, address: address, conn: c, stop: stop, ctx: ctx, call: call, response: response}
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Framing: framing.Of(response, r.Method), Reused: c.reused, Body: b,
 	}, nil
 }
 
+// startCall tells the observer of a call. cancel ends the call.
+func (p *Pools) startCall(address string, r *Request, cancel context.CancelCauseFunc) PathCall {
+	if p.Paths == nil {
+		return noPathCall{}
+	}
+	if !r.EndsWithPath {
+		return p.Paths.Start(address, nil)
+	}
+	return p.Paths.Start(address, func() { cancel(ErrPathLost) })
+}
+
 // contextCause returns the cause of ctx if ctx has ended, and err otherwise.
 func contextCause(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
@@ -126,6 +148,7 @@
 	conn     *conn
 	stop     func() bool
 	ctx      context.Context
+	call     PathCall
 	response *http.Response
 	done     bool
 }
@@ -137,13 +160,16 @@
 		return 0, io.EOF
 	}
 	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.call.Heard()
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
 		b.release()
 	default:
-		b.abandon()
 		err = contextCause(b.ctx, err)
+		b.abandon()
 	}
 	return n, err
 }
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -39,6 +39,8 @@
 	// Dial opens a connection. Default: TCP with dialTimeout, ackTimeout and
 	// keep-alive probes.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Paths learns which upstreams are reached. Default: nobody does.
+	Paths PathObserver
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -92,11 +94,7 @@
 func (p *Pools) get(ctx context.Context, address string, limit int) (*conn, error) {
 	p.mu.Lock()
 	p.setDefaults()
-	host := p.pools[address]
-	if host == nil {
-		host = &pool{address: address}
-		p.pools[address] = host
-	}
+	host := p.hostOf(address)
 	now := p.Now()
 	for len(host.idle) > 0 {
 		c := host.idle[len(host.idle)-1]
@@ -115,15 +113,52 @@
 	}
 	host.openCount++
 	p.mu.Unlock()
+	c, err := p.open(ctx, address)
+	if err != nil {
+		p.decrementOpen(address)
+	}
+	return c, errors.Trace(err)
+}
+
+// open opens a connection that is already counted.
+func (p *Pools) open(ctx context.Context, address string) (*conn, error) {
 	p.Scope.Counter("upstream_connections_opened").Inc(1)
 	netConn, err := p.Dial(ctx, address)
+	if p.Paths != nil && (err == nil || ctx.Err() == nil) {
+		p.Paths.RecordConnect(address, err)
+	}
 	if err != nil {
-		p.decrementOpen(address)
-		return nil, errors.Trace(err)
+		return nil, err
 	}
 	return newConn(netConn), nil
 }
 
+// Probe opens a connection to an address, to find out whether that succeeds, and keeps it for
+// a later request.
+func (p *Pools) Probe(ctx context.Context, address string) error {
+	p.mu.Lock()
+	p.setDefaults()
+	p.hostOf(address).openCount++
+	p.mu.Unlock()
+	c, err := p.open(ctx, address)
+	if err != nil {
+		p.decrementOpen(address)
+		return errors.Trace(err)
+	}
+	p.putUnused(address, c)
+	return nil
+}
+
+// hostOf returns the pool of an address. p.mu must be held.
+func (p *Pools) hostOf(address string) *pool {
+	host := p.pools[address]
+	if host == nil {
+		host = &pool{address: address}
+		p.pools[address] = host
+	}
+	return host
+}
+
 // put returns an idle connection to the pool.
 func (p *Pools) put(address string, c *conn) {
 	p.mu.Lock()
--- a/internal/upstreamconn/request.go
+++ b/internal/upstreamconn/request.go
@@ -20,6 +20,9 @@
 	// MaySend, if set, is called when a connection is open, right before the first byte is
 	// sent. Its error becomes that of the request, of which nothing is sent then.
 	MaySend func() error
+	// EndsWithPath makes the request fail with ErrPathLost once the path to the upstream is
+	// lost, instead of waiting for the path to come back.
+	EndsWithPath bool
 }
 
 // append appends the encoded head of the request to buf.
