Play paths to upstreams that are lost in series, beside a daemon that stops

Five daemons lose and get back their paths in an order that a seed chooses (hang, reset, refused dials), one of them stops meanwhile. No request may run twice or run although it was refused, sound requests are not kept from upstreams, and all are served from 2 s after the last fault.

--- /dev/null
+++ b/internal/fleetdaemon/lost_path_series_test.go
@@ -0,0 +1,81 @@
+package fleetdaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// lostPathSeed returns the seed of LOST_PATH_SEED, or 1.
+func lostPathSeed(t *testing.T) uint64 {
+	text := os.Getenv("LOST_PATH_SEED")
+	if text == "" {
+		return 1
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	assert.NilError(t, err)
+	return seed
+}
+
+// Guards against requests that run twice, or run although they were refused, and against
+// daemons that do not serve again, after paths to the upstreams were lost and came back in
+// series at several daemons, one of which stopped meanwhile. LOST_PATH_SEED selects the order.
+func TestPathsLostInSeries(t *testing.T) {
+	const (
+		daemons = 5
+		// stopped is the daemon that stops after half of the rounds.
+		stopped = daemons - 1
+		rounds  = 14
+		// recoveryTime is the time after the last fault in which all requests must be served
+		// again.
+		recoveryTime = 2 * time.Second
+	)
+	seed := lostPathSeed(t)
+	random := rand.New(rand.NewPCG(seed, 0))
+	paths := newUpstreamPaths(t, daemons)
+	s := startPathDeployment(t, paths, daemons)
+	c := &callers{s: s}
+	c.target.Store(daemons)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.run(ctx, 40*time.Millisecond)
+	}()
+	drained := make(chan struct{})
+	for round := range rounds {
+		daemon, fault := random.IntN(daemons), pathFault(random.IntN(int(pathRefusesNew)+1))
+		t.Logf("round %d: daemon %d, fault %d", round, daemon, fault)
+		paths.set(daemon, fault)
+		if round == rounds/2 {
+			c.target.Store(stopped)
+			go func() {
+				defer close(drained)
+				s.stopDaemon(stopped)
+			}()
+		}
+		<-time.After(time.Duration(200+random.IntN(900)) * time.Millisecond)
+	}
+	for i := range daemons {
+		paths.set(i, pathSound)
+	}
+	healedAt := time.Now()
+	<-time.After(recoveryTime + time.Second)
+	cancel()
+	<-done
+	<-drained
+	executions := paths.executions()
+	assert.Check(t, len(c.ranTwice(executions)) == 0, "seed %d: ran twice: %v", seed, c.ranTwice(executions))
+	assert.Check(t, len(c.brokenPromises(executions)) == 0, "seed %d: refused, but ran: %v", seed, c.brokenPromises(executions))
+	served, total := c.share(time.Time{}, time.Now(), func(int) bool { return true })
+	t.Logf("seed %d: %d of %d first tries served, statuses %v", seed, served, total, c.statuses())
+	served, total = c.share(healedAt.Add(recoveryTime), time.Now(), func(i int) bool { return i != stopped })
+	assert.Check(t, total > 0 && served == total, "seed %d: %d of %d first tries served after the faults", seed, served, total)
+	assert.Check(t, c.statuses()[http.StatusUnprocessableEntity] == 0, "seed %d: sound requests were kept from upstreams", seed)
+}
--- a/internal/fleetdaemon/lost_path_test.go
+++ b/internal/fleetdaemon/lost_path_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 type callers struct {
 	s  *deployment
 	wg sync.WaitGroup
+	// target is the number of daemons, the first ones, that get tries.
+	target atomic.Int64
 
 	mu    sync.Mutex
 	tries []firstTry
@@ -52,7 +55,7 @@
 			return
 		case <-ticker.C:
 		}
-		for i := range c.s.daemons {
+		for i := range int(c.target.Load()) {
 			f := firstTry{id: "t-" + strconv.Itoa(n) + "-" + strconv.Itoa(i), route: pathRoutes[n%len(pathRoutes)], daemon: i}
 			c.wg.Go(func() { c.send(f) })
 		}
@@ -118,6 +121,17 @@
 	return out
 }
 
+// statuses counts the tries by status.
+func (c *callers) statuses() map[int]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := map[int]int{}
+	for _, f := range c.tries {
+		out[f.status]++
+	}
+	return out
+}
+
 // brokenPromises returns the requests that ran although a status said that they never would.
 func (c *callers) brokenPromises(executions map[string]int) []string {
 	c.mu.Lock()
@@ -151,19 +165,9 @@
 		healTime    = time.Second
 	)
 	paths := newUpstreamPaths(t, daemons)
-	s := startDeploymentWith(t, daemons, Features{}, paths.prepare)
-	paths.addRunners(s, "shop", 3, 0)
-	paths.addRunners(s, "llm", 3, 4)
-	s.setPathConfig(2)
-	s.waitFor("the configuration on all daemons", func() bool { return s.hasVersion(2) })
-	for i := range daemons {
-		s.waitFor("readiness", func() bool { return s.isReady(i) && len(s.resolve(i)) == daemons })
-		s.waitFor("service", func() bool {
-			d := s.daemons[i]
-			return len(d.listedUpstreams()) == 7 && s.requestStatus(d.settings.CallerAddress, "/lookup/1", "key-a") == http.StatusOK
-		})
-	}
+	s := startPathDeployment(t, paths, daemons)
 	c := &callers{s: s}
+	c.target.Store(daemons)
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/internal/fleetdaemon/upstream_paths_test.go
+++ b/internal/fleetdaemon/upstream_paths_test.go
@@ -11,8 +11,6 @@
 	"syscall"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/standin/tcplink"
 )
@@ -117,17 +115,36 @@
 	return out
 }
 
+// startPathDeployment starts a deployment whose daemons reach two services over paths, and
+// waits until all daemons serve.
+func startPathDeployment(t testing.TB, paths *upstreamPaths, daemons int) *deployment {
+	s := startDeploymentWith(t, daemons, Features{}, paths.prepare)
+	paths.addRunners(s, "shop", 3, 0)
+	paths.addRunners(s, "llm", 3, 4)
+	s.setPathConfig()
+	s.waitFor("the configuration on all daemons", func() bool { return s.hasVersion(pathConfigVersion) })
+	for i, d := range s.daemons {
+		s.waitFor("readiness", func() bool { return s.isReady(i) && len(s.resolve(i)) == daemons })
+		s.waitFor("service", func() bool {
+			return len(d.listedUpstreams()) == 7 && s.requestStatus(d.settings.CallerAddress, "/lookup/1", "key-a") == http.StatusOK
+		})
+	}
+	return s
+}
+
+// pathConfigVersion is the version that setPathConfig writes.
+const pathConfigVersion = 2
+
 // setPathConfig writes a configuration with an idempotent route, one that isn't, and one with
 // streams.
-func (s *deployment) setPathConfig(version int) {
+func (s *deployment) setPathConfig() {
 	route := func(name, kind, service string) map[string]any {
 		return map[string]any{"name": name, "host": "h", "pathPrefix": "/" + name + "/", "kind": kind, "timeoutMs": 4000, "targetLatencyMs": 1000, "service": service, "maxAttempts": 2, "streamResume": kind == "streaming"}
 	}
 	s.store.Set("config", "main", map[string]any{
-		"version":  version,
+		"version":  pathConfigVersion,
 		"routes":   []any{route("lookup", "idempotent", "shop"), route("order", "non_idempotent", "shop"), route("chat", "streaming", "llm")},
 		"services": []any{map[string]any{"name": "shop", "maxConns": 200}, map[string]any{"name": "llm", "maxConns": 200}},
 		"tenants":  []any{map[string]any{"name": "w", "apiKeys": []string{"key-a"}, "ratePerS": 100000, "burst": 100000, "unit": "token_count", "plainTokens": 1}},
 	})
-	assert.Assert(s.t, version > 0)
 }
