Bound what a path that comes and goes costs, and test forwarding by itself

While open connections live and new ones are refused, the judgement of a path may change many times a second.

--- a/internal/fleetdaemon/upstream_paths.go
+++ b/internal/fleetdaemon/upstream_paths.go
@@ -33,7 +33,7 @@
 }
 
 // handlePathChange tells the other daemons that a path was lost or is back.
-func (d *Daemon) handlePathChange(string, bool) { go d.peers.Announce() }
+func (d *Daemon) handlePathChange(string, bool) { d.announceNews() }
 
 // setUpstreamPaths tells the monitor which upstreams may be sent requests.
 func (d *Daemon) setUpstreamPaths() {
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -118,7 +118,8 @@
 	nowMu                sync.Mutex
 }
 
-func newFixture(t *testing.T) *fixture {
+// newFixture starts a gateway. modify is called with its options.
+func newFixture(t *testing.T, modify ...func(*gateway.Options)) *fixture {
 	f := &fixture{t: t, chooser: &chooser{}, quota: &unlimitedQuota{}, usage: &usageRecorder{}, starting: startingUpstreams{}, states: &stateRecorder{}, holder: fleetconfig.NewHolder(), now: time.Unix(1000, 0)}
 	for i := range 2 {
 		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
@@ -151,11 +152,15 @@
 	f.quarantine, f.requests = newQuarantine(quarantine.PromptParts), newQuarantine(quarantine.WholeRequests)
 	f.pools = &upstreamconn.Pools{}
 	t.Cleanup(f.pools.Close)
-	f.server = gateway.New(gateway.Options{
+	options := gateway.Options{
 		Codec: platform.Codec{}, Config: f.holder, Chooser: f.chooser, Conns: f.pools, Quota: f.quota, Usage: f.usage, UpstreamStates: f.states, UpstreamLimit: f.starting, PromptQuarantine: f.quarantine, RequestQuarantine: f.requests,
 		KeysValidFor: func() time.Duration { return 4500 * time.Millisecond }, Logger: telemetry.Discard(), Scope: tally.NoopScope,
 		BootNow: f.bootNow,
-	})
+	}
+	for _, m := range modify {
+		m(&options)
+	}
+	f.server = gateway.New(options)
 	s := httptest.NewServer(f.server)
 	t.Cleanup(s.Close)
 	f.address = s.Listener.Addr().String()
--- a/internal/upstreampath/monitor.go
+++ b/internal/upstreampath/monitor.go
@@ -21,6 +21,9 @@
 	// probeInterval is the time between two probes of a pool whose path is lost. Each probes
 	// one upstream.
 	probeInterval = 250 * time.Millisecond
+	// logInterval is the minimum time between two log lines of a pool, as a path may come and
+	// go many times a second while open connections live and new ones are refused.
+	logInterval = time.Second
 	// tickInterval is the time between two checks.
 	tickInterval = 100 * time.Millisecond
 )
@@ -129,7 +132,16 @@
 
 // publish tells that the path to a pool was lost or is back.
 func (m *Monitor) publish(pool string, lost bool) {
-	m.opts.Logger.Info("path to upstreams changed", "pool", pool, "lost", lost)
+	m.mu.Lock()
+	path, now := m.paths[pool], m.opts.Now()
+	isLogged := now.Sub(path.loggedAt) >= logInterval
+	if isLogged {
+		path.loggedAt = now
+	}
+	m.mu.Unlock()
+	if isLogged {
+		m.opts.Logger.Info("path to upstreams changed", "pool", pool, "lost", lost)
+	}
 	m.opts.Scope.Tagged(map[string]string{"pool": pool}).Counter("upstream_path_changes").Inc(1)
 	m.opts.OnChange(pool, lost)
 }
--- a/internal/upstreampath/pool_path.go
+++ b/internal/upstreampath/pool_path.go
@@ -23,6 +23,8 @@
 	// probedAt is when the upstreams were last probed, and nextProbe counts the probes.
 	probedAt  time.Time
 	nextProbe int
+	// loggedAt is when a change was last logged.
+	loggedAt time.Time
 }
 
 func newPoolPath() *poolPath {
