Count a forwarded repeat as a repeat at the helping daemon

Callers saw nothing yet. A request that this daemon had sent to an upstream, and then forwarded as it lost its path, was a first attempt at the helping daemon, outside of the budget for repeats. Found by reading. The helping daemon now goes on counting where the first one stopped. TestForwardedRepeatIsARepeat failed before: attempt 1, expected 2.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -31,12 +31,15 @@
 	mu        sync.Mutex
 	upstreams []membership.Upstream
 	results   []dispatch.Result
+	// requests are those for which an upstream was chosen.
+	requests []*dispatch.Request
 }
 
 // Choose implements dispatch.Chooser.
 func (c *chooser) Choose(_ context.Context, r *dispatch.Request) (*dispatch.Choice, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.requests = append(c.requests, r)
 	for _, u := range c.upstreams {
 		excluded := false
 		for _, name := range r.Exclude {
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -126,3 +126,15 @@
 	assert.Equal(t, status, http.StatusBadGateway)
 	assert.Equal(t, other.runCount(), 0)
 }
+
+// Guards against a request that another daemon sent to an upstream before and that counts as a
+// first attempt at the helping one, outside of the budget for repeats.
+func TestForwardedRepeatIsARepeat(t *testing.T) {
+	helping := newFixture(t)
+	helping.address = helping.helper("helping").Address
+	status, _, _, err := helping.call("/lookup/1", "", "Rattantide-Forwarded-By", "lost", "Rattantide-Caller", "10.0.0.1", "Rattantide-Config", "7", "Rattantide-Sends", "1")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, helping.chooser.requests[0].Attempt, 2)
+	assert.Equal(t, helping.chooser.requests[0].ReachedAttempts, 1)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,7 +81,7 @@
 	defer s.openRequests.Add(-1)
 	x := &exchange{server: s, writer: w, request: r, receivedAt: time.Now(), forwarded: f}
 	if f != nil {
-		x.sends = f.sends
+		x.attempts, x.sends = f.sends, f.sends
 	}
 	defer x.releaseBody()
 	if s.drain.Load() != nil {
