Prove that forwarded requests do not circle and that refused ones are not charged

Each mechanism was broken by hand: without the end of forwarding TestNobodyHelps fails; without the return of the quota TestHelperRefusesRequest (new, as nothing noticed that before); with a second charge TestForwardedRequestIsServedOnce; with connections that are not given up TestWriteIsNotRepeated.

--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,7 +80,13 @@
 // Guards against a request that circles among daemons that reach no upstream, or that is not
 // refused at once, with its quota returned, when no daemon helps.
 func TestNobodyHelps(t *testing.T) {
-	second := newLostFixture(t)
+	var returned atomic.Int64
+	third := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		returned.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(third.Close)
+	second := newLostFixture(t, gateway.Helper{Name: "third", Address: third.Listener.Addr().String()})
 	first := newLostFixture(t, second.helper("second"))
 	start := time.Now()
 	status, _, header, err := first.call("/lookup/1", "")
@@ -88,6 +95,7 @@
 	assert.Assert(t, header.Get("Retry-After") != "")
 	assert.Assert(t, time.Since(start) < time.Second)
 	assert.Equal(t, first.quota.charged, 0.0)
+	assert.Equal(t, returned.Load(), int64(0), "forwarded twice")
 }
 
 // Guards against a daemon with an older configuration that judges a request that a newer one
@@ -138,3 +146,16 @@
 	assert.Equal(t, helping.chooser.requests[0].Attempt, 2)
 	assert.Equal(t, helping.chooser.requests[0].ReachedAttempts, 1)
 }
+
+// Guards against a quota that stays charged, or a Retry-After that gets lost, when the helping
+// daemon refuses a request.
+func TestHelperRefusesRequest(t *testing.T) {
+	helping := newFixture(t)
+	helping.chooser.upstreams = nil
+	lost := newLostFixture(t, helping.helper("helping"))
+	status, _, header, err := lost.call("/order/1", "body")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, header.Get("Retry-After"), "1.00")
+	assert.Equal(t, lost.quota.charged, 0.0)
+}
