Share the simulated network between clients and servers

The faults of the paths of single daemons stood in a test of one package; the other daemon's tests need them as well. They are part of the stand-ins now (tcplink.Network).

--- a/internal/fleetdaemon/lost_path_series_test.go
+++ b/internal/fleetdaemon/lost_path_series_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"rattantide/internal/standin/tcplink"
 )
 
 // lostPathSeed returns the seed of LOST_PATH_SEED, or 1.
@@ -38,7 +40,7 @@
 	)
 	seed := lostPathSeed(t)
 	random := rand.New(rand.NewPCG(seed, 0))
-	paths := newUpstreamPaths(t, daemons)
+	paths := newUpstreamPaths(t)
 	s := startPathDeployment(t, paths, daemons)
 	c := &callers{s: s}
 	c.target.Store(daemons)
@@ -50,9 +52,9 @@
 	}()
 	drained := make(chan struct{})
 	for round := range rounds {
-		daemon, fault := random.IntN(daemons), pathFault(random.IntN(int(pathRefusesNew)+1))
+		daemon, fault := random.IntN(daemons), tcplink.PathFault(random.IntN(int(tcplink.PathFaults)))
 		t.Logf("round %d: daemon %d, fault %d", round, daemon, fault)
-		paths.set(daemon, fault)
+		paths.Set(daemon, fault)
 		if round == rounds/2 {
 			c.target.Store(stopped)
 			go func() {
@@ -63,7 +65,7 @@
 		<-time.After(time.Duration(200+random.IntN(900)) * time.Millisecond)
 	}
 	for i := range daemons {
-		paths.set(i, pathSound)
+		paths.Set(i, tcplink.PathSound)
 	}
 	healedAt := time.Now()
 	<-time.After(recoveryTime + time.Second)
--- a/internal/fleetdaemon/lost_path_test.go
+++ b/internal/fleetdaemon/lost_path_test.go
@@ -12,10 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-)
 
-// dialTime is how long a dial hangs while the path to the upstreams does.
-const dialTime = 250 * time.Millisecond
+	"rattantide/internal/standin/tcplink"
+)
 
 // firstTry is the first try of a caller's request.
 type firstTry struct {
@@ -149,12 +148,12 @@
 // Guards against callers of daemons that have lost their path to all upstreams, and only to
 // them, being served far worse than those of the other daemons.
 func TestCallersOfDaemonsWithoutUpstreamsAreServed(t *testing.T) {
-	for name, fault := range map[string]pathFault{"hang": pathHangs, "reset": pathResets, "refuse new": pathRefusesNew} {
+	for name, fault := range map[string]tcplink.PathFault{"hang": tcplink.PathHangs, "reset": tcplink.PathResets, "refuse new": tcplink.PathRefusesNew} {
 		t.Run(name, func(t *testing.T) { testLostPath(t, fault) })
 	}
 }
 
-func testLostPath(t *testing.T, fault pathFault) {
+func testLostPath(t *testing.T, fault tcplink.PathFault) {
 	const (
 		daemons  = 5
 		cutCount = 3
@@ -164,7 +163,7 @@
 		cutTime     = 7 * time.Second
 		healTime    = time.Second
 	)
-	paths := newUpstreamPaths(t, daemons)
+	paths := newUpstreamPaths(t)
 	s := startPathDeployment(t, paths, daemons)
 	c := &callers{s: s}
 	c.target.Store(daemons)
@@ -179,7 +178,7 @@
 	<-time.After(2 * time.Second)
 	cutAt := time.Now()
 	for i := range cutCount {
-		paths.set(i, fault)
+		paths.Set(i, fault)
 	}
 	<-time.After(cutTime)
 	listed := make([][]string, daemons)
@@ -188,7 +187,7 @@
 	}
 	healedAt := time.Now()
 	for i := range cutCount {
-		paths.set(i, pathSound)
+		paths.Set(i, tcplink.PathSound)
 	}
 	<-time.After(healTime + time.Second)
 	stop()
@@ -208,7 +207,7 @@
 	executions := paths.executions()
 	assert.Check(t, len(c.ranTwice(executions)) == 0, "ran twice: %v", c.ranTwice(executions))
 	assert.Check(t, len(c.brokenPromises(executions)) == 0, "refused, but ran: %v", c.brokenPromises(executions))
-	if fault == pathRefusesNew {
+	if fault == tcplink.PathRefusesNew {
 		return
 	}
 	for i, addresses := range listed {
--- a/internal/fleetdaemon/upstream_paths_test.go
+++ b/internal/fleetdaemon/upstream_paths_test.go
@@ -6,89 +6,28 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
-	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/standin/tcplink"
 )
 
-// pathFault is what happens on the path between one daemon and all upstreams.
-type pathFault int32
-
-const (
-	pathSound pathFault = iota
-	// pathHangs means that open connections and dials hang.
-	pathHangs
-	// pathResets means that open connections are reset and dials are refused.
-	pathResets
-	// pathRefusesNew means that dials are refused, while open connections live on.
-	pathRefusesNew
-)
-
 // upstreamPaths are the simulated networks between each daemon and each upstream.
 type upstreamPaths struct {
+	*tcplink.Network
 	t       testing.TB
 	runners []*runner.Runner
-
-	mu sync.Mutex
-	// links are keyed by the daemon's index and the upstream's address.
-	links  []map[string]*tcplink.Link
-	faults []atomic.Int32
 }
 
-func newUpstreamPaths(t testing.TB, daemons int) *upstreamPaths {
-	p := &upstreamPaths{t: t, links: make([]map[string]*tcplink.Link, daemons), faults: make([]atomic.Int32, daemons)}
-	for i := range p.links {
-		p.links[i] = map[string]*tcplink.Link{}
-	}
+func newUpstreamPaths(t testing.TB) *upstreamPaths {
+	p := &upstreamPaths{Network: tcplink.NewNetwork(), t: t}
+	t.Cleanup(p.Close)
 	return p
 }
 
-// prepare makes a daemon reach its upstreams over the links.
+// prepare makes a daemon reach its upstreams over the network.
 func (p *upstreamPaths) prepare(i int, d *Daemon) {
-	d.conns.Dial = func(ctx context.Context, address string) (net.Conn, error) { return p.dial(ctx, i, address) }
-}
-
-func (p *upstreamPaths) dial(ctx context.Context, i int, address string) (net.Conn, error) {
-	switch pathFault(p.faults[i].Load()) {
-	case pathHangs:
-		ctx, cancel := context.WithTimeout(ctx, dialTime)
-		defer cancel()
-		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: context.DeadlineExceeded}
-	case pathResets, pathRefusesNew:
-		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
-	}
-	p.mu.Lock()
-	l := p.links[i][address]
-	if l == nil {
-		var err error
-		l, err = tcplink.Start(address)
-		if err != nil {
-			p.mu.Unlock()
-			return nil, err
-		}
-		p.t.Cleanup(l.Close)
-		p.links[i][address] = l
-	}
-	p.mu.Unlock()
-	return (&net.Dialer{}).DialContext(ctx, "tcp", l.Address())
-}
-
-// set sets the fault of the paths of one daemon.
-func (p *upstreamPaths) set(i int, fault pathFault) {
-	p.faults[i].Store(int32(fault))
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, l := range p.links[i] {
-		l.SetState(tcplink.State{HoldRequests: fault == pathHangs, HoldAnswers: fault == pathHangs})
-		if fault == pathResets {
-			l.ResetConns()
-		}
-	}
+	d.conns.Dial = func(ctx context.Context, address string) (net.Conn, error) { return p.Dial(ctx, i, address) }
 }
 
 // addRunners adds runners of a service to the deployment.
