Forward requests on the own interface while a daemon reaches no upstream

Repeatable calls of services do not wait for a lost path. A daemon without upstreams leaves itself out of its entries. Connections are watched below net/http, so that load reports and calls show which upstreams are reached.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	"rattantide/internal/server"
 	"rattantide/internal/settings"
 	"rattantide/internal/telemetry"
+	"rattantide/internal/upstreampath"
 	"rattantide/internal/upstreamwatch"
 )
 
@@ -47,6 +48,11 @@
 	listener net.Listener
 
 	httpClient *http.Client
+	// transport is that of httpClient. dialUpstream opens connections to upstreams, and paths
+	// judges which of them are reached.
+	transport    *http.Transport
+	dialUpstream upstreampath.DialFunc
+	paths        *upstreampath.Monitor
 	// storeClient makes the calls of the object API.
 	storeClient    *http.Client
 	peers          *peer.Client
@@ -93,8 +99,10 @@
 		closers: []io.Closer{closer}, listener: listener, httpClient: &http.Client{Transport: transport}, storeClient: newStoreClient(transport, scope),
 		draining: make(chan struct{}),
 	}
+	d.transport = transport
 	d.buildState()
 	d.buildVersionMoves()
+	d.buildUpstreamPaths()
 	d.buildRequestPath()
 	return d, nil
 }
@@ -146,7 +154,7 @@
 	s := d.settings
 	d.trackers = &routing.Trackers{}
 	d.admission = admission.New(admission.Options{Scope: d.scope})
-	d.engines = engineclient.New(nil)
+	d.engines = engineclient.New(&http.Client{Transport: d.upstreamTransport()})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		Config: d.cache, Table: d.table, Admission: d.admission, Trackers: d.trackers,
 		Moves: d.moveGuard, Evidence: dispatch.TableEvidenceRecorder{Table: d.table}, Scope: d.scope,
@@ -164,8 +172,9 @@
 		Engine: server.EngineClient{Client: d.engines}, Journal: d.journal, Intents: d.intentLog,
 		CallerBudget: callerbudget.New(s.MaxJournalBytes / callerShare),
 		Handoff:      d.handoff,
-		Observer:     burnObserver{d.burn},
-		Logger:       d.logger, Scope: d.scope, LogShare: s.LogRequestShare,
+		Transport:    d.upstreamTransport(), Forwarding: d.forwarding(d.transport),
+		Observer: burnObserver{d.burn},
+		Logger:   d.logger, Scope: d.scope, LogShare: s.LogRequestShare,
 		MaxBodyBytes: s.MaxBodyBytes, MaxEventBytes: s.MaxEventBytes,
 		AbandonGrace: s.AbandonGrace, EntryTTL: s.EntryTTL,
 	})
--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -30,6 +30,12 @@
 
 // startDaemon runs a daemon until the test ends.
 func startDaemon(t *testing.T, args ...string) *Daemon {
+	t.Helper()
+	return startDaemonWith(t, func(*Daemon) {}, args...)
+}
+
+// startDaemonWith is startDaemon, and calls prepare before the daemon runs.
+func startDaemonWith(t *testing.T, prepare func(*Daemon), args ...string) *Daemon {
 	t.Helper()
 	args = append([]string{"-domain", "zone-a", "-listen", "127.0.0.1:0", "-peer-token", "peer",
 		"-operator-token", "operator", "-entry-ttl", "1s"}, args...)
@@ -37,6 +43,7 @@
 	assert.NilError(t, err)
 	d, err := New(s, telemetry.Discard())
 	assert.NilError(t, err)
+	prepare(d)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run(ctx) }()
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -63,6 +63,8 @@
 	components.Go(func() error { return d.moveController.Run(ctx) })
 	components.Go(func() error { d.moveGuard.Run(ctx); return nil })
 	components.Go(func() error { return d.watcher.Run(ctx) })
+	components.Go(func() error { return d.paths.Run(ctx) })
+	components.Go(func() error { return d.followUpstreams(ctx) })
 	components.Go(func() error { d.movePeers.Run(ctx); return nil })
 	components.Go(func() error { d.handoff.Run(ctx); return nil })
 	components.Go(func() error { d.drainOnNotice(ctx); return nil })
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -1,6 +1,7 @@
 package engineclient
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -27,6 +28,16 @@
 	suspectEngines suspectEngines
 }
 
+// NewTransport returns the transport of a Client, whose connections dial opens. Nil stands for
+// TCP connections that are opened within a second.
+func NewTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	transport := newTransport()
+	if dial != nil {
+		transport.DialContext = dial
+	}
+	return transport
+}
+
 // New returns a Client that uses httpClient, or a new http.Client if it is nil.
 // httpClient must have no overall timeout, because streams stay open for long.
 // Unless its Transport is an *http.Transport, calls that ask for a new connection may
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -42,6 +42,11 @@
 		s.refuse(w, p.WithRequestID(id))
 		return
 	}
+	if s.isPathLost(s.chatPool(body)) {
+		defer release()
+		s.forward(w, r, id, body)
+		return
+	}
 	rec, p := s.accept(id, workspaceName, workspace, body)
 	release()
 	if p != nil {
@@ -58,6 +63,22 @@
 	s.writeAnswer(s.newCallerStream(w), r, rec, rec.Stream, 0)
 }
 
+// chatPool returns the pool of a chat completion, or "" if the body or the model is invalid.
+func (s *Server) chatPool(body []byte) string {
+	if !s.isAnyPathLost() {
+		return ""
+	}
+	q, p := parseChat(body)
+	if p != nil {
+		return ""
+	}
+	_, route := s.options.Config.Snapshot().RouteForModel(q.Model)
+	if route == nil {
+		return ""
+	}
+	return route.Pool
+}
+
 // accept validates a chat completion and creates its record in the journal.
 func (s *Server) accept(id, workspaceName string, workspace *api.Workspace, body []byte) (*journal.Record, *problem.Problem) {
 	q, p := parseChat(body)
--- a/internal/server/entries.go
+++ b/internal/server/entries.go
@@ -19,10 +19,11 @@
 }
 
 // entriesFor returns the entries for a caller. A draining daemon omits itself, even
-// if the membership table does not list it as leaving yet.
+// if the membership table does not list it as leaving yet, and so does one that reaches no
+// upstream while there are others.
 func (s *Server) entriesFor(r *http.Request, workspace string) entry.Answer {
 	daemons := s.options.Members.Daemons()
-	if s.isDraining() {
+	if s.isDraining() || len(daemons) > 1 && s.lacksUpstreams() {
 		remaining := daemons[:0:0]
 		for _, d := range daemons {
 			if d.Name != s.options.Self.Name {
--- /dev/null
+++ b/internal/server/forward.go
@@ -0,0 +1,185 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"net"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"rattantide/internal/framing"
+	"rattantide/internal/problem"
+)
+
+// The headers of a request that one daemon forwards to another, and of its response.
+const (
+	// headerForwardedBy holds the name of the daemon that forwards the request, and
+	// headerForwardToken the token of the daemons, without which the request counts as a
+	// caller's.
+	headerForwardedBy  = "Rattantide-Forwarded-By"
+	headerForwardToken = "Rattantide-Peer-Token"
+	// headerNotHelped is set in the response if the daemon did not and will not run the
+	// request, and another daemon may.
+	headerNotHelped = "Rattantide-Not-Helped"
+	// maxHelpers bounds the daemons that are asked to serve one request.
+	maxHelpers = 3
+)
+
+// errPathLost ends the attempts of calls that may be repeated once their path is lost.
+const errPathLost = errors.ConstError("the path to the upstreams was lost")
+
+// Paths tells which upstreams this daemon reaches. It is safe for concurrent use.
+type Paths interface {
+	// IsLost reports whether this daemon reaches no upstream of a pool.
+	IsLost(pool string) bool
+	// UntilLost calls abandon if the path to a pool is lost before stop is called.
+	UntilLost(pool string, abandon func()) (stop func())
+	// Lost returns the pools of which this daemon reaches no upstream, and whether these are
+	// all pools with upstreams.
+	Lost() (pools []string, all bool)
+}
+
+// Forwarding is how requests reach daemons that reach the upstreams. All fields are required.
+type Forwarding struct {
+	Paths Paths
+	// Token is the token shared by all daemons.
+	Token string
+	// Scheme is "http" or "https".
+	Scheme string
+	// Helpers returns the addresses of other live daemons, preferred ones first.
+	Helpers func() []string
+	// Transport makes the calls to other daemons.
+	Transport *http.Transport
+}
+
+// isPathLost reports whether this daemon reaches no upstream of a pool.
+func (s *Server) isPathLost(pool string) bool {
+	f := s.options.Forwarding
+	return f != nil && f.Paths.IsLost(pool)
+}
+
+// untilLost returns a context that ends with errPathLost once the path to a pool is lost, unless
+// a request was forwarded to this daemon and can go no further.
+func (s *Server) untilLost(ctx context.Context, r *http.Request, pool string) (context.Context, func()) {
+	f := s.options.Forwarding
+	if f == nil || isForwarded(r) {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := f.Paths.UntilLost(pool, func() { cancel(errPathLost) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// isAnyPathLost reports whether this daemon reaches no upstream of some pool.
+func (s *Server) isAnyPathLost() bool {
+	f := s.options.Forwarding
+	if f == nil {
+		return false
+	}
+	lost, _ := f.Paths.Lost()
+	return len(lost) > 0
+}
+
+// lacksUpstreams reports whether this daemon reaches no upstream at all.
+func (s *Server) lacksUpstreams() bool {
+	f := s.options.Forwarding
+	if f == nil {
+		return false
+	}
+	_, all := f.Paths.Lost()
+	return all
+}
+
+type forwardedKey struct{}
+
+// markForwarded marks requests that another daemon forwarded, and takes what daemons tell each
+// other out of the headers of all requests, as these are sent on to upstreams.
+func (s *Server) markForwarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token := r.Header.Get(headerForwardToken)
+		r.Header.Del(headerForwardToken)
+		r.Header.Del(headerForwardedBy)
+		f := s.options.Forwarding
+		if f != nil && token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(f.Token)) == 1 {
+			r = r.WithContext(context.WithValue(r.Context(), forwardedKey{}, true))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// isForwarded reports whether another daemon forwarded a request.
+func isForwarded(r *http.Request) bool { return r.Context().Value(forwardedKey{}) != nil }
+
+// forward answers a request for a pool whose path is lost: by another daemon, or, if none
+// helps, with a refusal. A request that was forwarded to this daemon goes no further.
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+	p := problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no daemon reaches the upstreams").WithRetryAfter(transientRetryAfter)
+	if isForwarded(r) {
+		w.Header().Set(headerNotHelped, "1")
+		s.refuse(w, p.WithRequestID(id))
+		return
+	}
+	helpers := s.options.Forwarding.Helpers()
+	for _, address := range helpers[:min(maxHelpers, len(helpers))] {
+		response, err := s.sendToHelper(r, address, id, body)
+		var failure *net.OpError
+		if errors.As(err, &failure) && failure.Op == "dial" {
+			continue
+		}
+		if err != nil {
+			s.options.Logger.Warn("a daemon was lost with a forwarded request", "request", id, "to", address, "error", err)
+			s.refuse(w, problem.NewExecutionUnknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "the daemon that served the request was lost").WithRequestID(id))
+			return
+		}
+		if response.Header.Get(headerNotHelped) == "" {
+			s.metrics.forwarded.Inc(1)
+			s.relayFromHelper(w, r, response)
+			return
+		}
+		_ = response.Body.Close()
+	}
+	s.refuse(w, p.WithRequestID(id))
+}
+
+// sendToHelper sends a request to another daemon and returns the response, whose body must be
+// closed.
+func (s *Server) sendToHelper(r *http.Request, address, id string, body []byte) (*http.Response, error) {
+	f := s.options.Forwarding
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, f.Scheme+"://"+address+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Host = r.Host
+	copyHeader(request.Header, r.Header)
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set(headerForwardedBy, s.options.Self.Name)
+	request.Header.Set(headerForwardToken, f.Token)
+	response, err := f.Transport.RoundTrip(request)
+	return response, errors.Trace(err)
+}
+
+// relayFromHelper sends the response of another daemon to the caller.
+func (s *Server) relayFromHelper(w http.ResponseWriter, r *http.Request, response *http.Response) {
+	defer response.Body.Close()
+	kind := relayHead(w, r, response)
+	if err := copyFlushing(w, response.Body, s.options.CallerWriteTimeout); err != nil {
+		framing.Abort(w, kind, s.options.Logger)
+	}
+}
+
+// relayHead sends the head of a response to the caller and returns how the end of its body is
+// marked.
+func relayHead(w http.ResponseWriter, r *http.Request, response *http.Response) framing.Kind {
+	copyHeader(w.Header(), response.Header)
+	kind := framing.Relayed(framing.Of(response, r.Method), r)
+	if kind == framing.Conn {
+		framing.SetConn(w.Header())
+	}
+	w.WriteHeader(response.StatusCode)
+	return kind
+}
--- a/internal/server/metrics.go
+++ b/internal/server/metrics.go
@@ -11,8 +11,10 @@
 // metrics are the server's counters. Tagged counters are looked up for each use;
 // tally caches them.
 type metrics struct {
-	scope          tally.Scope
-	accepted       tally.Counter
+	scope    tally.Scope
+	accepted tally.Counter
+	// forwarded counts the requests that another daemon served.
+	forwarded      tally.Counter
 	resumedStreams tally.Counter
 	events         tally.Counter
 	kvMoves        tally.Counter
@@ -24,6 +26,7 @@
 	return &metrics{
 		scope:          scope,
 		accepted:       scope.Counter("accepted"),
+		forwarded:      scope.Counter("forwarded"),
 		resumedStreams: scope.Counter("resumed_streams"),
 		events:         scope.Counter("events"),
 		kvMoves:        scope.Counter("kv_moves"),
--- a/internal/server/options.go
+++ b/internal/server/options.go
@@ -35,6 +35,9 @@
 	// Handoff may be nil. Records then have no backup and are lost with this
 	// daemon.
 	Handoff Handoff
+	// Forwarding is how requests reach daemons that reach the upstreams. If nil, they are
+	// served here or not at all.
+	Forwarding *Forwarding
 	// Observer receives ended requests. It may be nil.
 	Observer Observer
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -75,7 +75,7 @@
 }
 
 // Handler returns the handler of the caller API.
-func (s *Server) Handler() http.Handler { return callerbody.Guard(s.mux) }
+func (s *Server) Handler() http.Handler { return callerbody.Guard(s.markForwarded(s.mux)) }
 
 // Start executes the request of a record in the background until it ends. It is
 // used for accepted requests and for records that were taken over from another
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -60,6 +60,10 @@
 		return
 	}
 	defer release()
+	if s.isPathLost(c.route.Pool) {
+		s.forward(w, r, c.id, body)
+		return
+	}
 	c.body = body
 	s.metrics.accepted.Inc(1)
 	w.Header().Set("X-Request-Id", c.id)
@@ -137,12 +141,19 @@
 			s.failService(w, c, serviceProblem(ctx, err, ran))
 			return
 		}
-		answer := s.callService(ctx, s.keepAliveClient, c, choice)
+		attemptCtx, end := s.untilLost(ctx, c.request, c.route.Pool)
+		answer := s.callService(attemptCtx, s.keepAliveClient, c, choice)
 		if answer.response != nil {
 			s.forwardAnswer(w, c, answer, nil)
+			end()
 			return
 		}
+		end()
 		answer.close(dispatch.Result{Draining: answer.draining})
+		if s.isPathLost(c.route.Pool) && ctx.Err() == nil {
+			s.forward(w, c.request, c.id, c.body)
+			return
+		}
 		ran = ran || !answer.notRun
 		c.excluded = append(c.excluded, choice.Upstream.Name)
 		if c.attempt >= s.options.MaxAttempts || ctx.Err() != nil {
@@ -155,13 +166,8 @@
 // forwardAnswer forwards the upstream's response to the caller. head is the start
 // of its body if that was already read.
 func (s *Server) forwardAnswer(w http.ResponseWriter, c *serviceCall, answer *serviceAnswer, head []byte) {
-	copyHeader(w.Header(), answer.response.Header)
-	w.Header().Set("X-Request-Id", c.id)
-	kind := framing.Relayed(framing.Of(answer.response, c.request.Method), c.request)
-	if kind == framing.Conn {
-		framing.SetConn(w.Header())
-	}
-	w.WriteHeader(answer.response.StatusCode)
+	answer.response.Header.Set("X-Request-Id", c.id)
+	kind := relayHead(w, c.request, answer.response)
 	body := &upstreamBody{source: answer.response.Body}
 	err := copyFlushing(w, io.MultiReader(bytes.NewReader(head), body), s.options.CallerWriteTimeout)
 	status := dispatch.StatusOK
--- a/internal/upstreampath/monitor.go
+++ b/internal/upstreampath/monitor.go
@@ -70,6 +70,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	pool := m.pools[address]
+	return m.start(pool, abandon)
+}
+
+// StartInPool is Start for a call to any upstream of a pool.
+func (m *Monitor) StartInPool(pool string, abandon func()) *Call {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.start(pool, abandon)
+}
+
+// start records the beginning of a call. m.mu must be held.
+func (m *Monitor) start(pool string, abandon func()) *Call {
 	path := m.paths[pool]
 	if path == nil {
 		return nil
@@ -101,6 +113,9 @@
 	}
 }
 
+// hearFrom records that anything was received from an address.
+func (m *Monitor) hearFrom(address string) { m.RecordConnect(address, nil) }
+
 // hear records a sign of an upstream and reports whether the path was lost until now. m.mu
 // must be held.
 func (m *Monitor) hear(path *poolPath) (isBack bool) {
