Share the simulated callers of a deployment

The callers that send first tries to each daemon, and the checks of how often requests ran, stood in a test of one package. They are a stand-in now (standin/caller).

--- a/internal/fleetdaemon/lost_path_series_test.go
+++ b/internal/fleetdaemon/lost_path_series_test.go
@@ -42,13 +42,12 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	paths := newUpstreamPaths(t)
 	s := startPathDeployment(t, paths, daemons)
-	c := &callers{s: s}
-	c.target.Store(daemons)
+	c := s.newCallers()
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.run(ctx, 40*time.Millisecond)
+		c.Run(ctx, 40*time.Millisecond)
 	}()
 	drained := make(chan struct{})
 	for round := range rounds {
@@ -56,7 +55,7 @@
 		t.Logf("round %d: daemon %d, fault %d", round, daemon, fault)
 		paths.Set(daemon, fault)
 		if round == rounds/2 {
-			c.target.Store(stopped)
+			c.Skip(daemons - stopped)
 			go func() {
 				defer close(drained)
 				s.stopDaemon(stopped)
@@ -72,12 +71,10 @@
 	cancel()
 	<-done
 	<-drained
-	executions := paths.executions()
-	assert.Check(t, len(c.ranTwice(executions)) == 0, "seed %d: ran twice: %v", seed, c.ranTwice(executions))
-	assert.Check(t, len(c.brokenPromises(executions)) == 0, "seed %d: refused, but ran: %v", seed, c.brokenPromises(executions))
-	served, total := c.share(time.Time{}, time.Now(), func(int) bool { return true })
-	t.Logf("seed %d: %d of %d first tries served, statuses %v", seed, served, total, c.statuses())
-	served, total = c.share(healedAt.Add(recoveryTime), time.Now(), func(i int) bool { return i != stopped })
+	checkExecutions(t, c, paths)
+	served, total := c.Served(time.Time{}, time.Now(), func(int) bool { return true })
+	t.Logf("seed %d: %d of %d first tries served, statuses %v", seed, served, total, c.Statuses())
+	served, total = c.Served(healedAt.Add(recoveryTime), time.Now(), func(i int) bool { return i != stopped })
 	assert.Check(t, total > 0 && served == total, "seed %d: %d of %d first tries served after the faults", seed, served, total)
-	assert.Check(t, c.statuses()[http.StatusUnprocessableEntity] == 0, "seed %d: sound requests were kept from upstreams", seed)
+	assert.Check(t, c.Statuses()[http.StatusUnprocessableEntity] == 0, "seed %d: sound requests were kept from upstreams", seed)
 }
--- a/internal/fleetdaemon/upstream_paths_test.go
+++ b/internal/fleetdaemon/upstream_paths_test.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/standin/caller"
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/standin/tcplink"
 )
@@ -87,3 +90,23 @@
 		"tenants":  []any{map[string]any{"name": "w", "apiKeys": []string{"key-a"}, "ratePerS": 100000, "burst": 100000, "unit": "token_count", "plainTokens": 1}},
 	})
 }
+
+// newCallers returns callers of all daemons.
+func (s *deployment) newCallers() *caller.Callers {
+	c := &caller.Callers{Host: "h", Key: "key-a", Routes: []caller.Route{
+		{Name: "lookup", Method: http.MethodGet}, {Name: "order", Method: http.MethodPost, RunsOnce: true}, {Name: "chat", Method: http.MethodGet},
+	}}
+	for _, d := range s.daemons {
+		c.Addresses = append(c.Addresses, d.settings.CallerAddress)
+	}
+	return c
+}
+
+// checkExecutions checks that no request ran more often than it may, or although it was
+// refused.
+func checkExecutions(t *testing.T, c *caller.Callers, paths *upstreamPaths) {
+	t.Helper()
+	ranTwice, brokenPromises := c.Violations(paths.executions())
+	assert.Check(t, len(ranTwice) == 0, "ran twice: %v", ranTwice)
+	assert.Check(t, len(brokenPromises) == 0, "refused, but ran: %v", brokenPromises)
+}
