Bound the generations of connections that are remembered

Found by reading: a server that never answers in time, and lets calls on kept connections run into their deadlines, made the list of earlier generations grow without end. Eight are remembered; the calls of older ones have ended by their deadlines.

--- a/internal/keptconn/transport.go
+++ b/internal/keptconn/transport.go
@@ -17,6 +17,9 @@
 	// repeatInterval is the minimum time between two repeated reads while it is not known
 	// whether the connections or the server caused the silence.
 	repeatInterval = time.Second
+	// maxUnproven bounds the earlier generations that are remembered. The calls of older ones
+	// have ended long since.
+	maxUnproven = 8
 )
 
 // Options configures a Transport. New is required.
@@ -187,6 +190,7 @@
 	}
 	t.options.Scope.Counter("kept_connections_given_up").Inc(1)
 	t.unproven = append(t.unproven, g)
+	t.unproven = t.unproven[max(0, len(t.unproven)-maxUnproven):]
 	t.current = newGeneration(t.options.New)
 	g.transport.CloseIdleConnections()
 }
