--- a/internal/gateway/finish.go
+++ b/internal/gateway/finish.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rattantide/internal/callerbody"
+	"rattantide/internal/forwardheader"
 )
 
 // statusClientClosedRequest is the status in logs and metrics of a request whose
@@ -35,7 +36,7 @@
 	header := x.writer.Header()
 	x.server.opts.Codec.EncodeRefusal(header, x.call.AttemptID, r.retryAfter)
 	if x.forwarded != nil && r.isLocal {
-		header.Set(headerNotHelped, "1")
+		header.Set(forwardheader.NotHelped, "1")
 	}
 	header.Set("Content-Length", "0")
 	x.writer.WriteHeader(r.status)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -10,6 +10,7 @@
 	"rattantide/internal/callerbudget"
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/forwardheader"
 	"rattantide/internal/membership"
 	"rattantide/internal/upstreamconn"
 )
@@ -50,7 +51,7 @@
 		return a.handleError(ctx, err)
 	}
 	defer response.Body.Close()
-	if response.Header.Get(headerNotHelped) != "" {
+	if response.Header.Get(forwardheader.NotHelped) != "" {
 		x.reason = "daemon " + helper.Name + " does not help"
 		outcome := a.endExcluded(dispatch.StatusRefused)
 		outcome.notSent = true
--- a/internal/gateway/forwarded.go
+++ b/internal/gateway/forwarded.go
@@ -4,22 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
-)
 
-// The headers of a request that one daemon forwards to another, and of its response. Callers
-// cannot set them, as they are read only on the port for other daemons.
-const (
-	// headerForwardedBy holds the name of the daemon that forwards the request.
-	headerForwardedBy = "Rattantide-Forwarded-By"
-	// headerForwardCaller holds the address of the caller.
-	headerForwardCaller = "Rattantide-Caller"
-	// headerForwardConfig holds the version of the configuration that allowed the request.
-	headerForwardConfig = "Rattantide-Config"
-	// headerForwardSends holds how often the request was sent to upstreams before.
-	headerForwardSends = "Rattantide-Sends"
-	// headerNotHelped is set in the response if the daemon did not and will not run the
-	// request, and another daemon may.
-	headerNotHelped = "Rattantide-Not-Helped"
+	"rattantide/internal/forwardheader"
 )
 
 // noHelpRetryAfter is the Retry-After delay if no daemon reaches the upstreams.
@@ -35,8 +21,9 @@
 	sends int
 }
 
-// IsForwarded reports whether a request on the port for other daemons was forwarded.
-func IsForwarded(r *http.Request) bool { return r.Header.Get(headerForwardedBy) != "" }
+// IsForwarded reports whether a request on the port for other daemons was forwarded. Callers
+// do not reach that port.
+func IsForwarded(r *http.Request) bool { return r.Header.Get(forwardheader.By) != "" }
 
 // ServeForwarded serves a request that another daemon has forwarded. It is never forwarded
 // again. Its quota was charged by the other daemon.
@@ -51,15 +38,15 @@
 
 // decodeForwarded takes what the forwarding daemon says out of the headers of its request.
 func decodeForwarded(h http.Header) (*forwarded, error) {
-	f := &forwarded{by: h.Get(headerForwardedBy), caller: h.Get(headerForwardCaller)}
+	f := &forwarded{by: h.Get(forwardheader.By), caller: h.Get(forwardheader.Caller)}
 	var err error
-	if f.config, err = strconv.ParseInt(h.Get(headerForwardConfig), 10, 64); err != nil {
+	if f.config, err = strconv.ParseInt(h.Get(forwardheader.Config), 10, 64); err != nil {
 		return nil, err
 	}
-	if f.sends, err = strconv.Atoi(h.Get(headerForwardSends)); err != nil {
+	if f.sends, err = strconv.Atoi(h.Get(forwardheader.Sends)); err != nil {
 		return nil, err
 	}
-	for _, name := range []string{headerForwardedBy, headerForwardCaller, headerForwardConfig, headerForwardSends} {
+	for _, name := range []string{forwardheader.By, forwardheader.Caller, forwardheader.Config, forwardheader.Sends} {
 		h.Del(name)
 	}
 	return f, nil
@@ -67,8 +54,8 @@
 
 // encode adds f to the headers of a request to another daemon.
 func (f *forwarded) encode(h http.Header) {
-	h.Set(headerForwardedBy, f.by)
-	h.Set(headerForwardCaller, f.caller)
-	h.Set(headerForwardConfig, strconv.FormatInt(f.config, 10))
-	h.Set(headerForwardSends, strconv.Itoa(f.sends))
+	h.Set(forwardheader.By, f.by)
+	h.Set(forwardheader.Caller, f.caller)
+	h.Set(forwardheader.Config, strconv.FormatInt(f.config, 10))
+	h.Set(forwardheader.Sends, strconv.Itoa(f.sends))
 }
--- a/internal/keptconn/attempt.go
+++ b/internal/keptconn/attempt.go
@@ -33,7 +33,7 @@
 // run sends the request and waits for the header of the response.
 func (a *attempt) run() {
 	defer close(a.done)
-	a.response, a.err = a.generation.transport.RoundTrip(a.request)
+	a.response, a.err = a.generation.transport.RoundTrip(a.request) //nolint:bodyclose // closed by the caller, or by abandon
 	a.answeredAt = time.Now()
 }
 
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -9,23 +9,13 @@
 
 	"github.com/juju/errors"
 
+	"rattantide/internal/forwardheader"
 	"rattantide/internal/framing"
 	"rattantide/internal/problem"
 )
 
-// The headers of a request that one daemon forwards to another, and of its response.
-const (
-	// headerForwardedBy holds the name of the daemon that forwards the request, and
-	// headerForwardToken the token of the daemons, without which the request counts as a
-	// caller's.
-	headerForwardedBy  = "Rattantide-Forwarded-By"
-	headerForwardToken = "Rattantide-Peer-Token"
-	// headerNotHelped is set in the response if the daemon did not and will not run the
-	// request, and another daemon may.
-	headerNotHelped = "Rattantide-Not-Helped"
-	// maxHelpers bounds the daemons that are asked to serve one request.
-	maxHelpers = 3
-)
+// maxHelpers bounds the daemons that are asked to serve one request.
+const maxHelpers = 3
 
 // errPathLost ends the attempts of calls that may be repeated once their path is lost.
 const errPathLost = errors.ConstError("the path to the upstreams was lost")
@@ -101,9 +91,9 @@
 // other out of the headers of all requests, as these are sent on to upstreams.
 func (s *Server) markForwarded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		token := r.Header.Get(headerForwardToken)
-		r.Header.Del(headerForwardToken)
-		r.Header.Del(headerForwardedBy)
+		token := r.Header.Get(forwardheader.Token)
+		r.Header.Del(forwardheader.Token)
+		r.Header.Del(forwardheader.By)
 		f := s.options.Forwarding
 		if f != nil && token != "" && subtle.ConstantTimeCompare([]byte(token), []byte(f.Token)) == 1 {
 			r = r.WithContext(context.WithValue(r.Context(), forwardedKey{}, true))
@@ -120,7 +110,7 @@
 func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	p := problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no daemon reaches the upstreams").WithRetryAfter(transientRetryAfter)
 	if isForwarded(r) {
-		w.Header().Set(headerNotHelped, "1")
+		w.Header().Set(forwardheader.NotHelped, "1")
 		s.refuse(w, p.WithRequestID(id))
 		return
 	}
@@ -136,7 +126,7 @@
 			s.refuse(w, problem.NewExecutionUnknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "the daemon that served the request was lost").WithRequestID(id))
 			return
 		}
-		if response.Header.Get(headerNotHelped) == "" {
+		if response.Header.Get(forwardheader.NotHelped) == "" {
 			s.metrics.forwarded.Inc(1)
 			s.relayFromHelper(w, r, response)
 			return
@@ -157,8 +147,8 @@
 	request.Host = r.Host
 	copyHeader(request.Header, r.Header)
 	request.Header.Set("X-Request-Id", id)
-	request.Header.Set(headerForwardedBy, s.options.Self.Name)
-	request.Header.Set(headerForwardToken, f.Token)
+	request.Header.Set(forwardheader.By, s.options.Self.Name)
+	request.Header.Set(forwardheader.Token, f.Token)
 	response, err := f.Transport.RoundTrip(request)
 	return response, errors.Trace(err)
 }
--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/forwardheader"
 	"rattantide/internal/problem"
 )
 
@@ -68,7 +69,7 @@
 	assert.Equal(t, string(body), "POST /orders/dies?x=1 two")
 	assert.Equal(t, response.Header.Get("X-Request-Id"), "r1")
 	assert.Equal(t, calls.Load(), int64(1))
-	assert.Equal(t, header.Get(headerForwardToken), "")
+	assert.Equal(t, header.Get(forwardheader.Token), "")
 
 	chats := &fakePool{}
 	chats.add("engine", "v1", engine.URL)
@@ -91,7 +92,7 @@
 	service, _ := newFakeService(t, nil)
 	pool := &fakePool{}
 	pool.add("app", "v1", service.URL)
-	response := newLostHarness(t, newHelper(t, pool)).do(t, "POST", "/orders/dies", "two", headerForwardToken, "wrong")
+	response := newLostHarness(t, newHelper(t, pool)).do(t, "POST", "/orders/dies", "two", forwardheader.Token, "wrong")
 	assert.Equal(t, response.StatusCode, http.StatusCreated)
 }
 
--- a/internal/upstreampath/monitor_test.go
+++ b/internal/upstreampath/monitor_test.go
@@ -17,8 +17,7 @@
 
 // newTestMonitor returns a running Monitor of a pool. Probes succeed while isReached is set.
 func newTestMonitor(t *testing.T, upstreams int, isReached *atomic.Bool, probes *atomic.Int64) *Monitor {
-	var m *Monitor
-	m = New(Options{
+	m := New(Options{
 		Probe: func(_ context.Context, _ string) error {
 			probes.Add(1)
 			if !isReached.Load() {
