End the watch of a path when an answer is broken off, and forget pools without upstreams

Found by reading: an answer that is broken off by a panic of net/http's handler left its call in the list of the path, and a pool whose upstreams are all gone kept its judgement for good, so that requests for it were forwarded until it had upstreams again.

--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -144,8 +144,8 @@
 		attemptCtx, end := s.untilLost(ctx, c.request, c.route.Pool)
 		answer := s.callService(attemptCtx, s.keepAliveClient, c, choice)
 		if answer.response != nil {
+			defer end()
 			s.forwardAnswer(w, c, answer, nil)
-			end()
 			return
 		}
 		end()
--- a/internal/upstreampath/monitor.go
+++ b/internal/upstreampath/monitor.go
@@ -61,6 +61,11 @@
 			m.paths[u.Pool] = newPoolPath()
 		}
 	}
+	for pool, path := range m.paths {
+		if len(m.upstreams[pool]) == 0 && len(path.calls) == 0 {
+			delete(m.paths, pool)
+		}
+	}
 }
 
 // Start records the beginning of a call to an address. abandon is called if the path to the
@@ -147,20 +152,25 @@
 
 // publish tells that the path to a pool was lost or is back.
 func (m *Monitor) publish(pool string, lost bool) {
-	m.mu.Lock()
-	path, now := m.paths[pool], m.opts.Now()
-	isLogged := now.Sub(path.loggedAt) >= logInterval
-	if isLogged {
-		path.loggedAt = now
-	}
-	m.mu.Unlock()
-	if isLogged {
+	if m.mayLog(pool) {
 		m.opts.Logger.Info("path to upstreams changed", "pool", pool, "lost", lost)
 	}
 	m.opts.Scope.Tagged(map[string]string{"pool": pool}).Counter("upstream_path_changes").Inc(1)
 	m.opts.OnChange(pool, lost)
 }
 
+// mayLog reports whether a change of a pool may be logged now.
+func (m *Monitor) mayLog(pool string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	path, now := m.paths[pool], m.opts.Now()
+	if path == nil || now.Sub(path.loggedAt) < logInterval {
+		return false
+	}
+	path.loggedAt = now
+	return true
+}
+
 // IsLost reports whether this daemon reaches no upstream of a pool.
 func (m *Monitor) IsLost(pool string) bool {
 	m.mu.Lock()
