--- /dev/null
+++ b/review/_stand-2/runner.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// runner is a stand-in of a model runner. It writes its answers itself, so that their framing
+// can be chosen. It runs a request once it has read it whole.
+type runner struct {
+	id, service string
+	// events and eventInterval describe its streams.
+	events        int
+	eventInterval time.Duration
+	// unframedShare is the share of its answers that have no length and end with their
+	// connection.
+	unframedShare float64
+	record        *record
+	listener      net.Listener
+
+	mu   sync.Mutex
+	runs map[string]*run_
+}
+
+// run_ is what a runner did for one request.
+type run_ struct {
+	runner *runner
+	// body is the whole body of the answer, and unframed its framing.
+	body     string
+	unframed bool
+	// brokeOff is set if the runner itself ended the answer early, which these never do.
+	brokeOff bool
+}
+
+func startRunner(l *lab, id, service string, events int, interval time.Duration, unframedShare float64) (*runner, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	r := &runner{id: id, service: service, events: events, eventInterval: interval, unframedShare: unframedShare, record: l.record, listener: listener, runs: map[string]*run_{}}
+	go r.accept()
+	l.store.set("servers", id, map[string]any{
+		"service": service, "address": listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 128,
+		"state": "ready", "coldLeftMs": 0, "seqNo": 1, "born": time.Now().UnixMilli(),
+	})
+	return r, nil
+}
+
+func (r *runner) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serve(c)
+	}
+}
+
+// serve answers the requests of one connection.
+func (r *runner) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil || !r.handle(c, request, len(body)) {
+			return
+		}
+	}
+}
+
+// handle answers one request and reports whether the connection stays open.
+func (r *runner) handle(c net.Conn, request *http.Request, bodyBytes int) bool {
+	id := request.Header.Get("X-Attempt-Id")
+	head := "X-Attempt-Id: " + id + "\r\nX-Instance-Id: " + r.id + "\r\nX-Server-Load: 1,0,128\r\n"
+	switch {
+	case request.URL.Path == "/health" || request.URL.Path == "/report":
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"+head+"Content-Length: 2\r\n\r\n{}")
+		return err == nil
+	case request.Header.Get("X-Expect-Instance") != "" && request.Header.Get("X-Expect-Instance") != r.id:
+		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	run := &run_{runner: r, unframed: rand.Float64() < r.unframedShare}
+	var whole strings.Builder
+	for n := 1; n <= r.events; n++ {
+		whole.WriteString(r.event(id, n))
+	}
+	run.body = whole.String()
+	r.mu.Lock()
+	r.runs[id] = run
+	r.mu.Unlock()
+	r.record.add("%s runs %s: body of %d bytes, unframed %v", r.id, id, len(run.body), run.unframed)
+	head += "X-Response-Seal: seal-" + r.id + "-" + id + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+	if run.unframed {
+		head += "Connection: close\r\n"
+	} else {
+		head += "Transfer-Encoding: chunked\r\n"
+	}
+	if _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"); err != nil {
+		return false
+	}
+	for n := 1; n <= r.events; n++ {
+		time.Sleep(r.eventInterval)
+		text := r.event(id, n)
+		if !run.unframed {
+			text = strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			r.record.add("%s: the connection of %s ended at event %d", r.id, id, n)
+			return false
+		}
+	}
+	if run.unframed {
+		return false
+	}
+	_, err := io.WriteString(c, "0\r\n\r\n")
+	return err == nil
+}
+
+func (r *runner) event(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of %s by %s\n\n", n, n, id, r.id)
+}
+
+// run returns the run of a request, or nil.
+func (r *runner) run(id string) *run_ {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
