--- a/review/_stand-2/main.go
+++ b/review/_stand-2/main.go
@@ -23,6 +23,7 @@
 // cases holds the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(l *lab, trouble bool) (broken bool, err error){
 	"unframed": playUnframed,
+	"revoke":   playRevoke,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_stand-2/runner.go
+++ b/review/_stand-2/runner.go
@@ -36,6 +36,8 @@
 	// body is the whole body of the answer, and unframed its framing.
 	body     string
 	unframed bool
+	// tenant is the X-Tenant of the request.
+	tenant string
 	// brokeOff is set if the runner itself ended the answer early, which these never do.
 	brokeOff bool
 }
@@ -92,7 +94,7 @@
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 		return err == nil
 	}
-	run := &run_{runner: r, unframed: rand.Float64() < r.unframedShare}
+	run := &run_{runner: r, unframed: rand.Float64() < r.unframedShare, tenant: request.Header.Get("X-Tenant")}
 	var whole strings.Builder
 	for n := 1; n <= r.events; n++ {
 		whole.WriteString(r.event(id, n))
@@ -101,7 +103,7 @@
 	r.mu.Lock()
 	r.runs[id] = run
 	r.mu.Unlock()
-	r.record.add("%s runs %s: body of %d bytes, unframed %v", r.id, id, len(run.body), run.unframed)
+	r.record.add("%s runs %s for tenant %q: body of %d bytes, unframed %v", r.id, id, run.tenant, len(run.body), run.unframed)
 	head += "X-Response-Seal: seal-" + r.id + "-" + id + "\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
 	if run.unframed {
 		head += "Connection: close\r\n"
--- a/review/_stand-2/unframed.go
+++ b/review/_stand-2/unframed.go
@@ -51,7 +51,7 @@
 		}
 		runners = append(runners, r)
 	}
-	storeChatConfig(l)
+	storeChatConfig(l, 1, chatTenants())
 	if err := l.startGateways(gatewayCount); err != nil {
 		return false, err
 	}
@@ -59,17 +59,22 @@
 	return judgeWhole(l.record, results, runners), nil
 }
 
-// storeChatConfig stores a manifest with one streaming route.
-func storeChatConfig(l *lab) {
-	l.store.set("config", "main", map[string]any{
-		"version": 1,
+// chatTenants returns the one tenant of the manifests, without a limit.
+func chatTenants() []any {
+	return []any{map[string]any{"name": "t1", "apiKeys": []string{key}, "ratePerS": 0, "burst": 0, "unit": "token_count", "plainTokens": 1000}}
+}
+
+// storeChatConfig stores a manifest with one streaming route and returns its revision.
+func storeChatConfig(l *lab, version int, tenants []any) int64 {
+	return l.store.set("config", "main", map[string]any{
+		"version": version,
 		"routes": []any{map[string]any{
 			"name": "chat", "host": host, "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 300,
-			"service": "llm", "maxAttempts": 1, "streamResume": false, "gapTargetMs": 300, "priority": 2, "sessionAffinity": true,
+			"service": "llm", "maxAttempts": 1, "streamResume": false, "gapTargetMs": 300, "priority": 2, "public": false, "sessionAffinity": true,
 		}},
 		"services": []any{map[string]any{"name": "llm", "healthPath": "/health", "maxConns": 630, "engine": map[string]any{"slots": 128, "kvCapacity": 1073273}}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
-		"tenants":  []any{map[string]any{"name": "t1", "apiKeys": []string{key}, "ratePerS": 0, "burst": 0, "unit": "token_count", "plainTokens": 1000}},
+		"tenants":  tenants,
 	})
 }
 
@@ -141,13 +146,16 @@
 
 // sendChat sends one request on a new connection and reads the answer to its end.
 func (l *lab) sendChat(id string) *chat {
-	c := &chat{id: id}
 	addresses := l.resolve()
 	if len(addresses) == 0 {
-		c.ended = fmt.Errorf("no address")
-		return c
+		return &chat{id: id, ended: fmt.Errorf("no address")}
 	}
-	c.gateway = addresses[rand.IntN(len(addresses))]
+	return l.sendChatTo(id, addresses[rand.IntN(len(addresses))], key)
+}
+
+// sendChatTo is sendChat for the gateway at an address, with an API key.
+func (l *lab) sendChatTo(id, address, bearer string) *chat {
+	c := &chat{id: id, gateway: address}
 	conn, err := net.DialTimeout("tcp4", c.gateway, time.Second)
 	if err != nil {
 		c.ended = err
@@ -157,8 +165,8 @@
 	_ = conn.SetDeadline(time.Now().Add(chatDeadline + time.Second))
 	part := rand.Uint32()
 	head := fmt.Sprintf("POST /chat/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Usage: 715,280\r\nX-Prompt-Prefix: 5c1e07a2:103,%08x:612\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		host, id, part, chatDeadline.Milliseconds(), key, chatBody)
-	l.record.add("client sends %s to %s", id, c.gateway)
+		host, id, part, chatDeadline.Milliseconds(), bearer, chatBody)
+	l.record.add("client sends %s with key %s to %s", id, bearer, c.gateway)
 	if _, err := io.WriteString(conn, head+strings.Repeat("x", chatBody)); err != nil {
 		c.ended = err
 		return c
