--- a/review/_stand-2/lab.go
+++ b/review/_stand-2/lab.go
@@ -24,6 +24,10 @@
 	port         int
 	gateways     []*gateway
 	record       *record
+	// graceSeconds is graceS of the settings at the start.
+	graceSeconds int
+	// memoryMB and descriptors are the limits of a machine.
+	memoryMB, descriptors int
 }
 
 // gateway is one machine: the process that the deploy file names, and its settings.
@@ -50,13 +54,13 @@
 	portCount = firstFreePort + 8
 )
 
-// newLab starts the platform's stand-ins. settingsBounds are lines of the table "bounds".
+// newLab starts the platform's stand-ins.
 func newLab(record *record) (*lab, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
 	}
-	l := &lab{dir: dir, store: newStore(), record: record}
+	l := &lab{dir: dir, store: newStore(), record: record, graceSeconds: 8, memoryMB: 284, descriptors: 4100}
 	if l.storeAddress, err = serve(l.store); err != nil {
 		return nil, err
 	}
@@ -99,12 +103,12 @@
 [limits]
 cpuShare = 0.4
 cores = 1
-memoryMb = 284
-maxFds = 4100
+memoryMb = %d
+maxFds = %d
 [bounds]
 contactMs = 3000
 drainMs = 2000
-graceS = 8
+graceS = %d
 lossSlackMs = 200
 configApplyMs = 2000
 rollbackSlackMs = 250
@@ -156,7 +160,7 @@
 	}
 	for _, g := range l.gateways {
 		text := fmt.Sprintf(settingsText, g.name, g.ip, l.port+firstFreePort, l.port+portCount-1, strings.Join(seeds, ","),
-			g.address(frontPort), g.address(readyPort), g.address(controlPort), g.address(directoryPort), l.storeAddress, l.cloudAddress)
+			g.address(frontPort), g.address(readyPort), g.address(controlPort), g.address(directoryPort), l.memoryMB, l.descriptors, l.graceSeconds, l.storeAddress, l.cloudAddress)
 		g.settings = filepath.Join(l.dir, g.name+".toml")
 		if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 			return err
--- a/review/_stand-2/main.go
+++ b/review/_stand-2/main.go
@@ -24,6 +24,8 @@
 var cases = map[string]func(l *lab, trouble bool) (broken bool, err error){
 	"unframed": playUnframed,
 	"revoke":   playRevoke,
+	"grace":    playGrace,
+	"crowd":    playCrowd,
 }
 
 func main() { os.Exit(run()) }
