--- a/review/_stand-2/crowd.go
+++ b/review/_stand-2/crowd.go
@@ -18,13 +18,17 @@
 	crowdMemoryMB    = 144
 	crowdDescriptors = 3075
 	crowdGateways    = 2
-	// Each wave opens waveConns connections to each gateway from sourceCount addresses, keeps
-	// them open for waveTime and is followed by a pause.
+	// Each wave keeps waveConns connections to each gateway, from sourceCount addresses, for
+	// waveTime and is followed by a pause. A connection stays open for minHold to maxHold, and
+	// its client then opens another one.
 	waves       = 5
 	waveConns   = 800
 	sourceCount = 40
 	waveTime    = 6 * time.Second
 	wavePause   = 3 * time.Second
+	minHold     = time.Second
+	maxHold     = 4 * time.Second
+	reopenPause = 20 * time.Millisecond
 	// A header stays below maxHeaderBytes of the manifest, which is 16,384.
 	headerBytes = 16000
 	chunkBytes  = 4000
@@ -112,36 +116,48 @@
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("y", chunkBytes))
 	body := strings.Repeat(chunk, chunkCount)
 	end := time.Now().Add(waveTime)
-	var conns sync.WaitGroup
-	var accepted atomic.Int64
+	var clients sync.WaitGroup
+	var sent atomic.Int64
 	for _, g := range l.gateways {
 		for i := range waveConns {
-			conns.Go(func() {
-				source := &net.TCPAddr{IP: net.IPv4(127, 0, 9, byte(i%sourceCount+1))}
-				conn, err := (&net.Dialer{LocalAddr: source, Timeout: time.Second}).Dial("tcp4", g.address(frontPort))
-				if err != nil {
-					return
+			clients.Go(func() {
+				for time.Now().Before(end) {
+					hold := time.Now().Add(minHold + rand.N(maxHold-minHold))
+					if hold.After(end) {
+						hold = end
+					}
+					if g.sendUnended(net.IPv4(127, 0, 9, byte(i%sourceCount+1)), fields, body, hold) {
+						sent.Add(1)
+					}
+					time.Sleep(reopenPause)
 				}
-				defer func() { _ = conn.Close() }()
-				head := fmt.Sprintf("POST /chat/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: w%x\r\nX-Model: m\r\nX-Token-Usage: 715,280\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%sTransfer-Encoding: chunked\r\n\r\n",
-					host, rand.Uint64(), chatDeadline.Milliseconds(), key, fields)
-				_ = conn.SetDeadline(end)
-				// The last chunk is never sent.
-				if _, err := io.WriteString(conn, head+body); err != nil {
-					return
-				}
-				accepted.Add(1)
-				// The connection stays open until the gateway answers or closes it.
-				_, _ = io.Copy(io.Discard, conn)
 			})
 		}
 	}
-	conns.Wait()
-	l.record.add("a wave has ended: %d connections sent all but the end of a body", accepted.Load())
+	clients.Wait()
+	l.record.add("a wave has ended: %d requests were sent but for the end of their body", sent.Load())
+}
+
+// sendUnended sends a request without the end of its body and keeps the connection open until a
+// time, unless the gateway answers or closes it before. It reports whether all was sent.
+func (g *gateway) sendUnended(source net.IP, fields, body string, until time.Time) bool {
+	conn, err := (&net.Dialer{LocalAddr: &net.TCPAddr{IP: source}, Timeout: time.Second}).Dial("tcp4", g.address(frontPort))
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	head := fmt.Sprintf("POST /chat/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: w%x\r\nX-Model: m\r\nX-Token-Usage: 715,280\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n%sTransfer-Encoding: chunked\r\n\r\n",
+		host, rand.Uint64(), chatDeadline.Milliseconds(), key, fields)
+	_ = conn.SetDeadline(until)
+	if _, err := io.WriteString(conn, head+body); err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, conn)
+	return true
 }
 
-// watchMemory is the platform's part: it kills the process if its resident memory exceeds that
-// of the machine, counts the ends of the process and starts it again.
+// watchMemory is the platform's part: it kills the process if its own memory exceeds that of
+// the machine, counts the ends of the process and starts it again.
 func (g *gateway) watchMemory(stop chan struct{}, ends, peak *atomic.Int64) {
 	for {
 		select {
@@ -152,7 +168,7 @@
 		g.mu.Lock()
 		pid, exited := g.command.Process.Pid, g.exited
 		g.mu.Unlock()
-		kilobytes := residentKB(pid)
+		kilobytes := anonymousKB(pid)
 		peak.Store(max(peak.Load(), kilobytes))
 		isOver := kilobytes > crowdMemoryMB*1024
 		if isOver {
@@ -174,14 +190,15 @@
 	}
 }
 
-// residentKB returns the resident memory of a process in KiB, or 0 if it has ended.
-func residentKB(pid int) int64 {
+// anonymousKB returns the resident memory of a process in KiB, without that of its program's
+// file, or 0 if it has ended.
+func anonymousKB(pid int) int64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
 	}
 	for line := range strings.SplitSeq(string(text), "\n") {
-		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if value, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kilobytes, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
 			return kilobytes
 		}
