--- a/review/_stand-2/crowd.go
+++ b/review/_stand-2/crowd.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	// The machines are the smallest of dse-labelhub-grown.
-	crowdMemoryMB    = 144
-	crowdDescriptors = 3075
+	// The machines are those of khacdau-hoian.
+	crowdMemoryMB    = 284
+	crowdDescriptors = 4100
 	crowdGateways    = 2
 	// Each wave keeps waveConns connections to each gateway, from sourceCount addresses, for
 	// waveTime and is followed by a pause. A connection stays open for minHold to maxHold, and
 	// its client then opens another one.
 	waves       = 5
-	waveConns   = 800
+	waveConns   = 1400
 	sourceCount = 40
 	waveTime    = 6 * time.Second
 	wavePause   = 3 * time.Second
--- a/review/_stand-2/main.go
+++ b/review/_stand-2/main.go
@@ -26,6 +26,7 @@
 	"revoke":   playRevoke,
 	"grace":    playGrace,
 	"crowd":    playCrowd,
+	"part":     playCrashPart,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_stand-2/runner.go
+++ b/review/_stand-2/runner.go
@@ -23,11 +23,21 @@
 	// unframedShare is the share of its answers that have no length and end with their
 	// connection.
 	unframedShare float64
+	lab           *lab
 	record        *record
-	listener      net.Listener
+	// crashes decides whether a request ends the runner when it begins to write the answer; nil
+	// means that none does. The runner is back after downTime.
+	crashes  func(*http.Request) bool
+	downTime time.Duration
 
-	mu   sync.Mutex
-	runs map[string]*run_
+	mu       sync.Mutex
+	listener net.Listener
+	runs     map[string]*run_
+	conns    map[net.Conn]bool
+	isDown   bool
+	// crashedAt holds the times of its ends, and fatalAt those at which requests that end it
+	// reached it.
+	crashedAt, fatalAt []time.Time
 }
 
 // run_ is what a runner did for one request.
@@ -47,28 +57,91 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: id, service: service, events: events, eventInterval: interval, unframedShare: unframedShare, record: l.record, listener: listener, runs: map[string]*run_{}}
-	go r.accept()
-	l.store.set("servers", id, map[string]any{
-		"service": service, "address": listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 128,
+	r := &runner{id: id, service: service, events: events, eventInterval: interval, unframedShare: unframedShare, lab: l, record: l.record, listener: listener, runs: map[string]*run_{}, conns: map[net.Conn]bool{}}
+	go r.accept(listener)
+	r.register(listener)
+	return r, nil
+}
+
+// register writes the runner's entry at its start.
+func (r *runner) register(listener net.Listener) {
+	r.lab.store.set("servers", r.id, map[string]any{
+		"service": r.service, "address": listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": 128,
 		"state": "ready", "coldLeftMs": 0, "seqNo": 1, "born": time.Now().UnixMilli(),
 	})
-	return r, nil
 }
 
-func (r *runner) accept() {
+func (r *runner) accept(listener net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
+		r.mu.Lock()
+		if r.isDown {
+			_ = c.Close()
+		} else {
+			r.conns[c] = true
+		}
+		r.mu.Unlock()
 		go r.serve(c)
 	}
 }
 
+// crash ends the runner: its connections are closed and new ones refused until it starts again
+// at its address, under its id.
+func (r *runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isDown {
+		return
+	}
+	r.isDown = true
+	r.crashedAt = append(r.crashedAt, time.Now())
+	r.record.add("%s crashes", r.id)
+	_ = r.listener.Close()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	clear(r.conns)
+	time.AfterFunc(r.downTime, r.restart)
+}
+
+func (r *runner) restart() {
+	listener, err := net.Listen("tcp4", r.listener.Addr().String())
+	if err != nil {
+		r.record.add("%s can't start yet: %v", r.id, err)
+		time.AfterFunc(50*time.Millisecond, r.restart)
+		return
+	}
+	r.mu.Lock()
+	r.listener, r.isDown = listener, false
+	r.mu.Unlock()
+	r.record.add("%s is back", r.id)
+	r.register(listener)
+	go r.accept(listener)
+}
+
+// isFatal reports whether a request that has reached the runner ends it, and records that.
+func (r *runner) isFatal(request *http.Request) bool {
+	if r.crashes == nil || !r.crashes(request) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fatalAt = append(r.fatalAt, time.Now())
+	r.record.add("%s gets %s, which ends it", r.id, request.Header.Get("X-Attempt-Id"))
+	return true
+}
+
 // serve answers the requests of one connection.
 func (r *runner) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
+	defer func() {
+		_ = c.Close()
+		r.mu.Lock()
+		delete(r.conns, c)
+		r.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(in)
@@ -94,6 +167,11 @@
 		_, err := io.WriteString(c, "HTTP/1.1 421 Misdirected Request\r\n"+head+"Content-Length: 0\r\n\r\n")
 		return err == nil
 	}
+	if r.isFatal(request) {
+		time.Sleep(r.eventInterval)
+		r.crash()
+		return false
+	}
 	run := &run_{runner: r, unframed: rand.Float64() < r.unframedShare, tenant: request.Header.Get("X-Tenant")}
 	var whole strings.Builder
 	for n := 1; n <= r.events; n++ {
--- a/review/_stand-2/unframed.go
+++ b/review/_stand-2/unframed.go
@@ -64,13 +64,18 @@
 	return []any{map[string]any{"name": "t1", "apiKeys": []string{key}, "ratePerS": 0, "burst": 0, "unit": "token_count", "plainTokens": 1000}}
 }
 
-// storeChatConfig stores a manifest with one streaming route and returns its revision.
+// storeChatConfig stores a manifest with the route of motif-chat and returns its revision.
 func storeChatConfig(l *lab, version int, tenants []any) int64 {
+	return storeRoute(l, version, tenants, chatDeadline, 1, false)
+}
+
+// storeRoute stores a manifest with one streaming route and returns its revision.
+func storeRoute(l *lab, version int, tenants []any, timeout time.Duration, attempts int, resume bool) int64 {
 	return l.store.set("config", "main", map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "chat", "host": host, "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": 15000, "targetLatencyMs": 300,
-			"service": "llm", "maxAttempts": 1, "streamResume": false, "gapTargetMs": 300, "priority": 2, "public": false, "sessionAffinity": true,
+			"name": "chat", "host": host, "pathPrefix": "/chat/", "kind": "streaming", "timeoutMs": timeout.Milliseconds(), "targetLatencyMs": 300,
+			"service": "llm", "maxAttempts": attempts, "streamResume": resume, "gapTargetMs": 300, "priority": 2, "public": false, "sessionAffinity": true,
 		}},
 		"services": []any{map[string]any{"name": "llm", "healthPath": "/health", "maxConns": 630, "engine": map[string]any{"slots": 128, "kvCapacity": 1073273}}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 20000},
@@ -155,6 +160,11 @@
 
 // sendChatTo is sendChat for the gateway at an address, with an API key.
 func (l *lab) sendChatTo(id, address, bearer string) *chat {
+	return l.sendPrompt(id, address, bearer, fmt.Sprintf("5c1e07a2:103,%08x:612", rand.Uint32()), chatDeadline)
+}
+
+// sendPrompt sends a request with the parts of a prompt and a deadline.
+func (l *lab) sendPrompt(id, address, bearer, parts string, deadline time.Duration) *chat {
 	c := &chat{id: id, gateway: address}
 	conn, err := net.DialTimeout("tcp4", c.gateway, time.Second)
 	if err != nil {
@@ -162,10 +172,9 @@
 		return c
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(chatDeadline + time.Second))
-	part := rand.Uint32()
-	head := fmt.Sprintf("POST /chat/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Usage: 715,280\r\nX-Prompt-Prefix: 5c1e07a2:103,%08x:612\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		host, id, part, chatDeadline.Milliseconds(), bearer, chatBody)
+	_ = conn.SetDeadline(time.Now().Add(deadline + time.Second))
+	head := fmt.Sprintf("POST /chat/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Model: m\r\nX-Token-Usage: 715,280\r\nX-Prompt-Prefix: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+		host, id, parts, deadline.Milliseconds(), bearer, chatBody)
 	l.record.add("client sends %s with key %s to %s", id, bearer, c.gateway)
 	if _, err := io.WriteString(conn, head+strings.Repeat("x", chatBody)); err != nil {
 		c.ended = err
