--- a/review/_stand-2/runner.go
+++ b/review/_stand-2/runner.go
@@ -32,7 +32,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	runs     map[string]*run_
+	runs     map[string]*execution
 	conns    map[net.Conn]bool
 	isDown   bool
 	// crashedAt holds the times of its ends, and fatalAt those at which requests that end it
@@ -40,16 +40,13 @@
 	crashedAt, fatalAt []time.Time
 }
 
-// run_ is what a runner did for one request.
-type run_ struct {
-	runner *runner
+// execution is what a runner did for one request.
+type execution struct {
 	// body is the whole body of the answer, and unframed its framing.
 	body     string
 	unframed bool
 	// tenant is the X-Tenant of the request.
 	tenant string
-	// brokeOff is set if the runner itself ended the answer early, which these never do.
-	brokeOff bool
 }
 
 func startRunner(l *lab, id, service string, events int, interval time.Duration, unframedShare float64) (*runner, error) {
@@ -57,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: id, service: service, events: events, eventInterval: interval, unframedShare: unframedShare, lab: l, record: l.record, listener: listener, runs: map[string]*run_{}, conns: map[net.Conn]bool{}}
+	r := &runner{id: id, service: service, events: events, eventInterval: interval, unframedShare: unframedShare, lab: l, record: l.record, listener: listener, runs: map[string]*execution{}, conns: map[net.Conn]bool{}}
 	go r.accept(listener)
 	r.register(listener)
 	return r, nil
@@ -172,7 +169,7 @@
 		r.crash()
 		return false
 	}
-	run := &run_{runner: r, unframed: rand.Float64() < r.unframedShare, tenant: request.Header.Get("X-Tenant")}
+	run := &execution{unframed: rand.Float64() < r.unframedShare, tenant: request.Header.Get("X-Tenant")}
 	var whole strings.Builder
 	for n := 1; n <= r.events; n++ {
 		whole.WriteString(r.event(id, n))
@@ -214,7 +211,7 @@
 }
 
 // run returns the run of a request, or nil.
-func (r *runner) run(id string) *run_ {
+func (r *runner) run(id string) *execution {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.runs[id]
--- a/review/_stand-2/unframed.go
+++ b/review/_stand-2/unframed.go
@@ -218,7 +218,7 @@
 			continue
 		}
 		counts["success that looks complete, framed by "+c.framing]++
-		var of *run_
+		var of *execution
 		for _, r := range runners {
 			if run := r.run(c.id); run != nil {
 				of = run
