--- a/internal/gateway/repeated_refusal_test.go
+++ b/internal/gateway/repeated_refusal_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/membership"
+	"rattantide/internal/responsetest"
 )
 
 // repeatingUpstream refuses the first request on each connection. To the second one it
@@ -46,7 +47,7 @@
 				f := newFixture(t)
 				u := &repeatingUpstream{status: status, id: id}
 				// The second upstream would run the request once more.
-				f.chooser.upstreams = append([]membership.Upstream{{Name: "repeating", Address: serveConns(t, u.answer)}}, f.chooser.upstreams...)
+				f.chooser.upstreams = append([]membership.Upstream{{Name: "repeating", Address: responsetest.Serve(t, u.answer)}}, f.chooser.upstreams...)
 				_, _, _, err := f.call("/order/1", "b", "X-Attempt-Id", "a1")
 				assert.NilError(t, err)
 				runsBefore := f.runCount()
@@ -74,7 +75,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
 			u := &repeatingUpstream{status: http.StatusServiceUnavailable, id: c.id}
-			f.chooser.upstreams = []membership.Upstream{{Name: "repeating", Address: serveConns(t, u.answer)}}
+			f.chooser.upstreams = []membership.Upstream{{Name: "repeating", Address: responsetest.Serve(t, u.answer)}}
 			calls := 1
 			if c.reused {
 				calls = 2
