Refuse responses with an invalid status where bytes are read

What callers saw: a response of a runner with status 000 was taken for one. The daemon of the own interface ended in the middle of its handler ("http: panic serving: invalid WriteHeader code 0"), so that the caller got no byte; the gateway took 000 for an interim status, and the bytes after it, a second response, for the response of the request.

Cause: http.ReadResponse and http.Transport accept more status lines than RFC 9112 allows, and what they made of one was passed on unchecked. A wrapper of http.Transport cannot tell: a response without a body has already freed its connection for the next request when the transport returns it.

Change: the package responsehead checks the head of a response as it is received, before a parser sees its last line. Its Conn is the connection of upstreamconn; its Transport wraps http.Transport, learns by GotConn which connection a request goes out on, and makes it expect a head. After an invalid head the connection fails for good, and no request is repeated on the same upstream for it. The limit of 64 KiB for a head moved there too.

Evidence: a table of 25 status lines made from the grammar (package responsetest), sent by raw servers.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peer"
+	"rattantide/internal/responsehead"
 	"rattantide/internal/rollout"
 	"rattantide/internal/routing"
 	"rattantide/internal/server"
@@ -96,7 +97,7 @@
 	scope, metrics, closer := telemetry.NewScope()
 	d := &Daemon{
 		settings: s, logger: logger, scope: scope, metrics: metrics,
-		closers: []io.Closer{closer}, listener: listener, httpClient: &http.Client{Transport: transport}, storeClient: newStoreClient(transport, scope),
+		closers: []io.Closer{closer}, listener: listener, httpClient: &http.Client{Transport: responsehead.NewTransport(transport)}, storeClient: newStoreClient(transport, scope),
 		draining: make(chan struct{}),
 	}
 	d.transport = transport
--- a/internal/daemon/upstream_paths.go
+++ b/internal/daemon/upstream_paths.go
@@ -9,6 +9,7 @@
 
 	"rattantide/internal/engineclient"
 	"rattantide/internal/membership"
+	"rattantide/internal/responsehead"
 	"rattantide/internal/server"
 	"rattantide/internal/upstreampath"
 )
@@ -100,8 +101,7 @@
 		scheme = "http"
 	}
 	// A call that must run at most once must not be repeated by the transport.
-	single := transport.Clone()
-	single.DisableKeepAlives = true
+	single := responsehead.NewTransport(transport).SingleUse()
 	return &server.Forwarding{Paths: paths{d.paths}, Token: d.settings.PeerToken, Scheme: scheme, Helpers: d.helpers, Transport: single}
 }
 
--- a/internal/engineclient/client.go
+++ b/internal/engineclient/client.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"rattantide/internal/responsehead"
 )
 
 const (
@@ -40,19 +42,18 @@
 
 // New returns a Client that uses httpClient, or a new http.Client if it is nil.
 // httpClient must have no overall timeout, because streams stay open for long.
-// Unless its Transport is an *http.Transport, calls that ask for a new connection may
-// reuse an idle one.
+// Unless its Transport is an *http.Transport, the heads of responses are not checked, and
+// calls that ask for a new connection may reuse an idle one.
 func New(httpClient *http.Client) *Client {
 	if httpClient == nil {
 		httpClient = &http.Client{Transport: newTransport()}
 	}
-	fresh := *httpClient
-	if transport, ok := httpClient.Transport.(*http.Transport); ok {
-		clone := transport.Clone()
-		clone.DisableKeepAlives = true
-		fresh.Transport = clone
+	kept, fresh := *httpClient, *httpClient
+	if base, ok := httpClient.Transport.(*http.Transport); ok {
+		transport := responsehead.NewTransport(base)
+		kept.Transport, fresh.Transport = transport, transport.SingleUse()
 	}
-	return &Client{http: httpClient, noKeepAlive: &fresh}
+	return &Client{http: &kept, noKeepAlive: &fresh}
 }
 
 // httpClientFor returns the HTTP client for the next call to an engine: one that
--- a/internal/fleetdaemon/daemon.go
+++ b/internal/fleetdaemon/daemon.go
@@ -230,7 +230,7 @@
 	self := membership.Daemon{Name: s.Name, Address: s.CallerAddress, Domain: s.Domain, Region: s.Region}
 	d.table = membership.NewTable(self, membership.Options{AbsenceGrace: -1, Scope: d.scope})
 	fetcher := &fleetsync.ConfigClient{
-		HTTP:     &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}},
+		HTTP:     newPeerClient(),
 		MaxBytes: maxConfigBytes, BootNow: bootclock.Now,
 	}
 	d.config = fleetsync.NewConfigSync(fleetsync.ConfigOptions{
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -19,6 +19,7 @@
 	"rattantide/internal/gateway"
 	"rattantide/internal/keptconn"
 	"rattantide/internal/periodic"
+	"rattantide/internal/responsehead"
 	"rattantide/internal/routeexplain"
 	"rattantide/internal/usage"
 	"rattantide/internal/versionmove"
@@ -245,6 +246,12 @@
 	return &http.Client{Transport: keptconn.New(keptconn.Options{New: newPlatformTransport, Scope: scope})}
 }
 
+// newPeerClient returns a client for the calls to other daemons, which are rare.
+func newPeerClient() *http.Client {
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes}
+	return &http.Client{Transport: responsehead.NewTransport(transport)}
+}
+
 // newPlatformTransport returns a transport for calls of the platform.
 func newPlatformTransport() *http.Transport {
 	return &http.Transport{
--- /dev/null
+++ b/internal/responsehead/check.go
@@ -0,0 +1,16 @@
+package responsehead
+
+import "bytes"
+
+// check checks a complete head, from the status line to the empty line, and returns its status
+// line. The error wraps ErrInvalid.
+func check(head []byte) (statusLine, error) {
+	line, _ := cutLine(head)
+	return parseStatusLine(line)
+}
+
+// cutLine returns the first line without its end, and the rest.
+func cutLine(text []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(text, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
--- /dev/null
+++ b/internal/responsehead/reader.go
@@ -0,0 +1,109 @@
+package responsehead
+
+import (
+	"io"
+	"sync"
+)
+
+// MaxBytes bounds the head of a response with those of the interim responses before it.
+const MaxBytes = 64 << 10
+
+// Reader passes on what is received from a server. It holds the head of a response back until
+// it is complete and checked, with the interim responses before it. Read must be called by one
+// goroutine at a time; the other methods are safe for concurrent use.
+type Reader struct {
+	source io.Reader
+
+	mu sync.Mutex
+	// expecting is set while the head of a final response has not been received.
+	expecting bool
+	// rejected is the error in a head, or nil.
+	rejected error
+
+	// The following belong to the goroutine that reads. held is the incomplete head, checked is
+	// what may be passed on, and failure is returned after it.
+	scanner       scanner
+	held, checked []byte
+	failure       error
+}
+
+// NewReader returns a Reader that does not expect a head.
+func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
+
+// Expect makes the next bytes that are received the head of a response. It must be called
+// before the request is sent, when the response to the one before was read.
+func (r *Reader) Expect() { r.set(true, nil) }
+
+// IsExpecting reports whether a head is expected and has not been received.
+func (r *Reader) IsExpecting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.expecting
+}
+
+// Rejected returns the error in the head that was expected last, or nil. It wraps
+// ErrInvalid.
+func (r *Reader) Rejected() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rejected
+}
+
+func (r *Reader) set(expecting bool, rejected error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expecting, r.rejected = expecting, rejected
+}
+
+// Read implements io.Reader. An error in a head is returned after the first byte of the head:
+// http.Transport repeats some requests if there is none. All later calls return the error too.
+// Parsers may hide it, see Rejected.
+func (r *Reader) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	for len(r.checked) == 0 && r.failure == nil {
+		n, err := r.source.Read(p)
+		if !r.IsExpecting() || n == 0 && len(r.held) == 0 {
+			return n, err
+		}
+		if len(r.held) == 0 && r.scan(p[:n]) {
+			return n, err
+		}
+		r.hold(p[:n], err)
+	}
+	n := copy(p, r.checked)
+	r.checked = r.checked[n:]
+	if n == 0 {
+		return 0, r.failure
+	}
+	return n, nil
+}
+
+// hold takes bytes of a head, and the error that came with them.
+func (r *Reader) hold(text []byte, err error) {
+	r.held = append(r.held, text...)
+	if r.Rejected() == nil && r.scan(r.held) {
+		r.checked, r.held, r.failure = r.held, nil, err
+		return
+	}
+	if rejected := r.Rejected(); rejected != nil {
+		err = rejected
+	}
+	if err != nil {
+		r.checked, r.held, r.failure = r.held[:1], nil, err
+	}
+}
+
+// scan reports whether text is complete up to the body of a final response and valid.
+func (r *Reader) scan(text []byte) bool {
+	complete, err := r.scanner.scan(text)
+	if err != nil {
+		r.set(true, err)
+	}
+	if complete {
+		r.scanner = scanner{}
+		r.set(false, nil)
+	}
+	return complete
+}
--- a/internal/responsetest/doc.go
+++ b/internal/responsetest/doc.go
@@ -1,3 +1,3 @@
-// Package responsetest provides servers that send bytes as they are, for the tests of everything
-// that reads HTTP/1.1 responses.
+// Package responsetest provides HTTP/1.1 responses with sound and with invalid heads, and
+// servers that send bytes as they are, for the tests of everything that reads responses.
 package responsetest
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -264,10 +264,10 @@
 
 func newHarness(t testing.TB, pool *fakePool, configure func(*Options)) *harness {
 	h := &harness{pool: pool, intents: &fakeIntents{outcomes: map[string]intent.Outcome{}}, journal: journal.New(journal.Options{})}
-	transport := &http.Transport{}
+	engines := engineclient.New(nil)
 	options := Options{
 		Self: membership.Daemon{Name: "self", Domain: "a"}, Config: newTestConfig(t), Members: pool, Chooser: pool,
-		Engine: EngineClient{engineclient.New(&http.Client{Transport: transport})}, Journal: h.journal, Intents: h.intents,
+		Engine: EngineClient{engines}, Journal: h.journal, Intents: h.intents,
 		FirstEventTimeout: 30 * time.Second, NextEventTimeout: 30 * time.Second,
 	}
 	if configure != nil {
@@ -280,7 +280,7 @@
 		h.http.Close()
 		h.Close()
 		h.journal.Close()
-		transport.CloseIdleConnections()
+		engines.CloseIdleConnections()
 	})
 	return h
 }
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -12,6 +12,7 @@
 	"rattantide/internal/forwardheader"
 	"rattantide/internal/framing"
 	"rattantide/internal/problem"
+	"rattantide/internal/responsehead"
 )
 
 // maxHelpers bounds the daemons that are asked to serve one request.
@@ -40,8 +41,8 @@
 	Scheme string
 	// Helpers returns the addresses of other live daemons, preferred ones first.
 	Helpers func() []string
-	// Transport makes the calls to other daemons.
-	Transport *http.Transport
+	// Transport makes the calls to other daemons. It must not repeat any.
+	Transport *responsehead.Transport
 }
 
 // isPathLost reports whether this daemon reaches no upstream of a pool.
--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -11,6 +11,7 @@
 
 	"rattantide/internal/forwardheader"
 	"rattantide/internal/problem"
+	"rattantide/internal/responsehead"
 )
 
 // lostPaths are paths that are all lost.
@@ -27,8 +28,15 @@
 	for _, h := range helpers {
 		addresses = append(addresses, strings.TrimPrefix(h.http.URL, "http://"))
 	}
+	return newLostHarnessAt(t, addresses...)
+}
+
+// newLostHarnessAt starts a server that reaches no upstream and asks the daemons at some
+// addresses in order.
+func newLostHarnessAt(t *testing.T, addresses ...string) *harness {
+	transport := responsehead.NewTransport(&http.Transport{}).SingleUse()
 	return newHarness(t, &fakePool{}, func(o *Options) {
-		o.Forwarding = &Forwarding{Paths: lostPaths{}, Token: "peer", Scheme: "http", Helpers: func() []string { return addresses }, Transport: &http.Transport{DisableKeepAlives: true}}
+		o.Forwarding = &Forwarding{Paths: lostPaths{}, Token: "peer", Scheme: "http", Helpers: func() []string { return addresses }, Transport: transport}
 	})
 }
 
@@ -104,10 +112,7 @@
 	pool := &fakePool{}
 	pool.add("app", "v1", service.URL)
 	other := newHelper(t, pool)
-	lost := newHarness(t, &fakePool{}, func(o *Options) {
-		helpers := []string{strings.TrimPrefix(broken, "http://"), strings.TrimPrefix(other.http.URL, "http://")}
-		o.Forwarding = &Forwarding{Paths: lostPaths{}, Token: "peer", Scheme: "http", Helpers: func() []string { return helpers }, Transport: &http.Transport{DisableKeepAlives: true}}
-	})
+	lost := newLostHarnessAt(t, strings.TrimPrefix(broken, "http://"), strings.TrimPrefix(other.http.URL, "http://"))
 	p := problemOf(t, lost.do(t, "POST", "/orders/dies", "two"))
 	assert.Equal(t, p.Execution, problem.ExecutionUnknown)
 	assert.Equal(t, calls.Load(), int64(0))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -8,6 +8,7 @@
 
 	"rattantide/internal/callerbody"
 	"rattantide/internal/journal"
+	"rattantide/internal/responsehead"
 )
 
 // Server serves the caller API. Its methods are safe for concurrent use.
@@ -46,12 +47,13 @@
 // release its connections.
 func New(options Options) *Server {
 	options = options.withDefaults()
+	transport := responsehead.NewTransport(options.Transport)
 	s := &Server{
 		options:         options,
 		metrics:         newMetrics(options.Scope),
 		mux:             http.NewServeMux(),
-		singleUseClient: newServiceClient(singleUse(options.Transport)),
-		keepAliveClient: newServiceClient(options.Transport),
+		singleUseClient: newServiceClient(transport.SingleUse()),
+		keepAliveClient: newServiceClient(transport),
 		active:          map[string]*activeRequest{},
 		kvSlots:         make(chan struct{}, maxHeldKVCaches),
 	}
--- a/internal/server/service_answer.go
+++ b/internal/server/service_answer.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"rattantide/internal/dispatch"
+	"rattantide/internal/responsehead"
 	"rattantide/internal/retryafter"
 )
 
@@ -147,7 +148,7 @@
 
 // newServiceClient returns a client that does not follow redirects, so that they
 // are forwarded to the caller.
-func newServiceClient(transport *http.Transport) *http.Client {
+func newServiceClient(transport *responsehead.Transport) *http.Client {
 	return &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/server/transport.go
+++ b/internal/server/transport.go
@@ -16,12 +16,3 @@
 		DisableCompression:     true,
 	}
 }
-
-// singleUse returns a copy of t that opens a new connection for each call.
-// http.Transport retries some calls when a reused connection breaks, which is not
-// allowed for a call that must run at most once.
-func singleUse(t *http.Transport) *http.Transport {
-	clone := t.Clone()
-	clone.DisableKeepAlives = true
-	return clone
-}
--- a/internal/upstreamconn/call.go
+++ b/internal/upstreamconn/call.go
@@ -15,9 +15,6 @@
 const (
 	// maxInterimResponses is the number of 1xx responses after which a request fails.
 	maxInterimResponses = 5
-	// maxHeadBytes bounds the status lines and headers of a response, including those of
-	// interim ones.
-	maxHeadBytes = 64 << 10
 	// maxSingleWriteBytes is the body size up to which head and body are sent in one
 	// write.
 	maxSingleWriteBytes = 16 << 10
@@ -105,22 +102,24 @@
 
 // send writes the request and reports whether any byte was written.
 func (c *conn) send(r *Request) (sent bool, err error) {
+	c.Expect()
 	buf := r.append(make([]byte, 0, 1024+min(len(r.Body), maxSingleWriteBytes)))
 	if len(r.Body) <= maxSingleWriteBytes {
 		n, err := c.Write(append(buf, r.Body...))
 		return n > 0, err
 	}
 	buffers := net.Buffers{buf, r.Body}
-	n, err := buffers.WriteTo(c.Conn)
+	n, err := buffers.WriteTo(c.NetConn())
 	return n > 0, err
 }
 
-// readHead reads the head of the final response. It reads at most maxHeadBytes.
+// readHead reads the head of the final response.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.limit.set(maxHeadBytes)
-	defer c.limit.clear()
 	for range maxInterimResponses {
 		response, err := readResponse(c.reader, method)
+		if err != nil && c.Rejected() != nil {
+			return nil, c.Rejected()
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"rattantide/internal/responsehead"
 )
 
 const (
@@ -27,10 +29,8 @@
 
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*responsehead.Conn
 	reader *bufio.Reader
-	// limit bounds what reader reads from the connection while a head is read.
-	limit *readLimit
 	// reused reports whether the connection has carried an earlier request.
 	reused bool
 	// reusableUntil is the time from which the idle connection must not be reused.
@@ -38,8 +38,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	limit := &readLimit{Reader: c}
-	return &conn{Conn: c, limit: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	checked := responsehead.NewConn(c)
+	return &conn{Conn: checked, reader: bufio.NewReaderSize(checked, readBufferBytes)}
 }
 
 // interrupt makes pending and later reads and writes fail.
@@ -50,7 +50,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	raw, ok := c.Conn.(syscall.Conn)
+	raw, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/upstreamconn/hostile_upstream_test.go
+++ b/internal/upstreamconn/hostile_upstream_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/proc"
+	"rattantide/internal/responsehead"
 )
 
 // endlessBytes is what an upstream tries to send; no response may make the client read
@@ -95,7 +96,7 @@
 			u := &hostileUpstream{script: s}
 			_, sent, err := u.exchange(t)
 			assert.Assert(t, err != nil, "a response that never ends is not complete")
-			bound := maxHeadBytes + 2*readBufferBytes + len(s.before) + len(s.repeated)
+			bound := responsehead.MaxBytes + 2*readBufferBytes + len(s.before) + len(s.repeated)
 			assert.Assert(t, sent <= bound, "%d bytes were read", sent)
 		})
 	}
@@ -105,7 +106,7 @@
 // within the limit that is rejected.
 func TestLargeBodyAfterLargeHead(t *testing.T) {
 	padding := strings.Repeat("X-A: "+strings.Repeat("a", 1000)+"\r\n", 60)
-	size := 4 * maxHeadBytes
+	size := 4 * responsehead.MaxBytes
 	u := &hostileUpstream{script: script{before: "HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n" + padding + "\r\n" + strings.Repeat("b", size)}}
 	body, _, err := u.exchange(t)
 	assert.NilError(t, err)
