Refuse responses whose field names or values are invalid

What callers saw: a runner's response with a blank in the name of a field, with that line passed on; or, where the line was "Content-Length : 8" or "Transfer-Encoding : chunked", with a body that was not the runner's: the bytes behind its end, or the sizes of its chunks as content. In an engine's stream of events the lines of the sizes were skipped without a word.

Cause: textproto keeps a name with a space as it is and does not take it for the field that it looks like, so that the field does not count and the body ends elsewhere.

Change: the check of heads covers field lines: a name is a token, directly before the colon, and a value has no control character but tabs. Folded lines are still accepted. RFC 9112, section 5.1, would let a proxy remove a blank before the colon; such a response is refused, as the issue asks.

Names with a control character, a tab or NUL were refused already; their cases are kept.

--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -5,8 +5,12 @@
 // check checks a complete head, from the status line to the empty line, and returns its status
 // line. The error wraps ErrInvalid.
 func check(head []byte) (statusLine, error) {
-	line, _ := cutLine(head)
-	return parseStatusLine(line)
+	line, rest := cutLine(head)
+	start, err := parseStatusLine(line)
+	if err != nil {
+		return statusLine{}, err
+	}
+	return start, parseFields(rest)
 }
 
 // cutLine returns the first line without its end, and the rest.
--- a/internal/responsehead/check_test.go
+++ b/internal/responsehead/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -20,3 +21,20 @@
 		}
 	}
 }
+
+// Guards against an octet in a name or a value that RFC 9110, section 5.6.2 and 5.5, does not
+// allow, and one that is rejected although they do.
+func TestEveryOctetOfFields(t *testing.T) {
+	const digits, letters = "0123456789", "abcdefghijklmnopqrstuvwxyz"
+	tokens := "!#$%&'*+-.^_`|~" + digits + letters + strings.ToUpper(letters)
+	for octet := range 256 {
+		c := string([]byte{byte(octet)})
+		// After a colon in the name, the rest is the value.
+		inName := c == ":" || octet < 0x80 && strings.Contains(tokens, c)
+		_, _, err := parseField([]byte("X-" + c + "A: b"))
+		assert.Equal(t, err == nil, inName, "%q in a name", c)
+		inValue := c == "\t" || octet >= ' ' && octet != 0x7f
+		_, _, err = parseField([]byte("X-A: a" + c + "b"))
+		assert.Equal(t, err == nil, inValue, "%q in a value", c)
+	}
+}
--- a/internal/responsetest/invalid.go
+++ b/internal/responsetest/invalid.go
@@ -1,5 +1,7 @@
 package responsetest
 
+import "strings"
+
 // InvalidStatus returns responses whose status lines a reader must reject, by what is wrong
 // with them. Most would be complete otherwise.
 func InvalidStatus(body string) map[string]Response {
@@ -37,10 +39,43 @@
 	return responses
 }
 
+// InvalidFields returns responses with field lines that a reader must reject, by what is
+// wrong with them. Most would be complete otherwise.
+func InvalidFields(body string) map[string]Response {
+	responses := map[string]Response{}
+	for name, line := range map[string]string{
+		"space in a name":        "X Trouble: 1",
+		"space before the colon": "X-Trouble : 1",
+		"tab before the colon":   "X-Trouble\t: 1",
+		"control in a name":      "X-\x01Trouble: 1",
+		"NUL in a name":          "X-\x00Trouble: 1",
+		"DEL in a name":          "X-\x7fTrouble: 1",
+		"return in a name":       "X-\rTrouble: 1",
+		"other octet in a name":  "X-\xe9: 1",
+		"separator in a name":    "X(Trouble): 1",
+		"empty name":             ": 1",
+		"no colon":               "X-Trouble",
+		"control in a value":     "X-Trouble: a\x01b",
+		"NUL in a value":         "X-Trouble: a\x00b",
+		"return in a value":      "X-Trouble: a\rb",
+		"two returns at the end": "X-Trouble: a\r",
+		"control in a fold":      "X-Trouble: a\r\n \x01b",
+		"space before a name":    " X-Trouble: 1",
+		"only a space as a line": " ",
+	} {
+		responses[name] = Response{Head: ok + line + "\r\n" + length(body), Body: body}
+	}
+	responses["length with a space before the colon"] = Response{Head: ok + strings.Replace(length(body), ":", " :", 1), Body: body + body}
+	responses["encoding with a space before the colon"] = Response{Head: ok + "Transfer-Encoding : chunked\r\n", Body: chunks(body)}
+	responses["encoding with a control"] = Response{Head: ok + "Transfer-\x0bEncoding: chunked\r\n", Body: chunks(body)}
+	responses["space in a name of an interim response"] = Response{Before: "HTTP/1.1 103 Early Hints\r\nX Trouble: 1\r\n\r\n", Head: ok + length(body), Body: body}
+	return responses
+}
+
 // Invalid returns all responses with invalid heads.
 func Invalid(body string) map[string]Response {
 	all := map[string]Response{}
-	for _, responses := range []map[string]Response{InvalidStatus(body)} {
+	for _, responses := range []map[string]Response{InvalidStatus(body), InvalidFields(body)} {
 		for name, response := range responses {
 			all[name] = response
 		}
