Refuse heads that are wrong about the end of the body

What callers would see: chunks of a response in HTTP/1.0 with their sizes as content, complete by all signs; a response with a length and chunks, of which one was silently believed; a response 204 or an interim one with a body whose bytes stay on the connection.

Cause: as for field names: http.ReadResponse ignores Transfer-Encoding in HTTP/1.0 and deletes the field, so that no later check can see it; it deletes Content-Length beside chunks; and it does not look at either where it expects no body. RFC 9112, section 6.1, calls the first faulty framing, the second a likely error, and forbids the third.

Change: the check of heads covers both fields: one encoding at most, chunked, in HTTP/1.1, without a length, of a response that has a body; lengths that are numbers and equal; none but 0 where there is no body.

Evidence: 20 heads; on 7 failed at upstreamconn, on each route of the gateway, with services, orders and responses of another daemon, and 5 with engines' streams ("200 != 502" for chunks in HTTP/1.0). The others were refused already.

Result: none fails. 204 with a length of 0 and equal lengths are accepted as before.

--- a/internal/responsehead/check.go
+++ b/internal/responsehead/check.go
@@ -10,7 +10,11 @@
 	if err != nil {
 		return statusLine{}, err
 	}
-	return start, parseFields(rest)
+	fields, err := parseFields(rest)
+	if err != nil {
+		return statusLine{}, err
+	}
+	return start, checkLength(start, fields)
 }
 
 // cutLine returns the first line without its end, and the rest.
--- a/internal/responsetest/invalid.go
+++ b/internal/responsetest/invalid.go
@@ -1,6 +1,9 @@
 package responsetest
 
-import "strings"
+import (
+	"strconv"
+	"strings"
+)
 
 // InvalidStatus returns responses whose status lines a reader must reject, by what is wrong
 // with them. Most would be complete otherwise.
@@ -72,10 +75,42 @@
 	return responses
 }
 
-// Invalid returns all responses with invalid heads.
+// InvalidLengths returns responses whose heads are wrong about the end of the body.
+func InvalidLengths(body string) map[string]Response {
+	responses := map[string]Response{
+		"chunks in HTTP/1.0":            {Head: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", Body: chunks(body)},
+		"length and chunks in HTTP/1.0": {Head: "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + length(body), Body: chunks(body)},
+		"length and chunks":             {Head: ok + length(body) + "Transfer-Encoding: chunked\r\n", Body: chunks(body)},
+		"chunks of no content":          {Head: "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n", Body: chunks(body)},
+		"length of no content":          {Head: "HTTP/1.1 204 No Content\r\n" + length(body), Body: body},
+		"chunked twice":                 {Head: ok + "Transfer-Encoding: chunked, chunked\r\n", Body: chunks(body)},
+		"chunked in two fields":         {Head: ok + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", Body: chunks(body)},
+		"unknown encoding":              {Head: ok + "Transfer-Encoding: sixfold\r\n", Body: chunks(body)},
+		"empty encoding":                {Head: ok + "Transfer-Encoding:\r\n" + length(body), Body: body},
+		"length of an interim response": {Before: "HTTP/1.1 103 Early Hints\r\n" + length(body) + "\r\n", Head: ok + length(body), Body: body},
+		"chunks of an interim response": {Before: "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n", Head: ok + length(body), Body: body},
+	}
+	size := strconv.Itoa(len(body))
+	for name, lengths := range map[string]string{
+		"two lengths":             length(body) + "Content-Length: 4\r\n",
+		"list of lengths":         "Content-Length: " + size + ", 4\r\n",
+		"negative length":         "Content-Length: -1\r\n",
+		"signed length":           "Content-Length: +" + size + "\r\n",
+		"hexadecimal length":      "Content-Length: 0x" + size + "\r\n",
+		"empty length":            "Content-Length:\r\n",
+		"overflowing length":      "Content-Length: 99999999999999999999\r\n",
+		"folded length":           "Content-Length: " + size + "\r\n 0\r\n",
+		"length that is no digit": "Content-Length: five\r\n",
+	} {
+		responses[name] = Response{Head: ok + lengths, Body: body}
+	}
+	return responses
+}
+
+// Invalid returns the responses of InvalidStatus, InvalidFields and InvalidLengths.
 func Invalid(body string) map[string]Response {
 	all := map[string]Response{}
-	for _, responses := range []map[string]Response{InvalidStatus(body), InvalidFields(body)} {
+	for _, responses := range []map[string]Response{InvalidStatus(body), InvalidFields(body), InvalidLengths(body)} {
 		for name, response := range responses {
 			all[name] = response
 		}
