Count an invalid head as a failure of the upstream, not as a lost connection

What callers saw: 422 for sound requests. After four requests with a part of their prompts in common had met upstreams that sent invalid heads, the part counted as one that crashes upstreams, and the fifth was refused without being offered to any.

Cause: each failure without a decoded response counted as a lost connection: for the quarantine, for the admission's crash suspects, and for the health of the upstream. A daemon that can read an invalid head knows that the upstream lives and has answered.

Change: ErrInvalid ends an attempt as StatusError does: the upstream is avoided, a version that is being judged is charged with a failure, and nothing is held against the request.

Result: 8 requests with the part get 502 each, and the next one is served by a sound upstream.

--- a/internal/dispatch/result.go
+++ b/internal/dispatch/result.go
@@ -8,7 +8,8 @@
 // The statuses of an ended attempt.
 const (
 	StatusOK Status = "ok"
-	// StatusError means that the upstream answered with an error.
+	// StatusError means that the upstream answered with an error, or with a response that
+	// is invalid.
 	StatusError Status = "error"
 	// StatusCrash means that the connection was lost while the upstream had the
 	// request, or that no new connection to resume the request could be opened.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 
 	"rattantide/internal/dispatch"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/responsehead"
 	"rattantide/internal/upstreamconn"
 )
 
@@ -97,6 +98,8 @@
 		status = dispatch.StatusBusy
 	case errors.Is(err, errUpstreamUnusable), errors.Is(err, errDraining):
 		status = dispatch.StatusCanceled
+	case errors.Is(err, responsehead.ErrInvalid):
+		status = dispatch.StatusError
 	case sent:
 		return a.endLost()
 	default:
--- a/internal/gateway/invalid_head_test.go
+++ b/internal/gateway/invalid_head_test.go
@@ -1,12 +1,15 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/dispatch"
 	"rattantide/internal/responsetest"
 )
 
@@ -33,7 +36,7 @@
 }
 
 // Guards against a request that fails with an upstream that sends invalid heads although
-// another one could serve it.
+// another one could serve it, and against heads that count as a lost connection.
 func TestInvalidHeadIsRetriedElsewhere(t *testing.T) {
 	for name, r := range responsetest.Invalid(firstEvent) {
 		t.Run(name, func(t *testing.T) {
@@ -43,6 +46,7 @@
 			assert.NilError(t, err)
 			assert.Equal(t, status, http.StatusOK)
 			assert.Equal(t, body, "body")
+			assert.Equal(t, f.chooser.results[0].Status, dispatch.StatusError)
 		})
 	}
 }
@@ -62,3 +66,25 @@
 		}
 	}
 }
+
+// Guards against requests that are blamed for upstreams that send invalid heads, and are kept
+// from all upstreams then.
+func TestInvalidHeadsAreNoLosses(t *testing.T) {
+	f := newFixture(t)
+	sound := f.chooser.upstreams
+	invalid := rawUpstream{exact: "HTTP/1.1 000 Trouble\r\n" + ownFields + "\r\n"}
+	f.useRaw(invalid, invalid)
+	const parts = "5:10,bad:10,1:1"
+	for i := range 8 {
+		f.holder.Confirm(7, f.bootNow())
+		status, _, _, err := f.call("/resume/1", fmt.Sprintf("body %d", i%2), "X-Prompt-Prefix", parts)
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway, "request %d", i)
+		f.advance(2500 * time.Millisecond)
+	}
+	f.chooser.upstreams = sound
+	f.holder.Confirm(7, f.bootNow())
+	status, _, _, err := f.call("/resume/1", "body 0", "X-Prompt-Prefix", parts)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -13,6 +13,7 @@
 	"rattantide/internal/journal"
 	"rattantide/internal/problem"
 	"rattantide/internal/relay"
+	"rattantide/internal/responsehead"
 )
 
 // journalEvictBytes is how much memory is freed in the journal when it is full. It
@@ -151,6 +152,8 @@
 		return attemptResult{reason: endUpstreamLeaving, err: err}
 	case errors.Is(context.Cause(attemptCtx), errStalled) && (!isCallError || !failure.NotRun):
 		return attemptResult{reason: endStalled, err: err}
+	case errors.Is(err, responsehead.ErrInvalid):
+		return attemptResult{reason: endError, err: err}
 	case !isCallError || failure.Status == 0 && !failure.NotRun:
 		return attemptResult{reason: endStreamBroken, err: err}
 	case mode == modeResume && errors.Is(err, engineclient.ErrUnknownRequest):
--- a/internal/server/attempt_result.go
+++ b/internal/server/attempt_result.go
@@ -32,7 +32,7 @@
 	endMismatch
 	// endUpstreamLeaving: the attempt was interrupted because its engine is leaving.
 	endUpstreamLeaving
-	// endError: the engine answered with an error status.
+	// endError: the engine answered with an error status or an invalid head.
 	endError
 	// endUnrecoverable: no engine can complete the request; attemptResult.problem
 	// has the reason.
--- a/internal/server/invalid_head_test.go
+++ b/internal/server/invalid_head_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/dispatch"
 	"rattantide/internal/intent"
 	"rattantide/internal/problem"
 	"rattantide/internal/responsetest"
@@ -34,6 +35,7 @@
 			body, err := io.ReadAll(response.Body)
 			assert.NilError(t, err)
 			assert.Equal(t, string(body), "POST /jobs/7 body")
+			assert.Equal(t, pool.results[0].Status, dispatch.StatusError)
 		})
 	}
 }
@@ -78,6 +80,7 @@
 			assert.Equal(t, response.StatusCode, http.StatusOK)
 			assert.Assert(t, strings.HasSuffix(string(body), "data: [DONE]\n\n"), string(body))
 			assert.Assert(t, !strings.Contains(string(body), "Trouble"), string(body))
+			assert.Equal(t, pool.results[0].Status, dispatch.StatusError)
 		})
 	}
 }
--- a/internal/server/service_answer.go
+++ b/internal/server/service_answer.go
@@ -126,6 +126,8 @@
 		return dispatch.StatusTimeout
 	case errors.Is(a.err, context.Canceled), errors.Is(a.err, context.DeadlineExceeded):
 		return dispatch.StatusCanceled
+	case errors.Is(a.err, responsehead.ErrInvalid):
+		return dispatch.StatusError
 	}
 	return dispatch.StatusCrash
 }
