Do not take a reset that a write has seen for the end of a response

What callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection; the part reached the caller as a complete answer.

Cause: the operating system tells of a reset once. While http.Transport writes the request beside reading the response, the write may be told, and the next read returns an ordinary end, which ends a body without a length.

Change: a connection whose read finds an end asks for the state of its socket. After an end that the peer has sent it is CLOSE_WAIT, after a reset CLOSE, no matter which call was told of it; a connection that was closed on this side proves no end either. The read returns "connection reset by peer" then. This holds for each reader of responses, also through TLS and watched connections. What was received before is still passed on, so a response with a length or chunks that came before the reset stays complete.

--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -12,7 +12,7 @@
 }
 
 // NewConn returns a connection that does not expect a head.
-func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, Reader: NewReader(c)} }
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c, Reader: NewReader(resetReader{conn: c})} }
 
 // NetConn returns the connection without the checks.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
--- a/internal/upstreampath/conn.go
+++ b/internal/upstreampath/conn.go
@@ -35,6 +35,9 @@
 	call *Call
 }
 
+// NetConn returns the connection that is watched.
+func (c *watchedConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *watchedConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
