Do not take bytes after a response for the response to the next request

What callers would see: the response to another request. A server that sends more than its response, as a runner in trouble does, had the rest taken for the response to the next request on the connection.

Cause: http.Transport frees a connection whose response has no body before it looks for bytes that nobody asked for, and a call may get it in between.

Change: after a call the checking Transport knows whether a head was received since the connection was told to expect one. If none was, the response was made of earlier bytes: the connection is closed and the call fails, possibly run.

It needs a race, so that a single run of the test may pass without the change; it never fails with it.

--- a/internal/responsehead/error.go
+++ b/internal/responsehead/error.go
@@ -2,8 +2,9 @@
 
 import "github.com/juju/errors"
 
-// ErrInvalid means that the head of a response does not follow the grammar of RFC 9112, or
-// exceeds MaxBytes with the interim responses before it. The server may have run the request.
+// ErrInvalid means that the head of a response does not follow the grammar of RFC 9112, exceeds
+// MaxBytes with the interim responses before it, or was received before the request was sent. The
+// server may have run the request.
 const ErrInvalid = errors.ConstError("invalid head of the response")
 
 // invalid returns an error that wraps ErrInvalid. detail is quoted, and cut if it is long.
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -87,5 +87,13 @@
 	if err != nil && conn != nil && conn.Rejected() != nil {
 		return nil, conn.Rejected()
 	}
-	return response, err
+	if err != nil {
+		return nil, err
+	}
+	if conn.IsExpecting() {
+		_ = conn.Close()
+		_ = response.Body.Close()
+		return nil, errors.Annotate(ErrInvalid, "received before the request was sent")
+	}
+	return response, nil
 }
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// Guards against bytes after a response that are taken for the response to the next request.
+func TestSurplusBytesAreNoResponse(t *testing.T) {
+	const calls = 200
+	for name, text := range map[string]string{
+		"body":    soundText,
+		"no body": "HTTP/1.1 204 No Content\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := newClient(t, &http.Transport{})
+			url, _ := serveTexts(t, text+strings.Replace(soundText, "whole", "stale", 1), text)
+			for range calls {
+				body, err := fetch(client, http.MethodPost, url)
+				assert.Assert(t, err != nil || body != "stale")
+			}
+		})
+	}
+}
+
 // Guards against responses that are mixed up or rejected while many calls share connections.
 func TestTransportServesCallsSideBySide(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
