Take a recorded outcome with an invalid status for unknown

What callers saw: nothing. A call with the key of an order that a service had answered with status 000 ended the daemon's handler each time it was repeated ("http: panic serving: invalid WriteHeader code 0").

Change: an outcome with a status that no final response has is replayed as unknown: 409 with the code outcome_unknown.

Evidence: TestOutcomeWithInvalidStatusIsUnknown failed before with "Post /orders/dies: EOF" and that panic, and passes with statuses 0, 99, 101, 103, 600 and 1000.

--- a/internal/server/at_most_once.go
+++ b/internal/server/at_most_once.go
@@ -15,6 +15,7 @@
 	"rattantide/internal/intent"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/problem"
+	"rattantide/internal/responsehead"
 )
 
 // serveAtMostOnce runs a call that must not run twice. It commits the intent
@@ -102,6 +103,10 @@
 // replayOutcome answers with the recorded outcome of an earlier call with the same
 // key.
 func (s *Server) replayOutcome(w http.ResponseWriter, c *serviceCall, outcome intent.Outcome) {
+	if outcome.Execution == intent.ExecutionDone && !responsehead.IsFinalStatus(outcome.Status) {
+		// Earlier versions recorded responses with an invalid status.
+		outcome.Execution = intent.ExecutionUnknown
+	}
 	switch {
 	case outcome.Execution == intent.ExecutionDone && !outcome.Truncated:
 		if outcome.ContentType != "" {
