--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 	internal/server:FuzzLastEventID:16000 internal/server:FuzzContinuation:8000 \
 	internal/peer:FuzzHandle:20000 internal/peer:FuzzRecord:20000 internal/peer:FuzzFeed:30000 \
 	internal/quarantine:FuzzMerge:12000 internal/gateway:FuzzEventSplitter:12000 internal/peering:FuzzMessage:8000 \
-	internal/upstreamstate:FuzzMerge:60000 internal/callerbody:FuzzRequestFraming:20000 internal/fleetload:FuzzReceive:30000 \
+	internal/upstreamstate:FuzzMerge:60000 internal/callerbody:FuzzRequestFraming:20000 internal/responsehead:FuzzHead:40000 internal/fleetload:FuzzReceive:30000 \
 	platform:FuzzParseSettings:16000 platform:FuzzDecodeConfig:20000 \
 	platform:FuzzDecodeUpstream:40000 platform:FuzzDecodeCall:6000
 
