--- a/internal/responsehead/field.go
+++ b/internal/responsehead/field.go
@@ -2,7 +2,7 @@
 
 import (
 	"bytes"
-	"strings"
+	"slices"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -31,31 +31,31 @@
 			if !isText(line) {
 				return lengthFields{}, invalid("folded field", line)
 			}
-			value += " " + trimBlanks(line)
+			value = slices.Concat(value, []byte(" "), line)
 		}
-		fields.add(name, strings.TrimSpace(value))
+		fields.add(name, value)
 	}
 }
 
 // parseField decodes the first line of a field.
-func parseField(line []byte) (name, value string, err error) {
-	before, after, found := bytes.Cut(line, []byte(":"))
-	if !found || !httpguts.ValidHeaderFieldName(string(before)) {
-		return "", "", invalid("field name", line)
+func parseField(line []byte) (name, value []byte, err error) {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !httpguts.ValidHeaderFieldName(string(name)) {
+		return nil, nil, invalid("field name", line)
 	}
-	if !isText(after) {
-		return "", "", invalid("field value", line)
+	if !isText(value) {
+		return nil, nil, invalid("field value", line)
 	}
-	return string(before), trimBlanks(after), nil
+	return name, value, nil
 }
 
 // add keeps the value of a field that tells where a body ends.
-func (f *lengthFields) add(name, value string) {
+func (f *lengthFields) add(name, value []byte) {
 	switch {
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		f.encodings = append(f.encodings, value)
-	case strings.EqualFold(name, "Content-Length"):
-		f.lengths = append(f.lengths, value)
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		f.encodings = append(f.encodings, trimBlanks(value))
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		f.lengths = append(f.lengths, trimBlanks(value))
 	}
 }
 
--- a/internal/responsetest/sound.go
+++ b/internal/responsetest/sound.go
@@ -14,7 +14,8 @@
 // chunks returns a body in one chunk.
 func chunks(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
 
-// Sound returns responses with a body, whose heads a reader must accept, by what is special about them.
+// Sound returns responses with a body, whose heads a reader must accept, by what is special
+// about them.
 func Sound(body string) map[string]Response {
 	responses := map[string]Response{}
 	for name, head := range map[string]string{
