--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,7 +25,6 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/peer"
-	"rattantide/internal/responsehead"
 	"rattantide/internal/rollout"
 	"rattantide/internal/routing"
 	"rattantide/internal/server"
@@ -97,7 +96,7 @@
 	scope, metrics, closer := telemetry.NewScope()
 	d := &Daemon{
 		settings: s, logger: logger, scope: scope, metrics: metrics,
-		closers: []io.Closer{closer}, listener: listener, httpClient: &http.Client{Transport: responsehead.NewTransport(transport)}, storeClient: newStoreClient(transport, scope),
+		closers: []io.Closer{closer}, listener: listener, httpClient: newPeerClient(transport), storeClient: newStoreClient(transport, scope),
 		draining: make(chan struct{}),
 	}
 	d.transport = transport
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rattantide/internal/keptconn"
+	"rattantide/internal/responsehead"
 	"rattantide/internal/settings"
 )
 
@@ -60,6 +61,12 @@
 	return transport, nil
 }
 
+// newPeerClient returns the HTTP client for calls to other daemons and to the platform's APIs,
+// whose connections are set up like those of transport.
+func newPeerClient(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: responsehead.NewTransport(transport)}
+}
+
 // newStoreClient returns the HTTP client for calls to the object API, whose connections are
 // set up like those of transport.
 func newStoreClient(transport *http.Transport, scope tally.Scope) *http.Client {
