Hold every head in the same way, and offer HTTP/1.1 only over TLS

A TLS configuration that names other protocols cannot be negotiated by a transport that speaks HTTP/1.1 only.

--- a/internal/responsehead/conn.go
+++ b/internal/responsehead/conn.go
@@ -23,7 +23,7 @@
 // dialFunc opens a connection, like the method DialContext of net.Dialer.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// checked returns a dialFunc that opens connections with dial and returns a *Conn.
+// checked opens a connection with dial and returns it as a *Conn.
 func (dial dialFunc) checked(ctx context.Context, network, address string) (net.Conn, error) {
 	c, err := dial(ctx, network, address)
 	if err != nil {
--- a/internal/responsehead/reader.go
+++ b/internal/responsehead/reader.go
@@ -73,9 +73,6 @@
 		if !r.isExpecting() || n == 0 && len(r.held) == 0 {
 			return n, err
 		}
-		if len(r.held) == 0 && r.scan(p[:n]) {
-			return n, err
-		}
 		r.hold(p[:n], err)
 	}
 	n := copy(p, r.checked)
@@ -89,28 +86,29 @@
 // hold takes bytes of a head, and the error that came with them.
 func (r *Reader) hold(text []byte, err error) {
 	r.held = append(r.held, text...)
-	if r.Rejected() == nil && r.scan(r.held) {
-		r.checked, r.held, r.failure = r.held, nil, err
-		return
-	}
-	if rejected := r.Rejected(); rejected != nil {
-		err = rejected
-	}
-	if err != nil {
-		r.checked, r.held, r.failure = r.held[:1], nil, err
+	complete, rejected := r.scanner.scan(r.held)
+	switch {
+	case complete:
+		r.checked, r.failure = r.held, err
+		r.held, r.scanner = nil, scanner{}
+	case rejected != nil:
+		r.fail(rejected)
+	case err != nil:
+		r.fail(err)
 	}
+	r.record(complete, rejected)
 }
 
-// scan reports whether text is complete up to the body of a final response and valid.
-func (r *Reader) scan(text []byte) bool {
-	complete, err := r.scanner.scan(text)
+// fail passes on the first byte of the head, and then err.
+func (r *Reader) fail(err error) { r.checked, r.held, r.failure = r.held[:1], nil, err }
+
+// record records whether the head of a final response is complete, or why it is rejected.
+func (r *Reader) record(complete bool, rejected error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rejected = err
+	r.rejected = rejected
 	if complete {
-		r.scanner = scanner{}
 		r.expecting = false
 		r.heads++
 	}
-	return complete
 }
--- a/internal/responsehead/transport.go
+++ b/internal/responsehead/transport.go
@@ -46,20 +46,20 @@
 	}
 }
 
-// configFor returns a configuration that verifies the name in an address.
+// configFor returns a configuration for HTTP/1.1 that verifies the name in an address.
 func configFor(config *tls.Config, address string) *tls.Config {
 	if config == nil {
 		config = &tls.Config{}
 	}
+	config = config.Clone()
+	config.NextProtos = []string{"http/1.1"}
 	if config.ServerName != "" {
 		return config
 	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		host = address
+	config.ServerName = address
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		config.ServerName = host
 	}
-	config = config.Clone()
-	config.ServerName = host
 	return config
 }
 
--- a/internal/responsehead/transport_test.go
+++ b/internal/responsehead/transport_test.go
@@ -142,7 +142,7 @@
 
 // Guards against TLS connections that are not checked, or not verified.
 func TestTransportChecksOverTLS(t *testing.T) {
-	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/sound" {
 			_, _ = io.WriteString(w, "whole")
 			return
@@ -154,6 +154,8 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 000 Trouble\r\n\r\n")
 		_ = c.Close()
 	}))
+	server.EnableHTTP2 = true
+	server.StartTLS()
 	t.Cleanup(server.Close)
 	trusting := server.Client().Transport.(*http.Transport).TLSClientConfig.RootCAs
 	client := newClient(t, &http.Transport{TLSClientConfig: &tls.Config{RootCAs: trusting, MinVersion: tls.VersionTLS12}})
