End an attempt with an invalid head as every other invalid response

handleError repeated what handleInvalidResponse does: it excludes the upstream, reports StatusError and takes the request for possibly run. It calls it now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,7 +101,7 @@
 	case errors.Is(err, responsehead.ErrInvalid):
 		x.server.opts.Logger.Warn("upstream sent an invalid response", "request", x.call.AttemptID, "attempt", x.attempts,
 			"upstream", a.choice.Upstream.Name, "version", a.choice.Version, "reason", x.reason)
-		status = dispatch.StatusError
+		return a.handleInvalidResponse(ctx, x.reason)
 	case sent:
 		return a.endLost()
 	default:
