--- a/internal/gateway/invalid_head_test.go
+++ b/internal/gateway/invalid_head_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/dispatch"
+	"rattantide/internal/gateway"
 	"rattantide/internal/responsetest"
 )
 
@@ -53,6 +54,24 @@
 	}
 }
 
+// Guards against a response of another daemon with an invalid head that reaches a caller, and
+// against a request that fails although a second daemon helps.
+func TestInvalidHeadOfHelperIsNoAnswer(t *testing.T) {
+	for name, r := range responsetest.Invalid(firstEvent) {
+		t.Run(name, func(t *testing.T) {
+			invalid := gateway.Helper{Name: "invalid", Address: responsetest.ServeText(t, r.Text(ownFields))}
+			sound := gateway.Helper{Name: "sound", Address: rawUpstream{head: headWithLength(4), body: "body"}.serve(t)}
+			f := newLostFixture(t, invalid, sound)
+			for path, want := range map[string]int{"/order/1": http.StatusBadGateway, "/lookup/1": http.StatusOK} {
+				status, body, _, err := f.call(path, "b")
+				assert.NilError(t, err)
+				assert.Equal(t, status, want, path)
+				assert.Assert(t, body == "" || body == "body", "%q", body)
+			}
+		})
+	}
+}
+
 // Guards against an unusual head that is taken for an invalid one.
 func TestUnusualHeadIsRelayed(t *testing.T) {
 	for name, r := range responsetest.Sound(firstEvent) {
