Reset the connection of an incomplete answer by whichever way it ends

Cause: an answer without a length or chunks ends with its connection. Abort reset that connection while the process lived; the kernel closes the sockets of a killed process with a FIN, which ends the body. Over TLS, where the server announces an ordinary end at each close, Abort did not help either.

Evidence: tests that run a daemon as a process of its own and kill it within an answer.

Change: framing.Protect sets a server up so that Begin arms the socket of such an answer (SO_LINGER of 0 s) before the head is sent. When the handler returns, what is buffered is flushed, and only then the socket ends as usual again. A handler that can't complete its answer panics as for all other answers, and the socket is closed below TLS. A server that is not protected panics in Begin, so that none can be forgotten.

Why it works: the reset is a property of the socket from before the first byte until the last one is in the kernel's buffer, so that it does not matter who closes the socket, or why.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
+
+	"rattantide/internal/framing"
 )
 
 const (
@@ -34,6 +36,7 @@
 	if httpServer.TLSConfig, err = serverTLS(d.settings); err != nil {
 		return errors.Trace(err)
 	}
+	framing.Protect(httpServer, d.logger)
 	// The components outlive ctx, because they are needed until the drain has
 	// ended.
 	componentsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/fleetdaemon/caller_servers.go
+++ b/internal/fleetdaemon/caller_servers.go
@@ -7,11 +7,13 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
 	"rattantide/internal/callerbudget"
 	"rattantide/internal/fleetconfig"
+	"rattantide/internal/framing"
 )
 
 // acceptRetryInterval is the pause after a connection could not be accepted.
@@ -25,6 +27,7 @@
 	config   *fleetconfig.Holder
 	listener net.Listener
 	conns    *callerbudget.Budget
+	logger   *log.Logger
 
 	mu      sync.Mutex
 	closed  bool
@@ -79,6 +82,7 @@
 		Handler: s.handler, ReadHeaderTimeout: limits.headerTimeout, IdleTimeout: limits.idleTimeout, MaxHeaderBytes: limits.headerBytes,
 		ConnState: limits.recordState, ConnContext: withConnReservation,
 	}
+	framing.Protect(server, s.logger)
 	if s.current != nil {
 		// Ends Serve of the earlier server, but not its connections.
 		_ = s.current.Close()
--- a/internal/fleetdaemon/run.go
+++ b/internal/fleetdaemon/run.go
@@ -16,6 +16,7 @@
 	"rattantide/internal/bootclock"
 	"rattantide/internal/fleetload"
 	"rattantide/internal/fleetsync"
+	"rattantide/internal/framing"
 	"rattantide/internal/gateway"
 	"rattantide/internal/keptconn"
 	"rattantide/internal/periodic"
@@ -141,13 +142,14 @@
 // startServers starts the server of the callers, that of the other daemons, and the rest;
 // servers holds all but the first.
 func (d *Daemon) startServers(group *errgroup.Group) (callers *callerServers, peerServer *http.Server, servers []*http.Server) {
-	callers = &callerServers{handler: d.gateway, config: d.holder, listener: d.callers, conns: d.callerConns}
+	callers = &callerServers{handler: d.gateway, config: d.holder, listener: d.callers, conns: d.callerConns, logger: d.logger}
 	group.Go(func() error { return errors.Annotate(callers.Serve(), "serve callers") })
 	serve := func(l net.Listener, handler http.Handler) *http.Server {
 		if l == nil {
 			return nil
 		}
 		s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		framing.Protect(s, d.logger)
 		servers = append(servers, s)
 		group.Go(func() error {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/internal/framing/protect_test.go
@@ -0,0 +1,113 @@
+package framing_test
+
+import (
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/framing"
+	"rattantide/internal/responsetest"
+	"rattantide/internal/telemetry"
+)
+
+// largeBytes is the size of a body that does not fit into the buffers of a connection.
+const largeBytes = 8 << 20
+
+// newServer starts a protected server whose handler begins a response that ends with its
+// connection, and then ends it as the path says.
+func newServer(secure bool) *httptest.Server {
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		framing.Begin(w, r, framing.Conn)
+		size := len("part")
+		if r.URL.Path == "/large" {
+			size = largeBytes
+		}
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+		if r.URL.Path == "/complete" || r.URL.Path == "/large" {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		switch r.URL.Path {
+		case "/aborted":
+			framing.Abort()
+		case "/panics":
+			panic("a fault of the handler")
+		}
+		<-r.Context().Done()
+		framing.Abort()
+	}))
+	s.Config.ErrorLog = telemetry.Discard().StandardLog()
+	framing.Protect(s.Config, telemetry.Discard())
+	if secure {
+		s.StartTLS()
+	} else {
+		s.Start()
+	}
+	return s
+}
+
+// begin sends a request and returns the body of the response, which has begun.
+func begin(t *testing.T, address, path, proto string, secure bool) io.Reader {
+	t.Helper()
+	c := responsetest.Dial(t, address)
+	if secure {
+		c = tls.Client(c, &tls.Config{InsecureSkipVerify: true})
+	}
+	response := responsetest.Begin(t, c, fmt.Sprintf("GET %s %s\r\nHost: h\r\n\r\n", path, proto))
+	assert.Equal(t, framing.Of(response, http.MethodGet), framing.Conn)
+	return response.Body
+}
+
+// Runs in a process of its own, until the tests below kill it.
+func TestServingProcess(t *testing.T) {
+	if argument, ok := responsetest.ProcessArgument(); ok {
+		responsetest.ServeUntilKilled(t, newServer(argument == "tls").Listener.Addr().String())
+	}
+}
+
+// forEachCaller runs a test for the protocols of callers whose responses may end with their
+// connection.
+func forEachCaller(t *testing.T, test func(t *testing.T, proto string, secure bool)) {
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		for name, secure := range map[string]bool{"": false, " over TLS": true} {
+			t.Run(proto+name, func(t *testing.T) { test(t, proto, secure) })
+		}
+	}
+}
+
+// Guards against an incomplete response that ends with an ordinary end of its connection when
+// the process is killed, or when its handler aborts it or panics.
+func TestIncompleteResponseIsReset(t *testing.T) {
+	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
+		s := newServer(secure)
+		defer s.Close()
+		for _, path := range []string{"/aborted", "/panics"} {
+			_, err := io.ReadAll(begin(t, s.Listener.Addr().String(), path, proto, secure))
+			assert.Assert(t, err != nil, path)
+		}
+		process := responsetest.StartProcess(t, "TestServingProcess", map[bool]string{true: "tls"}[secure])
+		body := begin(t, process.Address, "/open", proto, secure)
+		process.Kill()
+		_, err := io.ReadAll(body)
+		assert.Assert(t, err != nil, "killed")
+	})
+}
+
+// Guards against a complete response that is reset, also one whose caller reads slowly.
+func TestCompleteResponseIsNotReset(t *testing.T) {
+	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
+		s := newServer(secure)
+		defer s.Close()
+		for path, size := range map[string]int{"/complete": len("part"), "/large": largeBytes} {
+			content, err := io.ReadAll(begin(t, s.Listener.Addr().String(), path, proto, secure))
+			assert.NilError(t, err)
+			assert.Equal(t, len(content), size)
+		}
+	})
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/problem"
 	"rattantide/internal/quarantine"
+	"rattantide/internal/responsetest"
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/telemetry"
 	"rattantide/internal/upstreamconn"
@@ -164,7 +165,7 @@
 		m(&options)
 	}
 	f.server = gateway.New(options)
-	s := httptest.NewServer(f.server)
+	s := responsetest.NewServer(f.server)
 	t.Cleanup(s.Close)
 	f.address = s.Listener.Addr().String()
 	return f
--- a/internal/gateway/forward_test.go
+++ b/internal/gateway/forward_test.go
@@ -12,6 +12,7 @@
 
 	"rattantide/internal/fleetconfig"
 	"rattantide/internal/gateway"
+	"rattantide/internal/responsetest"
 	"rattantide/internal/standin/runner"
 	"rattantide/internal/upstreamconn"
 )
@@ -42,7 +43,7 @@
 
 // helper serves the forwarded requests of a fixture.
 func (f *fixture) helper(name string) gateway.Helper {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := responsetest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !gateway.IsForwarded(r) {
 			w.WriteHeader(http.StatusNotFound)
 			return
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -135,12 +135,12 @@
 		header[name] = values
 	}
 	x.framing = x.callerFraming(response, complete)
+	framing.Begin(x.writer, x.request, x.framing)
 	switch {
-	case x.framing == framing.Conn:
-		framing.SetConn(header)
-	case x.framing == framing.Length && complete:
+	case x.framing != framing.Length:
+	case complete:
 		header.Set("Content-Length", strconv.Itoa(length))
-	case x.framing == framing.Length:
+	default:
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
 	x.status, x.headSent = response.Status, true
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -96,7 +96,7 @@
 	}
 	x.log()
 	if x.mustAbort {
-		framing.Abort(w, x.framing, s.opts.Logger)
+		framing.Abort()
 	}
 }
 
--- a/internal/responsehead/reset.go
+++ b/internal/responsehead/reset.go
@@ -7,6 +7,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"rattantide/internal/socket"
 )
 
 // resetReader reads from a connection. A reset is returned as an error also after a write has
@@ -27,11 +29,11 @@
 // wasReset reports whether a connection that has ended was reset, or closed on this side: its
 // end is not one that the peer has sent then. Other connections than those of TCP are not reset.
 func wasReset(c net.Conn) bool {
-	socket, ok := socketOf(c).(syscall.Conn)
+	conn, ok := socket.Of(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := socket.SyscallConn()
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		return true
 	}
@@ -44,14 +46,3 @@
 	})
 	return err != nil || state == unix.BPF_TCP_CLOSE
 }
-
-// socketOf returns the connection that others, such as those of TLS, are built on.
-func socketOf(c net.Conn) net.Conn {
-	for {
-		wrapper, ok := c.(interface{ NetConn() net.Conn })
-		if !ok {
-			return c
-		}
-		c = wrapper.NetConn()
-	}
-}
--- a/internal/server/at_most_once.go
+++ b/internal/server/at_most_once.go
@@ -114,7 +114,7 @@
 		}
 		w.Header().Set("Idempotency-Replayed", "true")
 		if outcome.MaybeIncomplete {
-			framing.SetConn(w.Header())
+			framing.Begin(w, c.request, framing.Conn)
 		}
 		w.WriteHeader(outcome.Status)
 		_, _ = w.Write(outcome.Body)
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -23,6 +23,7 @@
 	"rattantide/internal/membership"
 	"rattantide/internal/objectclient"
 	"rattantide/internal/problem"
+	"rattantide/internal/responsetest"
 )
 
 const (
@@ -274,7 +275,7 @@
 		configure(&options)
 	}
 	h.Server = New(options)
-	h.http = httptest.NewServer(h.Handler())
+	h.http = responsetest.NewServer(h.Handler())
 	t.Cleanup(func() {
 		h.http.CloseClientConnections()
 		h.http.Close()
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -157,20 +157,15 @@
 // relayFromHelper sends the response of another daemon to the caller.
 func (s *Server) relayFromHelper(w http.ResponseWriter, r *http.Request, response *http.Response) {
 	defer response.Body.Close()
-	kind := relayHead(w, r, response)
+	relayHead(w, r, response)
 	if err := copyFlushing(w, response.Body, s.options.CallerWriteTimeout); err != nil {
-		framing.Abort(w, kind, s.options.Logger)
+		framing.Abort()
 	}
 }
 
-// relayHead sends the head of a response to the caller and returns how the end of its body is
-// marked.
-func relayHead(w http.ResponseWriter, r *http.Request, response *http.Response) framing.Kind {
+// relayHead sends the head of a response to the caller.
+func relayHead(w http.ResponseWriter, r *http.Request, response *http.Response) {
 	copyHeader(w.Header(), response.Header)
-	kind := framing.Relayed(framing.Of(response, r.Method), r)
-	if kind == framing.Conn {
-		framing.SetConn(w.Header())
-	}
+	framing.Begin(w, r, framing.Relayed(framing.Of(response, r.Method), r))
 	w.WriteHeader(response.StatusCode)
-	return kind
 }
--- /dev/null
+++ b/internal/server/killed_daemon_test.go
@@ -0,0 +1,82 @@
+package server
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"rattantide/internal/responsetest"
+)
+
+// unfinished answers each request with the same bytes and keeps the connection open.
+func unfinished(t *testing.T, text string) (url string) {
+	return "http://" + responsetest.Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		responsetest.HoldOpen(t, c)
+	})
+}
+
+// newServing returns a server whose upstream is at a URL and that also helps other daemons.
+func newServing(t *testing.T, upstream string) *harness {
+	pool := &fakePool{}
+	pool.add("app", "v1", upstream)
+	return newHelper(t, pool)
+}
+
+// Runs in a process of its own: a daemon that serves callers or another daemon, or one that
+// forwards requests.
+func TestServingProcess(t *testing.T) {
+	argument, ok := responsetest.ProcessArgument()
+	if !ok {
+		return
+	}
+	role, target, _ := strings.Cut(argument, " ")
+	if role == "forwarding" {
+		responsetest.ServeUntilKilled(t, newLostHarnessAt(t, target).http.Listener.Addr().String())
+	}
+	responsetest.ServeUntilKilled(t, newServing(t, target).http.Listener.Addr().String())
+}
+
+// partBytes is the size of a part of a body that is larger than what is recorded of it.
+const partBytes = 256 << 10
+
+// Guards against a part of an answer without a length or chunks that reaches its caller with
+// an ordinary end of the connection when a daemon on its way is killed.
+func TestKilledDaemonLeavesNoCompleteAnswer(t *testing.T) {
+	part := strings.Repeat("x", partBytes)
+	for _, killed := range []string{"serving", "helping", "forwarding"} {
+		for name, c := range map[string]struct{ proto, call, upstream string }{
+			"service":               {"HTTP/1.1", "GET /orders/1", "HTTP/1.1 200 OK\r\n\r\n" + part},
+			"order":                 {"HTTP/1.1", "POST /orders/1", "HTTP/1.1 200 OK\r\n\r\n" + part},
+			"chunks to HTTP/1.0":    {"HTTP/1.0", "GET /orders/1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", partBytes) + part + "\r\n"},
+			"no length to HTTP/1.0": {"HTTP/1.0", "GET /orders/1", "HTTP/1.1 200 OK\r\n\r\n" + part},
+		} {
+			t.Run(killed+" "+name, func(t *testing.T) {
+				target := unfinished(t, c.upstream)
+				if killed == "forwarding" {
+					target = newServing(t, target).http.Listener.Addr().String()
+				}
+				process := responsetest.StartProcess(t, "TestServingProcess", killed+" "+target)
+				address := process.Address
+				if killed == "helping" {
+					address = newLostHarnessAt(t, address).http.Listener.Addr().String()
+				}
+				request := fmt.Sprintf("%s %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", c.call, c.proto, testToken)
+				response := responsetest.Begin(t, responsetest.Dial(t, address), request)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+				process.Kill()
+				rest, err := io.ReadAll(response.Body)
+				assert.Assert(t, err != nil, "the answer looks complete with %d bytes", len(rest))
+			})
+		}
+	}
+}
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -167,7 +167,7 @@
 // of its body if that was already read.
 func (s *Server) forwardAnswer(w http.ResponseWriter, c *serviceCall, answer *serviceAnswer, head []byte) {
 	answer.response.Header.Set("X-Request-Id", c.id)
-	kind := relayHead(w, c.request, answer.response)
+	relayHead(w, c.request, answer.response)
 	body := &upstreamBody{source: answer.response.Body}
 	err := copyFlushing(w, io.MultiReader(bytes.NewReader(head), body), s.options.CallerWriteTimeout)
 	status := dispatch.StatusOK
@@ -182,7 +182,7 @@
 	s.reportServiceEnd(c, &answer.choice.Upstream, status == dispatch.StatusOK, nil)
 	answer.close(dispatch.Result{Status: status})
 	if err != nil {
-		framing.Abort(w, kind, s.options.Logger)
+		framing.Abort()
 	}
 }
 
--- a/internal/server/service_test.go
+++ b/internal/server/service_test.go
@@ -14,7 +14,7 @@
 	"rattantide/internal/framing"
 	"rattantide/internal/intent"
 	"rattantide/internal/problem"
-	"rattantide/internal/telemetry"
+	"rattantide/internal/responsetest"
 )
 
 // newFakeService starts a service that echoes the method, URI and body, or runs
@@ -146,14 +146,9 @@
 // Guards against a service's answer without a length or chunks that broke off and whose
 // caller sees an ordinary end of its connection.
 func TestBrokenAnswerThatEndsWithConnectionIsReset(t *testing.T) {
-	service, _ := newFakeService(t, func(_ int64, w http.ResponseWriter) {
-		framing.SetConn(w.Header())
-		io.WriteString(w, "part")
-		w.(http.Flusher).Flush()
-		framing.Abort(w, framing.Conn, telemetry.Discard())
-	})
+	service := responsetest.ServeReset(t, "HTTP/1.1 200 OK\r\n\r\npart")
 	pool := &fakePool{}
-	pool.add("app", "v1", service.URL)
+	pool.add("app", "v1", "http://"+service)
 	h := newHarness(t, pool, nil)
 	response := h.do(t, "GET", "/orders/dies", "")
 	_, err := io.ReadAll(response.Body)
