Reset incomplete answers over TLS before the server is closed

What callers saw: on the own interface with TLS, an answer without a length that was still running when the drain had used up its time ended with an ordinary end of the connection.

Cause: http.Server.Close closes a TLS connection, which announces the end to the caller (close_notify) before the socket is closed. The reset of the socket comes after that and is not seen any more.

Evidence: without the call, TestIncompleteResponseIsResetWhenServerCloses fails over TLS with HTTP/1.0 and HTTP/1.1 ("assertion failed: err is nil") and holds without TLS.

Change: a Protection knows the connections of the answers in progress that end with their connection; ResetIncomplete closes their sockets below TLS, and those of later ones. The drain calls it before Close. Why it works: a closed socket sends no announcement.

--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"rattantide/internal/framing"
 )
 
 // closeTimeout bounds the wait for connections to close once no request is
@@ -65,7 +67,7 @@
 
 // drain announces that the daemon is leaving, waits for open requests to end or
 // hands them over, and closes the server.
-func (d *Daemon) drain(ctx context.Context, httpServer *http.Server) {
+func (d *Daemon) drain(ctx context.Context, httpServer *http.Server, protection *framing.Protection) {
 	started := time.Now()
 	d.logger.Info("drain started", "daemon", d.settings.Name, "inFlight", d.server.InFlight(), "noticeMs", d.reclaimNotice.Milliseconds())
 	if err := d.syncer.AnnounceLeaving(ctx); err != nil {
@@ -80,6 +82,7 @@
 	defer cancel()
 	if err := httpServer.Shutdown(closeCtx); err != nil {
 		d.logger.Warn("closing connections that are still open at the end of the drain", "inFlight", d.server.InFlight())
+		protection.ResetIncomplete()
 		_ = httpServer.Close()
 	}
 	d.logger.Info("drain ended", "daemon", d.settings.Name, "tookMs", time.Since(started).Milliseconds())
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -36,7 +36,7 @@
 	if httpServer.TLSConfig, err = serverTLS(d.settings); err != nil {
 		return errors.Trace(err)
 	}
-	framing.Protect(httpServer, d.logger)
+	protection := framing.Protect(httpServer, d.logger)
 	// The components outlive ctx, because they are needed until the drain has
 	// ended.
 	componentsCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -47,7 +47,7 @@
 	components.Go(func() error {
 		defer stop()
 		d.waitForDrain(ctx, componentsCtx)
-		d.drain(componentsCtx, httpServer)
+		d.drain(componentsCtx, httpServer, protection)
 		return nil
 	})
 	err = components.Wait()
--- a/internal/framing/protect_test.go
+++ b/internal/framing/protect_test.go
@@ -21,7 +21,7 @@
 
 // newServer starts a protected server whose handler begins a response that ends with its
 // connection, and then ends it as the path says.
-func newServer(secure bool) *httptest.Server {
+func newServer(secure bool) (*httptest.Server, *framing.Protection) {
 	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		framing.Begin(w, r, framing.Conn)
 		size := len("part")
@@ -43,13 +43,13 @@
 		framing.Abort()
 	}))
 	s.Config.ErrorLog = telemetry.Discard().StandardLog()
-	framing.Protect(s.Config, telemetry.Discard())
+	protection := framing.Protect(s.Config, telemetry.Discard())
 	if secure {
 		s.StartTLS()
 	} else {
 		s.Start()
 	}
-	return s
+	return s, protection
 }
 
 // begin sends a request and returns the body of the response, which has begun.
@@ -67,7 +67,8 @@
 // Runs in a process of its own, until the tests below kill it.
 func TestServingProcess(t *testing.T) {
 	if argument, ok := responsetest.ProcessArgument(); ok {
-		responsetest.ServeUntilKilled(t, newServer(argument == "tls").Listener.Addr().String())
+		s, _ := newServer(argument == "tls")
+		responsetest.ServeUntilKilled(t, s.Listener.Addr().String())
 	}
 }
 
@@ -85,7 +86,7 @@
 // the process is killed, or when its handler aborts it or panics.
 func TestIncompleteResponseIsReset(t *testing.T) {
 	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
-		s := newServer(secure)
+		s, _ := newServer(secure)
 		defer s.Close()
 		for _, path := range []string{"/aborted", "/panics"} {
 			_, err := io.ReadAll(begin(t, s.Listener.Addr().String(), path, proto, secure))
@@ -102,7 +103,7 @@
 // Guards against a complete response that is reset, also one whose caller reads slowly.
 func TestCompleteResponseIsNotReset(t *testing.T) {
 	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
-		s := newServer(secure)
+		s, _ := newServer(secure)
 		defer s.Close()
 		for path, size := range map[string]int{"/complete": len("part"), "/large": largeBytes} {
 			content, err := io.ReadAll(begin(t, s.Listener.Addr().String(), path, proto, secure))
@@ -111,3 +112,17 @@
 		}
 	})
 }
+
+// Guards against an incomplete response that ends with an ordinary end of its connection when
+// the server is closed, as at the end of a drain.
+func TestIncompleteResponseIsResetWhenServerCloses(t *testing.T) {
+	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
+		s, protection := newServer(secure)
+		defer s.Close()
+		body := begin(t, s.Listener.Addr().String(), "/open", proto, secure)
+		protection.ResetIncomplete()
+		assert.NilError(t, s.Config.Close())
+		_, err := io.ReadAll(body)
+		assert.Assert(t, err != nil)
+	})
+}
--- a/internal/framing/protected_conn.go
+++ b/internal/framing/protected_conn.go
@@ -4,7 +4,6 @@
 	"net"
 	"net/http"
 
-	"github.com/charmbracelet/log"
 	"github.com/juju/errors"
 
 	"rattantide/internal/socket"
@@ -17,10 +16,10 @@
 	lingerDefault = -1
 )
 
-// protectedConn is a connection of a server that Protect was called with. It belongs to the
-// goroutine of the request in progress.
+// protectedConn is a connection of a server with a Protection. Except for its socket, it belongs
+// to the goroutine of the request in progress.
 type protectedConn struct {
-	logger *log.Logger
+	protection *Protection
 	// socket is the connection below TLS, whose end is not announced to the peer.
 	socket net.Conn
 	// isArmed reports whether the end of the connection would end the body of a response.
@@ -30,11 +29,11 @@
 // connKey is the key of the protectedConn in the context of a connection's requests.
 type connKey struct{}
 
-func newProtectedConn(c net.Conn, logger *log.Logger) *protectedConn {
-	return &protectedConn{logger: logger, socket: socket.Of(c)}
+func newProtectedConn(p *Protection, c net.Conn) *protectedConn {
+	return &protectedConn{protection: p, socket: socket.Of(c)}
 }
 
-// connOf returns the connection of a request, or nil if its server is not protected.
+// connOf returns the connection of a request, or nil if its server has none.
 func connOf(r *http.Request) *protectedConn {
 	c, _ := r.Context().Value(connKey{}).(*protectedConn)
 	return c
@@ -43,9 +42,10 @@
 // arm makes each end of the connection a reset until complete.
 func (c *protectedConn) arm() {
 	if err := c.setLinger(lingerReset); err != nil {
-		c.logger.Error("connection not protected, an incomplete response may look complete", "error", err)
+		c.protection.logger.Error("connection not protected, an incomplete response may look complete", "error", err)
 	}
 	c.isArmed = true
+	c.protection.add(c)
 }
 
 // complete makes the end of the connection an ordinary one again if all of a response has
@@ -59,10 +59,10 @@
 		err = c.setLinger(lingerDefault)
 	}
 	if err != nil {
-		c.logger.Warn("response not completed, its connection is reset", "error", err)
+		c.protection.logger.Warn("response not completed, its connection is reset", "error", err)
 		return
 	}
-	c.isArmed = false
+	c.disarm()
 }
 
 // resetIfArmed closes the socket of an incomplete response before the server closes the
@@ -71,10 +71,15 @@
 	if !c.isArmed {
 		return
 	}
-	c.isArmed = false
+	c.disarm()
 	_ = c.socket.Close()
 }
 
+func (c *protectedConn) disarm() {
+	c.isArmed = false
+	c.protection.remove(c)
+}
+
 func (c *protectedConn) setLinger(seconds int) error {
 	lingering, ok := c.socket.(interface{ SetLinger(seconds int) error })
 	if !ok {
