Let no part of the own interface's answers look complete to HTTP/1.0

What callers saw: a caller of HTTP/1.0 at the own interface had an ordinary end of the connection within a stream of events, a whole chat completion or a recorded outcome when the daemon was killed.

To HTTP/1.0 the server marks the end of a body that exceeds its buffer (2 kB) by the end of the connection unless the handler states a length, and these handlers left that to the server.

Change: a stream to HTTP/1.0 begins as an answer that ends with its connection (framing.Begin), and whole answers state their length, those that come from the holder of a request too. The length stands in one function, which the gateway uses as well. Why it works: a cut is a reset, or a body that is shorter than stated.

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -1,6 +1,9 @@
 package framing
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+)
 
 // Kind is how the end of a response body is marked.
 type Kind string
@@ -49,3 +52,6 @@
 	h.Del("Content-Length")
 	h.Set("Transfer-Encoding", "identity")
 }
+
+// SetLength states the length of the body of a response that is about to be sent, in bytes.
+func SetLength(h http.Header, length int) { h.Set("Content-Length", strconv.Itoa(length)) }
--- a/internal/gateway/relay_response.go
+++ b/internal/gateway/relay_response.go
@@ -139,7 +139,7 @@
 	switch {
 	case x.framing != framing.Length:
 	case complete:
-		header.Set("Content-Length", strconv.Itoa(length))
+		framing.SetLength(header, length)
 	default:
 		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
 	}
--- a/internal/server/at_most_once.go
+++ b/internal/server/at_most_once.go
@@ -115,6 +115,8 @@
 		w.Header().Set("Idempotency-Replayed", "true")
 		if outcome.MaybeIncomplete {
 			framing.Begin(w, c.request, framing.Conn)
+		} else {
+			framing.SetLength(w.Header(), len(outcome.Body))
 		}
 		w.WriteHeader(outcome.Status)
 		_, _ = w.Write(outcome.Body)
--- a/internal/server/caller_stream.go
+++ b/internal/server/caller_stream.go
@@ -5,12 +5,16 @@
 	"io"
 	"net/http"
 	"time"
+
+	"rattantide/internal/framing"
 )
 
 // callerStream writes server-sent events to a caller. It is used by one goroutine
 // at a time.
 type callerStream struct {
-	w       http.ResponseWriter
+	w http.ResponseWriter
+	// request is that of the caller.
+	request *http.Request
 	control *http.ResponseController
 	// writeTimeout bounds one write.
 	writeTimeout  time.Duration
@@ -18,8 +22,8 @@
 	writeDeadline time.Time
 }
 
-func (s *Server) newCallerStream(w http.ResponseWriter) *callerStream {
-	return &callerStream{w: w, control: http.NewResponseController(w), writeTimeout: s.options.CallerWriteTimeout}
+func (s *Server) newCallerStream(w http.ResponseWriter, r *http.Request) *callerStream {
+	return &callerStream{w: w, request: r, control: http.NewResponseController(w), writeTimeout: s.options.CallerWriteTimeout}
 }
 
 // send writes complete events and flushes them. The header is written by the
@@ -31,6 +35,7 @@
 		h := c.w.Header()
 		h.Set("Content-Type", "text/event-stream")
 		h.Set("Cache-Control", "no-store")
+		framing.Begin(c.w, c.request, framing.Relayed(framing.Chunks, c.request))
 		c.w.WriteHeader(http.StatusOK)
 	}
 	// The deadline is extended only once less than half of it is left, which
--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -60,7 +60,7 @@
 		s.options.Handoff.OnAccepted(rec)
 	}
 	defer s.detach(rec)
-	s.writeAnswer(s.newCallerStream(w), r, rec, rec.Stream, 0)
+	s.writeAnswer(s.newCallerStream(w, r), r, rec, rec.Stream, 0)
 }
 
 // chatPool returns the pool of a chat completion, or "" if the body or the model is invalid.
--- a/internal/server/killed_daemon_test.go
+++ b/internal/server/killed_daemon_test.go
@@ -25,6 +25,16 @@
 	})
 }
 
+// rawRequest returns the bytes of a request.
+func rawRequest(call, proto, body string) string {
+	return fmt.Sprintf("%s %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s", call, proto, testToken, len(body), body)
+}
+
+// eventOf returns the first event of an engine's stream.
+func eventOf(content, finish string) string {
+	return fmt.Sprintf("id: 1\ndata: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":%s}]}\n\n", content, finish)
+}
+
 // newServing returns a server whose upstream is at a URL and that also helps other daemons.
 func newServing(t *testing.T, upstream string) *harness {
 	pool := &fakePool{}
@@ -54,11 +64,12 @@
 func TestKilledDaemonLeavesNoCompleteAnswer(t *testing.T) {
 	part := strings.Repeat("x", partBytes)
 	for _, killed := range []string{"serving", "helping", "forwarding"} {
-		for name, c := range map[string]struct{ proto, call, upstream string }{
-			"service":               {"HTTP/1.1", "GET /orders/1", "HTTP/1.1 200 OK\r\n\r\n" + part},
-			"order":                 {"HTTP/1.1", "POST /orders/1", "HTTP/1.1 200 OK\r\n\r\n" + part},
-			"chunks to HTTP/1.0":    {"HTTP/1.0", "GET /orders/1", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", partBytes) + part + "\r\n"},
-			"no length to HTTP/1.0": {"HTTP/1.0", "GET /orders/1", "HTTP/1.1 200 OK\r\n\r\n" + part},
+		for name, c := range map[string]struct{ proto, call, body, upstream string }{
+			"service":               {"HTTP/1.1", "GET /orders/1", "", "HTTP/1.1 200 OK\r\n\r\n" + part},
+			"order":                 {"HTTP/1.1", "POST /orders/1", "", "HTTP/1.1 200 OK\r\n\r\n" + part},
+			"chunks to HTTP/1.0":    {"HTTP/1.0", "GET /orders/1", "", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n", partBytes) + part + "\r\n"},
+			"stream to HTTP/1.0":    {"HTTP/1.0", "POST /v1/chat/completions", streamBody, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + eventOf("piece", "null")},
+			"no length to HTTP/1.0": {"HTTP/1.0", "GET /orders/1", "", "HTTP/1.1 200 OK\r\n\r\n" + part},
 		} {
 			t.Run(killed+" "+name, func(t *testing.T) {
 				target := unfinished(t, c.upstream)
@@ -70,8 +81,7 @@
 				if killed == "helping" {
 					address = newLostHarnessAt(t, address).http.Listener.Addr().String()
 				}
-				request := fmt.Sprintf("%s %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", c.call, c.proto, testToken)
-				response := responsetest.Begin(t, responsetest.Dial(t, address), request)
+				response := responsetest.Begin(t, responsetest.Dial(t, address), rawRequest(c.call, c.proto, c.body))
 				assert.Equal(t, response.StatusCode, http.StatusOK)
 				process.Kill()
 				rest, err := io.ReadAll(response.Body)
@@ -80,3 +90,28 @@
 		}
 	}
 }
+
+// Guards against a whole answer that is too large for one buffer and reaches a caller of HTTP/1.0
+// without its length, so that a part of it looks complete.
+func TestWholeAnswersStateTheirLength(t *testing.T) {
+	large := strings.Repeat("x", 8<<10)
+	stream := eventOf(large, `"stop"`) + "data: [DONE]\n\n"
+	for name, c := range map[string]struct{ call, body, upstream string }{
+		"recorded outcome": {"POST /orders/1", "", "HTTP/1.1 200 OK\r\nContent-Length: 8192\r\n\r\n" + large},
+		"chat completion":  {"POST /v1/chat/completions", nonStreamBody, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + stream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := &fakePool{}
+			pool.add("app", "v1", "http://"+responsetest.ServeText(t, c.upstream))
+			h := newHarness(t, pool, nil)
+			for range 2 {
+				response := responsetest.Begin(t, responsetest.Dial(t, h.http.Listener.Addr().String()), rawRequest(c.call, "HTTP/1.0", c.body))
+				body, err := io.ReadAll(response.Body)
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK, string(body))
+				assert.Equal(t, response.ContentLength, int64(len(body)))
+				assert.Assert(t, strings.Contains(string(body), large))
+			}
+		})
+	}
+}
--- a/internal/server/relay_holder.go
+++ b/internal/server/relay_holder.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"rattantide/internal/framing"
 	"rattantide/internal/problem"
 	"rattantide/internal/relay"
 )
@@ -96,8 +97,7 @@
 	if err != nil || response.StatusCode == http.StatusSeeOther || isReleasedByHolder(response.StatusCode, body) {
 		return false
 	}
-	copyResponse(w, response)
-	_, _ = w.Write(body)
+	writeResponse(w, response, body)
 	return true
 }
 
@@ -115,8 +115,7 @@
 		if err != nil || out.headerSent || isReleasedByHolder(response.StatusCode, body) {
 			return after, false
 		}
-		copyResponse(out.w, response)
-		_, _ = out.w.Write(body)
+		writeResponse(out.w, response, body)
 		return after, true
 	}
 	out.w.Header().Set("X-Request-Id", id)
@@ -151,13 +150,16 @@
 		status == http.StatusNotFound
 }
 
-func copyResponse(w http.ResponseWriter, response *http.Response) {
+// writeResponse sends a response whose body has been read.
+func writeResponse(w http.ResponseWriter, response *http.Response, body []byte) {
 	for _, name := range []string{"Content-Type", "Cache-Control", "X-Request-Id", "Retry-After"} {
 		if value := response.Header.Get(name); value != "" {
 			w.Header().Set(name, value)
 		}
 	}
+	framing.SetLength(w.Header(), len(body))
 	w.WriteHeader(response.StatusCode)
+	_, _ = w.Write(body)
 }
 
 func appendEvent(b []byte, e relay.Event) []byte {
--- a/internal/server/requests.go
+++ b/internal/server/requests.go
@@ -37,7 +37,7 @@
 	s.idle.add(1)
 	defer s.idle.add(-1)
 	id := r.PathValue("id")
-	out := s.newCallerStream(w)
+	out := s.newCallerStream(w, r)
 	for range maxHolders {
 		rec, holder, p := s.findRecord(r)
 		switch {
--- a/internal/server/write_answer.go
+++ b/internal/server/write_answer.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"rattantide/internal/framing"
 	"rattantide/internal/journal"
 	"rattantide/internal/problem"
 )
@@ -107,6 +108,7 @@
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
+		framing.SetLength(w.Header(), len(body))
 		if _, err := w.Write(body); err == nil {
 			s.markDelivered(rec)
 		}
