Let callers of the soak take an ordinary end for the end of an answer

Change: a third of the streams of the soak's runners have neither a length nor chunks, and streams last 0.2 s. A runner that crashes resets the connections of such streams, as nothing else could tell their cut from their end. The log has the calls by status.

--- a/internal/standin/runner/process.go
+++ b/internal/standin/runner/process.go
@@ -5,11 +5,15 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"rattantide/internal/framing"
+	"rattantide/internal/telemetry"
 )
 
 // Process serves a handler at a loopback address and can crash: it then closes all its
-// connections, refuses new ones for some time and serves again at the same address. It is
-// safe for concurrent use.
+// connections, refuses new ones for some time and serves again at the same address. It resets
+// the connections that end an incomplete response, as nothing else shows that. It is safe for
+// concurrent use.
 type Process struct {
 	handler      http.Handler
 	restartAfter time.Duration
@@ -83,6 +87,7 @@
 	}
 	p.address = listener.Addr().String()
 	server := &http.Server{Handler: p.handler, ReadHeaderTimeout: time.Minute}
+	framing.Protect(server, telemetry.Discard())
 	p.server = server
 	go func() { _ = server.Serve(listener) }()
 }
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -14,6 +14,10 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rattantide/internal/framing"
 )
 
 // Fault is a type of fault that a Runner can simulate.
@@ -67,6 +71,10 @@
 	Events int
 	// EventInterval is the delay before each event of a stream.
 	EventInterval time.Duration
+	// UnframedOneIn is how many streams there are to one that has neither a length nor chunks and
+	// ends with its connection; 0 means that there is none. The server must be protected
+	// (framing.Protect) unless it is 0.
+	UnframedOneIn uint64
 	// CrashPart is the identifier of a prompt part, in the notation of callers. OnCrash is
 	// called instead of writing the first event to a request that contains it, and the
 	// request is then held until its connection is closed. Empty means that there is none.
@@ -239,6 +247,9 @@
 
 func (r *Runner) serveStream(w http.ResponseWriter, request *http.Request, fault Fault) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if r.UnframedOneIn > 0 && xxhash.Sum64String(request.Header.Get("X-Attempt-Id"))%r.UnframedOneIn == 0 {
+		framing.Begin(w, request, framing.Conn)
+	}
 	first := 1
 	if last, err := strconv.Atoi(request.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -24,6 +24,11 @@
 	runnerCount = 4
 	// streamEvents is the number of events of each stream.
 	streamEvents = 5
+	// streamInterval is the time between two events, so that faults happen within streams.
+	streamInterval = 40 * time.Millisecond
+	// unframedOneIn is how many streams there are to one that ends with its connection. Its
+	// clients take an ordinary end of the connection for its end.
+	unframedOneIn = 3
 	// validKey and revokedKey are API keys of the clients' workspace. revokeKey
 	// removes revokedKey during a run.
 	validKey   = "kept"
@@ -106,7 +111,7 @@
 	for i := range runnerCount {
 		r := &runner.Runner{ID: "i-" + strconv.Itoa(i)}
 		if i%2 == 1 {
-			r.Events = streamEvents
+			r.Events, r.EventInterval, r.UnframedOneIn = streamEvents, streamInterval, unframedOneIn
 		}
 		process, err := runner.StartProcess(r, runnerRestartDelay)
 		assert.NilError(t, err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -123,13 +123,11 @@
 	for _, text := range found {
 		t.Errorf("seed %d: %s", seed, text)
 	}
-	served := 0
+	statuses := map[int]int{}
 	for _, result := range c.calls {
-		if result.status == http.StatusOK {
-			served++
-		}
+		statuses[result.status]++
 	}
-	t.Logf("%d calls, %d with status 200", len(c.calls), served)
+	t.Logf("%d calls, by status: %v", len(c.calls), statuses)
 	if t.Failed() {
 		f.saveLogs(seed)
 	}
