Test answers without a length at daemons that are killed and stopped

Change: tests only, with the daemons' own processes and with their real servers: the kill, the SIGTERM with a caller that reads nothing, and the end of a drain over TLS.

--- a/internal/daemon/lost_path_test.go
+++ b/internal/daemon/lost_path_test.go
@@ -103,9 +103,15 @@
 
 // putObject stores an object through a daemon.
 func putObject(t *testing.T, d *Daemon, path, spec string) {
+	t.Helper()
+	putObjectWith(t, http.DefaultClient, "http", d, path, spec)
+}
+
+// putObjectWith is putObject with a client for a URL scheme.
+func putObjectWith(t *testing.T, client *http.Client, scheme string, d *Daemon, path, spec string) {
 	t.Helper()
 	<-d.syncer.Ready()
 	body := fmt.Sprintf(`{"kind":%q,"name":%q,"spec":%s}`, pathpkg.Dir(path), pathpkg.Base(path), spec)
-	status := send(t, http.DefaultClient, http.MethodPut, "http://"+d.settings.Advertise+"/admin/v1/objects/"+path, "operator", body)
+	status := send(t, client, http.MethodPut, scheme+"://"+d.settings.Advertise+"/admin/v1/objects/"+path, "operator", body)
 	assert.Equal(t, status/100, 2, path)
 }
--- a/test/callers/daemon_test.go
+++ b/test/callers/daemon_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -19,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"rattantide/internal/proc"
+	"rattantide/internal/responsetest"
 	"rattantide/internal/standin/platformcloud"
 	"rattantide/internal/standin/platformstore"
 	"rattantide/internal/standin/runner"
@@ -55,8 +55,9 @@
 func startDaemon(t *testing.T) *daemon {
 	d := &daemon{t: t, runner: &runner.Runner{ID: "i-1"}}
 	streams := &runner.Runner{ID: "s-1", Events: 1 << 20}
+	unframed := &runner.Runner{ID: "u-1", Events: 1 << 20, UnframedOneIn: 1}
 	serve := func(h http.Handler) string {
-		s := httptest.NewServer(h)
+		s := responsetest.NewServer(h)
 		t.Cleanup(func() {
 			s.CloseClientConnections()
 			s.Close()
@@ -64,7 +65,7 @@
 		return s.Listener.Addr().String()
 	}
 	store := platformstore.New()
-	for service, r := range map[string]*runner.Runner{"app": d.runner, "streams": streams} {
+	for service, r := range map[string]*runner.Runner{"app": d.runner, "streams": streams, "unframed": unframed} {
 		store.Set("servers", r.ID, map[string]any{
 			"service": service, "address": serve(r), "zone": "zone-a", "version": "v1", "slots": 400, "state": "ready", "seqNo": 1,
 		})
@@ -74,8 +75,8 @@
 	}
 	store.Set("config", "main", map[string]any{
 		"version":  1,
-		"routes":   []any{route("order", "non_idempotent", "app"), route("stream", "streaming", "streams")},
-		"services": []any{map[string]any{"name": "app", "maxConns": 400}, map[string]any{"name": "streams", "maxConns": 400}},
+		"routes":   []any{route("order", "non_idempotent", "app"), route("stream", "streaming", "streams"), route("unframed", "streaming", "unframed")},
+		"services": []any{map[string]any{"name": "app", "maxConns": 400}, map[string]any{"name": "streams", "maxConns": 400}, map[string]any{"name": "unframed", "maxConns": 400}},
 		"tenants":  []any{map[string]any{"name": "w", "apiKeys": []string{"key"}, "ratePerS": 1e6, "burst": 1e6, "unit": "token_count", "plainTokens": 1}},
 		"limits":   map[string]any{"maxHeaderBytes": maxHeaderBytes, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 4000, "idleTimeoutMs": 10_000},
 	})
