Check responses in the public client as the daemons do

Change: the client's transport is that of the daemons for plain connections. Over TLS it speaks HTTP/2, whose frames mark heads and ends, and through a proxy the daemon's connection is not the client's; both stay with net/http.

Why it works: the check sees the bytes as they are received, and a read that finds an end asks the socket whether it was reset. A failed check is a lost response: the client asks again with the same key, or says that the execution is unknown.

--- a/client/options.go
+++ b/client/options.go
@@ -16,8 +16,8 @@
 	Token string
 	// Scheme is "http" or "https". Default "http".
 	Scheme string
-	// HTTP makes the calls. Its redirect policy is not used. Default: a client
-	// with a new transport.
+	// HTTP makes the calls. Its redirect policy is not used. Default: a client with a new
+	// transport, which fails for responses that are malformed or whose connection was reset.
 	HTTP *http.Client
 	// Attempts is the maximum number of calls for one request. For a stream, the
 	// count restarts with each event received. Default 8.
@@ -38,9 +38,7 @@
 		o.Scheme = "http"
 	}
 	if o.HTTP == nil {
-		transport := http.DefaultTransport.(*http.Transport).Clone()
-		transport.DisableCompression = true
-		o.HTTP = &http.Client{Transport: transport}
+		o.HTTP = &http.Client{Transport: newTransport()}
 	}
 	if o.Attempts <= 0 {
 		o.Attempts = 8
