Refuse an invalid status in the public client whoever makes the call

What callers saw, by a test: with a client of the user's own (Options.HTTP), or over TLS, the public client returned a response with the status 000 as an answer.

Cause: the check of the bytes is in the client's own transport, and HTTP/2 and other transports understand the status by themselves.

Change: the status of each response is checked once more after the transport. A reset that another transport does not report can't be told there, as Options.HTTP says.

Measured: TestInvalidStatusIsNoAnswerOfOtherClients failed for http and https ("error is nil, not "invalid head of the response"") and passes.

--- a/client/broken_response_test.go
+++ b/client/broken_response_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"rattantide/internal/responsehead"
 	"rattantide/internal/responsetest"
 )
 
@@ -54,6 +57,35 @@
 	}
 }
 
+// Guards against a response with the status 000 that is returned as an answer if the calls are
+// made by a client of the user's, or over TLS.
+func TestInvalidStatusIsNoAnswerOfOtherClients(t *testing.T) {
+	status := func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = c.Write([]byte("HTTP/1.1 000 Trouble\r\nContent-Length: 2\r\n\r\n{}"))
+			_ = c.Close()
+		}
+	}
+	for _, scheme := range []string{"http", "https"} {
+		t.Run(scheme, func(t *testing.T) {
+			s := httptest.NewUnstartedServer(http.HandlerFunc(status))
+			if scheme == "https" {
+				s.StartTLS()
+			} else {
+				s.Start()
+			}
+			defer s.Close()
+			transport := &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}
+			c := newClientOf(t, s.Listener.Addr().String(), Options{Scheme: scheme, HTTP: &http.Client{Transport: transport}})
+			_, err := c.Do(t.Context(), Request{Method: http.MethodPost, Path: "/orders/1"})
+			assert.ErrorIs(t, err, responsehead.ErrInvalid)
+			_, err = c.Stream(t.Context(), []byte("{}"))
+			assert.ErrorIs(t, err, responsehead.ErrInvalid)
+		})
+	}
+}
+
 // Guards against a part of a response that looks complete because its connection was reset
 // during the upload.
 func TestResetDuringUploadIsNoEnd(t *testing.T) {
--- a/client/client.go
+++ b/client/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rattantide/internal/responsehead"
 )
 
 const (
@@ -118,6 +120,12 @@
 		cancel(nil)
 		return nil, connected.Load(), errors.Trace(err)
 	}
+	if !responsehead.IsFinalStatus(response.StatusCode) {
+		_ = response.Body.Close()
+		timer.Stop()
+		cancel(nil)
+		return nil, true, errors.Annotatef(responsehead.ErrInvalid, "status %d", response.StatusCode)
+	}
 	response.Body = &idleTimeoutBody{ReadCloser: response.Body, timer: timer, idleTimeout: c.options.IdleTimeout, cancel: cancel}
 	return response, true, nil
 }
