Check responses in the operators' tool as the daemons do

What operators saw, by a test: the tool took 29 of 67 responses with invalid heads for answers; some printed an empty list with the exit code 0.

Cause: it read with net/http alone, as the public client did.

--- a/internal/cli/common_flags.go
+++ b/internal/cli/common_flags.go
@@ -13,6 +13,8 @@
 
 	"github.com/juju/errors"
 	"sigs.k8s.io/yaml"
+
+	"rattantide/internal/responsehead"
 )
 
 const (
@@ -101,7 +103,7 @@
 		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 		scheme = "https://"
 	}
-	client := &Client{Token: token, Operator: c.operator, HTTP: &http.Client{Transport: transport, Timeout: c.timeout}}
+	client := &Client{Token: token, Operator: c.operator, HTTP: &http.Client{Transport: responsehead.NewTransport(transport), Timeout: c.timeout}}
 	for _, address := range strings.Split(c.addresses, ",") {
 		address = strings.TrimSpace(address)
 		if address == "" {
