--- a/internal/framing/protect_test.go
+++ b/internal/framing/protect_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -83,7 +84,7 @@
 }
 
 // Guards against an incomplete response that ends with an ordinary end of its connection when
-// the process is killed, or when its handler aborts it or panics.
+// a signal ends the process, or when its handler aborts it or panics.
 func TestIncompleteResponseIsReset(t *testing.T) {
 	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
 		s, _ := newServer(secure)
@@ -92,11 +93,13 @@
 			_, err := io.ReadAll(begin(t, s.Listener.Addr().String(), path, proto, secure))
 			assert.Assert(t, err != nil, path)
 		}
-		process := responsetest.StartProcess(t, "TestServingProcess", map[bool]string{true: "tls"}[secure])
-		body := begin(t, process.Address, "/open", proto, secure)
-		process.Kill()
-		_, err := io.ReadAll(body)
-		assert.Assert(t, err != nil, "killed")
+		for _, signal := range []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM, syscall.SIGQUIT} {
+			process := responsetest.StartProcess(t, "TestServingProcess", map[bool]string{true: "tls"}[secure])
+			body := begin(t, process.Address, "/open", proto, secure)
+			assert.NilError(t, process.Signal(signal))
+			_, err := io.ReadAll(body)
+			assert.Assert(t, err != nil, signal.String())
+		}
 	})
 }
 
