Let a test of version moves wait for reports in order

Cause: the test polled the reported phases, which the controller appends to, without synchronization.

Change: the fake passes the reports on in a channel, and the test reads them until the one that it polled for. Its assertions stay.

--- a/internal/versionmove/controller_test.go
+++ b/internal/versionmove/controller_test.go
@@ -23,6 +23,8 @@
 	err   error
 	// changed receives a value for each change. It may be nil.
 	changed chan struct{}
+	// reports receives each reported phase unless it is nil.
+	reports chan Phase
 }
 
 // Moves implements Declarations.
@@ -44,6 +46,9 @@
 // ReportPhase implements Declarations.
 func (d *fakeDeclarations) ReportPhase(_ context.Context, _ Declaration, phase Phase) error {
 	d.reported = append(d.reported, phase)
+	if d.reports != nil {
+		d.reports <- phase
+	}
 	return nil
 }
 
--- a/internal/versionmove/exposure_test.go
+++ b/internal/versionmove/exposure_test.go
@@ -121,7 +121,7 @@
 // the end of the move is reported as soon as it is decided.
 func TestSwitchIsReportedAfterHandover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}}
+		declarations := &fakeDeclarations{moves: []Declaration{{Name: "s", Service: "s", To: "v2", Within: 14 * time.Second}}, reports: make(chan Phase, 1000)}
 		c := newHolderController(objecttest.New(), NewLedger(), declarations)
 		c.opts.Ledger.Set("d/p", map[string]Tally{Key("s", "v1"): {Started: 400, Answers: 400}})
 		var switchedAt time.Time
@@ -136,8 +136,10 @@
 		go func() { _ = c.Run(ctx) }()
 		time.Sleep(10 * time.Second)
 		c.opts.Ledger.Set("d/p", map[string]Tally{Key("s", "v1"): {Started: 800, Answers: 800}, Key("s", "v2"): {Started: 40, Answers: 40}})
-		for declarations.reported[len(declarations.reported)-1] != PhaseDone {
-			time.Sleep(time.Millisecond)
+		for phase := range declarations.reports {
+			if phase == PhaseDone {
+				break
+			}
 		}
 		assert.Assert(t, time.Since(switchedAt) >= handoverTime, "%s after the switch", time.Since(switchedAt))
 		assert.Assert(t, time.Since(start) < 14*time.Second)
