Let a test of a slow server begin with a kept connection for each read

Cause, as traced before: the test is about kept connections, but its first reads may share some, so that one of the later reads opens a new one; that read is overdue on a new connection, the server counts as slow at once, and no read is repeated.

Change: the server answers the first reads when all have arrived, so that each has a connection of its own. The number of calls that is expected stays.

--- a/internal/keptconn/transport_test.go
+++ b/internal/keptconn/transport_test.go
@@ -23,12 +23,24 @@
 	// calls counts the requests that reached the server, delay is its time to answer.
 	calls atomic.Int64
 	delay atomic.Int64
+	// isGathering makes the first readsAtOnce requests wait for each other, so that each of them
+	// has a connection of its own. gathered is closed when they have arrived.
+	isGathering atomic.Bool
+	gathered    chan struct{}
 }
 
+// readsAtOnce is the number of calls of callAll.
+const readsAtOnce = 6
+
 func startKeptServer(t *testing.T) *keptServer {
-	s := &keptServer{}
+	s := &keptServer{gathered: make(chan struct{})}
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		s.calls.Add(1)
+		if s.calls.Add(1) == readsAtOnce {
+			close(s.gathered)
+		}
+		if s.isGathering.Load() {
+			<-s.gathered
+		}
 		select {
 		case <-time.After(time.Duration(s.delay.Load())):
 		case <-r.Context().Done():
@@ -67,7 +79,7 @@
 // callAll makes some reads at the same time.
 func (s *keptServer) callAll(ctx context.Context, limit time.Duration) error {
 	var group errgroup.Group
-	for range 6 {
+	for range readsAtOnce {
 		group.Go(func() error { return s.call(ctx, http.MethodGet, limit) })
 	}
 	return group.Wait()
@@ -100,15 +112,17 @@
 // Guards against a server that receives more calls because it is slow: of many reads, one is
 // repeated, until an answer has been received in time again.
 func TestSlowServerReceivesOneMoreCall(t *testing.T) {
-	const rounds, readsPerRound = 3, 6
+	const rounds = 3
 	s := startKeptServer(t)
+	s.isGathering.Store(true)
 	assert.NilError(t, s.callAll(t.Context(), time.Minute))
+	s.isGathering.Store(false)
 	s.delay.Store(int64(time.Second))
 	before := s.calls.Load()
 	for range rounds {
 		assert.NilError(t, s.callAll(t.Context(), time.Minute))
 	}
-	assert.Equal(t, s.calls.Load()-before, int64(rounds*readsPerRound+1))
+	assert.Equal(t, s.calls.Load()-before, int64(rounds*readsAtOnce+1))
 }
 
 // Guards against a write that reaches the server twice, or that makes later calls wait for
