Test that an answer whose rest could not be written is reset

Seen: with the flush before the end of an answer taken out (trial on a copy), no test failed: an answer whose rest does not reach the socket would have ended as complete.

Change: TestIncompleteResponseIsReset has a handler that returns while its rest can't be written; the trial fails then.

--- a/internal/framing/protect_test.go
+++ b/internal/framing/protect_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -39,6 +40,10 @@
 			framing.Abort()
 		case "/panics":
 			panic("a fault of the handler")
+		case "/unwritten":
+			_, _ = io.WriteString(w, "rest")
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Unix(1, 0))
+			return
 		}
 		<-r.Context().Done()
 		framing.Abort()
@@ -84,12 +89,13 @@
 }
 
 // Guards against an incomplete response that ends with an ordinary end of its connection when
-// a signal ends the process, or when its handler aborts it or panics.
+// a signal ends the process, or when its handler aborts it, panics, or returns before the rest could
+// be written.
 func TestIncompleteResponseIsReset(t *testing.T) {
 	forEachCaller(t, func(t *testing.T, proto string, secure bool) {
 		s, _ := newServer(secure)
 		defer s.Close()
-		for _, path := range []string{"/aborted", "/panics"} {
+		for _, path := range []string{"/aborted", "/panics", "/unwritten"} {
 			_, err := io.ReadAll(begin(t, s.Listener.Addr().String(), path, proto, secure))
 			assert.Assert(t, err != nil, path)
 		}
