Do not report calls of the own interface as not run after a lost attempt

What callers saw, by a test: an upstream had got a call that may be repeated, its answer and the path to all upstreams were lost, and the caller was told that the call did not run: by this daemon if no other helps, or by the daemon that was asked for help.

Cause: the request was forwarded before the attempt was counted as one that may have run, and the refusals of forward, and those of the helping daemon, speak of their own attempts only.

Change: what is forwarded carries whether it may have run. If so, a refusal says that the execution is unknown, a problem of the helping daemon that says "not run" is changed to that, and a daemon that a request was forwarded to does not let it go to another one.

Measured: the three cases of TestCallThatMayHaveRunIsNotReportedAsNotRun failed ("not_run ... != unknown") and pass.

--- a/internal/server/chat.go
+++ b/internal/server/chat.go
@@ -44,7 +44,7 @@
 	}
 	if s.isPathLost(s.chatPool(body)) {
 		defer release()
-		s.forward(w, r, id, body)
+		s.forward(w, r, outgoingRequest{id: id, body: body})
 		return
 	}
 	rec, p := s.accept(id, workspaceName, workspace, body)
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"crypto/subtle"
+	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 
@@ -15,8 +17,12 @@
 	"rattantide/internal/responsehead"
 )
 
-// maxHelpers bounds the daemons that are asked to serve one request.
-const maxHelpers = 3
+const (
+	// maxHelpers bounds the daemons that are asked to serve one request.
+	maxHelpers = 3
+	// maxProblemBytes bounds the body of a daemon's problem.
+	maxProblemBytes = 64 << 10
+)
 
 // errPathLost ends the attempts of calls that may be repeated once their path is lost.
 const errPathLost = errors.ConstError("the path to the upstreams was lost")
@@ -106,48 +112,66 @@
 // isForwarded reports whether another daemon forwarded a request.
 func isForwarded(r *http.Request) bool { return r.Context().Value(forwardedKey{}) != nil }
 
+// outgoingRequest is a request that may be forwarded to another daemon.
+type outgoingRequest struct {
+	id   string
+	body []byte
+	// mayHaveRun reports whether an upstream may have run the request in an earlier attempt.
+	mayHaveRun bool
+}
+
+// noHelp returns the refusal of a request if no daemon reaches the upstreams.
+func (o outgoingRequest) noHelp() *problem.Problem {
+	p := problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no daemon reaches the upstreams").WithRetryAfter(transientRetryAfter)
+	if o.mayHaveRun {
+		p.Execution = problem.ExecutionUnknown
+	}
+	return p.WithRequestID(o.id)
+}
+
 // forward answers a request for a pool whose path is lost: by another daemon, or, if none
 // helps, with a refusal. A request that was forwarded to this daemon goes no further.
-func (s *Server) forward(w http.ResponseWriter, r *http.Request, id string, body []byte) {
-	p := problem.NewNotRun(http.StatusServiceUnavailable, problem.CodeNoUpstream, "no daemon reaches the upstreams").WithRetryAfter(transientRetryAfter)
+func (s *Server) forward(w http.ResponseWriter, r *http.Request, o outgoingRequest) {
 	if isForwarded(r) {
-		w.Header().Set(forwardheader.NotHelped, "1")
-		s.refuse(w, p.WithRequestID(id))
+		if !o.mayHaveRun {
+			w.Header().Set(forwardheader.NotHelped, "1")
+		}
+		s.refuse(w, o.noHelp())
 		return
 	}
 	helpers := s.options.Forwarding.Helpers()
 	for _, address := range helpers[:min(maxHelpers, len(helpers))] {
-		response, err := s.sendToHelper(r, address, id, body)
+		response, err := s.sendToHelper(r, address, o)
 		var failure *net.OpError
 		if errors.As(err, &failure) && failure.Op == "dial" {
 			continue
 		}
 		if err != nil {
-			s.options.Logger.Warn("a daemon was lost with a forwarded request", "request", id, "to", address, "error", err)
-			s.refuse(w, problem.NewExecutionUnknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "the daemon that served the request was lost").WithRequestID(id))
+			s.options.Logger.Warn("a daemon was lost with a forwarded request", "request", o.id, "to", address, "error", err)
+			s.refuse(w, problem.NewExecutionUnknown(http.StatusBadGateway, problem.CodeUpstreamFailed, "the daemon that served the request was lost").WithRequestID(o.id))
 			return
 		}
 		if response.Header.Get(forwardheader.NotHelped) == "" {
 			s.metrics.forwarded.Inc(1)
-			s.relayFromHelper(w, r, response)
+			s.relayFromHelper(w, r, o, response)
 			return
 		}
 		_ = response.Body.Close()
 	}
-	s.refuse(w, p.WithRequestID(id))
+	s.refuse(w, o.noHelp())
 }
 
 // sendToHelper sends a request to another daemon and returns the response, whose body must be
 // closed.
-func (s *Server) sendToHelper(r *http.Request, address, id string, body []byte) (*http.Response, error) {
+func (s *Server) sendToHelper(r *http.Request, address string, o outgoingRequest) (*http.Response, error) {
 	f := s.options.Forwarding
-	request, err := http.NewRequestWithContext(r.Context(), r.Method, f.Scheme+"://"+address+r.URL.RequestURI(), bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, f.Scheme+"://"+address+r.URL.RequestURI(), bytes.NewReader(o.body))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	request.Host = r.Host
 	copyHeader(request.Header, r.Header)
-	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Request-Id", o.id)
 	request.Header.Set(forwardheader.By, s.options.Self.Name)
 	request.Header.Set(forwardheader.Token, f.Token)
 	response, err := f.Transport.RoundTrip(request)
@@ -155,14 +179,41 @@
 }
 
 // relayFromHelper sends the response of another daemon to the caller.
-func (s *Server) relayFromHelper(w http.ResponseWriter, r *http.Request, response *http.Response) {
+func (s *Server) relayFromHelper(w http.ResponseWriter, r *http.Request, o outgoingRequest, response *http.Response) {
 	defer response.Body.Close()
+	if p := notRunProblem(response); p != nil && o.mayHaveRun {
+		p.Execution = problem.ExecutionUnknown
+		s.refuse(w, p)
+		return
+	}
 	relayHead(w, r, response)
 	if err := copyFlushing(w, response.Body, s.options.CallerWriteTimeout); err != nil {
 		framing.Abort()
 	}
 }
 
+// notRunProblem returns the problem by which a daemon says that a request did not run, or nil.
+// The body of the response can still be read.
+func notRunProblem(response *http.Response) *problem.Problem {
+	if response.Header.Get("Content-Type") != problem.ContentType {
+		return nil
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxProblemBytes))
+	rest := response.Body
+	response.Body = readCloser{Reader: io.MultiReader(bytes.NewReader(content), rest), Closer: rest}
+	p := &problem.Problem{}
+	if err != nil || json.Unmarshal(content, p) != nil || p.Execution != problem.ExecutionNotRun {
+		return nil
+	}
+	return p
+}
+
+// readCloser reads and closes by different means.
+type readCloser struct {
+	io.Reader
+	io.Closer
+}
+
 // relayHead sends the head of a response to the caller.
 func relayHead(w http.ResponseWriter, r *http.Request, response *http.Response) {
 	copyHeader(w.Header(), response.Header)
--- a/internal/server/forward_test.go
+++ b/internal/server/forward_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -118,6 +119,44 @@
 	assert.Equal(t, calls.Load(), int64(0))
 }
 
+// pathLostLater is a path that is lost from some time on.
+type pathLostLater struct{ isLost atomic.Bool }
+
+func (p *pathLostLater) IsLost(string) bool            { return p.isLost.Load() }
+func (p *pathLostLater) Lost() ([]string, bool)        { return nil, p.isLost.Load() }
+func (*pathLostLater) UntilLost(string, func()) func() { return func() {} }
+
+// Guards against a call that is said not to have run, by this daemon or by one that it asked for
+// help, after an upstream got it and the path was lost.
+func TestCallThatMayHaveRunIsNotReportedAsNotRun(t *testing.T) {
+	noUpstream := strings.TrimPrefix(newHelper(t, &fakePool{}).http.URL, "http://")
+	for name, c := range map[string]struct {
+		helpers []string
+		token   string
+	}{
+		"no helper":             {nil, ""},
+		"helper refuses":        {[]string{noUpstream}, ""},
+		"forwarded to this one": {nil, "peer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			paths := &pathLostLater{}
+			upstream, calls := newFakeService(t, func(int64, http.ResponseWriter) {
+				paths.isLost.Store(true)
+				panic(http.ErrAbortHandler)
+			})
+			pool := &fakePool{}
+			pool.add("app", "v1", upstream.URL)
+			h := newHarness(t, pool, func(o *Options) {
+				o.Forwarding = &Forwarding{Paths: paths, Token: "peer", Scheme: "http", Helpers: func() []string { return c.helpers }, Transport: responsehead.NewTransport(&http.Transport{}).SingleUse()}
+			})
+			response := h.do(t, "POST", "/jobs/7", "body", "Authorization", "Bearer "+otherToken, forwardheader.Token, c.token)
+			assert.Equal(t, problemOf(t, response).Execution, problem.ExecutionUnknown)
+			assert.Equal(t, response.Header.Get(forwardheader.NotHelped), "")
+			assert.Equal(t, calls.Load(), int64(1))
+		})
+	}
+}
+
 // newServer starts an HTTP server and returns its URL.
 func newServer(t *testing.T, handler http.Handler) string {
 	server := httptest.NewServer(handler)
--- a/internal/server/service.go
+++ b/internal/server/service.go
@@ -61,7 +61,7 @@
 	}
 	defer release()
 	if s.isPathLost(c.route.Pool) {
-		s.forward(w, r, c.id, body)
+		s.forward(w, r, outgoingRequest{id: c.id, body: body})
 		return
 	}
 	c.body = body
@@ -150,11 +150,11 @@
 		}
 		end()
 		answer.close(dispatch.Result{Draining: answer.draining})
+		ran = ran || !answer.notRun
 		if s.isPathLost(c.route.Pool) && ctx.Err() == nil {
-			s.forward(w, c.request, c.id, c.body)
+			s.forward(w, c.request, outgoingRequest{id: c.id, body: c.body, mayHaveRun: ran})
 			return
 		}
-		ran = ran || !answer.notRun
 		c.excluded = append(c.excluded, choice.Upstream.Name)
 		if c.attempt >= s.options.MaxAttempts || ctx.Err() != nil {
 			s.failService(w, c, serviceProblem(ctx, answer.err, ran))
