Split the stand-in of the metadata store by what its parts do

Seen: one file of 355 lines with the objects, the faults, the calls that read and those that write.

Change: moves only; objects, faults and writes have a file each.

Measured: the tests of platform/ pass; the programs of the daemons do not contain the package.

--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -14,43 +14,6 @@
 // eraHeader is the header of all responses with the era.
 const eraHeader = "Store-Era"
 
-// Meta is the metadata of an object.
-type Meta struct {
-	Name string `json:"name"`
-	// Revision is the revision of the last write of the object, Created that of the
-	// first one.
-	Revision int64 `json:"revision"`
-	Created  int64 `json:"created"`
-}
-
-// Object is an object as the store returns it.
-type Object struct {
-	Metadata Meta            `json:"metadata"`
-	Spec     json.RawMessage `json:"spec"`
-	Status   json.RawMessage `json:"status"`
-}
-
-type event struct {
-	kind    string
-	object  Object
-	deleted bool
-}
-
-// Faults are the injected faults of a Store. The zero value means none.
-type Faults struct {
-	// Status, if not 0, is the status of the response to every call.
-	Status int
-	// LoseAnswers is the number of further writes that are applied although the
-	// connection is closed without a response.
-	LoseAnswers int
-	// LateWrites is the number of further writes whose connection is closed without a
-	// response and which are applied by ApplyLateWrites, if their condition still
-	// holds then.
-	LateWrites int
-	// PageSize limits the objects in the response to a list call; 0 means no limit.
-	PageSize int
-}
-
 // Store simulates the metadata store. It is an http.Handler and safe for concurrent
 // use.
 type Store struct {
@@ -94,13 +57,6 @@
 	s.mux.ServeHTTP(w, r)
 }
 
-// SetFaults replaces the faults.
-func (s *Store) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
 // Calls returns the number of received calls with an HTTP method.
 func (s *Store) Calls(method string) int {
 	s.mu.Lock()
@@ -136,17 +92,6 @@
 	s.notifyWatchesLocked()
 }
 
-// ApplyLateWrites applies the writes that were delayed by Faults.LateWrites.
-func (s *Store) ApplyLateWrites() {
-	s.mu.Lock()
-	late := s.lateWrites
-	s.lateWrites = nil
-	s.mu.Unlock()
-	for _, f := range late {
-		f()
-	}
-}
-
 // Object returns a copy of an object, or nil if it does not exist.
 func (s *Store) Object(kind, name string) *Object {
 	s.mu.Lock()
@@ -280,73 +225,6 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
-func (s *Store) serveWrite(w http.ResponseWriter, r *http.Request) {
-	var o Object
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	kind, name, isCreate := r.PathValue("kind"), r.PathValue("name"), r.Method == http.MethodPost
-	if isCreate {
-		name = o.Metadata.Name
-	}
-	isStatus := r.URL.Path == "/objects/"+kind+"/"+name+"/status"
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	apply := func() (int, *Object) { return s.applyWriteLocked(kind, name, &o, isCreate, isStatus) }
-	if s.faults.LateWrites > 0 {
-		s.faults.LateWrites--
-		s.lateWrites = append(s.lateWrites, func() {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			apply()
-		})
-		panic(http.ErrAbortHandler)
-	}
-	code, stored := apply()
-	if s.faults.LoseAnswers > 0 {
-		s.faults.LoseAnswers--
-		panic(http.ErrAbortHandler)
-	}
-	if stored == nil {
-		w.WriteHeader(code)
-		return
-	}
-	writeJSON(w, code, stored)
-}
-
-// applyWriteLocked applies a write if its condition holds. It returns the status of
-// the response and the stored object, if there is one. The caller holds s.mu.
-func (s *Store) applyWriteLocked(kind, name string, o *Object, isCreate, isStatus bool) (int, *Object) {
-	current := s.objects[kind][name]
-	switch {
-	case isCreate && current != nil:
-		return http.StatusConflict, current
-	case !isCreate && current == nil:
-		return http.StatusNotFound, nil
-	case !isCreate && o.Metadata.Revision != 0 && o.Metadata.Revision != current.Metadata.Revision:
-		return http.StatusConflict, current
-	}
-	return http.StatusOK, s.putLocked(kind, name, o, isStatus)
-}
-
-func (s *Store) serveDelete(w http.ResponseWriter, r *http.Request) {
-	kind, name := r.PathValue("kind"), r.PathValue("name")
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current := s.objects[kind][name]
-	if current == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	if text := r.URL.Query().Get("revision"); text != "" && text != strconv.FormatInt(current.Metadata.Revision, 10) {
-		writeJSON(w, http.StatusConflict, current)
-		return
-	}
-	s.deleteLocked(kind, name)
-	writeJSON(w, http.StatusOK, current)
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
