Look into a helping daemon's problem only where it may be changed

Seen on reading again: each problem of a helping daemon was read and decoded before it was relayed, also for requests that can't have run before, where nothing follows from it.

Change: the question whether the request may have run comes first. What callers get stays.

Measured: the tests of internal/server pass; the gateway's program does not contain the package.

--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -181,10 +181,12 @@
 // relayFromHelper sends the response of another daemon to the caller.
 func (s *Server) relayFromHelper(w http.ResponseWriter, r *http.Request, o outgoingRequest, response *http.Response) {
 	defer response.Body.Close()
-	if p := notRunProblem(response); p != nil && o.mayHaveRun {
-		p.Execution = problem.ExecutionUnknown
-		s.refuse(w, p)
-		return
+	if o.mayHaveRun {
+		if p := notRunProblem(response); p != nil {
+			p.Execution = problem.ExecutionUnknown
+			s.refuse(w, p)
+			return
+		}
 	}
 	relayHead(w, r, response)
 	if err := copyFlushing(w, response.Body, s.options.CallerWriteTimeout); err != nil {
