Use one upstream and one check for daemons that are killed within an answer

Seen on reading again: the upstream that leaves its body unfinished stood twice, the kill and its check twice, and the objects of a route to a service twice in the tests of internal/daemon.

Change: responsetest.ServeUnfinished and CheckKilled, and putLookupRoute; each assertion is kept as it was. Comments of responsetest say what it has now.

--- a/internal/daemon/lost_path_test.go
+++ b/internal/daemon/lost_path_test.go
@@ -56,14 +56,7 @@
 		daemons[i] = startDaemonWith(t, prepare, "-name", name, "-object-api", api, "-instance-list", listAddress)
 		list.Set(instances.Instance{Name: name, Address: daemons[i].settings.Advertise, Domain: "zone-a", Region: "default", Role: "daemon", State: "live"})
 	}
-	hash := sha256.Sum256([]byte("token"))
-	for path, spec := range map[string]string{
-		"Class/lookup": `{"target":{"answer":"1s"}}`, "Pool/app": `{"type":"service","version":"v1"}`,
-		"Workspace/a": `{"tokenHash":"` + hex.EncodeToString(hash[:]) + `"}`,
-	} {
-		putObject(t, daemons[0], path, spec)
-	}
-	putObject(t, daemons[0], "Route/jobs", `{"prefix":"jobs","pool":"app","class":"lookup"}`)
+	putLookupRoute(t, http.DefaultClient, "http", daemons[0])
 	call := func(d *Daemon) int {
 		return send(t, &http.Client{Timeout: 5 * time.Second}, http.MethodGet, "http://"+d.settings.Advertise+"/jobs/7", "token", "")
 	}
@@ -101,14 +94,21 @@
 	assert.Equal(t, call(daemons[0]), http.StatusOK)
 }
 
-// putObject stores an object through a daemon.
-func putObject(t *testing.T, d *Daemon, path, spec string) {
+// putLookupRoute stores the route /jobs/ to the pool app, and a workspace whose token is "token".
+func putLookupRoute(t *testing.T, client *http.Client, scheme string, d *Daemon) {
 	t.Helper()
-	putObjectWith(t, http.DefaultClient, "http", d, path, spec)
+	hash := sha256.Sum256([]byte("token"))
+	for path, spec := range map[string]string{
+		"Class/lookup": `{"target":{"answer":"1s"}}`, "Pool/app": `{"type":"service","version":"v1"}`,
+		"Workspace/a": `{"tokenHash":"` + hex.EncodeToString(hash[:]) + `"}`,
+	} {
+		putObject(t, client, scheme, d, path, spec)
+	}
+	putObject(t, client, scheme, d, "Route/jobs", `{"prefix":"jobs","pool":"app","class":"lookup"}`)
 }
 
-// putObjectWith is putObject with a client for a URL scheme.
-func putObjectWith(t *testing.T, client *http.Client, scheme string, d *Daemon, path, spec string) {
+// putObject stores an object through a daemon, with a client for a URL scheme.
+func putObject(t *testing.T, client *http.Client, scheme string, d *Daemon, path, spec string) {
 	t.Helper()
 	<-d.syncer.Ready()
 	body := fmt.Sprintf(`{"kind":%q,"name":%q,"spec":%s}`, pathpkg.Dir(path), pathpkg.Base(path), spec)
--- a/internal/daemon/unframed_test.go
+++ b/internal/daemon/unframed_test.go
@@ -1,11 +1,7 @@
 package daemon
 
 import (
-	"bufio"
-	"crypto/sha256"
-	"encoding/hex"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -20,25 +16,13 @@
 // Guards against an answer of a service without a length that has not ended when the drain has,
 // and looks complete to a caller over TLS.
 func TestUnframedAnswerOfStoppedDaemon(t *testing.T) {
-	service := responsetest.Serve(t, func(c net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
-		responsetest.HoldOpen(t, c)
-	})
+	service := responsetest.ServeUnfinished(t, "HTTP/1.1 200 OK\r\n\r\npart")
 	list := instances.New()
 	list.Set(instances.Instance{Name: "u", Address: service, Domain: "zone-a", Region: "default", Role: "upstream", Pool: "app", Version: "v1", State: "live"})
 	certificate, key, client := newCertificate(t)
 	d := startDaemon(t, "-name", "a", "-object-api", addressOf(startObjectAPI(t)), "-instance-list", addressOf(responsetest.NewServer(list)),
 		"-tls-cert", certificate, "-tls-key", key, "-tls-ca", certificate, "-drain-limit", "100ms")
-	hash := sha256.Sum256([]byte("token"))
-	for _, object := range [][2]string{
-		{"Class/lookup", `{"target":{"answer":"1s"}}`}, {"Pool/app", `{"type":"service","version":"v1"}`},
-		{"Workspace/a", `{"tokenHash":"` + hex.EncodeToString(hash[:]) + `"}`}, {"Route/jobs", `{"prefix":"jobs","pool":"app","class":"lookup"}`},
-	} {
-		putObjectWith(t, client, "https", d, object[0], object[1])
-	}
+	putLookupRoute(t, client, "https", d)
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "https://"+d.settings.Advertise+"/jobs/7", nil)
 	assert.NilError(t, err)
 	request.Header.Set("Authorization", "Bearer token")
--- a/internal/gateway/killed_daemon_test.go
+++ b/internal/gateway/killed_daemon_test.go
@@ -2,14 +2,10 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
 
-	"gotest.tools/v3/assert"
-
 	"rattantide/internal/gateway"
 	"rattantide/internal/membership"
 	"rattantide/internal/responsetest"
@@ -70,11 +66,7 @@
 					address = newLostFixture(t, gateway.Helper{Name: "helping", Address: address}).address
 				}
 				request := fmt.Sprintf("POST %s %s\r\nHost: host.example\r\nX-Attempt-Id: a1\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n", c.path, c.proto)
-				response := responsetest.Begin(t, responsetest.Dial(t, address), request)
-				assert.Equal(t, response.StatusCode, http.StatusOK)
-				process.Kill()
-				rest, err := io.ReadAll(response.Body)
-				assert.Assert(t, err != nil, "the answer looks complete with %d bytes", len(rest))
+				responsetest.CheckKilled(t, process, address, request)
 			})
 		}
 	}
--- a/internal/responsetest/begin.go
+++ b/internal/responsetest/begin.go
@@ -38,6 +38,19 @@
 	return response
 }
 
+// ServeUnfinished answers the first request of each connection with the same bytes and keeps the
+// connection open. It returns the address that it listens on.
+func ServeUnfinished(t testing.TB, text string) (address string) {
+	t.Helper()
+	return Serve(t, func(c net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, text)
+		HoldOpen(t, c)
+	})
+}
+
 // HoldOpen returns when the peer has closed a connection or the test ends.
 func HoldOpen(t testing.TB, c net.Conn) {
 	stop := context.AfterFunc(t.Context(), func() { _ = c.SetReadDeadline(time.Now()) })
--- a/internal/responsetest/process.go
+++ b/internal/responsetest/process.go
@@ -1,6 +1,8 @@
 package responsetest
 
 import (
+	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -42,6 +44,18 @@
 	return p
 }
 
+// CheckKilled sends a request to an address, kills a process on the way of the response once its
+// body has begun, and checks that what the caller gets does not look complete.
+func CheckKilled(t testing.TB, process *proc.Process, address, request string) {
+	t.Helper()
+	response := Begin(t, Dial(t, address), request)
+	defer func() { _ = response.Body.Close() }()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	process.Kill()
+	rest, err := io.ReadAll(response.Body)
+	assert.Assert(t, err != nil, "the answer looks complete with %d bytes", len(rest))
+}
+
 // ProcessArgument returns the argument of StartProcess, or false in other processes.
 func ProcessArgument() (argument string, ok bool) { return os.LookupEnv(argumentEnv) }
 
--- a/internal/responsetest/protected_server.go
+++ b/internal/responsetest/protected_server.go
@@ -8,8 +8,8 @@
 	"rattantide/internal/telemetry"
 )
 
-// NewServer returns a server that is protected (framing.Protect), as those of the daemons. The caller must
-// close it.
+// NewServer returns a server that is protected (framing.Protect), as those of the daemons. The
+// caller must close it.
 func NewServer(handler http.Handler) *httptest.Server {
 	s := httptest.NewUnstartedServer(handler)
 	framing.Protect(s.Config, telemetry.Discard())
--- a/internal/server/killed_daemon_test.go
+++ b/internal/server/killed_daemon_test.go
@@ -1,10 +1,8 @@
 package server
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,17 +12,6 @@
 	"rattantide/internal/responsetest"
 )
 
-// unfinished answers each request with the same bytes and keeps the connection open.
-func unfinished(t *testing.T, text string) (url string) {
-	return "http://" + responsetest.Serve(t, func(c net.Conn) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, text)
-		responsetest.HoldOpen(t, c)
-	})
-}
-
 // rawRequest returns the bytes of a request.
 func rawRequest(call, proto, body string) string {
 	return fmt.Sprintf("%s %s\r\nHost: h\r\nAuthorization: Bearer %s\r\nIdempotency-Key: k\r\nContent-Length: %d\r\n\r\n%s", call, proto, testToken, len(body), body)
@@ -72,7 +59,7 @@
 			"no length to HTTP/1.0": {"HTTP/1.0", "GET /orders/1", "", "HTTP/1.1 200 OK\r\n\r\n" + part},
 		} {
 			t.Run(killed+" "+name, func(t *testing.T) {
-				target := unfinished(t, c.upstream)
+				target := "http://" + responsetest.ServeUnfinished(t, c.upstream)
 				if killed == "forwarding" {
 					target = newServing(t, target).http.Listener.Addr().String()
 				}
@@ -81,11 +68,7 @@
 				if killed == "helping" {
 					address = newLostHarnessAt(t, address).http.Listener.Addr().String()
 				}
-				response := responsetest.Begin(t, responsetest.Dial(t, address), rawRequest(c.call, c.proto, c.body))
-				assert.Equal(t, response.StatusCode, http.StatusOK)
-				process.Kill()
-				rest, err := io.ReadAll(response.Body)
-				assert.Assert(t, err != nil, "the answer looks complete with %d bytes", len(rest))
+				responsetest.CheckKilled(t, process, address, rawRequest(c.call, c.proto, c.body))
 			})
 		}
 	}
