--- a/review/_stand-3/client.go
+++ b/review/_stand-3/client.go
@@ -12,7 +12,7 @@
 // answer is what a client got for one request.
 type answer struct {
 	id, path, daemon string
-	sentAt, endedAt  time.Time
+	sentAt           time.Time
 	// status is 0 if no complete answer arrived.
 	status int
 	sealed bool
@@ -23,11 +23,11 @@
 	deployment *deployment
 	record     *record
 	deadline   time.Duration
-	// prefix distinguishes the attempts of several clients, key is their key, and padding is
-	// sent in a header of its own.
-	prefix, key, padding string
-	http                 *http.Client
-	open                 sync.WaitGroup
+	// prefix distinguishes the attempts of several clients, and padding is sent in a header of
+	// its own.
+	prefix, padding string
+	http            *http.Client
+	open            sync.WaitGroup
 
 	mu      sync.Mutex
 	count   int
@@ -35,7 +35,7 @@
 }
 
 func newClients(d *deployment, rec *record, deadline time.Duration) *clients {
-	return &clients{deployment: d, record: rec, deadline: deadline, key: apiKey, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return &clients{deployment: d, record: rec, deadline: deadline, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
 // send sends a request to a daemon and does not wait for its answer.
@@ -46,7 +46,6 @@
 	c.mu.Unlock()
 	c.open.Go(func() {
 		c.do(&a, method, to)
-		a.endedAt = time.Now()
 		c.record.add("answer %s %s from %s: status %d, seal %t", a.id, path, a.daemon, a.status, a.sealed)
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -65,7 +64,7 @@
 	request.Host = host
 	request.Header.Set("X-Attempt-Id", a.id)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(c.deadline.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+c.key)
+	request.Header.Set("Authorization", "Bearer "+apiKey)
 	if c.padding != "" {
 		request.Header.Set("X-Notes", c.padding)
 	}
--- a/review/_stand-3/deployment.go
+++ b/review/_stand-3/deployment.go
@@ -34,11 +34,8 @@
 	daemons []*daemon
 	port    int
 	version int
-	// grace is the graceS of the settings that are written.
-	grace time.Duration
-	// headerLimit is maxHeaderBytes, and tenants are those of the manifests that are written.
+	// headerLimit is maxHeaderBytes of the manifests that are written.
 	headerLimit int
-	tenants     []any
 }
 
 // daemon is one process of the system.
@@ -52,8 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{dir: dir, program: program, store: platformstore.New(), cloud: platformcloud.New(), grace: 8 * time.Second, headerLimit: 16 << 10}
-	d.tenants = []any{map[string]any{"name": tenant, "apiKeys": []string{apiKey}}}
+	d := &deployment{dir: dir, program: program, store: platformstore.New(), cloud: platformcloud.New(), headerLimit: 16 << 10}
 	for _, handler := range []http.Handler{d.store, d.cloud} {
 		d.servers = append(d.servers, httptest.NewServer(handler))
 	}
@@ -125,7 +121,7 @@
 [bounds]
 contactMs = 3000
 drainMs = 2000
-graceS = %g
+graceS = 8
 configApplyMs = 2000
 strictRevoke = true
 revokeMs = 5000
@@ -157,7 +153,7 @@
 [cloudApi]
 address = %q
 duties = ["usage_report","autoscale"]
-`, m.name, m.ip, d.port+3, d.port+4, address(0), address(1), address(2), d.grace.Seconds(), d.servers[0].Listener.Addr(), d.servers[1].Listener.Addr())
+`, m.name, m.ip, d.port+3, d.port+4, address(0), address(1), address(2), d.servers[0].Listener.Addr(), d.servers[1].Listener.Addr())
 }
 
 // awaitReady waits until all daemons answer their readiness checks with 200.
@@ -204,7 +200,7 @@
 	d.store.Set("config", "main", map[string]any{
 		"version": d.version, "routes": list, "services": services,
 		"limits":  map[string]any{"maxHeaderBytes": d.headerLimit, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000, "idleTimeoutMs": 15000},
-		"tenants": d.tenants,
+		"tenants": []any{map[string]any{"name": tenant, "apiKeys": []string{apiKey}}},
 	})
 }
 
--- a/review/_stand-3/main.go
+++ b/review/_stand-3/main.go
@@ -12,9 +12,7 @@
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(d *deployment, rec *record, trouble bool) (broken bool, err error){
 	"encoded":  playEncoded,
-	"grace":    playGrace,
 	"headers":  playHeaders,
-	"keyless":  playKeyless,
 	"unframed": playUnframed,
 }
 
