--- a/review/_stand-3/deployment.go
+++ b/review/_stand-3/deployment.go
@@ -19,6 +19,8 @@
 	host   = "orders.example"
 	tenant = "members"
 	apiKey = "key-of-members"
+	// maxDescriptors is maxFds of the settings.
+	maxDescriptors = 4100
 	// readyTimeout bounds the start of the daemons.
 	readyTimeout = 20 * time.Second
 )
@@ -36,6 +38,8 @@
 	version int
 	// headerLimit is maxHeaderBytes of the manifests that are written.
 	headerLimit int
+	// limitsDescriptors gives each daemon as many descriptors as its settings say.
+	limitsDescriptors bool
 }
 
 // daemon is one process of the system.
@@ -89,7 +93,11 @@
 }
 
 func (d *deployment) start(m *daemon) (err error) {
-	m.process, err = proc.Launch(proc.Spec{Name: m.name, Program: d.program, Env: []string{"RATTANTIDE_BOOT=" + m.settings}, Dir: d.dir})
+	spec := proc.Spec{Name: m.name, Program: d.program, Env: []string{"RATTANTIDE_BOOT=" + m.settings}, Dir: d.dir}
+	if d.limitsDescriptors {
+		spec.Program, spec.Args = "/bin/sh", []string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, maxDescriptors), d.program}
+	}
+	m.process, err = proc.Launch(spec)
 	return err
 }
 
--- a/review/_stand-3/main.go
+++ b/review/_stand-3/main.go
@@ -11,9 +11,10 @@
 
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(d *deployment, rec *record, trouble bool) (broken bool, err error){
-	"encoded":  playEncoded,
-	"headers":  playHeaders,
-	"unframed": playUnframed,
+	"directory": playDirectory,
+	"encoded":   playEncoded,
+	"headers":   playHeaders,
+	"unframed":  playUnframed,
 }
 
 func main() { os.Exit(run()) }
