--- a/review/_stand-3/deployment.go
+++ b/review/_stand-3/deployment.go
@@ -21,6 +21,8 @@
 	apiKey = "key-of-members"
 	// maxDescriptors is maxFds of the settings.
 	maxDescriptors = 4100
+	// memoryLimit is memoryMb of the settings, in bytes.
+	memoryLimit = 284 << 20
 	// readyTimeout bounds the start of the daemons.
 	readyTimeout = 20 * time.Second
 )
--- a/review/_stand-3/directory.go
+++ b/review/_stand-3/directory.go
@@ -35,15 +35,19 @@
 
 // crowd is the crowd; each member keeps one connection and opens another when it is closed.
 type crowd struct {
+	// size is the number of members, and fields are the fields of their headers beside Host and
+	// Transfer-Encoding, as they are sent.
+	size    int
+	fields  string
 	stop    chan struct{}
 	members sync.WaitGroup
 }
 
 // open starts the members one after the other.
 func (c *crowd) open(address string) {
-	for range crowdSize {
+	for range c.size {
 		c.members.Go(func() { c.stay(address) })
-		time.Sleep(crowdSpan / crowdSize)
+		time.Sleep(crowdSpan / time.Duration(c.size))
 	}
 }
 
@@ -52,7 +56,7 @@
 	for {
 		conn, err := net.DialTimeout("tcp4", address, time.Second)
 		if err == nil {
-			fmt.Fprintf(conn, "GET /resolve?name=%s&region=mien-trung&zone=hoian-a HTTP/1.1\r\nHost: %s\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n%01020d", host, host, 0)
+			fmt.Fprintf(conn, "GET /resolve?name=%s&region=mien-trung&zone=hoian-a HTTP/1.1\r\nHost: %s\r\nTransfer-Encoding: chunked\r\n%s\r\n400\r\n%01020d", host, host, c.fields, 0)
 			closed := make(chan struct{})
 			go func() {
 				_, _ = io.Copy(io.Discard, conn)
@@ -122,7 +126,7 @@
 	started := time.Now()
 	end := started.Add(crowdFrom + crowdTime + directoryAfter)
 	readiness := watchReadiness(d, rec, end)
-	c := crowd{stop: make(chan struct{})}
+	c := crowd{size: crowdSize, stop: make(chan struct{})}
 	if trouble {
 		time.AfterFunc(crowdFrom, func() {
 			rec.say("the crowd comes to the directory of %s", d.daemons[0].name)
--- a/review/_stand-3/main.go
+++ b/review/_stand-3/main.go
@@ -14,6 +14,7 @@
 	"directory": playDirectory,
 	"encoded":   playEncoded,
 	"headers":   playHeaders,
+	"memory":    playMemory,
 	"unframed":  playUnframed,
 }
 
