--- a/review/_stand-3/runner.go
+++ b/review/_stand-3/runner.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-// plainRunner is a runner of a plain service. Its answers have no length: each ends with its
+// plainRunner is a runner of a plain service. Unless framed is set, its answers have no length: each ends with its
 // connection, as the pages allow. It works on `slots` requests at a time and queues the rest.
 type plainRunner struct {
 	id       string
--- a/review/_stand-3/unframed.go
+++ b/review/_stand-3/unframed.go
@@ -20,7 +20,7 @@
 	// calmTime passes before, and afterTime after the losses.
 	calmTime  = 6 * time.Second
 	afterTime = 20 * time.Second
-	// statusInterval is the time between two requests for the same status, and orderInterval
+	// statusInterval is the time between two requests for the same status, and otherInterval
 	// that between two other requests.
 	statusInterval = 6 * time.Millisecond
 	otherInterval  = 100 * time.Millisecond
